feat(repo): workspace of packages with the common base, manifest and message types

Cause: the parts of the router are to be built side by side on one base. Change: workspace, formatter, linter, test runner that passes over listed known failures, one clock, findings, settings, logs, metrics, seeded random numbers, manifest types, inner message types, store and VM list interfaces.

--- /dev/null
+++ b/packages/common/src/digest.ts
@@ -0,0 +1,36 @@
+/**
+ * Digests and rendezvous hashing, over SHA-256 of `node:crypto`.
+ *
+ * @module
+ */
+import { createHash } from "node:crypto";
+
+/** SHA-256 of the parts, each preceded by its length so that no two part lists share a digest; 64 hex digits. */
+export function digestOf(...parts: readonly (string | Uint8Array)[]): string {
+    const hash = createHash("sha256");
+    for (const part of parts) {
+        hash.update(`${part.length}:`);
+        hash.update(part);
+    }
+    return hash.digest("hex");
+}
+
+/** Plain SHA-256 of one value as 64 hex digits, the form in which manifests carry caller keys. */
+export function sha256Hex(value: string | Uint8Array): string {
+    return createHash("sha256").update(value).digest("hex");
+}
+
+const scoreBytes = 6;
+
+/** Score of a member for a key, uniform over 48 bits: the member with the highest score owns the key. */
+export function rendezvousScore(key: string, member: string): number {
+    return createHash("sha256").update(key).update("\0").update(member).digest().readUIntBE(0, scoreBytes);
+}
+
+/** Members in order of falling score for `key`; a member that joins or leaves moves only its own keys. */
+export function rendezvousOrder<T>(key: string, members: readonly T[], nameOf: (member: T) => string): T[] {
+    return members
+        .map((member) => ({ member, score: rendezvousScore(key, nameOf(member)) }))
+        .sort((left, right) => right.score - left.score)
+        .map((scored) => scored.member);
+}
--- /dev/null
+++ b/packages/common/src/index.ts
@@ -0,0 +1,15 @@
+/**
+ * Clock, settings, findings, logs, metrics, digests and tasks that every other package builds on.
+ *
+ * @module
+ */
+export * from "./clock.js";
+export * from "./decision.js";
+export * from "./digest.js";
+export * from "./finding.js";
+export * from "./logger.js";
+export * from "./mailbox.js";
+export * from "./metrics.js";
+export * from "./random.js";
+export * from "./reasons.js";
+export * from "./settings.js";
--- /dev/null
+++ b/packages/common/src/logger.ts
@@ -0,0 +1,73 @@
+/**
+ * Structured logs over winston: one JSON object a line on standard error. Neither prompt text nor keys are logged.
+ *
+ * @module
+ */
+import winston from "winston";
+
+/** Log levels, most severe first. */
+export enum LogLevel {
+    Error = "error",
+    Warn = "warn",
+    Info = "info",
+    Debug = "debug",
+}
+
+/** Fields of a log line beside its message. */
+export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
+
+/** A logger of one scope, for example `router:placement`. */
+export interface Logger {
+    error(message: string, fields?: LogFields): void;
+    warn(message: string, fields?: LogFields): void;
+    info(message: string, fields?: LogFields): void;
+    debug(message: string, fields?: LogFields): void;
+    /** A logger whose scope is this one's and `name`, joined by a colon. */
+    scope(name: string): Logger;
+}
+
+/** Options of {@link createLogger}. */
+export interface LoggerOptions {
+    /** Scope of every line, for example `router`. */
+    readonly scope: string;
+    /**
+     * Least severe level that is written.
+     * @default LogLevel.Info
+     */
+    readonly level?: LogLevel;
+    /** Fields added to every line, for example the instance's name. */
+    readonly fields?: LogFields;
+}
+
+/** Makes a logger that writes JSON lines to standard error. */
+export function createLogger(options: LoggerOptions): Logger {
+    const sink = winston.createLogger({
+        level: options.level ?? LogLevel.Info,
+        format: winston.format.combine(winston.format.timestamp(), winston.format.json()),
+        defaultMeta: options.fields,
+        transports: [new winston.transports.Console({ stderrLevels: Object.values(LogLevel) })],
+    });
+    return scopedLogger(sink, options.scope);
+}
+
+/** A logger that writes nothing, for tests. */
+export const silentLogger: Logger = {
+    error: () => {},
+    warn: () => {},
+    info: () => {},
+    debug: () => {},
+    scope: () => silentLogger,
+};
+
+function scopedLogger(sink: winston.Logger, scope: string): Logger {
+    const write = (level: LogLevel) => (message: string, fields?: LogFields) => {
+        sink.log(level, message, { ...fields, scope });
+    };
+    return {
+        error: write(LogLevel.Error),
+        warn: write(LogLevel.Warn),
+        info: write(LogLevel.Info),
+        debug: write(LogLevel.Debug),
+        scope: (name) => scopedLogger(sink, `${scope}:${name}`),
+    };
+}
--- /dev/null
+++ b/packages/common/src/metrics.ts
@@ -0,0 +1,53 @@
+/**
+ * Metrics over prom-client: one registry a process, with a counter for each refusal and retry reason.
+ *
+ * @module
+ */
+import { Counter, Registry } from "prom-client";
+import { RefusalReason, RetryReason } from "./reasons.js";
+
+/** Counters that every process of the product keeps. */
+export interface ReasonCounters {
+    /** Counts one refusal. */
+    refused(reason: RefusalReason): void;
+    /** Counts one retry. */
+    retried(reason: RetryReason): void;
+}
+
+/** Makes the refusal and retry counters in `registry`, with every reason present from the start at zero. */
+export function createReasonCounters(registry: Registry): ReasonCounters {
+    const refusals = reasonCounter(
+        registry,
+        "redwingpin_refusals_total",
+        "Requests refused",
+        Object.values(RefusalReason),
+    );
+    const retries = reasonCounter(
+        registry,
+        "redwingpin_retries_total",
+        "Requests tried again",
+        Object.values(RetryReason),
+    );
+    return {
+        refused: (reason) => refusals.inc({ reason }),
+        retried: (reason) => retries.inc({ reason }),
+    };
+}
+
+function reasonCounter(
+    registry: Registry,
+    name: string,
+    help: string,
+    reasons: readonly string[],
+): Counter<"reason"> {
+    const counter = new Counter({
+        name,
+        help: `${help}, by reason`,
+        labelNames: ["reason"],
+        registers: [registry],
+    });
+    for (const reason of reasons) {
+        counter.inc({ reason }, 0);
+    }
+    return counter;
+}
--- /dev/null
+++ b/packages/common/src/reasons.ts
@@ -0,0 +1,42 @@
+/**
+ * The reasons for which a request is refused or tried again, one enumeration each. Metrics, logs and error
+ * answers use these values and no others.
+ *
+ * @module
+ */
+
+/** Why a request was refused. The value is the label in metrics and the `code` in error answers. */
+export enum RefusalReason {
+    MissingKey = "missing_key",
+    UnknownKey = "unknown_key",
+    RouteNotFound = "route_not_found",
+    RouteForbidden = "route_forbidden",
+    MalformedRequest = "malformed_request",
+    BodyTooLarge = "body_too_large",
+    RateExceeded = "rate_exceeded",
+    RequestExceedsBurst = "request_exceeds_burst",
+    QueueFull = "queue_full",
+    DeadlineExceeded = "deadline_exceeded",
+    NoEndpoint = "no_endpoint",
+    RetryBudgetSpent = "retry_budget_spent",
+    EndpointFailed = "endpoint_failed",
+    OutcomeUnknown = "outcome_unknown",
+    Quarantined = "quarantined",
+    ClaimStoreUnavailable = "claim_store_unavailable",
+    IdempotencyKeyReused = "idempotency_key_reused",
+    CallInProgress = "call_in_progress",
+    Stopping = "stopping",
+    NotConfigured = "not_configured",
+}
+
+/** Why a request was tried at another endpoint. The value is the label in metrics. */
+export enum RetryReason {
+    ConnectFailed = "connect_failed",
+    AgentDeclinedDraining = "agent_declined_draining",
+    AgentDeclinedQueueFull = "agent_declined_queue_full",
+    AgentDeclinedVersion = "agent_declined_version",
+    AgentDeclinedEndpointDown = "agent_declined_endpoint_down",
+    ConnectionLost = "connection_lost",
+    EndpointError = "endpoint_error",
+    StreamResumed = "stream_resumed",
+}
--- /dev/null
+++ b/packages/membership/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Public items of this package.
+ *
+ * @module
+ */
+export {};
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,7 @@
+/**
+ * Clients of the platform: the key-value store and the VM list.
+ *
+ * @module
+ */
+export * from "./store.js";
+export * from "./virtualMachineList.js";
--- /dev/null
+++ b/packages/protocol/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * The inner protocol between redwingpin processes.
+ *
+ * @module
+ */
+export * from "./messages.js";
