--- /dev/null
+++ b/packages/bench/src/node/main.ts
@@ -0,0 +1,15 @@
+/**
+ * The bench: measures the product and its decision modules. Each experiment is one subcommand.
+ *
+ * @module
+ */
+import { Builtins, Cli, type CommandClass } from "clipanion";
+
+const experiments: readonly CommandClass[] = [];
+
+const cli = new Cli({ binaryName: "redwingpin-bench", binaryLabel: "redwingpin bench" });
+cli.register(Builtins.HelpCommand);
+for (const experiment of experiments) {
+    cli.register(experiment);
+}
+void cli.runExit(process.argv.slice(2));
