feat(placement): prefix chain, rendezvous homes, ejection and retry budget

Cause: the router needs a decision of its own on where a request goes, from what answers and statuses tell it. Ruled out: the exact index of blocks in a router (360 M blocks do not fit 256 MB); broadcast of cache events. Change: block names are a digest chain salted with the scope; homes come from rendezvous hashing on the deepest level known to be shared; cost is waiting work plus missed tokens; holders are learnt from heads and end with the endpoint's incarnation; failing and slow endpoints are ejected up to a quarter of a pool; retries are budgeted.

--- /dev/null
+++ b/packages/placement/src/decision/__tests__/placement.spec.ts
@@ -0,0 +1,143 @@
+/** Placement: who may be chosen, and what is learnt. */
+import { FakeClock } from "@redwingpin/common";
+import type { EndpointStatus } from "@redwingpin/protocol";
+import { expect } from "chai";
+import { baseEjection, failuresBeforeEjection, maximumEjections } from "../ejection.js";
+import type { CandidateEndpoint } from "../endpointTable.js";
+import { Placement, PlacementOutcome, type PlacementRequest } from "../placement.js";
+import { initialRetries, RetryBudget } from "../retryBudget.js";
+
+const weights = { model: "drafting", version: "1" };
+const instances = ["one", "two", "three", "four"];
+
+function candidateOf(instance: string, fields: Partial<CandidateEndpoint> = {}): CandidateEndpoint {
+    return { instance, pool: "engines", dataCentre: "hobart", leaving: false, ...fields };
+}
+
+function statusOf(instance: string, fields: Partial<EndpointStatus> = {}): EndpointStatus {
+    return {
+        instance,
+        pool: "engines",
+        incarnation: `${instance}-1`,
+        draining: false,
+        weights: [weights],
+        queuedTokens: 0,
+        running: 0,
+        tokensPerSecond: 0,
+        ...fields,
+    };
+}
+
+function requestOf(fields: Partial<PlacementRequest> = {}): PlacementRequest {
+    const blocks = ["aa000001", "aa000002", "aa000003"];
+    return {
+        pool: "engines",
+        weights,
+        prefixBlocks: blocks,
+        sharedBlocks: 3,
+        promptTokens: 6_500,
+        ...fields,
+    };
+}
+
+function placementOf(clock = new FakeClock()): Placement {
+    const placement = new Placement({ clock, dataCentre: "hobart", blockTokens: 2_000 });
+    placement.retain(instances.map((instance) => candidateOf(instance)));
+    instances.forEach((instance) => placement.observeStatus(statusOf(instance)));
+    return placement;
+}
+
+describe("placement: choice", () => {
+    it("sends a prefix to the same home from every router", () => {
+        const homes = [1, 2, 3].map(() => placementOf().choose(requestOf())!.instance);
+        expect(new Set(homes).size).to.equal(1);
+    });
+
+    it("spreads different prefixes", () => {
+        const placement = placementOf();
+        const homes = Array.from({ length: 40 }, (_, index) => {
+            const blocks = [`${(index * 7_919_993).toString(16).padStart(8, "0")}`];
+            const placed = placement.choose(
+                requestOf({ prefixBlocks: blocks, sharedBlocks: 1, promptTokens: 2_000 }),
+            )!;
+            placement.observeOutcome(placed, PlacementOutcome.Completed);
+            return placed.instance;
+        });
+        expect(new Set(homes).size).to.equal(instances.length);
+    });
+
+    it("never chooses a draining, down, leaving, excluded or differently weighted endpoint", () => {
+        const placement = placementOf();
+        placement.observeStatus(statusOf("one", { draining: true }));
+        placement.observeStatus(statusOf("two", { incarnation: undefined }));
+        placement.observeStatus(statusOf("three", { weights: [{ model: "drafting", version: "2" }] }));
+        expect(placement.choose(requestOf())!.instance).to.equal("four");
+        expect(placement.choose(requestOf(), ["four"])).to.equal(undefined);
+        placement.retain([candidateOf("four", { leaving: true })]);
+        expect(placement.choose(requestOf())).to.equal(undefined);
+    });
+
+    it("spills from a home whose queue costs more than computing the prefix again", () => {
+        const placement = placementOf();
+        const home = placement.choose(requestOf())!.instance;
+        placement.observeStatus(statusOf(home, { queuedTokens: 100_000 }));
+        expect(placement.choose(requestOf())!.instance).to.not.equal(home);
+    });
+
+    it("returns to a holder that it learnt of, until its incarnation changes", () => {
+        const placement = placementOf();
+        const home = placement.choose(requestOf())!;
+        placement.observeStatus(statusOf(home.instance, { queuedTokens: 100_000 }));
+        const spilled = placement.choose(requestOf())!;
+        placement.observeHead(spilled, 0);
+        placement.observeOutcome(spilled, PlacementOutcome.Completed);
+        expect(placement.choose(requestOf())!.expectedHitBlocks).to.equal(3);
+        placement.observeStatus(statusOf(spilled.instance, { incarnation: "again" }));
+        expect(placement.choose(requestOf())!.expectedHitBlocks).to.equal(0);
+    });
+
+    it("ejects an endpoint that keeps failing, for a time", () => {
+        const clock = new FakeClock();
+        const placement = placementOf(clock);
+        const home = placement.choose(requestOf())!.instance;
+        failOften(placement, home);
+        expect(placement.choose(requestOf())!.instance).to.not.equal(home);
+        clock.advance(baseEjection);
+        placement.observeStatus(statusOf(home));
+        const othersBusy = instances.filter((other) => other !== home);
+        othersBusy.forEach((other) => placement.observeStatus(statusOf(other, { queuedTokens: 100_000 })));
+        expect(placement.choose(requestOf())!.instance).to.equal(home);
+    });
+
+    it("never ejects more than the capped share of a pool, whatever fails", () => {
+        const placement = placementOf();
+        instances.forEach((instance) => failOften(placement, instance));
+        const homes = Array.from({ length: 40 }, (_, index) => {
+            const blocks = [`${(index * 7_919_993).toString(16).padStart(8, "0")}`];
+            return placement.choose(requestOf({ prefixBlocks: blocks, sharedBlocks: 1 }))!.instance;
+        });
+        expect(new Set(homes).size).to.equal(instances.length - maximumEjections(instances.length));
+    });
+});
+
+function failOften(placement: Placement, instance: string): void {
+    const others = instances.filter((other) => other !== instance);
+    for (let count = 0; count < failuresBeforeEjection; count++) {
+        placement.observeOutcome(placement.choose(requestOf(), others)!, PlacementOutcome.Failed);
+    }
+}
+
+describe("placement: retry budget", () => {
+    it("never allows more than a tenth of the requests beyond its reserve", () => {
+        const budget = new RetryBudget();
+        let spent = 0;
+        for (let request = 0; request < 1_000; request++) {
+            budget.recordRequest();
+            for (let attempt = 0; attempt < 3; attempt++) {
+                spent += budget.trySpend() ? 1 : 0;
+            }
+        }
+        expect(spent).to.be.at.most(100 + initialRetries);
+        expect(spent).to.be.at.least(100);
+    });
+});
--- /dev/null
+++ b/packages/placement/src/decision/placement.ts
@@ -0,0 +1,292 @@
+/**
+ * Placement: which endpoint a request goes to. The cost of an endpoint is the work that stands before the
+ * request plus the prompt tokens that its cache is expected to miss; the lowest cost wins.
+ *
+ * @module
+ */
+import type { Clock, Milliseconds } from "@redwingpin/common";
+import type { EndpointStatus, WeightsReference } from "@redwingpin/protocol";
+import { ejectIfBad, isEjected } from "./ejection.js";
+import {
+    type CandidateEndpoint,
+    canServe,
+    type EndpointKnowledge,
+    EndpointTable,
+    pendingTokens,
+} from "./endpointTable.js";
+import { PrefixTable } from "./prefixTable.js";
+import { seedOf, topMembers } from "./rendezvous.js";
+
+/** Tokens that a placement in another data centre must save to be worth the way. */
+export const otherDataCentreTokens = 2_000;
+
+/** A missed token costs more than a waiting one: it also evicts what others share. */
+export const missedTokenWeight = 1.5;
+
+/** Part of the missed tokens' cost charged to a known holder that is not the prefix's home. */
+export const strayHolderWeight = 0.1;
+
+/** Heat from which all routers are taken to have sent a level to its home. */
+export const sharedLevelHeat = 3;
+
+/** Homes and other endpoints whose cost is worked out for one request. */
+export const maximumCandidates = 16;
+
+/** Age after which a holder that was not confirmed counts for nothing. */
+export const holderLifetime: Milliseconds = 120_000;
+
+/** Part of the newest answer in an endpoint's smoothed slowness. */
+const slownessSmoothing = 0.2;
+
+/** Options of {@link Placement}. */
+export interface PlacementOptions {
+    readonly clock: Clock;
+    /** Data centre of this router. */
+    readonly dataCentre: string;
+    /** Tokens in one block of the engines. */
+    readonly blockTokens: number;
+    /**
+     * Prefixes remembered.
+     * @default defaultMaximumPrefixes
+     */
+    readonly maximumPrefixes?: number;
+}
+
+/** What placement needs to know of a request. */
+export interface PlacementRequest {
+    readonly pool: string;
+    /** Weights that must serve the request; absent for plain services. */
+    readonly weights?: WeightsReference;
+    /** Names of the prompt's full blocks, outermost first; empty for plain services. */
+    readonly prefixBlocks: readonly string[];
+    /** Blocks at the head that other prompts are likely to share. */
+    readonly sharedBlocks: number;
+    /** Tokens of the whole prompt, or what one call of a service is charged. */
+    readonly promptTokens: number;
+}
+
+/** A request placed on an endpoint; report its head and its outcome with it. */
+export interface Placed {
+    readonly instance: string;
+    readonly request: PlacementRequest;
+    /** Blocks that the endpoint was expected to hold. */
+    readonly expectedHitBlocks: number;
+    /** Tokens that the endpoint was expected to compute before the first token. */
+    readonly expectedTokens: number;
+    readonly placedAt: Milliseconds;
+    /** Incarnation of the endpoint when it was chosen, where known. */
+    readonly incarnation: string | undefined;
+}
+
+/** How an attempt ended. */
+export enum PlacementOutcome {
+    /** The whole answer came. */
+    Completed = "completed",
+    /** The agent declined; nothing ran. */
+    Declined = "declined",
+    /** The endpoint or the connection to it failed. */
+    Failed = "failed",
+    /** The caller left. */
+    Cancelled = "cancelled",
+}
+
+interface Attempt {
+    answered: boolean;
+}
+
+/** Chooses endpoints for the requests of one router. */
+export class Placement {
+    private readonly endpoints = new EndpointTable();
+    private readonly prefixes: PrefixTable;
+    private readonly attempts = new Map<Placed, Attempt>();
+
+    constructor(private readonly options: PlacementOptions) {
+        this.prefixes = new PrefixTable(options.maximumPrefixes);
+    }
+
+    /** Replaces the candidates; what was known of endpoints not in the list is forgotten. */
+    retain(candidates: readonly CandidateEndpoint[]): void {
+        this.endpoints.replaceCandidates(candidates);
+    }
+
+    /** Records what an agent says of its endpoint. */
+    observeStatus(status: EndpointStatus): void {
+        this.endpoints.observeStatus(status);
+    }
+
+    /** Chooses an endpoint and counts the request as placed there; `undefined` where none can serve it. */
+    choose(request: PlacementRequest, exclude: readonly string[] = []): Placed | undefined {
+        const now = this.options.clock.now();
+        const usable = this.usableEndpoints(request, exclude, now);
+        if (usable.length === 0) {
+            return undefined;
+        }
+        const homeDepth = this.homeDepth(request, now);
+        const candidates = this.candidatesFor(request, usable, homeDepth);
+        const home = homeDepth > 0 ? candidates[0] : undefined;
+        let best:
+            | { readonly endpoint: EndpointKnowledge; readonly cost: number; readonly hit: number; }
+            | undefined;
+        for (const endpoint of candidates) {
+            const known = this.knownHitBlocks(request, endpoint, now);
+            const hit = endpoint === home ? Math.max(known, homeDepth) : known;
+            const cost = this.costOf(request, endpoint, hit, endpoint === home);
+            if (best === undefined || cost < best.cost) {
+                best = { endpoint, cost, hit };
+            }
+        }
+        return best && this.place(request, best.endpoint, best.hit, now);
+    }
+
+    /** Records the head of an answer: the blocks that the endpoint held, and that it now holds all of them. */
+    observeHead(placed: Placed, hitBlocks: number): void {
+        const attempt = this.attempts.get(placed);
+        const endpoint = this.endpoints.get(placed.instance);
+        if (attempt === undefined || attempt.answered) {
+            return;
+        }
+        attempt.answered = true;
+        if (endpoint === undefined) {
+            return;
+        }
+        this.settle(endpoint, placed);
+        const now = this.options.clock.now();
+        this.measureSlowness(endpoint, placed, hitBlocks, now);
+        const incarnation = endpoint.status?.incarnation;
+        if (incarnation !== undefined && incarnation === (placed.incarnation ?? incarnation)) {
+            const holder = { instance: placed.instance, incarnation, confirmed: now };
+            this.prefixes.addHolder(placed.request.prefixBlocks, holder);
+        }
+        ejectIfBad(endpoint, this.endpoints.ofPool(endpoint.candidate.pool), now);
+    }
+
+    /** Records the end of an attempt. Call it once for each placed request. */
+    observeOutcome(placed: Placed, outcome: PlacementOutcome): void {
+        const attempt = this.attempts.get(placed);
+        const endpoint = this.endpoints.get(placed.instance);
+        this.attempts.delete(placed);
+        if (attempt === undefined || endpoint === undefined) {
+            return;
+        }
+        if (!attempt.answered) {
+            this.settle(endpoint, placed);
+        }
+        if (outcome === PlacementOutcome.Completed) {
+            endpoint.consecutiveFailures = 0;
+        }
+        if (outcome === PlacementOutcome.Failed) {
+            endpoint.consecutiveFailures += 1;
+            ejectIfBad(endpoint, this.endpoints.ofPool(endpoint.candidate.pool), this.options.clock.now());
+        }
+    }
+
+    private usableEndpoints(
+        request: PlacementRequest,
+        exclude: readonly string[],
+        now: Milliseconds,
+    ): EndpointKnowledge[] {
+        const able = this.endpoints.ofPool(request.pool).filter((endpoint) =>
+            canServe(endpoint, request.weights) && !exclude.includes(endpoint.candidate.instance)
+        );
+        const reported = able.filter((endpoint) => endpoint.status !== undefined);
+        const known = reported.length > 0 ? reported : able;
+        const kept = known.filter((endpoint) => !isEjected(endpoint, now));
+        return kept.length > 0 ? kept : known;
+    }
+
+    /** Depth of the level whose home the request belongs to: deeper as a deeper level proves to be shared. */
+    private homeDepth(request: PlacementRequest, now: Milliseconds): number {
+        const blocks = request.prefixBlocks;
+        for (let depth = blocks.length; depth > request.sharedBlocks; depth--) {
+            if (this.prefixes.heatOf(blocks[depth - 1]!, now) >= sharedLevelHeat) {
+                return depth;
+            }
+        }
+        return Math.min(request.sharedBlocks, blocks.length);
+    }
+
+    private candidatesFor(
+        request: PlacementRequest,
+        usable: readonly EndpointKnowledge[],
+        homeDepth: number,
+    ): EndpointKnowledge[] {
+        const key = homeDepth > 0 ? request.prefixBlocks[homeDepth - 1]! : undefined;
+        if (key === undefined) {
+            return [...usable];
+        }
+        return topMembers(seedOf(key), usable, (endpoint) => endpoint.seed, maximumCandidates);
+    }
+
+    private knownHitBlocks(
+        request: PlacementRequest,
+        endpoint: EndpointKnowledge,
+        now: Milliseconds,
+    ): number {
+        for (let depth = request.prefixBlocks.length; depth > 0; depth--) {
+            const holder = this.prefixes.holdersOf(request.prefixBlocks[depth - 1]!)
+                .find((candidate) => candidate.instance === endpoint.candidate.instance);
+            if (
+                holder !== undefined && holder.incarnation === endpoint.status?.incarnation
+                && now - holder.confirmed < holderLifetime
+            ) {
+                return depth;
+            }
+        }
+        return 0;
+    }
+
+    private missedTokens(request: PlacementRequest, hitBlocks: number): number {
+        return Math.max(0, request.promptTokens - hitBlocks * this.options.blockTokens);
+    }
+
+    private costOf(
+        request: PlacementRequest,
+        endpoint: EndpointKnowledge,
+        hit: number,
+        isHome: boolean,
+    ): number {
+        const missed = this.missedTokens(request, hit);
+        const stray = isHome ? 0 : strayHolderWeight * hit * this.options.blockTokens;
+        const away = endpoint.candidate.dataCentre === this.options.dataCentre ? 0 : otherDataCentreTokens;
+        return pendingTokens(endpoint) + missedTokenWeight * missed + stray + away;
+    }
+
+    private place(
+        request: PlacementRequest,
+        endpoint: EndpointKnowledge,
+        hit: number,
+        now: Milliseconds,
+    ): Placed {
+        const placed: Placed = {
+            instance: endpoint.candidate.instance,
+            request,
+            expectedHitBlocks: hit,
+            expectedTokens: this.missedTokens(request, hit),
+            placedAt: now,
+            incarnation: endpoint.status?.incarnation,
+        };
+        endpoint.unanswered += placed.expectedTokens;
+        endpoint.placedSinceStatus += placed.expectedTokens;
+        this.prefixes.heatUp(request.prefixBlocks, now);
+        this.attempts.set(placed, { answered: false });
+        return placed;
+    }
+
+    private settle(endpoint: EndpointKnowledge, placed: Placed): void {
+        endpoint.unanswered = Math.max(0, endpoint.unanswered - placed.expectedTokens);
+    }
+
+    private measureSlowness(
+        endpoint: EndpointKnowledge,
+        placed: Placed,
+        hitBlocks: number,
+        now: Milliseconds,
+    ): void {
+        const thousands = Math.max(1, this.missedTokens(placed.request, hitBlocks) / 1_000);
+        const sample = (now - placed.placedAt) / thousands;
+        endpoint.slowness = endpoint.answers === 0
+            ? sample
+            : endpoint.slowness + slownessSmoothing * (sample - endpoint.slowness);
+        endpoint.answers += 1;
+    }
+}
--- /dev/null
+++ b/packages/placement/src/decision/prefixBlocks.ts
@@ -0,0 +1,112 @@
+/**
+ * Names of a prompt's prefix blocks: a chain of digests in which each block's name covers all text before it,
+ * salted with the scope, so that entries of another account, model, adapter or weights version have other names.
+ *
+ * @module
+ */
+import { digestOf } from "@redwingpin/common";
+import type { WeightsReference } from "@redwingpin/protocol";
+
+/** Characters that stand for one token where no tokenizer is at hand; typical of English and Greek prose. */
+export const charactersPerToken = 4;
+
+/** Tokens in one cached block of the engines. */
+export const defaultBlockTokens = 2_000;
+
+/** Hex digits of a block's name; 128 bits. */
+const blockNameDigits = 32;
+
+/** Who may share cache entries: one account, or every caller of an open route. */
+export enum ScopeKind {
+    Account = "account",
+    OpenRoute = "openRoute",
+}
+
+/** What a cache entry belongs to. Two prompts share entries only where their scopes are equal. */
+export interface PrefixScope {
+    readonly kind: ScopeKind;
+    /** Name of the account, or of the open route. */
+    readonly name: string;
+    /** Model, version and adapter that compute the entry. */
+    readonly weights: WeightsReference;
+}
+
+/** One message of a chat prompt. */
+export interface PromptMessage {
+    readonly role: string;
+    readonly content: string;
+}
+
+/** A prompt as plain text or as chat messages. */
+export type Prompt = string | readonly PromptMessage[];
+
+/** A prompt's full blocks and what is known of its levels. */
+export interface PrefixChain {
+    /** Names of the full blocks, outermost first. */
+    readonly blocks: readonly string[];
+    /** Blocks at the head that other prompts are likely to share, by the prompt's form alone. */
+    readonly sharedBlocks: number;
+    /** Approximate tokens of the whole prompt. */
+    readonly promptTokens: number;
+}
+
+/** Approximate tokens of a text, rounded up. */
+export function approximateTokens(text: string): number {
+    return Math.ceil(text.length / charactersPerToken);
+}
+
+/** Names a prompt's full prefix blocks. A tail shorter than one block is not cached and has no name. */
+export function prefixBlocks(
+    scope: PrefixScope,
+    prompt: Prompt,
+    blockTokens: number = defaultBlockTokens,
+): PrefixChain {
+    const text = textOf(prompt);
+    const blockCharacters = blockTokens * charactersPerToken;
+    const count = Math.floor(text.length / blockCharacters);
+    const blocks: string[] = [];
+    let previous = saltOf(scope);
+    for (let index = 0; index < count; index++) {
+        const start = index * blockCharacters;
+        previous = digestOf(previous, Buffer.from(text.slice(start, start + blockCharacters)))
+            .slice(0, blockNameDigits);
+        blocks.push(previous);
+    }
+    return {
+        blocks,
+        sharedBlocks: sharedBlocksOf(prompt, count, blockCharacters),
+        promptTokens: approximateTokens(text),
+    };
+}
+
+function saltOf(scope: PrefixScope): string {
+    const { model, version, adapter } = scope.weights;
+    const adapterParts = adapter === undefined ? [] : [adapter];
+    return digestOf(scope.kind, scope.name, model, version, ...adapterParts);
+}
+
+function textOf(prompt: Prompt): string {
+    return typeof prompt === "string" ? prompt : prompt.map(messageText).join("");
+}
+
+/** A message's text with its role and length, so that no two lists of messages have the same text. */
+function messageText(message: PromptMessage): string {
+    return `${message.role}:${message.content.length}:${message.content}\n`;
+}
+
+const sharedRoles: readonly string[] = ["system", "developer"];
+
+/** Plain text: all but the last block, which usually holds the query. Chat: the leading instructions. */
+function sharedBlocksOf(prompt: Prompt, count: number, blockCharacters: number): number {
+    if (typeof prompt === "string") {
+        return Math.max(0, count - 1);
+    }
+    let characters = 0;
+    for (const message of prompt) {
+        if (!sharedRoles.includes(message.role)) {
+            break;
+        }
+        characters += messageText(message).length;
+    }
+    return Math.min(count, Math.floor(characters / blockCharacters));
+}
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -3,4 +3,10 @@
  *
  * @module
  */
-export {};
+export * from "./decision/ejection.js";
+export * from "./decision/endpointTable.js";
+export * from "./decision/placement.js";
+export * from "./decision/prefixBlocks.js";
+export * from "./decision/prefixTable.js";
+export * from "./decision/rendezvous.js";
+export * from "./decision/retryBudget.js";
