feat(scheduling): fair queue in tokens and a model of the endpoint's cache

Cause: contention stands at the endpoint, so fairness has to be decided beside it. Ruled out: strict priorities over accounts, which let a flood of interactive work starve the others; deficit round robin, which serves a late account only when its turn comes round. Change: start-time fair queueing between accounts, priorities only among accounts within their share, bounded queue that displaces the account with the most waiting tokens, deadlines; a cache model that doubts blocks after a gap and forgets all at a new incarnation.

--- /dev/null
+++ b/packages/scheduling/src/decision/__tests__/endpointModel.spec.ts
@@ -0,0 +1,58 @@
+/** Model of an endpoint's cache under late, lost and foreign events. */
+import { expect } from "chai";
+import { type CacheEvent, CacheEventKind, doubtLifetime, EndpointModel } from "../endpointModel.js";
+
+function modelOf(maximumBlocks = 8): EndpointModel {
+    const model = new EndpointModel({ maximumBlocks });
+    model.onIncarnation("first");
+    return model;
+}
+
+function stored(sequence: number, blocks: readonly string[], incarnation = "first"): CacheEvent {
+    return { incarnation, sequence, kind: CacheEventKind.Stored, blocks };
+}
+
+describe("scheduling: endpoint model", () => {
+    it("counts the unbroken head of a prompt", () => {
+        const model = modelOf();
+        model.onCacheEvent(stored(1, ["a", "b", "d"]), 0);
+        expect(model.hitBlocks(["a", "b", "c", "d"], 0)).to.equal(2);
+    });
+
+    it("forgets everything when the endpoint restarts, and ignores late events of the old incarnation", () => {
+        const model = modelOf();
+        model.onCacheEvent(stored(1, ["a"]), 0);
+        model.onIncarnation("second");
+        model.onCacheEvent(stored(2, ["a"], "first"), 0);
+        model.onAnswered("first", ["a"]);
+        expect(model.hitBlocks(["a"], 0)).to.equal(0);
+    });
+
+    it("doubts unconfirmed blocks after a gap, for a time", () => {
+        const model = modelOf();
+        model.onCacheEvent(stored(1, ["a", "b"]), 0);
+        model.onCacheEvent(stored(5, ["c"]), 0);
+        model.onAnswered("first", ["a"]);
+        expect(model.hitBlocks(["a", "b"], 1)).to.equal(2);
+        expect(model.hitBlocks(["a", "b"], doubtLifetime)).to.equal(1);
+    });
+
+    it("ignores repeated events", () => {
+        const model = modelOf();
+        model.onCacheEvent(stored(1, ["a"]), 0);
+        model.onCacheEvent(
+            { incarnation: "first", sequence: 2, kind: CacheEventKind.Removed, blocks: ["a"] },
+            0,
+        );
+        model.onCacheEvent(stored(1, ["a"]), 0);
+        expect(model.hitBlocks(["a"], 0)).to.equal(0);
+    });
+
+    it("keeps to its bound, and corrects itself from the endpoint's own count", () => {
+        const model = modelOf(2);
+        model.onAnswered("first", ["a", "b", "c"]);
+        expect(model.size).to.equal(2);
+        model.onHit("first", ["b", "c"], 1);
+        expect(model.hitBlocks(["b", "c"], 0)).to.equal(1);
+    });
+});
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -3,4 +3,5 @@
  *
  * @module
  */
-export {};
+export * from "./decision/endpointModel.js";
+export * from "./decision/fairQueue.js";
