feat(bench): policy experiment with the real decision modules against fake engines

Cause: the policy has to be measured against simpler ones and against a ceiling before it can be tuned. Ruled out: a load at which round robin is saturated (office 7/s: its p99 stood at the deadline), which would make any policy look good; a short run, in which first-ever prefixes fill the tail of every policy. Change: five policies, seven cases, two deployments on one fake clock; prompts are hashed by the product's code.

--- a/packages/bench/src/node/main.ts
+++ b/packages/bench/src/node/main.ts
@@ -4,8 +4,9 @@
  * @module
  */
 import { Builtins, Cli, type CommandClass } from "clipanion";
+import { PolicyCommand } from "../policy/policyCommand.js";
 
-const experiments: readonly CommandClass[] = [];
+const experiments: readonly CommandClass[] = [PolicyCommand];
 
 const cli = new Cli({ binaryName: "redwingpin-bench", binaryLabel: "redwingpin bench" });
 cli.register(Builtins.HelpCommand);
--- /dev/null
+++ b/packages/bench/src/policy/policyCommand.ts
@@ -0,0 +1,104 @@
+/**
+ * `npm run bench -- policy`: compares the product's placement and fair queueing with simpler policies and with an
+ * all-knowing router, against fake engines on a fake clock.
+ *
+ * @module
+ */
+import {
+    formatFindings,
+    parseInteger,
+    parseMember,
+    parseText,
+    SettingsCommand,
+    type SettingTable,
+} from "@redwingpin/common";
+import { Option } from "clipanion";
+import { ok, type Result } from "neverthrow";
+import { writeFileSync } from "node:fs";
+import { CaseName } from "./cases.js";
+import { DeploymentName, deployments } from "./deployments.js";
+import { runExperiment } from "./experiment.js";
+import { renderReport } from "./report.js";
+import { renderTable } from "./table.js";
+
+const maximumSeed = 1_000_000;
+
+interface PolicySettings {
+    readonly deployment: DeploymentName | undefined;
+    readonly seed: number;
+    readonly case: CaseName | undefined;
+    readonly report: string | undefined;
+}
+
+function optional<T>(
+    parse: (text: string) => Result<T, string>,
+): (text: string) => Result<T | undefined, string> {
+    return (text) => text === "" ? ok(undefined) : parse(text);
+}
+
+const settings: SettingTable<PolicySettings> = {
+    deployment: {
+        variable: "REDWINGPIN_DEPLOYMENT",
+        description: "Deployment to play: office or kartela; both where empty",
+        defaultText: "",
+        parse: optional(parseMember(DeploymentName)),
+    },
+    seed: {
+        variable: "REDWINGPIN_SEED",
+        description: "Seed of the calls",
+        defaultText: "1",
+        parse: parseInteger(0, maximumSeed),
+    },
+    case: {
+        variable: "REDWINGPIN_CASE",
+        description: `Case to play: ${Object.values(CaseName).join(", ")}; all where empty`,
+        defaultText: "",
+        parse: optional(parseMember(CaseName)),
+    },
+    report: {
+        variable: "REDWINGPIN_REPORT",
+        description: "File to write a self-contained HTML report to; none where empty",
+        defaultText: "",
+        parse: optional(parseText),
+    },
+};
+
+/** Plays the policy experiment and prints its figures. */
+export class PolicyCommand extends SettingsCommand<PolicySettings> {
+    static override paths = [["policy"]];
+
+    json = Option.Boolean("--json", false, { description: "Print JSON in place of a table" });
+
+    constructor() {
+        super(settings);
+    }
+
+    async execute(): Promise<number> {
+        return this.resolve(process.env).match(
+            (resolved) => this.run(resolved),
+            async (findings) => {
+                this.context.stderr.write(`${formatFindings(findings)}\n`);
+                return 2;
+            },
+        );
+    }
+
+    private async run(resolved: PolicySettings): Promise<number> {
+        const names = resolved.deployment === undefined
+            ? Object.values(DeploymentName)
+            : [resolved.deployment];
+        const cases = resolved.case === undefined ? undefined : [resolved.case];
+        const rows = names.flatMap((name) =>
+            runExperiment({ deployment: deployments[name], seed: resolved.seed, cases })
+        );
+        const text = this.json
+            ? JSON.stringify({ seed: resolved.seed, rows }, undefined, 2)
+            : renderTable(rows);
+        this.context.stdout.write(`${text}\n`);
+        if (resolved.report === undefined) {
+            return 0;
+        }
+        writeFileSync(resolved.report, await renderReport(resolved.seed, rows));
+        return 0;
+    }
+}
