fix(placement): nested homes keep a catalogue on as few endpoints as its share needs

Cause: homes of inner levels were spread over all endpoints, so that every cache held every account's catalogue. Ruled out: higher cost of a spill (the prefixes were at their home for 64% of the calls, but already evicted). Change: a level's homes are ranked within the homes of the level around it, as wide as the level's share.

--- a/packages/placement/src/decision/placement.ts
+++ b/packages/placement/src/decision/placement.ts
@@ -14,8 +14,8 @@
     EndpointTable,
     pendingTokens,
 } from "./endpointTable.js";
+import { nestedHomes, type PrefixLevel } from "./homes.js";
 import { PrefixTable } from "./prefixTable.js";
-import { seedOf, topMembers } from "./rendezvous.js";
 
 /** Tokens that a placement in another data centre must save to be worth the way. */
 export const otherDataCentreTokens = 2_000;
@@ -29,6 +29,9 @@
 /** Heat from which all routers are taken to have sent a level to its home. */
 export const sharedLevelHeat = 3;
 
+/** A level ends where the heat of the next block falls below this part of its own. */
+export const levelEndRatio = 0.75;
+
 /** Homes and other endpoints whose cost is worked out for one request. */
 export const maximumCandidates = 16;
 
@@ -121,18 +124,17 @@
         if (usable.length === 0) {
             return undefined;
         }
-        const homeDepth = this.homeDepth(request, now);
-        const candidates = this.candidatesFor(request, usable, homeDepth);
-        const home = homeDepth > 0 ? candidates[0] : undefined;
+        const levels = this.levelsOf(request, now);
+        const homeDepth = levels.at(-1)?.depth ?? 0;
+        const homes = nestedHomes(levels, usable, (endpoint) => endpoint.seed, maximumCandidates);
         let best:
             | { readonly endpoint: EndpointKnowledge; readonly cost: number; readonly hit: number; }
             | undefined;
-        for (const endpoint of candidates) {
-            const known = this.knownHitBlocks(request, endpoint, now);
-            const hit = endpoint === home ? Math.max(known, homeDepth) : known;
-            const cost = this.costOf(request, endpoint, hit, endpoint === home);
+        for (const { member, depth } of homes) {
+            const hit = Math.max(depth, this.knownHitBlocks(request, member, now));
+            const cost = this.costOf(request, member, hit, depth === homeDepth);
             if (best === undefined || cost < best.cost) {
-                best = { endpoint, cost, hit };
+                best = { endpoint: member, cost, hit };
             }
         }
         return best && this.place(request, best.endpoint, best.hit, now);
@@ -194,7 +196,21 @@
         return kept.length > 0 ? kept : known;
     }
 
-    /** Depth of the level whose home the request belongs to: deeper as a deeper level proves to be shared. */
+    /** Levels that other prompts are taken to share, outermost first; their ends are where the heat falls. */
+    private levelsOf(request: PlacementRequest, now: Milliseconds): PrefixLevel[] {
+        const total = this.prefixes.heatOf(trafficKey(request), now);
+        const depth = this.homeDepth(request, now);
+        const blocks = request.prefixBlocks.slice(0, depth);
+        const heats = blocks.map((block) => this.prefixes.heatOf(block, now));
+        return blocks.flatMap((name, index) => {
+            const inner = heats[index + 1];
+            const ends = inner === undefined
+                || (heats[index]! >= sharedLevelHeat && inner < levelEndRatio * heats[index]!);
+            return ends ? [{ depth: index + 1, name, share: shareOf(heats[index]!, total) }] : [];
+        });
+    }
+
+    /** Depth of the innermost level that is shared: deeper than the prompt's form says where heat proves it. */
     private homeDepth(request: PlacementRequest, now: Milliseconds): number {
         const blocks = request.prefixBlocks;
         for (let depth = blocks.length; depth > request.sharedBlocks; depth--) {
@@ -205,18 +221,6 @@
         return Math.min(request.sharedBlocks, blocks.length);
     }
 
-    private candidatesFor(
-        request: PlacementRequest,
-        usable: readonly EndpointKnowledge[],
-        homeDepth: number,
-    ): EndpointKnowledge[] {
-        const key = homeDepth > 0 ? request.prefixBlocks[homeDepth - 1]! : undefined;
-        if (key === undefined) {
-            return [...usable];
-        }
-        return topMembers(seedOf(key), usable, (endpoint) => endpoint.seed, maximumCandidates);
-    }
-
     private knownHitBlocks(
         request: PlacementRequest,
         endpoint: EndpointKnowledge,
@@ -267,7 +271,7 @@
         };
         endpoint.unanswered += placed.expectedTokens;
         endpoint.placedSinceStatus += placed.expectedTokens;
-        this.prefixes.heatUp(request.prefixBlocks, now);
+        this.prefixes.heatUp([trafficKey(request), ...request.prefixBlocks], now);
         this.attempts.set(placed, { answered: false });
         return placed;
     }
@@ -290,3 +294,13 @@
         endpoint.answers += 1;
     }
 }
+
+/** Name under which all traffic for the same weights is counted. */
+function trafficKey(request: PlacementRequest): string {
+    const { model = "", version = "", adapter = "" } = request.weights ?? {};
+    return [request.pool, model, version, adapter].join("/");
+}
+
+function shareOf(heat: number, total: number): number {
+    return total === 0 ? 0 : Math.min(1, heat / total);
+}
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -5,6 +5,7 @@
  */
 export * from "./decision/ejection.js";
 export * from "./decision/endpointTable.js";
+export * from "./decision/homes.js";
 export * from "./decision/placement.js";
 export * from "./decision/prefixBlocks.js";
 export * from "./decision/prefixTable.js";
