feat(placement): agents' bounded summaries tell routers which prefixes an endpoint holds

Ruled out: broadcast of cache events (10.7 MB/s at size); a filter of all held blocks in each router (45 MB for 1,200 replicas, and growing with blocks). Change: EndpointStatus carries an optional list of at most 32 level ends, as 32-bit names, most recently used first; the agent works them out from the prompts it was given and its model of the cache. A router believes a summary before its presumption of homes, which stays for endpoints that it has not heard of.

--- a/packages/bench/src/policy/fakeAgent.ts
+++ b/packages/bench/src/policy/fakeAgent.ts
@@ -72,6 +72,8 @@
     private readonly model: EndpointModel;
     private readonly calls = new Map<string, Call>();
     private readonly hits = new Map<string, number>();
+    private readonly inEngine = new Set<string>();
+    private readonly answered = new Set<string>();
     private eventSequence = 0;
 
     constructor(private readonly options: FakeAgentOptions) {
@@ -96,6 +98,7 @@
         this.queue.offer(this.entryOf(call), now).match(
             ({ displaced }) => {
                 this.calls.set(call.id, call);
+                this.model.onAwaited(call.blocks);
                 displaced.forEach((entry) => this.decline(entry, DeclineReason.QueueFull));
                 this.dispatch();
             },
@@ -120,6 +123,7 @@
             queuedTokens: this.queue.queuedTokens + this.queue.unansweredTokens,
             running: this.queue.running,
             tokensPerSecond: 0,
+            heldPrefixes: this.model.heldPrefixes(this.options.clock.now()),
         };
     }
 
@@ -150,8 +154,6 @@
         });
     }
 
-    private readonly inEngine = new Set<string>();
-
     private entryOf(call: Call): QueueEntry {
         const hit = this.model.hitBlocks(call.blocks, this.options.clock.now());
         return {
@@ -186,6 +188,8 @@
     private onFirstToken(call: Call): void {
         const hit = this.hits.get(call.id) ?? 0;
         this.queue.answered(call.id);
+        this.model.onSettled(call.blocks);
+        this.answered.add(call.id);
         this.model.onAnswered(this.engine.incarnation!, call.blocks);
         this.options.listener.onHead(call, hit);
         this.dispatch();
@@ -220,6 +224,9 @@
     }
 
     private forget(id: string): void {
+        if (!this.answered.delete(id)) {
+            this.model.onSettled(this.calls.get(id)!.blocks);
+        }
         this.calls.delete(id);
         this.hits.delete(id);
         this.inEngine.delete(id);
--- a/packages/bench/src/policy/routingPolicy.ts
+++ b/packages/bench/src/policy/routingPolicy.ts
@@ -119,7 +119,7 @@
     }
 
     observeStatus(status: EndpointStatus): void {
-        this.table.observeStatus(status);
+        this.table.observeStatus(status, this.options.clock.now());
     }
 
     choose(call: Call, exclude: readonly string[]): string | undefined {
--- a/packages/placement/src/decision/endpointTable.ts
+++ b/packages/placement/src/decision/endpointTable.ts
@@ -22,6 +22,10 @@
     candidate: CandidateEndpoint;
     readonly seed: number;
     status: EndpointStatus | undefined;
+    /** When the status came. */
+    statusAt: Milliseconds;
+    /** Names in the last status's summary; absent where it had none. */
+    held: ReadonlySet<number> | undefined;
     /** Tokens of work that this router placed and that have not begun to answer. */
     unanswered: number;
     /** Part of `unanswered` that was placed after the last status. */
@@ -69,7 +73,7 @@
     }
 
     /** Records a status. A new incarnation clears what was learnt from the old one. */
-    observeStatus(status: EndpointStatus): void {
+    observeStatus(status: EndpointStatus, now: Milliseconds): void {
         const known = this.byInstance.get(status.instance);
         if (known === undefined) {
             return;
@@ -82,6 +86,8 @@
             known.ejections = 0;
         }
         known.status = status;
+        known.statusAt = now;
+        known.held = status.heldPrefixes && new Set(status.heldPrefixes);
         known.placedSinceStatus = 0;
     }
 
@@ -96,6 +102,8 @@
         candidate,
         seed: seedOf(sha256Hex(candidate.instance)),
         status: undefined,
+        statusAt: 0,
+        held: undefined,
         unanswered: 0,
         placedSinceStatus: 0,
         slowness: 0,
--- a/packages/placement/src/decision/placement.ts
+++ b/packages/placement/src/decision/placement.ts
@@ -16,6 +16,7 @@
 } from "./endpointTable.js";
 import { nestedHomes, type PrefixLevel } from "./homes.js";
 import { PrefixTable } from "./prefixTable.js";
+import { seedOf } from "./rendezvous.js";
 
 /** Tokens that a placement in another data centre must save to be worth the way. */
 export const otherDataCentreTokens = 2_000;
@@ -36,7 +37,7 @@
 export const maximumCandidates = 16;
 
 /** Age after which a holder that was not confirmed counts for nothing. */
-export const holderLifetime: Milliseconds = 120_000;
+export const holderLifetime: Milliseconds = 20_000;
 
 /** Part of the newest answer in an endpoint's smoothed slowness. */
 const slownessSmoothing = 0.2;
@@ -114,7 +115,7 @@
 
     /** Records what an agent says of its endpoint. */
     observeStatus(status: EndpointStatus): void {
-        this.endpoints.observeStatus(status);
+        this.endpoints.observeStatus(status, this.options.clock.now());
     }
 
     /** Chooses an endpoint and counts the request as placed there; `undefined` where none can serve it. */
@@ -131,7 +132,7 @@
             | { readonly endpoint: EndpointKnowledge; readonly cost: number; readonly hit: number; }
             | undefined;
         for (const { member, depth } of homes) {
-            const hit = Math.max(depth, this.knownHitBlocks(request, member, now));
+            const hit = this.expectedHitBlocks(request, member, depth, now);
             const cost = this.costOf(request, member, hit, depth === homeDepth);
             if (best === undefined || cost < best.cost) {
                 best = { endpoint: member, cost, hit };
@@ -221,22 +222,28 @@
         return Math.min(request.sharedBlocks, blocks.length);
     }
 
-    private knownHitBlocks(
+    /** Blocks that the endpoint is expected to hold: from its summary, from own experience, or as a home. */
+    private expectedHitBlocks(
         request: PlacementRequest,
         endpoint: EndpointKnowledge,
+        homeDepth: number,
         now: Milliseconds,
     ): number {
-        for (let depth = request.prefixBlocks.length; depth > 0; depth--) {
-            const holder = this.prefixes.holdersOf(request.prefixBlocks[depth - 1]!)
-                .find((candidate) => candidate.instance === endpoint.candidate.instance);
-            if (
-                holder !== undefined && holder.incarnation === endpoint.status?.incarnation
-                && now - holder.confirmed < holderLifetime
-            ) {
+        const presumed = endpoint.held === undefined ? homeDepth : 0;
+        for (let depth = request.prefixBlocks.length; depth > presumed; depth--) {
+            const name = request.prefixBlocks[depth - 1]!;
+            if (endpoint.held?.has(seedOf(name)) || this.isRecentHolder(name, endpoint, now)) {
                 return depth;
             }
         }
-        return 0;
+        return presumed;
+    }
+
+    private isRecentHolder(name: string, endpoint: EndpointKnowledge, now: Milliseconds): boolean {
+        const holder = this.prefixes.holdersOf(name)
+            .find((candidate) => candidate.instance === endpoint.candidate.instance);
+        return holder !== undefined && holder.incarnation === endpoint.status?.incarnation
+            && now - holder.confirmed < holderLifetime;
     }
 
     private missedTokens(request: PlacementRequest, hitBlocks: number): number {
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -195,6 +195,11 @@
     readonly running: number;
     /** Tokens a second that the endpoint has lately served. */
     readonly tokensPerSecond: number;
+    /**
+     * Prefixes that the endpoint holds or is computing, most recently used first, as the first 32 bits of their
+     * block names; a bounded summary, absent where the agent keeps none.
+     */
+    readonly heldPrefixes?: readonly number[];
 }
 
 /** An endpoint's status outside any exchange. */
--- a/packages/scheduling/src/decision/endpointModel.ts
+++ b/packages/scheduling/src/decision/endpointModel.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { Milliseconds } from "@redwingpin/common";
+import { PrefixSummary } from "./prefixSummary.js";
 
 /** Time after a gap in which an unconfirmed block still counts as held. */
 export const doubtLifetime: Milliseconds = 10_000;
@@ -48,6 +49,9 @@
 /** Model of one endpoint. */
 export class EndpointModel {
     private readonly blocks = new Map<string, ModelledBlock>();
+    /** Blocks of prompts that the endpoint was given and has not answered, with the number of such prompts. */
+    private readonly awaited = new Map<string, number>();
+    private readonly summary = new PrefixSummary();
     private currentIncarnation: string | undefined;
     private lastSequence: number | undefined;
     private lastLoad: LoadReport | undefined;
@@ -76,6 +80,7 @@
         }
         this.currentIncarnation = incarnation;
         this.blocks.clear();
+        this.summary.clear();
         this.lastSequence = undefined;
         this.lastLoad = undefined;
     }
@@ -109,6 +114,32 @@
         }
     }
 
+    /** A prompt of these blocks waits for the endpoint; call {@link onSettled} when it no longer does. */
+    onAwaited(prefixBlocks: readonly string[]): void {
+        this.summary.record(prefixBlocks);
+        for (const block of prefixBlocks) {
+            this.awaited.set(block, (this.awaited.get(block) ?? 0) + 1);
+        }
+    }
+
+    /** A prompt that was awaited has begun to be answered, or never will be. */
+    onSettled(prefixBlocks: readonly string[]): void {
+        for (const block of prefixBlocks) {
+            const left = (this.awaited.get(block) ?? 0) - 1;
+            if (left > 0) {
+                this.awaited.set(block, left);
+            }
+            else {
+                this.awaited.delete(block);
+            }
+        }
+    }
+
+    /** Summary of what the endpoint holds or is about to compute, for routers. */
+    heldPrefixes(now: Milliseconds): number[] {
+        return this.summary.names((block) => this.awaited.has(block) || this.holds(block, now));
+    }
+
     /** The endpoint has answered a prompt of these blocks, so it holds them now. */
     onAnswered(incarnation: string, prefixBlocks: readonly string[]): void {
         if (incarnation === this.currentIncarnation) {
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -5,3 +5,4 @@
  */
 export * from "./decision/endpointModel.js";
 export * from "./decision/fairQueue.js";
+export * from "./decision/prefixSummary.js";
