fix(scheduling): cache model learns from misses, so that lost events cost little

Cause: with three in ten events lost nearly every event followed a gap, and ten seconds later the model took confirmed and evicted blocks alike for lost. Change: the model keeps order of use, takes hit counts from the endpoint, and, where a block that it believed in was missed, drops the doubtful blocks used before it; doubt lasts 60 s. A restarted endpoint is not presumed a home's contents for 10 s.

--- a/packages/bench/src/policy/fakeAgent.ts
+++ b/packages/bench/src/policy/fakeAgent.ts
@@ -190,6 +190,7 @@
         this.queue.answered(call.id);
         this.model.onSettled(call.blocks);
         this.answered.add(call.id);
+        this.model.onHit(this.engine.incarnation!, call.blocks, hit);
         this.model.onAnswered(this.engine.incarnation!, call.blocks);
         this.options.listener.onHead(call, hit);
         this.dispatch();
--- a/packages/placement/src/decision/endpointTable.ts
+++ b/packages/placement/src/decision/endpointTable.ts
@@ -24,6 +24,8 @@
     status: EndpointStatus | undefined;
     /** When the status came. */
     statusAt: Milliseconds;
+    /** When the endpoint was last seen to have restarted, and so to be empty. */
+    emptyAt: Milliseconds;
     /** Names in the last status's summary; absent where it had none. */
     held: ReadonlySet<number> | undefined;
     /** Tokens of work that this router placed and that have not begun to answer. */
@@ -84,6 +86,7 @@
             known.consecutiveFailures = 0;
             known.ejectedUntil = 0;
             known.ejections = 0;
+            known.emptyAt = now;
         }
         known.status = status;
         known.statusAt = now;
@@ -103,6 +106,7 @@
         seed: seedOf(sha256Hex(candidate.instance)),
         status: undefined,
         statusAt: 0,
+        emptyAt: Number.NEGATIVE_INFINITY,
         held: undefined,
         unanswered: 0,
         placedSinceStatus: 0,
--- a/packages/placement/src/decision/placement.ts
+++ b/packages/placement/src/decision/placement.ts
@@ -39,6 +39,9 @@
 /** Age after which a holder that was not confirmed counts for nothing. */
 export const holderLifetime: Milliseconds = 20_000;
 
+/** Time after a restart in which an endpoint is not presumed to hold what it is a home to. */
+export const refillTime: Milliseconds = 10_000;
+
 /** Part of the newest answer in an endpoint's smoothed slowness. */
 const slownessSmoothing = 0.2;
 
@@ -229,7 +232,8 @@
         homeDepth: number,
         now: Milliseconds,
     ): number {
-        const presumed = endpoint.held === undefined ? homeDepth : 0;
+        const isPresumed = endpoint.held === undefined && now - endpoint.emptyAt >= refillTime;
+        const presumed = isPresumed ? homeDepth : 0;
         for (let depth = request.prefixBlocks.length; depth > presumed; depth--) {
             const name = request.prefixBlocks[depth - 1]!;
             if (endpoint.held?.has(seedOf(name)) || this.isRecentHolder(name, endpoint, now)) {
--- a/packages/scheduling/src/decision/__tests__/endpointModel.spec.ts
+++ b/packages/scheduling/src/decision/__tests__/endpointModel.spec.ts
@@ -55,4 +55,31 @@
         model.onHit("first", ["b", "c"], 1);
         expect(model.hitBlocks(["b", "c"], 0)).to.equal(1);
     });
+
+    it("drops doubtful blocks used before one that turned out to be evicted", () => {
+        const model = modelOf();
+        ["a", "b", "c"].forEach((block, index) => model.onCacheEvent(stored(index + 1, [block]), 0));
+        model.onGap(0);
+        model.onHit("first", ["b"], 0);
+        expect(["a", "b", "c"].map((block) => model.hitBlocks([block], 1))).to.deep.equal([0, 0, 1]);
+    });
+
+    it("summarises where prompts part, most recent first, within a limit", () => {
+        const model = modelOf(64);
+        const prompt = (rules: string, query: string) => ["000000aa", rules, query];
+        const prompts = [
+            prompt("000000b1", "000000c1"),
+            prompt("000000b1", "000000c2"),
+            prompt("000000b2", "000000c3"),
+        ];
+        prompts.forEach((blocks) => model.onAwaited(blocks));
+        expect(model.heldPrefixes(0)).to.include.members([0xaa, 0xb1, 0xb2]);
+        expect(model.heldPrefixes(0)).to.not.include.members([0xc1, 0xc2, 0xc3]);
+        prompts.forEach((blocks) => model.onSettled(blocks));
+        expect(model.heldPrefixes(0)).to.deep.equal([]);
+        prompts.forEach((blocks) => model.onAnswered("first", blocks));
+        expect(model.heldPrefixes(0)[0]).to.be.oneOf([0xaa, 0xb2]);
+        model.onIncarnation("second");
+        expect(model.heldPrefixes(0)).to.deep.equal([]);
+    });
 });
--- a/packages/scheduling/src/decision/endpointModel.ts
+++ b/packages/scheduling/src/decision/endpointModel.ts
@@ -8,7 +8,7 @@
 import { PrefixSummary } from "./prefixSummary.js";
 
 /** Time after a gap in which an unconfirmed block still counts as held. */
-export const doubtLifetime: Milliseconds = 10_000;
+export const doubtLifetime: Milliseconds = 60_000;
 
 /** What happened to blocks of the endpoint's cache. */
 export enum CacheEventKind {
@@ -48,6 +48,7 @@
 
 /** Model of one endpoint. */
 export class EndpointModel {
+    /** Blocks in order of use, least recent first; the end of a prompt goes before its start. */
     private readonly blocks = new Map<string, ModelledBlock>();
     /** Blocks of prompts that the endpoint was given and has not answered, with the number of such prompts. */
     private readonly awaited = new Map<string, number>();
@@ -150,6 +151,7 @@
     /** The endpoint reported how many of a prompt's blocks it really held. */
     onHit(incarnation: string, prefixBlocks: readonly string[], hitBlocks: number): void {
         if (incarnation === this.currentIncarnation) {
+            this.dropUnusedSince(prefixBlocks[hitBlocks]);
             prefixBlocks.slice(hitBlocks).forEach((block) => this.blocks.delete(block));
             this.hold(prefixBlocks.slice(0, hitBlocks));
         }
@@ -168,6 +170,21 @@
         return firstMissed < 0 ? prefixBlocks.length : firstMissed;
     }
 
+    /** A block believed held was not: what is in doubt and was used before it has been evicted too. */
+    private dropUnusedSince(missed: string | undefined): void {
+        if (missed === undefined || !this.blocks.has(missed)) {
+            return;
+        }
+        for (const [name, block] of this.blocks) {
+            if (name === missed) {
+                return;
+            }
+            if (block.doubtedSince !== undefined) {
+                this.blocks.delete(name);
+            }
+        }
+    }
+
     private holds(name: string, now: Milliseconds): boolean {
         const block = this.blocks.get(name);
         return block !== undefined
@@ -175,7 +192,7 @@
     }
 
     private hold(names: readonly string[]): void {
-        for (const name of names) {
+        for (const name of [...names].reverse()) {
             this.blocks.delete(name);
             this.blocks.set(name, { doubtedSince: undefined });
         }
