--- a/packages/placement/src/decision/placement.ts
+++ b/packages/placement/src/decision/placement.ts
@@ -19,10 +19,10 @@
 import { seedOf } from "./rendezvous.js";
 
 /** Tokens that a placement in another data centre must save to be worth the way. */
-export const otherDataCentreTokens = 2_000;
+export const otherDataCentreTokens = 50;
 
 /** A missed token costs more than a waiting one: it also evicts what others share. */
-export const missedTokenWeight = 1.5;
+export const missedTokenWeight = 3;
 
 /** Part of the missed tokens' cost charged to a known holder that is not the prefix's home. */
 export const strayHolderWeight = 0.1;
