--- a/packages/placement/src/decision/__tests__/prefixBlocks.spec.ts
+++ b/packages/placement/src/decision/__tests__/prefixBlocks.spec.ts
@@ -38,6 +38,14 @@
         expect(new Set(names).size).to.equal(scopes.length);
     });
 
+    it("shares the head of two chats whose first messages differ in length", () => {
+        const chat = (rules: string) => [{ role: "system", content: blockText("a") + rules }];
+        const left = prefixBlocks(scopeOf(), chat(blockText("b")), blockTokens).blocks;
+        const right = prefixBlocks(scopeOf(), chat(blockText("c").repeat(2)), blockTokens).blocks;
+        expect(left[0]).to.equal(right[0]);
+        expect(left[1]).to.not.equal(right[1]);
+    });
+
     it("names full blocks only, and counts the instructions of a chat as shared", () => {
         const chat = [
             { role: "system", content: blockText("a") + blockText("b") },
--- a/packages/placement/src/decision/prefixBlocks.ts
+++ b/packages/placement/src/decision/prefixBlocks.ts
@@ -89,9 +89,12 @@
     return typeof prompt === "string" ? prompt : prompt.map(messageText).join("");
 }
 
-/** A message's text with its role and length, so that no two lists of messages have the same text. */
+/**
+ * A message's text with its role before it and its length after it, so that no two lists of messages have the same
+ * text, and two that begin alike have texts that begin alike.
+ */
 function messageText(message: PromptMessage): string {
-    return `${message.role}:${message.content.length}:${message.content}\n`;
+    return `${message.role}:${message.content}:${message.content.length}\n`;
 }
 
 const sharedRoles: readonly string[] = ["system", "developer"];
