fix(placement): an endpoint that came back empty fills its cache at the bare cost of a miss

Cause: after a crash the empty endpoint stood idle, as each of its misses weighed three times the others' queues. Ruled out: a lower weight for all endpoints (measured before: it brings back the duplicates). Change: for 30 s after an endpoint's restart a missed token weighs as much as a waiting one, since nothing is evicted yet.

--- a/packages/placement/src/decision/placement.ts
+++ b/packages/placement/src/decision/placement.ts
@@ -24,6 +24,9 @@
 /** A missed token costs more than a waiting one: it also evicts what others share. */
 export const missedTokenWeight = 3;
 
+/** The same while an endpoint fills its cache after a restart, when a miss evicts nothing. */
+export const refillingMissWeight = 1;
+
 /** Part of the missed tokens' cost charged to a known holder that is not the prefix's home. */
 export const strayHolderWeight = 0.1;
 
@@ -39,8 +42,8 @@
 /** Age after which a holder that was not confirmed counts for nothing. */
 export const holderLifetime: Milliseconds = 20_000;
 
-/** Time after a restart in which an endpoint is not presumed to hold what it is a home to. */
-export const refillTime: Milliseconds = 10_000;
+/** Time after a restart in which an endpoint fills its cache: nothing is evicted, and no home's contents presumed. */
+export const refillTime: Milliseconds = 30_000;
 
 /** Part of the newest answer in an endpoint's smoothed slowness. */
 const slownessSmoothing = 0.2;
@@ -136,7 +139,7 @@
             | undefined;
         for (const { member, depth } of homes) {
             const hit = this.expectedHitBlocks(request, member, depth, now);
-            const cost = this.costOf(request, member, hit, depth === homeDepth);
+            const cost = this.costOf(request, member, hit, depth === homeDepth, now);
             if (best === undefined || cost < best.cost) {
                 best = { endpoint: member, cost, hit };
             }
@@ -259,11 +262,13 @@
         endpoint: EndpointKnowledge,
         hit: number,
         isHome: boolean,
+        now: Milliseconds,
     ): number {
-        const missed = this.missedTokens(request, hit);
+        const weight = now - endpoint.emptyAt < refillTime ? refillingMissWeight : missedTokenWeight;
+        const missed = weight * this.missedTokens(request, hit);
         const stray = isHome ? 0 : strayHolderWeight * hit * this.options.blockTokens;
         const away = endpoint.candidate.dataCentre === this.options.dataCentre ? 0 : otherDataCentreTokens;
-        return pendingTokens(endpoint) + missedTokenWeight * missed + stray + away;
+        return pendingTokens(endpoint) + missed + stray + away;
     }
 
     private place(
