--- /dev/null
+++ b/packages/manifest/src/manifestChanges.ts
@@ -0,0 +1,284 @@
+/**
+ * Differences between manifests: computed, applied and checked, so that a change travels as a few hundred bytes.
+ *
+ * @module
+ */
+import type { AccountKey, ClientAccount, EndpointPool, Manifest, Model, Route } from "./manifest.js";
+import { accountKeySchema, itemSchemas, type JsonSchema } from "./manifestSchema.js";
+import { createSchemaGuard } from "./schemaCheck.js";
+
+/** The lists of a manifest. */
+export enum ManifestSection {
+    Models = "models",
+    Pools = "pools",
+    Accounts = "accounts",
+    Routes = "routes",
+}
+
+/** One item of a manifest with its section. */
+export type ManifestItem =
+    | { readonly section: ManifestSection.Models; readonly item: Model; }
+    | { readonly section: ManifestSection.Pools; readonly item: EndpointPool; }
+    | { readonly section: ManifestSection.Accounts; readonly item: ClientAccount; }
+    | { readonly section: ManifestSection.Routes; readonly item: Route; };
+
+/** Kinds of changes to a manifest. */
+export enum ChangeKind {
+    Put = "put",
+    Remove = "remove",
+    PutKey = "putKey",
+    RemoveKey = "removeKey",
+    SetRate = "setRate",
+}
+
+/** One change to a manifest. Changes are applied in order. */
+export type ManifestChange =
+    /** Adds an item, or replaces the one of its name. */
+    | { readonly kind: ChangeKind.Put; readonly entry: ManifestItem; }
+    | { readonly kind: ChangeKind.Remove; readonly section: ManifestSection; readonly name: string; }
+    /** Adds a key at the end of an account's keys. */
+    | { readonly kind: ChangeKind.PutKey; readonly account: string; readonly key: AccountKey; }
+    | { readonly kind: ChangeKind.RemoveKey; readonly account: string; readonly keyName: string; }
+    | {
+        readonly kind: ChangeKind.SetRate;
+        readonly account: string;
+        readonly tokensPerSecond: number;
+        readonly burstTokens: number;
+    };
+
+const name = { type: "string" };
+
+function itemSchema(section: ManifestSection): JsonSchema {
+    return {
+        type: "object",
+        required: ["section", "item"],
+        properties: { section: { const: section }, item: itemSchemas[section] },
+    };
+}
+
+function changeSchema(kind: ChangeKind, properties: Readonly<Record<string, JsonSchema>>): JsonSchema {
+    return {
+        type: "object",
+        required: ["kind", ...Object.keys(properties)],
+        properties: { kind: { const: kind }, ...properties },
+    };
+}
+
+/** Schema of a {@link ManifestItem}. */
+export const manifestItemSchema: JsonSchema = { anyOf: Object.values(ManifestSection).map(itemSchema) };
+
+/** Schema of a {@link ManifestChange}. */
+export const manifestChangeSchema: JsonSchema = {
+    anyOf: [
+        changeSchema(ChangeKind.Put, { entry: manifestItemSchema }),
+        changeSchema(ChangeKind.Remove, { section: { enum: Object.values(ManifestSection) }, name }),
+        changeSchema(ChangeKind.PutKey, { account: name, key: accountKeySchema }),
+        changeSchema(ChangeKind.RemoveKey, { account: name, keyName: name }),
+        changeSchema(ChangeKind.SetRate, {
+            account: name,
+            tokensPerSecond: itemSchemas.accounts.properties.tokensPerSecond,
+            burstTokens: itemSchemas.accounts.properties.burstTokens,
+        }),
+    ],
+};
+
+/** Tells whether a value from outside is a list of changes. */
+export const isManifestChanges = createSchemaGuard<readonly ManifestChange[]>({
+    type: "array",
+    items: manifestChangeSchema,
+});
+
+/** Tells whether a value from outside is a list of items. */
+export const isManifestItems = createSchemaGuard<readonly ManifestItem[]>({
+    type: "array",
+    items: manifestItemSchema,
+});
+
+/** Every item of a manifest, section by section. */
+export function itemsOf(manifest: Manifest): ManifestItem[] {
+    return [
+        ...manifest.models.map((item) => ({ section: ManifestSection.Models as const, item })),
+        ...manifest.pools.map((item) => ({ section: ManifestSection.Pools as const, item })),
+        ...manifest.accounts.map((item) => ({ section: ManifestSection.Accounts as const, item })),
+        ...manifest.routes.map((item) => ({ section: ManifestSection.Routes as const, item })),
+    ];
+}
+
+/** Identity of an item within a manifest. */
+export function itemKey(section: ManifestSection, itemName: string): string {
+    return `${section}/${itemName}`;
+}
+
+/** JSON with the fields of every object in alphabetical order: equal values have equal texts. */
+export function canonicalJson(value: unknown): string {
+    return JSON.stringify(value, (_key, part: unknown) => {
+        if (typeof part !== "object" || !part || Array.isArray(part)) {
+            return part;
+        }
+        const fields = Object.entries(part).filter(([, field]) => field !== undefined);
+        return Object.fromEntries(fields.sort(([left], [right]) => left < right ? -1 : 1));
+    });
+}
+
+/** Changes that turn `before` into `after`; empty where both hold the same items. */
+export function diffManifest(before: Manifest, after: Manifest): ManifestChange[] {
+    return diffItems(itemsOf(before), itemsOf(after));
+}
+
+/** Changes that turn one set of items into another. */
+export function diffItems(
+    before: readonly ManifestItem[],
+    after: readonly ManifestItem[],
+): ManifestChange[] {
+    const old = new Map(before.map((entry) => [itemKey(entry.section, entry.item.name), entry]));
+    const changes: ManifestChange[] = [];
+    for (const entry of after) {
+        const key = itemKey(entry.section, entry.item.name);
+        changes.push(...diffItem(old.get(key), entry));
+        old.delete(key);
+    }
+    for (const { section, item } of old.values()) {
+        changes.push({ kind: ChangeKind.Remove, section, name: item.name });
+    }
+    return changes;
+}
+
+function diffItem(before: ManifestItem | undefined, after: ManifestItem): ManifestChange[] {
+    if (before !== undefined && canonicalJson(before) === canonicalJson(after)) {
+        return [];
+    }
+    if (before?.section === ManifestSection.Accounts && after.section === ManifestSection.Accounts) {
+        const small = diffAccount(before.item, after.item);
+        if (small !== undefined) {
+            return small;
+        }
+    }
+    return [{ kind: ChangeKind.Put, entry: after }];
+}
+
+/** Changes of keys and rate alone, or `undefined` where they cost more than the whole account or lose its order. */
+function diffAccount(before: ClientAccount, after: ClientAccount): ManifestChange[] | undefined {
+    const changes: ManifestChange[] = [];
+    const { name: account, tokensPerSecond, burstTokens } = after;
+    if (before.tokensPerSecond !== tokensPerSecond || before.burstTokens !== burstTokens) {
+        changes.push({ kind: ChangeKind.SetRate, account, tokensPerSecond, burstTokens });
+    }
+    for (const key of before.keys) {
+        if (!after.keys.some((other) => isSameKey(key, other))) {
+            changes.push({ kind: ChangeKind.RemoveKey, account, keyName: key.name });
+        }
+    }
+    for (const key of after.keys) {
+        if (!before.keys.some((other) => isSameKey(key, other))) {
+            changes.push({ kind: ChangeKind.PutKey, account, key });
+        }
+    }
+    const result = changes.reduce<ClientAccount>(changeAccount, before);
+    const isExact = canonicalJson(result) === canonicalJson(after);
+    return isExact && changes.length <= after.keys.length + 1 ? changes : undefined;
+}
+
+function isSameKey(left: AccountKey, right: AccountKey): boolean {
+    return left.name === right.name && left.digest === right.digest;
+}
+
+function changeAccount(account: ClientAccount, change: ManifestChange): ClientAccount {
+    switch (change.kind) {
+        case ChangeKind.PutKey:
+            return { ...account, keys: [...account.keys, change.key] };
+        case ChangeKind.RemoveKey:
+            return { ...account, keys: account.keys.filter((key) => key.name !== change.keyName) };
+        case ChangeKind.SetRate:
+            return {
+                ...account,
+                tokensPerSecond: change.tokensPerSecond,
+                burstTokens: change.burstTokens,
+            };
+        case ChangeKind.Put:
+        case ChangeKind.Remove:
+            return account;
+    }
+}
+
+/** Identity of the item that a change touches. */
+export function changedKey(change: ManifestChange): string {
+    switch (change.kind) {
+        case ChangeKind.Put:
+            return itemKey(change.entry.section, change.entry.item.name);
+        case ChangeKind.Remove:
+            return itemKey(change.section, change.name);
+        case ChangeKind.PutKey:
+        case ChangeKind.RemoveKey:
+        case ChangeKind.SetRate:
+            return itemKey(ManifestSection.Accounts, change.account);
+    }
+}
+
+/** The item after a change; `undefined` where it is removed, or where an account to change does not exist. */
+export function changeItem(
+    before: ManifestItem | undefined,
+    change: ManifestChange,
+): ManifestItem | undefined {
+    switch (change.kind) {
+        case ChangeKind.Put:
+            return change.entry;
+        case ChangeKind.Remove:
+            return undefined;
+        case ChangeKind.PutKey:
+        case ChangeKind.RemoveKey:
+        case ChangeKind.SetRate:
+            return before?.section === ManifestSection.Accounts
+                ? { section: ManifestSection.Accounts, item: changeAccount(before.item, change) }
+                : undefined;
+    }
+}
+
+/** Applies changes in order; the lists of the result are sorted by name. */
+export function applyChanges(manifest: Manifest, changes: readonly ManifestChange[]): Manifest {
+    const items = new Map(itemsOf(manifest).map((entry) => [itemKey(entry.section, entry.item.name), entry]));
+    for (const change of changes) {
+        const key = changedKey(change);
+        const item = changeItem(items.get(key), change);
+        if (item === undefined) {
+            items.delete(key);
+        }
+        else {
+            items.set(key, item);
+        }
+    }
+    return manifestOf(items.values());
+}
+
+/** A manifest of the given items, each list sorted by name. */
+export function manifestOf(items: Iterable<ManifestItem>): Manifest {
+    const models: Model[] = [];
+    const pools: EndpointPool[] = [];
+    const accounts: ClientAccount[] = [];
+    const routes: Route[] = [];
+    for (const entry of items) {
+        switch (entry.section) {
+            case ManifestSection.Models:
+                models.push(entry.item);
+                break;
+            case ManifestSection.Pools:
+                pools.push(entry.item);
+                break;
+            case ManifestSection.Accounts:
+                accounts.push(entry.item);
+                break;
+            case ManifestSection.Routes:
+                routes.push(entry.item);
+                break;
+        }
+    }
+    return {
+        models: sorted(models),
+        pools: sorted(pools),
+        accounts: sorted(accounts),
+        routes: sorted(routes),
+    };
+}
+
+function sorted<T extends { readonly name: string; }>(items: T[]): T[] {
+    return items.sort((left, right) => left.name < right.name ? -1 : 1);
+}
