feat(protocol): frames, checked messages and connections authenticated by the fleet key

Cause: router and agent need one authenticated way to talk. Change: CBOR frames with checked shapes, TLS with a pre-shared key at both ends, calls on topics, one dialled connection an address. A malformed frame closes its connection and nothing else.

--- /dev/null
+++ b/packages/protocol/src/frame.ts
@@ -0,0 +1,82 @@
+/**
+ * Frames: a four-byte length in network order, then one message as CBOR.
+ *
+ * @module
+ */
+import { Encoder } from "cbor-x";
+import { err, ok, type Result } from "neverthrow";
+import { frameHeaderBytes, maxFrameBytes } from "./constants.js";
+import type { Message } from "./messages.js";
+import { checkMessage, type Decoded } from "./messageShape.js";
+import { type ProtocolError, protocolError, ProtocolErrorKind } from "./protocolError.js";
+
+const encoder = new Encoder({ useRecords: false, mapsAsObjects: true, tagUint8Array: false });
+
+/** Encodes a message as one frame. */
+export function encodeFrame(message: Message): Buffer {
+    const payload = encoder.encode(message);
+    const frame = Buffer.allocUnsafe(frameHeaderBytes + payload.length);
+    frame.writeUInt32BE(payload.length, 0);
+    payload.copy(frame, frameHeaderBytes);
+    return frame;
+}
+
+/** Cuts a byte stream into frames and decodes them. After an error the stream can not be read on. */
+export class FrameReader {
+    private parts: Buffer[] = [];
+    private buffered = 0;
+
+    /** Takes in received bytes and returns the messages that they complete. */
+    read(received: Buffer): Result<Decoded[], ProtocolError> {
+        this.parts.push(received);
+        this.buffered += received.length;
+        const messages: Decoded[] = [];
+        while (this.buffered >= frameHeaderBytes) {
+            const length = this.peekLength();
+            if (length > maxFrameBytes) {
+                const message = `a frame of ${length} bytes is longer than the limit of ${maxFrameBytes}`;
+                return err(protocolError(ProtocolErrorKind.Malformed, message));
+            }
+            if (this.buffered < frameHeaderBytes + length) {
+                break;
+            }
+            const decoded = decodePayload(this.take(frameHeaderBytes + length).subarray(frameHeaderBytes));
+            if (decoded.isErr()) {
+                return err(decoded.error);
+            }
+            messages.push(decoded.value);
+        }
+        return ok(messages);
+    }
+
+    private peekLength(): number {
+        if (this.parts[0].length < frameHeaderBytes) {
+            this.join();
+        }
+        return this.parts[0].readUInt32BE(0);
+    }
+
+    private take(length: number): Buffer {
+        if (this.parts[0].length < length) {
+            this.join();
+        }
+        const taken = this.parts[0].subarray(0, length);
+        const rest = this.parts[0].subarray(length);
+        this.parts = rest.length > 0 ? [rest, ...this.parts.slice(1)] : this.parts.slice(1);
+        this.buffered -= length;
+        return taken;
+    }
+
+    private join(): void {
+        this.parts = [Buffer.concat(this.parts)];
+    }
+}
+
+function decodePayload(payload: Buffer): Result<Decoded, ProtocolError> {
+    try {
+        return checkMessage(encoder.decode(payload));
+    }
+    catch (error) {
+        return err(protocolError(ProtocolErrorKind.Malformed, `a frame is not valid CBOR: ${String(error)}`));
+    }
+}
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,6 +1,14 @@
 /**
- * The inner protocol between redwingpin processes.
+ * The inner protocol between redwingpin processes: messages, frames and authenticated connections.
  *
  * @module
  */
+export * from "./constants.js";
+export * from "./frame.js";
 export * from "./messages.js";
+export * from "./messageShape.js";
+export * from "./node/connection.js";
+export * from "./node/fleetKey.js";
+export * from "./node/innerNode.js";
+export * from "./node/secureChannel.js";
+export * from "./protocolError.js";
--- /dev/null
+++ b/packages/protocol/src/messageShape.ts
@@ -0,0 +1,115 @@
+/**
+ * Checks the shape of decoded messages, so that a malformed frame is an error of its sender and nothing else.
+ *
+ * @module
+ */
+import { RefusalReason } from "@redwingpin/common";
+import { RoutePriority } from "@redwingpin/manifest";
+import { err, ok, type Result } from "neverthrow";
+import { DeclineReason, type Message, MessageKind, ProcessRole, Topic } from "./messages.js";
+import { type ProtocolError, protocolError, ProtocolErrorKind } from "./protocolError.js";
+
+type FieldCheck = (value: unknown) => boolean;
+type Shape = Readonly<Record<string, FieldCheck>>;
+
+const text: FieldCheck = (value) => typeof value === "string";
+const count: FieldCheck = (value) => Number.isSafeInteger(value) && (value as number) >= 0;
+const amount: FieldCheck = (value) => typeof value === "number" && Number.isFinite(value) && value >= 0;
+const flag: FieldCheck = (value) => typeof value === "boolean";
+const bytes: FieldCheck = (value) => value instanceof Uint8Array;
+const anything: FieldCheck = () => true;
+const optional = (check: FieldCheck): FieldCheck => (value) => value === undefined || check(value);
+const listOf = (check: FieldCheck): FieldCheck => (value) => Array.isArray(value) && value.every(check);
+const memberOf = (members: object): FieldCheck => (value) => Object.values(members).includes(value);
+const shaped = (shape: Shape): FieldCheck => (value) => missingField(shape, value) === undefined;
+
+const headerField = shaped({ name: text, value: text });
+const weightsReference = shaped({ model: text, version: text, adapter: optional(text) });
+const endpointStatus = shaped({
+    instance: text,
+    pool: text,
+    incarnation: optional(text),
+    draining: flag,
+    weights: listOf(weightsReference),
+    queuedTokens: amount,
+    running: count,
+    tokensPerSecond: amount,
+});
+
+const shapes: Readonly<Record<MessageKind, Shape>> = {
+    [MessageKind.Hello]: {
+        version: count,
+        role: memberOf(ProcessRole),
+        instance: text,
+        incarnation: text,
+        revision: count,
+    },
+    [MessageKind.Open]: {
+        exchange: count,
+        request: text,
+        attempt: count,
+        revision: count,
+        route: text,
+        account: optional(text),
+        priority: memberOf(RoutePriority),
+        tokens: amount,
+        deadlineMilliseconds: amount,
+        idempotent: flag,
+        method: text,
+        path: text,
+        headers: listOf(headerField),
+        bodyBytes: count,
+        weights: optional(weightsReference),
+        prefixBlocks: listOf(text),
+        fingerprint: text,
+        traceparent: text,
+    },
+    [MessageKind.Body]: { exchange: count, data: bytes },
+    [MessageKind.Cancel]: { exchange: count },
+    [MessageKind.Credit]: { exchange: count, bytes: count },
+    [MessageKind.Decline]: { exchange: count, reason: memberOf(DeclineReason), status: endpointStatus },
+    [MessageKind.Head]: { exchange: count, status: count, headers: listOf(headerField), hitBlocks: count },
+    [MessageKind.Chunk]: { exchange: count, sequence: count, data: bytes },
+    [MessageKind.End]: { exchange: count, chunks: count, status: endpointStatus },
+    [MessageKind.Failed]: {
+        exchange: count,
+        mayHaveRun: flag,
+        reason: memberOf(RefusalReason),
+        message: text,
+        status: endpointStatus,
+    },
+    [MessageKind.Status]: { revision: count, status: endpointStatus },
+    [MessageKind.Topic]: { topic: memberOf(Topic), call: optional(count), revision: count, body: anything },
+    [MessageKind.TopicReply]: { call: count, revision: count, body: anything },
+    [MessageKind.Unsupported]: { unsupportedKind: text },
+};
+
+/** What a decoded frame is: a message, or a kind that this version does not know. */
+export type Decoded =
+    | { readonly known: true; readonly message: Message; }
+    | { readonly known: false; readonly unsupportedKind: string; };
+
+/** Checks a decoded frame. Unknown fields are left alone; an unknown kind is no error. */
+export function checkMessage(value: unknown): Result<Decoded, ProtocolError> {
+    const kind = (value as { kind?: unknown; } | undefined)?.kind;
+    if (typeof kind !== "string") {
+        return err(protocolError(ProtocolErrorKind.Malformed, "a frame holds no message with a kind"));
+    }
+    if (!Object.hasOwn(shapes, kind)) {
+        return ok({ known: false, unsupportedKind: kind });
+    }
+    const missing = missingField(shapes[kind as MessageKind], value);
+    if (missing !== undefined) {
+        const message = `field "${missing}" of a "${kind}" message is missing or malformed`;
+        return err(protocolError(ProtocolErrorKind.Malformed, message));
+    }
+    return ok({ known: true, message: value as Message });
+}
+
+function missingField(shape: Shape, value: unknown): string | undefined {
+    if (typeof value !== "object" || value === undefined || !value) {
+        return "(all)";
+    }
+    const fields = value as Readonly<Record<string, unknown>>;
+    return Object.keys(shape).find((field) => !shape[field](fields[field]));
+}
--- /dev/null
+++ b/packages/protocol/src/node/connection.ts
@@ -0,0 +1,261 @@
+/**
+ * One inner connection. It owns its socket, exchanges {@link Hello} first and then carries messages of exchanges
+ * and topics.
+ *
+ * @module
+ */
+import { type CancelTimer, type Clock, type Milliseconds } from "@redwingpin/common";
+import { err, ok, type Result, ResultAsync } from "neverthrow";
+import type { TLSSocket } from "node:tls";
+import { handshakeTimeoutMilliseconds } from "../constants.js";
+import { encodeFrame, FrameReader } from "../frame.js";
+import {
+    type Hello,
+    type Message,
+    MessageKind,
+    oldestProtocolVersion,
+    type Topic,
+    type TopicMessage,
+    type TopicReply,
+} from "../messages.js";
+import type { Decoded } from "../messageShape.js";
+import { type ProtocolError, protocolError, ProtocolErrorKind } from "../protocolError.js";
+
+/** Messages that belong to exchanges or carry an endpoint's status. */
+export type ExchangeMessage = Exclude<
+    Message,
+    { kind: MessageKind.Hello | MessageKind.Topic | MessageKind.TopicReply; }
+>;
+
+/** What the owner of a connection does with what arrives on it. */
+export interface ConnectionHandler {
+    /** A message of an exchange, or an endpoint's status. */
+    onMessage(connection: Connection, message: ExchangeMessage): void;
+    /** A message on a topic; what it resolves with is sent back where the sender expects an answer. */
+    onTopic(connection: Connection, message: TopicMessage): Promise<unknown>;
+    /** The peer's revision of the configuration, each time that a message carries it. */
+    onRevision(connection: Connection, revision: number): void;
+    onClosed(connection: Connection): void;
+}
+
+/** What a connection needs from its process. */
+export interface ConnectionContext {
+    readonly clock: Clock;
+    /** This process's Hello, with the revision in force now. */
+    readonly hello: () => Hello;
+    readonly handler: ConnectionHandler;
+}
+
+interface PendingCall {
+    readonly settle: (result: Result<unknown, ProtocolError>) => void;
+    readonly cancelTimeout: CancelTimer;
+}
+
+/** An authenticated connection to one peer, after both have said Hello. */
+export class Connection {
+    private readonly reader = new FrameReader();
+    private readonly calls = new Map<number, PendingCall>();
+    private peerHello: Hello | undefined;
+    private nextCall = 1;
+    private closed = false;
+    private onReady: ((result: Result<Connection, ProtocolError>) => void) | undefined;
+    private writableWaiters: (() => void)[] = [];
+
+    private constructor(private readonly socket: TLSSocket, private readonly context: ConnectionContext) {
+        socket.setNoDelay(true);
+        socket.on("data", (received: Buffer) => this.receive(received));
+        socket.on("drain", () => this.wakeWriters());
+        socket.on("error", () => this.close());
+        socket.on("close", () => this.close());
+    }
+
+    /** Completes the handshake on a fresh socket. */
+    static start(socket: TLSSocket, context: ConnectionContext): ResultAsync<Connection, ProtocolError> {
+        const connection = new Connection(socket, context);
+        return new ResultAsync(connection.handshake());
+    }
+
+    /** The peer's Hello. */
+    get peer(): Hello {
+        return this.peerHello!;
+    }
+
+    get isClosed(): boolean {
+        return this.closed;
+    }
+
+    /** Sends a message; it is dropped once the connection is closed. */
+    send(message: Message): void {
+        if (!this.closed) {
+            this.socket.write(encodeFrame(message));
+        }
+    }
+
+    /** Resolves when the socket's buffer has room again, or the connection is closed. */
+    whenWritable(): Promise<void> {
+        if (this.closed || !this.socket.writableNeedDrain) {
+            return Promise.resolve();
+        }
+        return new Promise((resolve) => this.writableWaiters.push(resolve));
+    }
+
+    /** Sends a message on a topic and expects no answer. */
+    notify(topic: Topic, body: unknown): void {
+        this.send({ kind: MessageKind.Topic, topic, revision: this.context.hello().revision, body });
+    }
+
+    /** Sends a message on a topic and waits for the answer. */
+    call(topic: Topic, body: unknown, timeout: Milliseconds): ResultAsync<unknown, ProtocolError> {
+        return new ResultAsync(
+            new Promise<Result<unknown, ProtocolError>>((resolve) => {
+                const call = this.nextCall++;
+                const settle = (result: Result<unknown, ProtocolError>) => {
+                    this.calls.delete(call);
+                    resolve(result);
+                };
+                const cancelTimeout = this.context.clock.schedule(timeout, () => {
+                    settle(
+                        err(protocolError(
+                            ProtocolErrorKind.Timeout,
+                            `${this.describePeer()} gave no answer on topic "${topic}" within ${timeout} ms`,
+                        )),
+                    );
+                });
+                if (this.closed) {
+                    cancelTimeout();
+                    settle(err(this.closedError()));
+                    return;
+                }
+                this.calls.set(call, { settle, cancelTimeout });
+                this.send({
+                    kind: MessageKind.Topic,
+                    topic,
+                    call,
+                    revision: this.context.hello().revision,
+                    body,
+                });
+            }),
+        );
+    }
+
+    /** Closes the connection; calls that wait for an answer fail. */
+    close(): void {
+        if (this.closed) {
+            return;
+        }
+        this.closed = true;
+        this.socket.destroy();
+        this.onReady?.(err(this.closedError()));
+        for (const pending of [...this.calls.values()]) {
+            pending.cancelTimeout();
+            pending.settle(err(this.closedError()));
+        }
+        this.wakeWriters();
+        if (this.peerHello !== undefined) {
+            this.context.handler.onClosed(this);
+        }
+    }
+
+    private handshake(): Promise<Result<Connection, ProtocolError>> {
+        return new Promise((resolve) => {
+            const cancelTimeout = this.context.clock.schedule(
+                handshakeTimeoutMilliseconds,
+                () => this.close(),
+            );
+            this.onReady = (result) => {
+                this.onReady = undefined;
+                cancelTimeout();
+                resolve(result);
+            };
+            this.send(this.context.hello());
+        });
+    }
+
+    private receive(received: Buffer): void {
+        const messages = this.reader.read(received);
+        if (messages.isErr()) {
+            this.close();
+            return;
+        }
+        for (const decoded of messages.value) {
+            if (this.closed) {
+                return;
+            }
+            this.dispatch(decoded);
+        }
+    }
+
+    private dispatch(decoded: Decoded): void {
+        if (!decoded.known) {
+            this.send({ kind: MessageKind.Unsupported, unsupportedKind: decoded.unsupportedKind });
+            return;
+        }
+        const message = decoded.message;
+        if (this.peerHello === undefined) {
+            this.receiveHello(message);
+            return;
+        }
+        if ("revision" in message) {
+            this.context.handler.onRevision(this, message.revision);
+        }
+        switch (message.kind) {
+            case MessageKind.Hello:
+                return;
+            case MessageKind.Topic:
+                void this.answerTopic(message);
+                return;
+            case MessageKind.TopicReply:
+                this.receiveReply(message);
+                return;
+            default:
+                this.context.handler.onMessage(this, message);
+        }
+    }
+
+    private receiveHello(message: Message): void {
+        if (message.kind !== MessageKind.Hello || message.version < oldestProtocolVersion) {
+            this.close();
+            return;
+        }
+        this.peerHello = message;
+        this.onReady?.(ok(this));
+        this.context.handler.onRevision(this, message.revision);
+    }
+
+    private async answerTopic(message: TopicMessage): Promise<void> {
+        const body = await this.context.handler.onTopic(this, message);
+        if (message.call !== undefined) {
+            this.send({
+                kind: MessageKind.TopicReply,
+                call: message.call,
+                revision: this.context.hello().revision,
+                body,
+            });
+        }
+    }
+
+    private receiveReply(message: TopicReply): void {
+        const pending = this.calls.get(message.call);
+        pending?.cancelTimeout();
+        pending?.settle(ok(message.body));
+    }
+
+    private wakeWriters(): void {
+        const waiters = this.writableWaiters;
+        this.writableWaiters = [];
+        for (const wake of waiters) {
+            wake();
+        }
+    }
+
+    private closedError(): ProtocolError {
+        return protocolError(ProtocolErrorKind.Closed, `the connection to ${this.describePeer()} is closed`);
+    }
+
+    private describePeer(): string {
+        const { remoteAddress, remotePort } = this.socket;
+        return this.peerHello === undefined
+            ? `${remoteAddress}:${remotePort}`
+            : `instance "${this.peerHello.instance}"`;
+    }
+}
