feat(configuration): submission by compare-and-swap with settled answers and sharded records

Operators race each other and the store's answers are lost after a write took effect. The root's swap is the one step that accepts; its outline remembers 256 submission identifiers, so an unknown end is settled by asking again, and a lost race names the revision that won.

Shards are found by digest but keyed by submission. Plain content addresses were ruled out: a collector could delete a shard that a racing submission had just found to exist. As keys are never shared between submissions, a winner may delete what only earlier revisions refer to.

The root holds at most 2 KB of recent changes, since every watcher receives it at each change.

--- /dev/null
+++ b/packages/configuration/src/__tests__/submitManifest.spec.ts
@@ -0,0 +1,134 @@
+import { FakeClock, systemClock } from "@redwingpin/common";
+import { canonicalJson } from "@redwingpin/manifest";
+import { expect } from "chai";
+import { rootKey } from "../records.js";
+import { readConfiguration, submitManifest } from "../submitManifest.js";
+import { accountFixture, accountsFixture, largeManifestFixture } from "./configurationFixture.js";
+import { MemoryStore, StoreMode } from "./memoryStoreFixture.js";
+
+const maximumValueBytes = 1024 * 1024;
+
+/** A clock whose pauses end at once. */
+const hastyClock = {
+    ...systemClock,
+    schedule: (_delay: number, callback: () => void) => {
+        setImmediate(callback);
+        return () => {};
+    },
+};
+
+async function submit(
+    store: MemoryStore,
+    names: readonly string[],
+    submission: string,
+    expectedRevision?: number,
+) {
+    const manifest = accountsFixture(...names.map((name) => accountFixture(name)));
+    return submitManifest(store, manifest, submission, { expectedRevision, clock: hastyClock });
+}
+
+async function namesIn(store: MemoryStore): Promise<string[]> {
+    const loaded = (await readConfiguration(store))._unsafeUnwrap();
+    return loaded?.manifest.toManifest().accounts.map((account) => account.name) ?? [];
+}
+
+describe("configuration: submit", () => {
+    it("numbers accepted manifests and reads them back", async () => {
+        const store = new MemoryStore();
+        expect((await submit(store, ["a"], "one"))._unsafeUnwrap()).to.deep.equal({
+            revision: 1,
+            changed: true,
+        });
+        expect((await submit(store, ["a", "b"], "two"))._unsafeUnwrap().revision).to.equal(2);
+        expect(await namesIn(store)).to.deep.equal(["a", "b"]);
+    });
+
+    it("accepts a manifest that is in force already without a new revision", async () => {
+        const store = new MemoryStore();
+        await submit(store, ["a"], "one");
+        expect((await submit(store, ["a"], "two"))._unsafeUnwrap()).to.deep.equal({
+            revision: 1,
+            changed: false,
+        });
+    });
+
+    it("settles a write whose answer was lost by its submission identifier", async () => {
+        const store = new MemoryStore();
+        let losses = 0;
+        store.beforeCall = (key) => {
+            const loses = key === rootKey && store.entries.size > 1 && losses < 1;
+            losses += loses ? 1 : 0;
+            store.mode = loses ? StoreMode.LoseAnswers : StoreMode.Up;
+        };
+        expect((await submit(store, ["a"], "one"))._unsafeUnwrap()).to.deep.equal({
+            revision: 1,
+            changed: true,
+        });
+        expect(losses).to.equal(1);
+        expect((await submit(store, ["a"], "one"))._unsafeUnwrap().revision).to.equal(1);
+    });
+
+    it("says unknown where the root's answer stays lost, and settles it later", async () => {
+        const store = new MemoryStore();
+        store.beforeCall = (key) => {
+            store.mode = key === rootKey && store.entries.size > 1 ? StoreMode.LoseAnswers : StoreMode.Up;
+        };
+        expect((await submit(store, ["a"], "one"))._unsafeUnwrapErr().kind).to.equal("unknown");
+        store.beforeCall = () => {
+            store.mode = StoreMode.Up;
+        };
+        await submit(store, ["b"], "two");
+        expect((await submit(store, ["a"], "one"))._unsafeUnwrap().revision).to.equal(1);
+        expect(await namesIn(store)).to.deep.equal(["b"]);
+    });
+
+    it("names the revision that won a race", async () => {
+        const store = new MemoryStore();
+        await submit(store, ["a"], "one");
+        let raced = false;
+        store.beforeCall = async (key) => {
+            if (!raced && key.includes("parts/000000000001")) {
+                raced = true;
+                await submit(store, ["b"], "rival");
+            }
+        };
+        expect((await submit(store, ["c"], "slow"))._unsafeUnwrapErr())
+            .to.deep.equal({ kind: "lostRace", revision: 2, submission: "rival" });
+        expect((await submit(store, ["c"], "late", 1))._unsafeUnwrapErr())
+            .to.deep.equal({ kind: "lostRace", revision: 2, submission: "rival" });
+        expect(await namesIn(store)).to.deep.equal(["b"]);
+    });
+
+    it("changes nothing while the store is down", async () => {
+        const store = new MemoryStore();
+        store.mode = StoreMode.Down;
+        expect((await submit(store, ["a"], "one"))._unsafeUnwrapErr().kind).to.equal("unavailable");
+    });
+
+    it("keeps a manifest above one megabyte in values far below it, and leaves no old record behind", async () => {
+        const store = new MemoryStore();
+        const manifest = largeManifestFixture();
+        expect(canonicalJson(manifest).length).to.be.greaterThan(maximumValueBytes);
+        (await submitManifest(store, manifest, "large"))._unsafeUnwrap();
+        const records = store.entries.size;
+        const changed = {
+            ...manifest,
+            accounts: [accountFixture("account-0", []), ...manifest.accounts.slice(1)],
+        };
+        (await submitManifest(store, changed, "small"))._unsafeUnwrap();
+        expect(store.entries.size).to.equal(records);
+        const sizes = [...store.entries.values()].map((entry) => entry.value.length);
+        expect(Math.max(...sizes)).to.be.lessThan(maximumValueBytes / 4);
+        expect((await readConfiguration(store))._unsafeUnwrap()?.manifest.toManifest().accounts)
+            .to.have.length(4200);
+    });
+
+    it("reports a root that is no root record", async () => {
+        const store = new MemoryStore();
+        await store.compareAndSwap(rootKey, 0, new TextEncoder().encode("{]"));
+        expect((await submit(store, ["a"], "one"))._unsafeUnwrapErr().kind).to.equal("malformed");
+        expect((await readConfiguration(store, new FakeClock()))._unsafeUnwrapErr().kind).to.equal(
+            "malformed",
+        );
+    });
+});
--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -1,6 +1,10 @@
 /**
- * Public items of this package.
+ * Submission, spread and installation of accepted configurations.
  *
  * @module
  */
-export {};
+export * from "./decision/loadConfiguration.js";
+export * from "./decision/storeDecision.js";
+export * from "./decision/submission.js";
+export * from "./records.js";
+export * from "./submitManifest.js";
--- /dev/null
+++ b/packages/configuration/src/records.ts
@@ -0,0 +1,185 @@
+/**
+ * Records of the configuration in the store, as JSON.
+ *
+ * The root is small, since watchers receive it at each change. It names the outline, which names the shards. Keys of
+ * outlines and shards hold the revision that their submission started from and its identifier: no two submissions
+ * share a key, so that one can delete what only it, or a revision before it, refers to.
+ *
+ * @module
+ */
+import { sha256Hex } from "@redwingpin/common";
+import {
+    canonicalJson,
+    createSchemaGuard,
+    isManifestItems,
+    type ManifestChange,
+    manifestChangeSchema,
+    type ManifestItem,
+} from "@redwingpin/manifest";
+
+/** Key of the root record. */
+export const rootKey = "redwingpin/configuration/root";
+
+/** Prefix of the keys of outlines and shards. */
+export const partsPrefix = "redwingpin/configuration/parts/";
+
+/** Format of the records that this build writes. */
+export const recordFormat = 1;
+
+/** Bytes of recent changes that a root holds at most. */
+export const maximumRecentBytes = 2_048;
+
+/** Recent submissions that an outline remembers, to settle writes whose answer was lost. */
+export const rememberedSubmissions = 256;
+
+const revisionDigits = 12;
+
+/** The changes that one revision made. */
+export interface RecentChange {
+    readonly revision: number;
+    readonly submission: string;
+    readonly changes: readonly ManifestChange[];
+}
+
+/** The root record: which configuration is accepted. */
+export interface RootRecord {
+    readonly format: number;
+    readonly revision: number;
+    readonly submission: string;
+    /** Milliseconds since the Unix epoch, by the operator's clock. */
+    readonly submittedAt: number;
+    /** Key of the outline. */
+    readonly outline: string;
+    readonly shardCount: number;
+    /** Digest of the manifest. */
+    readonly digest: string;
+    /** The last changes, oldest first, without gaps up to `revision`; empty where the last one was large. */
+    readonly recent: readonly RecentChange[];
+}
+
+/** Where one shard is stored and what it must hold. */
+export interface ShardReference {
+    readonly key: string;
+    readonly digest: string;
+}
+
+/** An accepted submission. */
+export interface AcceptedSubmission {
+    readonly revision: number;
+    readonly submission: string;
+}
+
+/** The outline: the shards of one revision and the submissions that led to it. */
+export interface OutlineRecord {
+    readonly revision: number;
+    readonly shards: readonly ShardReference[];
+    /** Newest last. */
+    readonly submissions: readonly AcceptedSubmission[];
+}
+
+const text = { type: "string" };
+const number = { type: "integer", minimum: 0 };
+const submissionFields = { revision: number, submission: text };
+
+const isRootRecord = createSchemaGuard<RootRecord>({
+    type: "object",
+    required: [
+        "format",
+        "revision",
+        "submission",
+        "submittedAt",
+        "outline",
+        "shardCount",
+        "digest",
+        "recent",
+    ],
+    properties: {
+        format: { const: recordFormat },
+        ...submissionFields,
+        submittedAt: { type: "number" },
+        outline: text,
+        shardCount: { type: "integer", minimum: 1 },
+        digest: text,
+        recent: {
+            type: "array",
+            items: {
+                type: "object",
+                required: ["revision", "submission", "changes"],
+                properties: { ...submissionFields, changes: { type: "array", items: manifestChangeSchema } },
+            },
+        },
+    },
+});
+
+const isOutlineRecord = createSchemaGuard<OutlineRecord>({
+    type: "object",
+    required: ["revision", "shards", "submissions"],
+    properties: {
+        revision: number,
+        shards: {
+            type: "array",
+            minItems: 1,
+            items: { type: "object", required: ["key", "digest"], properties: { key: text, digest: text } },
+        },
+        submissions: {
+            type: "array",
+            items: { type: "object", required: ["revision", "submission"], properties: submissionFields },
+        },
+    },
+});
+
+/** Encodes a record. */
+export function encodeRecord(record: RootRecord | OutlineRecord | readonly ManifestItem[]): Uint8Array {
+    return new TextEncoder().encode(canonicalJson(record));
+}
+
+/** Decodes a root record; `undefined` where the value is none that this build understands. */
+export function decodeRoot(value: Uint8Array): RootRecord | undefined {
+    return decode(value, isRootRecord);
+}
+
+/** Decodes an outline; `undefined` where the value is none. */
+export function decodeOutline(value: Uint8Array): OutlineRecord | undefined {
+    return decode(value, isOutlineRecord);
+}
+
+/** Decodes a shard; `undefined` where the value is none. */
+export function decodeShard(value: Uint8Array): readonly ManifestItem[] | undefined {
+    return decode(value, isManifestItems);
+}
+
+function decode<T>(value: Uint8Array, guard: (decoded: unknown) => decoded is T): T | undefined {
+    try {
+        const decoded: unknown = JSON.parse(new TextDecoder().decode(value));
+        return guard(decoded) ? decoded : undefined;
+    }
+    catch {
+        return undefined;
+    }
+}
+
+/** Prefix of the keys that a submission writes. */
+export function submissionPrefix(baseRevision: number, submission: string): string {
+    const padded = String(baseRevision).padStart(revisionDigits, "0");
+    return `${partsPrefix}${padded}/${sha256Hex(submission).slice(0, revisionDigits)}/`;
+}
+
+/** The revision that the submission of a key started from; `undefined` for a key of another form. */
+export function baseRevisionOf(key: string): number | undefined {
+    const digits = key.slice(partsPrefix.length, partsPrefix.length + revisionDigits);
+    return /^\d+$/.test(digits) ? Number(digits) : undefined;
+}
+
+/** The newest changes that fit into a root, oldest first. */
+export function keepRecent(changes: readonly RecentChange[]): RecentChange[] {
+    const kept: RecentChange[] = [];
+    let bytes = 0;
+    for (const change of [...changes].reverse()) {
+        bytes += canonicalJson(change).length;
+        if (bytes > maximumRecentBytes) {
+            break;
+        }
+        kept.unshift(change);
+    }
+    return kept;
+}
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * from "./configurationMessages.js";
 export * from "./constants.js";
 export * from "./frame.js";
 export * from "./messages.js";
