feat(configuration): spread by contact, deltas and shards; installs only higher revisions

Every message carries the sender's revision; who is behind fetches changes, or the shards that differ, from who is ahead. Two routers of each data centre watch the root, chosen by rendezvous; all others read it so seldom that the fleet's reads stay constant. A starting process asks store, three routers and three agents at once and takes the highest offer within 200 ms.

Ruled out: a watch at each process (its cost grows with the fleet) and calls with answers (a lost answer would need a second mechanism beside the one that any contact gives).

--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -3,8 +3,12 @@
  *
  * @module
  */
+export * from "./decision/configurationReplica.js";
 export * from "./decision/loadConfiguration.js";
+export * from "./decision/replicaEvents.js";
 export * from "./decision/storeDecision.js";
 export * from "./decision/submission.js";
+export * from "./node/configurationTask.js";
+export * from "./node/innerPeers.js";
 export * from "./records.js";
 export * from "./submitManifest.js";
--- a/packages/manifest/src/schemaCheck.ts
+++ b/packages/manifest/src/schemaCheck.ts
@@ -21,7 +21,7 @@
 
 /** Compiles a schema to a check that reports every mismatch at once. */
 export function createSchemaCheck(schema: JsonSchema): SchemaCheck {
-    const validate = compile(schema);
+    const validate = compile(schema, true);
     return (value) => {
         if (validate(value)) {
             return [];
@@ -32,12 +32,12 @@
 
 /** Compiles a schema to a type guard, for values from other processes and from the store. */
 export function createSchemaGuard<T>(schema: JsonSchema): (value: unknown) => value is T {
-    const validate = compile(schema);
+    const validate = compile(schema, false);
     return (value): value is T => validate(value);
 }
 
-function compile(schema: JsonSchema): ValidateFunction {
-    const ajv = new Ajv({ allErrors: true, useDefaults: true, strict: false, verbose: true });
+function compile(schema: JsonSchema, reportsAll: boolean): ValidateFunction {
+    const ajv = new Ajv({ allErrors: reportsAll, useDefaults: reportsAll, strict: false, verbose: true });
     return ajv.compile(schema);
 }
 
--- a/packages/manifest/src/shardedManifest.ts
+++ b/packages/manifest/src/shardedManifest.ts
@@ -30,6 +30,8 @@
 export interface ManifestShard {
     readonly digest: string;
     readonly items: readonly ManifestItem[];
+    /** Characters of the canonical JSON. */
+    readonly size: number;
 }
 
 /** Number of shards for a manifest whose canonical JSON has this many bytes: a power of two. */
@@ -49,7 +51,8 @@
 /** Makes a shard of the items. */
 export function createShard(items: readonly ManifestItem[]): ManifestShard {
     const sorted = [...items].sort((left, right) => keyOf(left) < keyOf(right) ? -1 : 1);
-    return { items: sorted, digest: sha256Hex(canonicalJson(sorted)) };
+    const text = canonicalJson(sorted);
+    return { items: sorted, digest: sha256Hex(text), size: text.length };
 }
 
 function keyOf(entry: ManifestItem): string {
