feat(agent): thin agent between the inner protocol and one endpoint

Cause: the whole path needs its last hop. Change: settings, acceptance checks, a queue with a concurrency limit, dispatch at most once, answers no faster than the router allows, health watch, drain on SIGTERM.

--- /dev/null
+++ b/packages/agent/src/node/agent.ts
@@ -0,0 +1,201 @@
+/**
+ * The agent: the only way in to one endpoint. It owns the inner listener, the endpoint's client and monitor, and
+ * the exchanges.
+ *
+ * @module
+ */
+import { type Clock, type Logger } from "@redwingpin/common";
+import {
+    type Connection,
+    type EndpointStatus,
+    type ExchangeMessage,
+    InnerNode,
+    MessageKind,
+    type Open,
+    ProcessRole,
+} from "@redwingpin/protocol";
+import { randomUUID } from "node:crypto";
+import type { ResolvedAgentConfig } from "../config.js";
+import { maxBodyBytes } from "../constants.js";
+import { declineReason } from "../decision/acceptance.js";
+import { RecentRequests } from "../decision/recentRequests.js";
+import { EndpointClient } from "./endpointClient.js";
+import { type EndpointHealth, EndpointMonitor } from "./endpointMonitor.js";
+import { ExchangeTask } from "./exchangeTask.js";
+import { RequestScheduler } from "./requestScheduler.js";
+
+/** What an agent is made from. */
+export interface AgentOptions {
+    readonly config: ResolvedAgentConfig;
+    readonly clock: Clock;
+    readonly logger: Logger;
+}
+
+/** Serves one endpoint to the routers. */
+export class Agent {
+    readonly innerNode: InnerNode;
+    private readonly endpoint: EndpointClient;
+    private readonly monitor: EndpointMonitor;
+    private readonly scheduler: RequestScheduler;
+    private readonly exchanges = new Map<Connection, Map<number, ExchangeTask>>();
+    private readonly recent = new RecentRequests();
+    private draining = false;
+    private wakeWhenIdle: (() => void) | undefined;
+
+    constructor(private readonly options: AgentOptions) {
+        const { config, clock, logger } = options;
+        this.endpoint = new EndpointClient(config.endpointAddress, config.concurrency);
+        this.scheduler = new RequestScheduler({
+            clock,
+            concurrency: config.concurrency,
+            maxQueuedTokens: config.maxQueuedTokens,
+        });
+        this.monitor = new EndpointMonitor({
+            address: config.endpointAddress,
+            kind: config.endpointKind,
+            clock,
+            interval: config.healthIntervalMilliseconds,
+            onChange: (health, before) => this.onHealthChange(health, before),
+        });
+        this.innerNode = new InnerNode({
+            role: ProcessRole.Agent,
+            instance: config.instance,
+            incarnation: randomUUID(),
+            fleetKeys: config.fleetKeys,
+            clock,
+            logger: logger.scope("inner"),
+            revision: () => 0,
+            onRevision: () => {},
+            onMessage: (connection, message) => this.onMessage(connection, message),
+            onClosed: (connection) => this.onClosed(connection),
+        });
+    }
+
+    /** Starts to listen; resolves with the port of the inner protocol. */
+    async start(): Promise<number> {
+        await this.monitor.start();
+        return this.innerNode.listen(this.options.config.listenHost, this.options.config.innerPort);
+    }
+
+    /** Takes no new work, waits until what runs has ended, and closes everything. */
+    async drain(): Promise<void> {
+        this.draining = true;
+        this.broadcastStatus();
+        if (this.exchangeCount() > 0) {
+            await new Promise<void>((resolve) => {
+                this.wakeWhenIdle = resolve;
+            });
+        }
+        this.stop();
+    }
+
+    /** Closes everything at once. */
+    stop(): void {
+        this.monitor.stop();
+        this.innerNode.stop();
+        void this.endpoint.stop();
+    }
+
+    /** What this agent knows of its endpoint now. */
+    status(): EndpointStatus {
+        const { config } = this.options;
+        const health = this.monitor.current;
+        return {
+            instance: config.instance,
+            pool: config.pool,
+            incarnation: health.incarnation,
+            draining: this.draining,
+            weights: health.weights,
+            queuedTokens: this.scheduler.queuedTokens,
+            running: this.scheduler.running,
+            tokensPerSecond: 0,
+        };
+    }
+
+    private onMessage(connection: Connection, message: ExchangeMessage): void {
+        switch (message.kind) {
+            case MessageKind.Open:
+                this.openExchange(connection, message);
+                return;
+            case MessageKind.Body:
+                this.find(connection, message.exchange)?.receive(message.data);
+                return;
+            case MessageKind.Cancel:
+                this.find(connection, message.exchange)?.cancel();
+                return;
+            case MessageKind.Credit:
+                this.find(connection, message.exchange)?.allow(message.bytes);
+                return;
+            default:
+                return;
+        }
+    }
+
+    private openExchange(connection: Connection, open: Open): void {
+        const exchange = new ExchangeTask(connection, open, {
+            clock: this.options.clock,
+            endpoint: this.endpoint,
+            scheduler: this.scheduler,
+            status: () => this.status(),
+            hitBlocks: () => 0,
+            onDispatched: () => {},
+            onEnded: (ended) => this.forget(connection, ended),
+        });
+        this.remember(connection, exchange);
+        const reason = declineReason(open, {
+            status: this.status(),
+            seenBefore: !open.idempotent && !this.recent.add(open.request),
+            maxBodyBytes,
+        });
+        if (reason !== undefined) {
+            exchange.decline(reason);
+        }
+        else if (open.bodyBytes === 0) {
+            exchange.receive(undefined);
+        }
+    }
+
+    private onHealthChange(health: EndpointHealth, before: EndpointHealth): void {
+        this.options.logger.info("the endpoint changed", {
+            incarnation: health.incarnation,
+            before: before.incarnation,
+            weights: health.weights.map((weights) => `${weights.model}/${weights.version}`).join(","),
+        });
+        this.broadcastStatus();
+    }
+
+    private broadcastStatus(): void {
+        for (const connection of this.innerNode.openConnections()) {
+            connection.send({ kind: MessageKind.Status, revision: 0, status: this.status() });
+        }
+    }
+
+    private onClosed(connection: Connection): void {
+        const exchanges = this.exchanges.get(connection);
+        this.exchanges.delete(connection);
+        for (const exchange of exchanges?.values() ?? []) {
+            exchange.cancel();
+        }
+    }
+
+    private find(connection: Connection, exchange: number): ExchangeTask | undefined {
+        return this.exchanges.get(connection)?.get(exchange);
+    }
+
+    private remember(connection: Connection, exchange: ExchangeTask): void {
+        const exchanges = this.exchanges.get(connection) ?? new Map<number, ExchangeTask>();
+        exchanges.set(exchange.open.exchange, exchange);
+        this.exchanges.set(connection, exchanges);
+    }
+
+    private forget(connection: Connection, exchange: ExchangeTask): void {
+        this.exchanges.get(connection)?.delete(exchange.open.exchange);
+        if (this.exchangeCount() === 0) {
+            this.wakeWhenIdle?.();
+        }
+    }
+
+    private exchangeCount(): number {
+        return [...this.exchanges.values()].reduce((sum, exchanges) => sum + exchanges.size, 0);
+    }
+}
--- /dev/null
+++ b/packages/agent/src/node/endpointMonitor.ts
@@ -0,0 +1,106 @@
+/**
+ * Watches the endpoint's health: whether it answers, which start of it answers, and which weights it serves.
+ *
+ * @module
+ */
+import type { CancelTimer, Clock, Milliseconds } from "@redwingpin/common";
+import { EndpointKind } from "@redwingpin/manifest";
+import type { WeightsReference } from "@redwingpin/protocol";
+import { request } from "undici";
+
+const healthTimeoutMilliseconds = 1_000;
+
+/** What is known of the endpoint. */
+export interface EndpointHealth {
+    /** Differs after each start of the endpoint; absent while it gives no answer. */
+    readonly incarnation: string | undefined;
+    readonly weights: readonly WeightsReference[];
+}
+
+/** Options of {@link EndpointMonitor}. */
+export interface EndpointMonitorOptions {
+    readonly address: string;
+    readonly kind: EndpointKind;
+    readonly clock: Clock;
+    readonly interval: Milliseconds;
+    readonly onChange: (health: EndpointHealth, before: EndpointHealth) => void;
+}
+
+const unknownHealth: EndpointHealth = { incarnation: undefined, weights: [] };
+
+/** Asks the endpoint for its health at an interval and when told that a request broke off. */
+export class EndpointMonitor {
+    private health = unknownHealth;
+    private cancelTimer: CancelTimer = () => {};
+    private stopped = false;
+
+    constructor(private readonly options: EndpointMonitorOptions) {}
+
+    get current(): EndpointHealth {
+        return this.health;
+    }
+
+    /** Looks once and then at the interval. */
+    async start(): Promise<void> {
+        await this.look();
+    }
+
+    stop(): void {
+        this.stopped = true;
+        this.cancelTimer();
+    }
+
+    /** Looks at once, for example after a request broke off. */
+    async look(): Promise<void> {
+        this.cancelTimer();
+        const before = this.health;
+        this.health = await this.ask();
+        if (this.stopped) {
+            return;
+        }
+        if (JSON.stringify(before) !== JSON.stringify(this.health)) {
+            this.options.onChange(this.health, before);
+        }
+        this.cancelTimer = this.options.clock.schedule(this.options.interval, () => void this.look());
+    }
+
+    private async ask(): Promise<EndpointHealth> {
+        try {
+            const answer = await request(`${this.options.address}/health`, {
+                headersTimeout: healthTimeoutMilliseconds,
+                bodyTimeout: healthTimeoutMilliseconds,
+            });
+            const text = await answer.body.text();
+            return this.options.kind === EndpointKind.Engine
+                ? readEngineHealth(answer.statusCode, text)
+                : serviceHealth;
+        }
+        catch {
+            return unknownHealth;
+        }
+    }
+}
+
+/** Services need not state a health; any answer shows that they are up. */
+const serviceHealth: EndpointHealth = { incarnation: "up", weights: [] };
+
+function readEngineHealth(status: number, text: string): EndpointHealth {
+    if (status !== 200) {
+        return unknownHealth;
+    }
+    try {
+        const body = JSON.parse(text) as { incarnation?: unknown; weights?: unknown; };
+        return {
+            incarnation: typeof body.incarnation === "string" ? body.incarnation : "up",
+            weights: Array.isArray(body.weights) ? body.weights.filter(isWeightsReference) : [],
+        };
+    }
+    catch {
+        return unknownHealth;
+    }
+}
+
+function isWeightsReference(value: unknown): value is WeightsReference {
+    const reference = value as Partial<WeightsReference> | undefined;
+    return typeof reference?.model === "string" && typeof reference.version === "string";
+}
--- /dev/null
+++ b/packages/agent/src/node/exchangeTask.ts
@@ -0,0 +1,230 @@
+/**
+ * One exchange at the agent: it collects the body, waits for its turn, runs the request at the endpoint at most
+ * once and streams the answer back no faster than the router allows.
+ *
+ * @module
+ */
+import { type Clock, RefusalReason } from "@redwingpin/common";
+import {
+    answerWindowBytes,
+    bodyPartBytes,
+    type Connection,
+    DeclineReason,
+    type EndpointStatus,
+    MessageKind,
+    type Open,
+} from "@redwingpin/protocol";
+import type { EndpointAnswer, EndpointClient } from "./endpointClient.js";
+import type { RequestScheduler, WaitingRequest } from "./requestScheduler.js";
+
+/** What an exchange needs from its agent. */
+export interface ExchangeContext {
+    readonly clock: Clock;
+    readonly endpoint: EndpointClient;
+    readonly scheduler: RequestScheduler;
+    readonly status: () => EndpointStatus;
+    /** Prefix blocks of the request that the endpoint is believed to hold now. */
+    readonly hitBlocks: (open: Open) => number;
+    /** Called once when the request leaves for the endpoint. */
+    readonly onDispatched: (open: Open) => void;
+    /** Called once when nothing more follows. */
+    readonly onEnded: (exchange: ExchangeTask) => void;
+}
+
+enum Stage {
+    Receiving,
+    Waiting,
+    Running,
+    Ended,
+}
+
+/** Runs one attempt at one request. */
+export class ExchangeTask {
+    private readonly parts: Uint8Array[] = [];
+    private readonly abort = new AbortController();
+    private readonly deadline: number;
+    private received = 0;
+    private stage = Stage.Receiving;
+    private waiting: WaitingRequest | undefined;
+    private credit = answerWindowBytes;
+    private wakeForCredit: (() => void) | undefined;
+    private abandoned = false;
+
+    constructor(
+        private readonly connection: Connection,
+        readonly open: Open,
+        private readonly context: ExchangeContext,
+    ) {
+        this.deadline = context.clock.now() + open.deadlineMilliseconds;
+    }
+
+    /** True while the request may be at the endpoint. */
+    get isRunning(): boolean {
+        return this.stage === Stage.Running;
+    }
+
+    /** Takes in part of the body; the request is queued once the body is complete. */
+    receive(data: Uint8Array | undefined): void {
+        if (this.stage !== Stage.Receiving) {
+            return;
+        }
+        if (data !== undefined) {
+            this.parts.push(data);
+            this.received += data.length;
+        }
+        if (this.received > this.open.bodyBytes) {
+            this.decline(DeclineReason.Malformed);
+        }
+        else if (this.received === this.open.bodyBytes) {
+            this.enqueue();
+        }
+    }
+
+    /** Ends the exchange without running it. */
+    decline(reason: DeclineReason): void {
+        this.end({
+            kind: MessageKind.Decline,
+            exchange: this.open.exchange,
+            reason,
+            status: this.context.status(),
+        });
+    }
+
+    /** Allows `bytes` more of the answer. */
+    allow(bytes: number): void {
+        this.credit += bytes;
+        this.wakeForCredit?.();
+    }
+
+    /** The router has no use for the answer. A call that may not be repeated runs to its end all the same. */
+    cancel(): void {
+        this.abandoned = true;
+        this.wakeForCredit?.();
+        if (this.waiting !== undefined && this.context.scheduler.withdraw(this.waiting)) {
+            this.decline(DeclineReason.DeadlineExceeded);
+        }
+        else if (this.stage === Stage.Receiving) {
+            this.decline(DeclineReason.Malformed);
+        }
+        else if (this.open.idempotent) {
+            this.abort.abort();
+        }
+    }
+
+    private enqueue(): void {
+        this.stage = Stage.Waiting;
+        this.waiting = {
+            account: this.open.account ?? "",
+            tokens: this.open.tokens,
+            priority: this.open.priority,
+            deadline: this.deadline,
+            start: () => void this.run(),
+            expire: () => this.decline(DeclineReason.DeadlineExceeded),
+        };
+        this.context.scheduler.submit(this.waiting).mapErr((reason) => this.decline(reason));
+    }
+
+    private async run(): Promise<void> {
+        this.stage = Stage.Running;
+        const hitBlocks = this.context.hitBlocks(this.open);
+        this.context.onDispatched(this.open);
+        const cancelDeadline = this.context.clock.schedule(
+            this.deadline - this.context.clock.now(),
+            () => this.open.idempotent && this.abort.abort(),
+        );
+        const answer = await this.context.endpoint.send({
+            method: this.open.method,
+            path: this.open.path,
+            headers: this.open.headers,
+            body: Buffer.concat(this.parts),
+            signal: this.abort.signal,
+        });
+        if (answer.isErr()) {
+            this.endWithoutAnswer(answer.error.mayHaveRun, answer.error.message);
+        }
+        else {
+            await this.relay(answer.value, hitBlocks);
+        }
+        cancelDeadline();
+        this.context.scheduler.finished();
+    }
+
+    private endWithoutAnswer(mayHaveRun: boolean, message: string): void {
+        if (!mayHaveRun) {
+            this.decline(DeclineReason.EndpointDown);
+            return;
+        }
+        this.fail(message);
+    }
+
+    private async relay(answer: EndpointAnswer, hitBlocks: number): Promise<void> {
+        const { exchange } = this.open;
+        this.connection.send({
+            kind: MessageKind.Head,
+            exchange,
+            status: answer.status,
+            headers: answer.headers,
+            hitBlocks,
+        });
+        let chunks = 0;
+        try {
+            for await (const data of answer.body) {
+                for (const part of partsOf(data)) {
+                    await this.waitForRoom(part.length);
+                    if (!this.abandoned) {
+                        this.connection.send({
+                            kind: MessageKind.Chunk,
+                            exchange,
+                            sequence: chunks++,
+                            data: part,
+                        });
+                    }
+                }
+            }
+        }
+        catch (error) {
+            this.fail(`the endpoint's answer broke off: ${String(error)}`);
+            return;
+        }
+        this.end({ kind: MessageKind.End, exchange, chunks, status: this.context.status() });
+    }
+
+    private async waitForRoom(bytes: number): Promise<void> {
+        while (this.credit <= 0 && !this.abandoned) {
+            await new Promise<void>((resolve) => {
+                this.wakeForCredit = resolve;
+            });
+        }
+        this.credit -= bytes;
+        await this.connection.whenWritable();
+    }
+
+    private fail(message: string): void {
+        const { exchange } = this.open;
+        const expired = this.context.clock.now() >= this.deadline;
+        const reason = expired ? RefusalReason.DeadlineExceeded : RefusalReason.EndpointFailed;
+        this.end({
+            kind: MessageKind.Failed,
+            exchange,
+            mayHaveRun: true,
+            reason,
+            message,
+            status: this.context.status(),
+        });
+    }
+
+    private end(message: Parameters<Connection["send"]>[0]): void {
+        if (this.stage === Stage.Ended) {
+            return;
+        }
+        this.stage = Stage.Ended;
+        this.connection.send(message);
+        this.context.onEnded(this);
+    }
+}
+
+function* partsOf(data: Buffer): Generator<Buffer> {
+    for (let start = 0; start < data.length; start += bodyPartBytes) {
+        yield data.subarray(start, start + bodyPartBytes);
+    }
+}
--- /dev/null
+++ b/packages/agent/src/node/main.ts
@@ -0,0 +1,69 @@
+#!/usr/bin/env node
+/**
+ * redwingpin-agent: runs beside one endpoint and is the only way in to it.
+ *
+ * @module
+ */
+import {
+    createLogger,
+    createReasonCounters,
+    describeSettingsFindings,
+    SettingsCommand,
+    settingsExitCode,
+    startHealthServer,
+    systemClock,
+    untilToldToStop,
+} from "@redwingpin/common";
+import { Command, runExit } from "clipanion";
+import { Registry } from "prom-client";
+import { agentSettings, type ResolvedAgentConfig } from "../config.js";
+import { Agent } from "./agent.js";
+
+class AgentCommand extends SettingsCommand<ResolvedAgentConfig> {
+    static override paths = [Command.Default];
+    static override usage = Command.Usage({
+        description: "Runs beside one endpoint and is the only way in to it",
+        details:
+            "Every setting can be given as a flag or as the environment variable named in its description.",
+    });
+
+    constructor() {
+        super(agentSettings);
+    }
+
+    async execute(): Promise<number> {
+        const config = this.resolve(process.env);
+        if (config.isErr()) {
+            this.context.stderr.write(describeSettingsFindings("redwingpin-agent", config.error));
+            return settingsExitCode;
+        }
+        await runAgent(config.value);
+        return 0;
+    }
+}
+
+async function runAgent(config: ResolvedAgentConfig): Promise<void> {
+    const logger = createLogger({
+        scope: "agent",
+        level: config.logLevel,
+        fields: { instance: config.instance, dataCentre: config.dataCentre },
+    });
+    const registry = new Registry();
+    createReasonCounters(registry);
+    const agent = new Agent({ config, clock: systemClock, logger });
+    let ready = false;
+    const health = await startHealthServer(config.listenHost, config.metricsPort, {
+        registry,
+        ready: () => ready,
+    });
+    const port = await agent.start();
+    ready = true;
+    logger.info("serving", { innerPort: port, endpoint: config.endpointAddress });
+    await untilToldToStop(logger);
+    ready = false;
+    await agent.drain();
+    health.close();
+    logger.info("stopped");
+}
+
+void runExit(AgentCommand);
--- /dev/null
+++ b/packages/common/src/httpService.ts
@@ -0,0 +1,58 @@
+/**
+ * The small HTTP server for `/health`, `/ready` and `/metrics` that processes beside the router's caller port run.
+ *
+ * @module
+ */
+import { createServer, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import type { Registry } from "prom-client";
+
+/** What the server reports. */
+export interface HealthSource {
+    readonly registry: Registry;
+    /** True while the process should get work. */
+    readonly ready: () => boolean;
+}
+
+/** Answers `/health`, `/ready` and `/metrics`; returns false for any other path. */
+export function answerHealthRequest(path: string, response: ServerResponse, source: HealthSource): boolean {
+    switch (path) {
+        case "/health":
+            answerText(response, 200, "alive\n");
+            return true;
+        case "/ready":
+            answerText(response, source.ready() ? 200 : 503, source.ready() ? "ready\n" : "not ready\n");
+            return true;
+        case "/metrics":
+            void source.registry.metrics().then((text) =>
+                answerText(response, 200, text, source.registry.contentType)
+            );
+            return true;
+        default:
+            return false;
+    }
+}
+
+/** Listens on a port of its own for health and metrics. */
+export async function startHealthServer(host: string, port: number, source: HealthSource): Promise<Server> {
+    const server = createServer((request, response) => {
+        if (!answerHealthRequest(request.url ?? "", response, source)) {
+            answerText(response, 404, "not found\n");
+        }
+    });
+    await listenOn(server, host, port);
+    return server;
+}
+
+/** Listens and resolves with the port, which differs from the given one only where that is 0. */
+export function listenOn(server: Server, host: string, port: number): Promise<number> {
+    return new Promise((resolve, reject) => {
+        server.once("error", reject);
+        server.listen(port, host, () => resolve((server.address() as AddressInfo).port));
+    });
+}
+
+function answerText(response: ServerResponse, status: number, text: string, type = "text/plain"): void {
+    response.writeHead(status, { "content-type": type });
+    response.end(text);
+}
