feat(platform): store client over the etcd JSON gateway, VM list client, and their stand-ins

The product needs the platform's store and VM list behind one interface each. Both speak a published protocol: the JSON gateway of etcd version 3 and the HTTP service discovery format of Prometheus.

A write is notApplied only where no byte can have left (connect errors) or where the store refused it with a client error; time-outs, resets, server errors and unreadable answers are unknown. A watch delivers the state first, continues from the revision that it reached, and reads anew where the store compacted its history. Ruled out: classing server errors as refusals, since the gateway answers 503 to a write that it gave up waiting for.

--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -3,5 +3,8 @@
  *
  * @module
  */
+export * from "./constants.js";
+export * from "./etcdStore.js";
+export * from "./prometheusVirtualMachineList.js";
 export * from "./store.js";
 export * from "./virtualMachineList.js";
--- /dev/null
+++ b/packages/standins/src/node/storeState.ts
@@ -0,0 +1,251 @@
+/**
+ * State of the store stand-in: keys, leases and history, with the answers of etcd's version 3 JSON gateway.
+ *
+ * @module
+ */
+
+/** One key as the gateway writes it. */
+export interface KeyValue {
+    readonly key: string;
+    readonly value: string;
+    readonly create_revision: string;
+    readonly mod_revision: string;
+    readonly version: string;
+    readonly lease?: string;
+}
+
+/** One change in the history. */
+export interface StoreEvent {
+    readonly type?: "DELETE";
+    readonly kv: KeyValue;
+}
+
+/** A request of the gateway; fields beyond the subset are refused where they would change the meaning. */
+export interface StoreRequest {
+    readonly key?: string;
+    readonly range_end?: string;
+    readonly value?: string;
+    readonly lease?: string;
+    readonly compare?: readonly Comparison[];
+    readonly success?: readonly Operation[];
+    readonly failure?: readonly Operation[];
+}
+
+interface Comparison {
+    readonly target?: string;
+    readonly result?: string;
+    readonly key?: string;
+    readonly mod_revision?: string;
+    readonly create_revision?: string;
+    readonly version?: string;
+}
+
+interface Operation {
+    readonly request_put?: StoreRequest;
+    readonly request_range?: StoreRequest;
+    readonly request_delete_range?: StoreRequest;
+}
+
+interface Lease {
+    readonly seconds: number;
+    timer: NodeJS.Timeout;
+}
+
+const maximumValueBytes = 1_048_576;
+const historyCapacity = 1_000;
+const millisecondsPerSecond = 1_000;
+
+/** Keys, leases and history in memory. */
+export class StoreState {
+    private revision = 1;
+    private leaseCount = 0;
+    private readonly keys = new Map<string, KeyValue>();
+    private readonly leases = new Map<string, Lease>();
+    private history: StoreEvent[] = [];
+    private compacted = 0;
+    /** Called after each change. */
+    onChange: () => void = () => {};
+
+    header(): { cluster_id: string; member_id: string; revision: string; raft_term: string; } {
+        return { cluster_id: "1", member_id: "1", revision: String(this.revision), raft_term: "1" };
+    }
+
+    range(request: StoreRequest): object {
+        const kvs = this.select(request);
+        return { header: this.header(), kvs, count: String(kvs.length) };
+    }
+
+    put(request: StoreRequest): object {
+        this.checkPut(request);
+        this.revision++;
+        this.applyPut(request);
+        this.onChange();
+        return { header: this.header() };
+    }
+
+    deleteRange(request: StoreRequest): object {
+        const deleted = this.applyDelete(request, this.revision + 1);
+        this.revision += deleted > 0 ? 1 : 0;
+        this.onChange();
+        return { header: this.header(), deleted: String(deleted) };
+    }
+
+    txn(request: StoreRequest): object {
+        const succeeded = (request.compare ?? []).every((comparison) => this.holds(comparison));
+        const operations = (succeeded ? request.success : request.failure) ?? [];
+        operations.forEach((operation) => operation.request_put && this.checkPut(operation.request_put));
+        const before = this.revision;
+        if (operations.some((operation) => this.writes(operation))) {
+            this.revision++;
+        }
+        const responses = operations.map((operation) => this.run(operation));
+        if (this.revision > before) {
+            this.onChange();
+        }
+        return { header: this.header(), succeeded: succeeded || undefined, responses };
+    }
+
+    grantLease(seconds: number): object {
+        if (!(seconds >= 1)) {
+            throw new Error("lease TTL must be at least 1");
+        }
+        const id = String(++this.leaseCount);
+        this.leases.set(id, { seconds, timer: this.leaseTimer(id, seconds) });
+        return { header: this.header(), ID: id, TTL: String(seconds) };
+    }
+
+    keepAlive(id: string): object {
+        const lease = this.leases.get(id);
+        if (!lease) {
+            return { result: { header: this.header(), ID: id } };
+        }
+        clearTimeout(lease.timer);
+        lease.timer = this.leaseTimer(id, lease.seconds);
+        return { result: { header: this.header(), ID: id, TTL: String(lease.seconds) } };
+    }
+
+    /** Changes to a key from `revision` on; undefined where the history no longer reaches back so far. */
+    eventsSince(request: StoreRequest, revision: number): StoreEvent[] | undefined {
+        if (revision <= this.compacted) {
+            return undefined;
+        }
+        return this.history.filter((event) =>
+            Number(event.kv.mod_revision) >= revision && inRange(event.kv.key, request)
+        );
+    }
+
+    /** Revision of the next change. */
+    nextRevision(): number {
+        return this.revision + 1;
+    }
+
+    /** Stops every timer. */
+    stop(): void {
+        this.leases.forEach((lease) => clearTimeout(lease.timer));
+    }
+
+    private select(request: StoreRequest): KeyValue[] {
+        return [...this.keys.values()].filter((kv) => inRange(kv.key, request)).sort((left, right) =>
+            Buffer.compare(Buffer.from(left.key, "base64"), Buffer.from(right.key, "base64"))
+        );
+    }
+
+    private holds(comparison: Comparison): boolean {
+        const kv = this.keys.get(comparison.key ?? "");
+        if ((comparison.result ?? "EQUAL") !== "EQUAL") {
+            throw new Error(`comparison "${comparison.result}" is not part of this stand-in`);
+        }
+        switch (comparison.target) {
+            case "MOD":
+                return (kv?.mod_revision ?? "0") === String(comparison.mod_revision ?? "0");
+            case "CREATE":
+                return (kv?.create_revision ?? "0") === String(comparison.create_revision ?? "0");
+            case "VERSION":
+                return (kv?.version ?? "0") === String(comparison.version ?? "0");
+            default:
+                throw new Error(`comparison of "${comparison.target}" is not part of this stand-in`);
+        }
+    }
+
+    private writes(operation: Operation): boolean {
+        return operation.request_put !== undefined
+            || (operation.request_delete_range !== undefined
+                && this.select(operation.request_delete_range).length > 0);
+    }
+
+    private run(operation: Operation): object {
+        if (operation.request_put) {
+            this.applyPut(operation.request_put);
+            return { response_put: { header: this.header() } };
+        }
+        if (operation.request_delete_range) {
+            const deleted = this.applyDelete(operation.request_delete_range, this.revision);
+            return { response_delete_range: { header: this.header(), deleted: String(deleted) } };
+        }
+        return { response_range: this.range(operation.request_range ?? {}) };
+    }
+
+    private checkPut(request: StoreRequest): void {
+        if (!request.key) {
+            throw new Error("etcdserver: key is not provided");
+        }
+        if (Buffer.byteLength(request.value ?? "", "base64") > maximumValueBytes) {
+            throw new Error("etcdserver: request is too large");
+        }
+        if (request.lease && !this.leases.has(request.lease)) {
+            throw new Error("etcdserver: requested lease not found");
+        }
+    }
+
+    private applyPut(request: StoreRequest): void {
+        const key = request.key!;
+        const before = this.keys.get(key);
+        const kv: KeyValue = {
+            key,
+            value: request.value ?? "",
+            create_revision: before?.create_revision ?? String(this.revision),
+            mod_revision: String(this.revision),
+            version: String(Number(before?.version ?? "0") + 1),
+            lease: request.lease,
+        };
+        this.keys.set(key, kv);
+        this.remember({ kv });
+    }
+
+    private applyDelete(request: StoreRequest, revision: number): number {
+        const kvs = this.select(request);
+        for (const kv of kvs) {
+            this.keys.delete(kv.key);
+            const gone = { key: kv.key, value: "", create_revision: "0", version: "0" };
+            this.remember({ type: "DELETE", kv: { ...gone, mod_revision: String(revision) } });
+        }
+        return kvs.length;
+    }
+
+    private remember(event: StoreEvent): void {
+        this.history.push(event);
+        if (this.history.length > historyCapacity) {
+            const dropped = this.history.splice(0, this.history.length - historyCapacity / 2);
+            this.compacted = Number(dropped.at(-1)!.kv.mod_revision);
+        }
+    }
+
+    private leaseTimer(id: string, seconds: number): NodeJS.Timeout {
+        return setTimeout(() => {
+            this.leases.delete(id);
+            const held = [...this.keys.values()].filter((kv) => kv.lease === id);
+            held.forEach((kv) => this.deleteRange({ key: kv.key }));
+        }, seconds * millisecondsPerSecond);
+    }
+}
+
+function inRange(key: string, request: StoreRequest): boolean {
+    if (!request.range_end) {
+        return key === request.key;
+    }
+    const bytes = Buffer.from(key, "base64");
+    const end = Buffer.from(request.range_end, "base64");
+    const isUnbounded = end.length === 1 && end[0] === 0;
+    return Buffer.compare(bytes, Buffer.from(request.key ?? "", "base64")) >= 0
+        && (isUnbounded || Buffer.compare(bytes, end) < 0);
+}
--- /dev/null
+++ b/packages/standins/src/node/virtualMachineListStandin.ts
@@ -0,0 +1,132 @@
+/**
+ * Stand-in for the platform's VM list: the HTTP service discovery format of Prometheus.
+ *
+ * The list is at `GET /virtualMachines`. Controls: `PUT /control/virtualMachines` replaces it, `GET` of the same
+ * shows what was put, `POST /control/lag {"milliseconds": N}` delays when later changes become visible, and
+ * `POST /control/outage {"mode": "down" | "up"}`.
+ *
+ * @module
+ */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import {
+    HttpListener,
+    pathOf,
+    readBody,
+    readJson,
+    sendJson,
+    type Standin,
+    type StandinOptions,
+} from "./httpListener.js";
+
+/** Path of the list. */
+export const virtualMachinesPath = "/virtualMachines";
+
+/** One entry of the list. */
+export interface TargetGroup {
+    /** One `host:port`. */
+    readonly targets: readonly string[];
+    readonly labels: Readonly<Record<string, string>>;
+}
+
+/** Options of {@link startVirtualMachineListStandin}. */
+export interface VirtualMachineListStandinOptions extends StandinOptions {
+    /** @default [] */
+    readonly virtualMachines?: readonly TargetGroup[];
+}
+
+/** Starts the stand-in. */
+export async function startVirtualMachineListStandin(
+    options: VirtualMachineListStandinOptions = {},
+): Promise<Standin> {
+    const standin = new VirtualMachineListStandin(options);
+    await standin.start();
+    return standin;
+}
+
+class VirtualMachineListStandin implements Standin {
+    private readonly listener: HttpListener;
+    private readonly control: HttpListener;
+    private readonly timers = new Set<NodeJS.Timeout>();
+    private visible: unknown;
+    private latest: unknown;
+    private lagMilliseconds = 0;
+
+    constructor(options: VirtualMachineListStandinOptions) {
+        this.visible = options.virtualMachines ?? [];
+        this.latest = this.visible;
+        this.listener = new HttpListener(
+            options.port ?? 0,
+            (request, response) => this.serve(request, response),
+        );
+        this.control = new HttpListener(
+            options.controlPort ?? 0,
+            (request, response) => this.serveControl(request, response),
+        );
+    }
+
+    get address(): string {
+        return `${this.listener.address}${virtualMachinesPath}`;
+    }
+
+    get controlAddress(): string {
+        return this.control.address;
+    }
+
+    async start(): Promise<void> {
+        await this.listener.open();
+        await this.control.open();
+    }
+
+    async stop(): Promise<void> {
+        this.timers.forEach((timer) => clearTimeout(timer));
+        await this.listener.close();
+        await this.control.close();
+    }
+
+    private serve(request: IncomingMessage, response: ServerResponse): void {
+        if (pathOf(request) === virtualMachinesPath) {
+            sendJson(response, 200, this.visible);
+            return;
+        }
+        sendJson(response, 404, { message: "not found" });
+    }
+
+    private async serveControl(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        switch (`${request.method} ${pathOf(request)}`) {
+            case "GET /control/virtualMachines":
+                break;
+            case "PUT /control/virtualMachines":
+                this.replace(JSON.parse((await readBody(request)).toString("utf8")));
+                break;
+            case "POST /control/lag":
+                this.lagMilliseconds = Number(
+                    (await readJson<{ milliseconds: number; }>(request)).milliseconds ?? 0,
+                );
+                break;
+            case "POST /control/outage":
+                await this.setOutage((await readJson<{ mode: string; }>(request)).mode);
+                break;
+            default:
+                sendJson(response, 404, { message: "no such control" });
+                return;
+        }
+        sendJson(response, 200, this.latest);
+    }
+
+    private replace(list: unknown): void {
+        this.latest = list;
+        if (this.lagMilliseconds === 0) {
+            this.visible = list;
+            return;
+        }
+        const timer = setTimeout(() => {
+            this.timers.delete(timer);
+            this.visible = list;
+        }, this.lagMilliseconds);
+        this.timers.add(timer);
+    }
+
+    private setOutage(mode: string | undefined): Promise<void> {
+        return mode === "down" ? this.listener.close() : this.listener.open();
+    }
+}
