--- /dev/null
+++ b/packages/router/src/constants.ts
@@ -0,0 +1,32 @@
+/**
+ * Limits of the router, with their units.
+ *
+ * @module
+ */
+
+/** Largest body of a caller's request, in bytes. */
+export const maxBodyBytes = 16 * 1024 * 1024;
+
+/** Largest answer that is held back until it is complete, in bytes; longer ones are passed on as they come. */
+export const maxHeldAnswerBytes = 1024 * 1024;
+
+/** Most attempts at one request, the first included. */
+export const maxAttempts = 4;
+
+/** Tokens that a completion is charged where the caller states no limit. */
+export const defaultMaxOutputTokens = 1_024;
+
+/** Characters that are taken as one token where a prompt's length is estimated. */
+export const charactersPerToken = 4;
+
+/** Milliseconds of silence on an exchange after which its agent is asked whether it lives. */
+export const silenceBeforeProbeMilliseconds = 2_000;
+
+/** Milliseconds in which an agent must answer that it lives. */
+export const probeTimeoutMilliseconds = 2_000;
+
+/** Milliseconds between two readings of the VM list. */
+export const virtualMachineListIntervalMilliseconds = 1_000;
+
+/** Milliseconds for which a stopping router still takes requests, so that the balancer sees that it is not ready. */
+export const drainGraceMilliseconds = 1_000;
--- /dev/null
+++ b/packages/router/src/node/callerRequest.ts
@@ -0,0 +1,34 @@
+/**
+ * A caller's request after its checks: everything that attempts, admission and claims need.
+ *
+ * @module
+ */
+import type { Milliseconds } from "@redwingpin/common";
+import type { ClientAccount, Route } from "@redwingpin/manifest";
+import type { HeaderField } from "@redwingpin/protocol";
+import type { CompletionBody } from "../decision/routedRequest.js";
+
+/** A request that may be run. */
+export interface CallerRequest {
+    /** Request identifier; the trace identifier of its trace context. */
+    readonly identifier: string;
+    readonly traceparent: string;
+    readonly route: Route;
+    /** Absent on open routes without a key. */
+    readonly account: ClientAccount | undefined;
+    readonly method: string;
+    /** Path and query at the endpoint. */
+    readonly path: string;
+    readonly headers: readonly HeaderField[];
+    readonly body: Buffer;
+    /** Absent for services. */
+    readonly completion: CompletionBody | undefined;
+    /** Tokens that the request costs at most. */
+    readonly tokens: number;
+    readonly idempotencyKey: string | undefined;
+    /** Time of the router's clock at which the request is given up. */
+    readonly deadline: Milliseconds;
+    /** Digest of account and body. */
+    readonly fingerprint: string;
+    readonly prefixBlocks: readonly string[];
+}
--- /dev/null
+++ b/packages/router/src/node/callerServer.ts
@@ -0,0 +1,214 @@
+/**
+ * The callers' HTTP server: checks each request, one function a kind, and hands it to the pipeline.
+ *
+ * @module
+ */
+import {
+    answerHealthRequest,
+    type Clock,
+    digestOf,
+    type HealthSource,
+    type Milliseconds,
+    type ReasonCounters,
+    RefusalReason,
+} from "@redwingpin/common";
+import { type ClientAccount, type ManifestIndex, RouteKind } from "@redwingpin/manifest";
+import type { HeaderField } from "@redwingpin/protocol";
+import { err, ok, type Result } from "neverthrow";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { authenticate, findKey, headersForEndpoint, refuseKeyInContent } from "../decision/credentials.js";
+import { notRun, type Refusal } from "../decision/refusal.js";
+import { estimateTokens, findRoute, parseCompletionBody, visibleModels } from "../decision/routedRequest.js";
+import { readBody } from "./callerBody.js";
+import type { CallerRequest } from "./callerRequest.js";
+import { answerJson, answerRefusal } from "./errorAnswer.js";
+import { continueTrace } from "./traceContext.js";
+
+/** What the server needs from its router. */
+export interface CallerServerContext extends HealthSource {
+    readonly clock: Clock;
+    readonly counters: ReasonCounters;
+    readonly requestTimeout: Milliseconds;
+    readonly maxConnections: number;
+    /** The manifest in force; absent before the first was found. */
+    readonly manifest: () => ManifestIndex | undefined;
+    /** Digests of a prompt's nested prefix blocks. */
+    readonly prefixBlocks: (request: Omit<CallerRequest, "prefixBlocks">) => readonly string[];
+    /** Serves a request that passed its checks. */
+    readonly serve: (request: CallerRequest, response: ServerResponse) => Promise<void>;
+    /** The router's status, for operators. */
+    readonly status: () => unknown;
+}
+
+const completionPaths: ReadonlySet<string> = new Set(["/v1/completions", "/v1/chat/completions"]);
+const modelsPath = "/v1/models";
+const servicesPattern = /^\/services\/([^/?]+)(\/[^?]*)?(\?.*)?$/;
+const headersTimeoutMilliseconds = 10_000;
+const maxHeaderBytes = 32 * 1024;
+
+/** Makes the callers' server; it does not listen yet. */
+export function createCallerServer(context: CallerServerContext): Server {
+    const server = createServer(
+        { maxHeaderSize: maxHeaderBytes, headersTimeout: headersTimeoutMilliseconds, requestTimeout: context.requestTimeout },
+        (request, response) => void answer(context, request, response),
+    );
+    server.maxConnections = context.maxConnections;
+    server.on("clientError", (_error, socket) => {
+        if (socket.writable) {
+            socket.end("HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n");
+        }
+    });
+    return server;
+}
+
+async function answer(context: CallerServerContext, request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const url = request.url ?? "/";
+    if (answerHealthRequest(url, response, context)) {
+        return;
+    }
+    if (url === "/status") {
+        answerJson(response, 200, context.status());
+        return;
+    }
+    response.on("error", () => response.destroy());
+    const checked = await check(context, request, response);
+    if (checked.isErr()) {
+        context.counters.refused(checked.error.reason);
+        if (!request.complete) {
+            response.setHeader("connection", "close");
+        }
+        answerRefusal(response, checked.error);
+        return;
+    }
+    if (checked.value !== undefined) {
+        await context.serve(checked.value, response);
+    }
+}
+
+/** Checks a request. Resolves with `undefined` where the request has been answered already. */
+async function check(
+    context: CallerServerContext,
+    request: IncomingMessage,
+    response: ServerResponse,
+): Promise<Result<CallerRequest | undefined, Refusal>> {
+    const index = context.manifest();
+    if (index === undefined) {
+        return err(notRun(RefusalReason.NotConfigured, "no manifest is in force yet; apply one or wait for the store"));
+    }
+    const key = findKey(request.headers.authorization);
+    const account = key.andThen((value) => authenticate(index, value));
+    if (key.isErr() || account.isErr()) {
+        return err(key.isErr() ? key.error : account._unsafeUnwrapErr());
+    }
+    const url = request.url ?? "/";
+    if (url === modelsPath && request.method === "GET") {
+        answerModels(index, account.value, response);
+        return ok(undefined);
+    }
+    const body = await readBody(request);
+    const caller: Caller = { index, key: key.value, account: account.value };
+    return body.andThen((bytes) =>
+        refuseKeyInContent(caller.key, url, bytes).andThen(() => routeRequest(context, request, caller, bytes))
+    );
+}
+
+/** Who sends a request, under which manifest. */
+interface Caller {
+    readonly index: ManifestIndex;
+    readonly key: string | undefined;
+    readonly account: ClientAccount | undefined;
+}
+
+function routeRequest(
+    context: CallerServerContext,
+    request: IncomingMessage,
+    caller: Caller,
+    body: Buffer,
+): Result<CallerRequest, Refusal> {
+    const url = request.url ?? "/";
+    if (completionPaths.has(url)) {
+        return request.method === "POST"
+            ? completionRequest(context, request, caller, body)
+            : err(notRun(RefusalReason.MalformedRequest, `path "${url}" takes only POST`));
+    }
+    const service = servicesPattern.exec(url);
+    return service === null // eslint-disable-line no-restricted-syntax -- RegExp.exec returns null
+        ? err(notRun(RefusalReason.RouteNotFound, `path "${url.split("?")[0]}" does not exist`))
+        : serviceRequest(context, request, caller, body, {
+            name: service[1],
+            path: `${service[2] ?? "/"}${service[3] ?? ""}`,
+        });
+}
+
+function completionRequest(
+    context: CallerServerContext,
+    request: IncomingMessage,
+    caller: Caller,
+    body: Buffer,
+): Result<CallerRequest, Refusal> {
+    return parseCompletionBody(body).andThen((completion) =>
+        findRoute(caller.index, completion.model, RouteKind.Model, caller.account).map((route) =>
+            complete(context, {
+                ...commonFields(context, request, caller, body),
+                route,
+                path: request.url ?? "/",
+                completion,
+                tokens: estimateTokens(completion),
+            })
+        )
+    );
+}
+
+function serviceRequest(
+    context: CallerServerContext,
+    request: IncomingMessage,
+    caller: Caller,
+    body: Buffer,
+    target: { readonly name: string; readonly path: string; },
+): Result<CallerRequest, Refusal> {
+    return findRoute(caller.index, target.name, RouteKind.Service, caller.account).map((route) =>
+        complete(context, {
+            ...commonFields(context, request, caller, body),
+            route,
+            path: target.path,
+            completion: undefined,
+            tokens: route.kind === RouteKind.Service ? route.callTokens : 0,
+        })
+    );
+}
+
+function complete(context: CallerServerContext, request: Omit<CallerRequest, "prefixBlocks">): CallerRequest {
+    return { ...request, prefixBlocks: context.prefixBlocks(request) };
+}
+
+function commonFields(context: CallerServerContext, request: IncomingMessage, caller: Caller, body: Buffer) {
+    const trace = continueTrace(singleHeader(request, "traceparent"));
+    const account = caller.account?.name ?? "";
+    return {
+        identifier: trace.traceIdentifier,
+        traceparent: trace.traceparent,
+        account: caller.account,
+        method: request.method ?? "GET",
+        headers: headersForEndpoint(headerFields(request), caller.key),
+        body,
+        idempotencyKey: singleHeader(request, "idempotency-key"),
+        deadline: context.clock.now() + context.requestTimeout,
+        fingerprint: digestOf(account, body),
+    };
+}
+
+function answerModels(index: ManifestIndex, account: ClientAccount | undefined, response: ServerResponse): void {
+    const data = visibleModels(index, account).map((id) => ({ id, object: "model", created: 0, owned_by: "redwingpin" }));
+    answerJson(response, 200, { object: "list", data });
+}
+
+function singleHeader(request: IncomingMessage, name: string): string | undefined {
+    const value = request.headers[name];
+    return Array.isArray(value) ? value[0] : value;
+}
+
+function headerFields(request: IncomingMessage): HeaderField[] {
+    return Object.entries(request.headers).flatMap(([name, value]) =>
+        [value ?? []].flat().map((single) => ({ name, value: single }))
+    );
+}
--- /dev/null
+++ b/packages/router/src/node/errorAnswer.ts
@@ -0,0 +1,43 @@
+/**
+ * Refusals as HTTP answers, in the shape that OpenAI clients parse.
+ *
+ * @module
+ */
+import type { ServerResponse } from "node:http";
+import { type Refusal, statusOf } from "../decision/refusal.js";
+
+const millisecondsPerSecond = 1_000;
+
+/** Response header that states what is certain about the call's execution. */
+export const outcomeHeader = "redwingpin-outcome";
+
+/** Answers a request that was refused. */
+export function answerRefusal(response: ServerResponse, refusal: Refusal): void {
+    if (response.headersSent || response.destroyed) {
+        response.destroy();
+        return;
+    }
+    const status = statusOf(refusal.reason);
+    const body = JSON.stringify({
+        error: {
+            message: refusal.message,
+            type: status >= 500 ? "server_error" : "invalid_request_error",
+            code: refusal.reason,
+        },
+    });
+    const headers: Record<string, string> = { "content-type": "application/json", [outcomeHeader]: refusal.outcome };
+    if (refusal.retryAfter !== undefined) {
+        headers["retry-after"] = String(Math.max(1, Math.ceil(refusal.retryAfter / millisecondsPerSecond)));
+    }
+    if (status === 401) {
+        headers["www-authenticate"] = "Bearer";
+    }
+    response.writeHead(status, headers);
+    response.end(body);
+}
+
+/** Answers with a JSON value. */
+export function answerJson(response: ServerResponse, status: number, value: unknown): void {
+    response.writeHead(status, { "content-type": "application/json" });
+    response.end(JSON.stringify(value));
+}
