feat(claims): at-most-once claims in the store, committed in groups

Cause: a call that may not be repeated must run once through any router, before and after any restart. Change: claims and their outcomes are lines of segments, the records of a ring per shard. A writer per shard collects what waits and adds it in one compare-and-swap on the newest segment; a writer that missed another's write fails there and catches up. A segment is closed by its last write, so that an old writer cannot add to it once the next one is open. A write whose answer was lost is settled by the next one on the same revision. Ruled out: a record per claim (a store write per call), a separate coordinator.

--- /dev/null
+++ b/packages/claims/src/decision/claimCall.ts
@@ -0,0 +1,82 @@
+/**
+ * A call that must run at most once, and the digests by which it is known.
+ *
+ * @module
+ */
+import { digestOf, type RefusalReason } from "@redwingpin/common";
+import type { HeaderField } from "@redwingpin/protocol";
+
+/** Hex digits of a claim's digests: 128 bits. */
+const digestDigits = 32;
+
+const shardDigits = 8;
+
+/** A call on a non-idempotent route that came with an Idempotency-Key. */
+export interface ClaimCall {
+    /** Name of the account; absent on open routes without a key. */
+    readonly account?: string;
+    /** Name of the route. */
+    readonly route: string;
+    /** Value of the caller's `Idempotency-Key` header. */
+    readonly idempotencyKey: string;
+    readonly method: string;
+    /** Path and query at the endpoint. */
+    readonly path: string;
+    readonly body: Uint8Array;
+}
+
+/** What is known of a call's outcome when it is refused. */
+export enum CallOutcome {
+    /** The call certainly did not run and will not run. */
+    NotRun = "not-run",
+    /** The call may have run, may be running or may yet run. */
+    Unknown = "unknown",
+}
+
+/** The complete answer to a call. */
+export interface CallAnswer {
+    readonly status: number;
+    readonly headers: readonly HeaderField[];
+    readonly body: Uint8Array;
+}
+
+/** The right to dispatch one call once, held by the process that began it. */
+export interface Claim {
+    readonly shard: number;
+    /** Digest of account, route and idempotency key; 32 hex digits. */
+    readonly key: string;
+    /** Digest of method, path and body; 32 hex digits. */
+    readonly content: string;
+    /** Names this claim among all claims of all processes. */
+    readonly token: string;
+    /** Time of the claimant's clock after which the call must not be dispatched any more. */
+    readonly dispatchBefore: number;
+}
+
+/** What to do with a call. */
+export type ClaimDecision =
+    /** Dispatch it, once, then call `finish` or `abandon`. */
+    | { readonly kind: "run"; readonly claim: Claim; }
+    /** It ran before; give the caller the same answer. */
+    | { readonly kind: "replay"; readonly answer: CallAnswer; }
+    | { readonly kind: "refuse"; readonly reason: RefusalReason; readonly outcome: CallOutcome; };
+
+/** Digests of a call. */
+export interface CallIdentity {
+    readonly shard: number;
+    readonly key: string;
+    readonly content: string;
+}
+
+/** Computes the digests of a call and the shard, of `shards`, that remembers it. */
+export function identifyCall(call: ClaimCall, shards: number): CallIdentity {
+    const scope = call.account === undefined ? ["open"] : ["account", call.account];
+    const key = digestOf(...scope, call.route, call.idempotencyKey).slice(0, digestDigits);
+    const content = digestOf(call.method, call.path, call.body).slice(0, digestDigits);
+    return { shard: shardOf(key, shards), key, content };
+}
+
+/** The shard, of `shards`, that remembers the claim with this key digest. */
+export function shardOf(key: string, shards: number): number {
+    return Number.parseInt(key.slice(0, shardDigits), 16) % shards;
+}
--- /dev/null
+++ b/packages/claims/src/decision/shardWriter.ts
@@ -0,0 +1,258 @@
+/**
+ * The writer of one shard: collects what waits, commits it in one compare-and-swap on the shard's tail and settles
+ * the calls. Any number of processes may write the same shard; each compare-and-swap names the revision that its
+ * writer has folded, so one that has missed a write fails and catches up before it decides anything.
+ *
+ * @module
+ */
+import { type Decision, type Milliseconds, RefusalReason } from "@redwingpin/common";
+import type { StoreEntry, StoreError, SwapOutcome } from "@redwingpin/platform";
+import { type BatchPlan, type PendingBegin, type PendingOutcome, planBatch } from "./batch.js";
+import { CallOutcome, type ClaimDecision } from "./claimCall.js";
+import { decodeSegment, encodeSegment, type SegmentHeader } from "./segment.js";
+import { type ShardPlace, ShardState, slotKey } from "./shardState.js";
+
+/** Bounds and times of a writer. */
+export interface ShardWriterOptions {
+    readonly place: ShardPlace;
+    readonly segmentCloseBytes: number;
+    readonly maximumBatchBytes: number;
+    readonly minimumCommitInterval: Milliseconds;
+    readonly minimumRetention: Milliseconds;
+    readonly maximumCallDuration: Milliseconds;
+    readonly dispatchWindow: Milliseconds;
+    readonly minimumStoreBackoff: Milliseconds;
+    readonly maximumStoreBackoff: Milliseconds;
+    readonly failuresBeforeRefusal: number;
+    readonly maximumPendingOutcomes: number;
+}
+
+/** What a writer asks for; each is resumed with the event of the same kind. */
+export type ShardEffect =
+    /** Work that has arrived; waits for some while `wait`. */
+    | { readonly kind: "receive"; readonly wait: boolean; }
+    | { readonly kind: "pause"; readonly duration: Milliseconds; }
+    | { readonly kind: "load"; }
+    | {
+        readonly kind: "write";
+        readonly key: string;
+        readonly expected: number;
+        readonly value: Uint8Array;
+        /** Records that the write adds. */
+        readonly recordCount: number;
+    }
+    | { readonly kind: "settle"; readonly token: string; readonly decision: ClaimDecision; }
+    | { readonly kind: "report"; readonly message: string; };
+
+/** What a writer is resumed with. */
+export type ShardEvent =
+    | { readonly kind: "received"; readonly work: ShardWork; }
+    | { readonly kind: "loaded"; readonly entries: readonly StoreEntry[]; }
+    | { readonly kind: "written"; readonly outcome: SwapOutcome; }
+    | { readonly kind: "storeFailed"; readonly error: StoreError; }
+    | { readonly kind: "done"; };
+
+/** Work for a writer, with the times at which it was handed over. */
+export interface ShardWork {
+    readonly begins: readonly PendingBegin[];
+    readonly outcomes: readonly PendingOutcome[];
+    readonly now: Milliseconds;
+    readonly wallTime: Milliseconds;
+}
+
+type Step<Outcome> = Decision<ShardEffect, ShardEvent, Outcome>;
+
+/** Runs one shard for ever. */
+export function* writeShard(options: ShardWriterOptions): Step<never> {
+    const writer = new ShardWriter(options);
+    while (true) {
+        yield* writer.turn();
+    }
+}
+
+class ShardWriter {
+    private state: ShardState | undefined;
+    private begins: PendingBegin[] = [];
+    private outcomes: PendingOutcome[] = [];
+    private doubtful = new Set<string>();
+    private failures = 0;
+    private now: Milliseconds = 0;
+    private wallTime: Milliseconds = 0;
+
+    constructor(private readonly options: ShardWriterOptions) {}
+
+    /** Takes in work and brings it one step further. */
+    *turn(): Step<void> {
+        yield* this.receive();
+        yield* this.refuseOverdue();
+        if (this.state === undefined) {
+            yield* this.load();
+            return;
+        }
+        const state = this.state;
+        const plan = this.plan(state);
+        yield* this.settleAll(plan.settled);
+        this.outcomes = plan.records.length === 0 ? without(this.outcomes, plan.outcomes) : this.outcomes;
+        if (plan.records.length > 0) {
+            yield* this.commit(state, plan);
+        }
+    }
+
+    private *receive(): Step<void> {
+        const idle = this.begins.length === 0 && this.outcomes.length === 0;
+        const event = yield { kind: "receive", wait: idle };
+        if (event.kind !== "received") {
+            throw unexpected(event);
+        }
+        this.outcomes.push(...event.work.outcomes);
+        const concluded = new Set(event.work.outcomes.map((outcome) => outcome.token));
+        this.begins = [...this.begins, ...event.work.begins].filter((begin) => !concluded.has(begin.token));
+        this.outcomes.splice(0, this.outcomes.length - this.options.maximumPendingOutcomes);
+        this.now = event.work.now;
+        this.wallTime = event.work.wallTime;
+    }
+
+    private *refuseOverdue(): Step<void> {
+        const overdue = this.begins.filter((begin) => begin.deadline <= this.now);
+        yield* this.refuse(overdue);
+    }
+
+    private *load(): Step<void> {
+        const event = yield { kind: "load" };
+        if (event.kind === "storeFailed") {
+            yield* this.backOff(event.error);
+            return;
+        }
+        if (event.kind !== "loaded") {
+            throw unexpected(event);
+        }
+        const loaded = ShardState.load(this.options.place, event.entries);
+        if (loaded.isErr()) {
+            yield* this.backOff({ kind: "notApplied", message: loaded.error });
+            return;
+        }
+        this.failures = 0;
+        this.state = loaded.value;
+    }
+
+    private plan(state: ShardState): BatchPlan {
+        const { maximumBatchBytes, maximumCallDuration, dispatchWindow } = this.options;
+        return planBatch(state, this.begins, this.outcomes, {
+            now: this.now,
+            wallTime: this.wallTime,
+            maximumBatchBytes,
+            maximumCallDuration,
+            dispatchWindow,
+            hasRoom: this.hasRoom(state),
+            doubtful: this.doubtful,
+        });
+    }
+
+    private hasRoom(state: ShardState): boolean {
+        if (!state.tail.closed) {
+            return true;
+        }
+        const overwrittenAt = state.overwrittenAt(state.tail.sequence + 1);
+        return overwrittenAt === undefined || this.wallTime - overwrittenAt >= this.options.minimumRetention;
+    }
+
+    private *commit(state: ShardState, plan: BatchPlan): Step<void> {
+        if (!this.hasRoom(state)) {
+            yield { kind: "pause", duration: this.options.maximumStoreBackoff };
+            return;
+        }
+        const sequence = state.tail.closed ? state.tail.sequence + 1 : state.tail.sequence;
+        const value = this.nextValue(state, sequence, plan.records);
+        const key = slotKey(this.options.place, sequence);
+        const expected = state.expectedRevision(sequence);
+        const event = yield { kind: "write", key, expected, value, recordCount: plan.records.length };
+        if (event.kind === "storeFailed") {
+            yield* this.noteFailedWrite(plan, event.error);
+            return;
+        }
+        if (event.kind !== "written") {
+            throw unexpected(event);
+        }
+        this.failures = 0;
+        this.doubtful.clear();
+        if (!event.outcome.swapped) {
+            yield* this.catchUp(state, event.outcome.current);
+            return;
+        }
+        adoptValue(state, { key, value, modRevision: event.outcome.modRevision });
+        this.outcomes = without(this.outcomes, plan.outcomes);
+        yield* this.settleAll(plan.granted);
+        yield { kind: "pause", duration: this.options.minimumCommitInterval };
+    }
+
+    private nextValue(state: ShardState, sequence: number, records: readonly Uint8Array[]): Uint8Array {
+        const grows = sequence === state.tail.sequence;
+        const all = grows ? [state.tail.encodedRecords, ...records] : records;
+        const bytes = all.reduce((sum, part) => sum + part.length, 0);
+        const closed = bytes >= this.options.segmentCloseBytes;
+        const header: SegmentHeader = { sequence, closed, writtenAt: this.wallTime };
+        return encodeSegment(header, all);
+    }
+
+    private *noteFailedWrite(plan: BatchPlan, error: StoreError): Step<void> {
+        if (error.kind === "unknown") {
+            plan.granted.forEach((settled) => this.doubtful.add(settled.begin.token));
+        }
+        yield* this.backOff(error);
+    }
+
+    /** Takes in what another writer wrote; what this one had sent before is settled by what is found there. */
+    private *catchUp(state: ShardState, current: StoreEntry | undefined): Step<void> {
+        const caughtUp = current === undefined ? undefined : state.catchUp(current);
+        if (caughtUp === undefined || caughtUp.isErr() || !caughtUp.value) {
+            const cause = caughtUp?.isErr() ? caughtUp.error : "another writer is far ahead";
+            yield { kind: "report", message: `shard ${this.options.place.shard} is loaded again: ${cause}` };
+            this.state = undefined;
+        }
+    }
+
+    private *backOff(error: StoreError): Step<void> {
+        this.failures++;
+        if (this.failures >= this.options.failuresBeforeRefusal) {
+            yield* this.refuse(this.begins);
+        }
+        yield { kind: "report", message: `store: ${error.message}` };
+        const { minimumStoreBackoff, maximumStoreBackoff } = this.options;
+        const duration = Math.min(maximumStoreBackoff, minimumStoreBackoff * 2 ** this.failures);
+        yield { kind: "pause", duration };
+    }
+
+    private *refuse(begins: readonly PendingBegin[]): Step<void> {
+        yield* this.settleAll(begins.map((begin) => ({ begin, decision: storeUnavailable })));
+    }
+
+    private *settleAll(all: BatchPlan["settled"]): Step<void> {
+        this.begins = without(this.begins, all.map((settled) => settled.begin));
+        for (const { begin, decision } of all) {
+            yield { kind: "settle", token: begin.token, decision };
+        }
+    }
+}
+
+const storeUnavailable: ClaimDecision = {
+    kind: "refuse",
+    reason: RefusalReason.ClaimStoreUnavailable,
+    outcome: CallOutcome.NotRun,
+};
+
+function adoptValue(state: ShardState, entry: StoreEntry): void {
+    const segment = decodeSegment(entry.value);
+    if (segment.isErr()) {
+        throw new Error(`store key "${entry.key}": ${segment.error}`);
+    }
+    state.adopt(entry, segment.value);
+}
+
+function without<T>(all: readonly T[], removed: readonly T[]): T[] {
+    const gone = new Set(removed);
+    return all.filter((item) => !gone.has(item));
+}
+
+function unexpected(event: ShardEvent): Error {
+    return new Error(`claims writer was resumed with an unexpected event "${event.kind}"`);
+}
--- a/packages/claims/src/index.ts
+++ b/packages/claims/src/index.ts
@@ -1,6 +1,8 @@
 /**
- * Public items of this package.
+ * At-most-once execution, orders to endpoints and quarantine of requests that crash endpoints.
  *
  * @module
  */
-export {};
+export * from "./constants.js";
+export * from "./decision/claimCall.js";
+export * from "./node/claims.js";
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -3,5 +3,6 @@
  *
  * @module
  */
+export * from "./memoryStore.js";
 export * from "./store.js";
 export * from "./virtualMachineList.js";
