--- a/packages/router/src/constants.ts
+++ b/packages/router/src/constants.ts
@@ -16,9 +16,6 @@
 /** Tokens that a completion is charged where the caller states no limit. */
 export const defaultMaxOutputTokens = 1_024;
 
-/** Characters that are taken as one token where a prompt's length is estimated. */
-export const charactersPerToken = 4;
-
 /** Milliseconds of silence on an exchange after which its agent is asked whether it lives. */
 export const silenceBeforeProbeMilliseconds = 2_000;
 
--- a/packages/router/src/decision/routedRequest.ts
+++ b/packages/router/src/decision/routedRequest.ts
@@ -3,19 +3,20 @@
  *
  * @module
  */
-import { RefusalReason } from "@redwingpin/common";
-import type { ClientAccount, ManifestIndex, Route } from "@redwingpin/manifest";
+import { digestOf, RefusalReason } from "@redwingpin/common";
+import type { ClientAccount, ManifestIndex, ModelRoute, Route, ServiceRoute } from "@redwingpin/manifest";
 import { RouteKind } from "@redwingpin/manifest";
+import { type PrefixScope, type Prompt, type PromptMessage, ScopeKind } from "@redwingpin/placement";
 import { err, ok, type Result } from "neverthrow";
-import { charactersPerToken, defaultMaxOutputTokens } from "../constants.js";
+import { defaultMaxOutputTokens } from "../constants.js";
 import { notRun, type Refusal } from "./refusal.js";
 
 /** The fields of a completion request that the router reads. */
 export interface CompletionBody {
     readonly model: string;
     readonly stream: boolean;
-    /** Text of the prompt or of all messages, in order. */
-    readonly promptText: string;
+    /** The prompt's text, or the chat's messages in order. */
+    readonly prompt: Prompt;
     readonly maxOutputTokens: number;
     /** The whole body as the caller sent it. */
     readonly fields: Readonly<Record<string, unknown>>;
@@ -40,8 +41,8 @@
     if (fields.stream !== undefined && typeof fields.stream !== "boolean") {
         return malformed("field \"stream\" must be true or false");
     }
-    const promptText = readPromptText(fields);
-    if (promptText === undefined) {
+    const prompt = readPrompt(fields);
+    if (prompt === undefined) {
         return malformed("field \"prompt\" must be a text, or field \"messages\" a list of messages with a role and content");
     }
     const maxOutputTokens = fields.max_completion_tokens ?? fields.max_tokens ?? defaultMaxOutputTokens;
@@ -51,51 +52,83 @@
     return ok({
         model: fields.model,
         stream: fields.stream === true,
-        promptText,
+        prompt,
         maxOutputTokens: maxOutputTokens as number,
         fields,
     });
 }
 
-function readPromptText(fields: Readonly<Record<string, unknown>>): string | undefined {
+function readPrompt(fields: Readonly<Record<string, unknown>>): Prompt | undefined {
     if (typeof fields.prompt === "string") {
         return fields.prompt;
     }
-    if (!Array.isArray(fields.messages)) {
+    if (!Array.isArray(fields.messages) || fields.messages.length === 0) {
         return undefined;
     }
-    const parts = (fields.messages as readonly unknown[]).map(readMessageText);
-    return parts.includes(undefined) ? undefined : parts.join("\n");
+    const messages = (fields.messages as readonly unknown[]).map(readMessage);
+    return messages.every((message) => message !== undefined) ? messages : undefined;
 }
 
-function readMessageText(message: unknown): string | undefined {
+function readMessage(message: unknown): PromptMessage | undefined {
     const { role, content } = (message ?? {}) as { role?: unknown; content?: unknown; };
     if (typeof role !== "string") {
         return undefined;
     }
     if (typeof content === "string") {
-        return `${role}: ${content}`;
+        return { role, content };
     }
-    return Array.isArray(content) ? `${role}: ${JSON.stringify(content)}` : undefined;
+    return Array.isArray(content) ? { role, content: JSON.stringify(content) } : undefined;
+}
+
+/** What a completion's cache entries belong to: the account, or the route where it is open to all. */
+export function prefixScope(route: ModelRoute, account: ClientAccount | undefined): PrefixScope {
+    const weights = { model: route.model, version: route.version, adapter: route.adapter };
+    return route.access.open || account === undefined
+        ? { kind: ScopeKind.OpenRoute, name: route.name, weights }
+        : { kind: ScopeKind.Account, name: account.name, weights };
+}
+
+/**
+ * The completion's body as the engine gets it: the model's name in place of the route's, and a salt of its scope, so
+ * that the engine's cache shares nothing between accounts or weights.
+ */
+export function bodyForEngine(completion: CompletionBody, route: ModelRoute, scope: PrefixScope): Record<string, unknown> {
+    const { resume: _resume, ...fields } = completion.fields;
+    return { ...fields, model: route.adapter ?? route.model, cache_salt: cacheSalt(scope) };
+}
+
+function cacheSalt(scope: PrefixScope): string {
+    const { model, version, adapter } = scope.weights;
+    return digestOf(scope.kind, scope.name, model, version, adapter ?? "");
 }
 
 /** Tokens that a completion costs at most: its prompt, estimated from its length, and its longest answer. */
-export function estimateTokens(completion: CompletionBody): number {
-    return Math.ceil(completion.promptText.length / charactersPerToken) + completion.maxOutputTokens;
+export function mostTokens(promptTokens: number, completion: CompletionBody): number {
+    return promptTokens + completion.maxOutputTokens;
 }
 
-/** Finds a route by name and checks that the account may use it. */
-export function findRoute(
+/** Finds a route to a model by name and checks that the account may use it. */
+export function findModelRoute(
     index: ManifestIndex,
     name: string,
-    kind: RouteKind,
     account: ClientAccount | undefined,
-): Result<Route, Refusal> {
+): Result<ModelRoute, Refusal> {
     const route = index.route(name);
-    if (route === undefined || route.kind !== kind) {
-        return err(notRun(RefusalReason.RouteNotFound, `route "${name}" does not exist`));
-    }
-    return checkAccess(route, account).map(() => route);
+    return route?.kind === RouteKind.Model ? checkAccess(route, account).map(() => route) : err(unknownRoute(name));
+}
+
+/** Finds a route to a service by name and checks that the account may use it. */
+export function findServiceRoute(
+    index: ManifestIndex,
+    name: string,
+    account: ClientAccount | undefined,
+): Result<ServiceRoute, Refusal> {
+    const route = index.route(name);
+    return route?.kind === RouteKind.Service ? checkAccess(route, account).map(() => route) : err(unknownRoute(name));
+}
+
+function unknownRoute(name: string): Refusal {
+    return notRun(RefusalReason.RouteNotFound, `route "${name}" does not exist`);
 }
 
 /** Checks that a caller may use a route. */
--- a/packages/router/src/node/attemptRunner.ts
+++ b/packages/router/src/node/attemptRunner.ts
@@ -30,8 +30,6 @@
     readonly exchanges: ExchangeTable;
     readonly revision: () => number;
     readonly observeStatus: (status: EndpointStatus) => void;
-    /** Called with the start of each answer, for placement. */
-    readonly observeHead: (instance: string, request: CallerRequest, head: Head) => void;
 }
 
 /** Makes attempts at one request. */
@@ -40,6 +38,7 @@
         private readonly context: AttemptContext,
         private readonly request: CallerRequest,
         private readonly relay: AnswerRelay,
+        private readonly onHead: (head: Head) => void,
     ) {}
 
     /** Makes an attempt and resolves with how it ended. */
@@ -106,7 +105,7 @@
     }
 
     private handleHead(exchange: Exchange, head: Head, instance: string): AttemptEnd | undefined {
-        this.context.observeHead(instance, this.request, head);
+        this.onHead(head);
         if (this.request.route.idempotent && retriedStatuses.has(head.status)) {
             exchange.cancel();
             const message = `the endpoint beside "${instance}" answered with status ${head.status}`;
@@ -146,7 +145,7 @@
             path: request.path,
             headers: [...request.headers, { name: "traceparent", value: request.traceparent }],
             weights: weightsOf(request),
-            prefixBlocks: request.prefixBlocks,
+            prefixBlocks: request.prefix.blocks,
             fingerprint: request.fingerprint,
             traceparent: request.traceparent,
         };
--- a/packages/router/src/node/callerRequest.ts
+++ b/packages/router/src/node/callerRequest.ts
@@ -5,6 +5,7 @@
  */
 import type { Milliseconds } from "@redwingpin/common";
 import type { ClientAccount, Route } from "@redwingpin/manifest";
+import type { PrefixChain } from "@redwingpin/placement";
 import type { HeaderField } from "@redwingpin/protocol";
 import type { CompletionBody } from "../decision/routedRequest.js";
 
@@ -30,5 +31,6 @@
     readonly deadline: Milliseconds;
     /** Digest of account and body. */
     readonly fingerprint: string;
-    readonly prefixBlocks: readonly string[];
+    /** The prompt's nested prefix blocks; without blocks for services. */
+    readonly prefix: PrefixChain;
 }
--- a/packages/router/src/node/callerServer.ts
+++ b/packages/router/src/node/callerServer.ts
@@ -12,13 +12,22 @@
     type ReasonCounters,
     RefusalReason,
 } from "@redwingpin/common";
-import { type ClientAccount, type ManifestIndex, RouteKind } from "@redwingpin/manifest";
+import type { ClientAccount, ManifestIndex } from "@redwingpin/manifest";
+import { prefixBlocks } from "@redwingpin/placement";
 import type { HeaderField } from "@redwingpin/protocol";
 import { err, ok, type Result } from "neverthrow";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { authenticate, findKey, headersForEndpoint, refuseKeyInContent } from "../decision/credentials.js";
 import { notRun, type Refusal } from "../decision/refusal.js";
-import { estimateTokens, findRoute, parseCompletionBody, visibleModels } from "../decision/routedRequest.js";
+import {
+    bodyForEngine,
+    findModelRoute,
+    findServiceRoute,
+    mostTokens,
+    parseCompletionBody,
+    prefixScope,
+    visibleModels,
+} from "../decision/routedRequest.js";
 import { readBody } from "./callerBody.js";
 import type { CallerRequest } from "./callerRequest.js";
 import { answerJson, answerRefusal } from "./errorAnswer.js";
@@ -32,8 +41,6 @@
     readonly maxConnections: number;
     /** The manifest in force; absent before the first was found. */
     readonly manifest: () => ManifestIndex | undefined;
-    /** Digests of a prompt's nested prefix blocks. */
-    readonly prefixBlocks: (request: Omit<CallerRequest, "prefixBlocks">) => readonly string[];
     /** Serves a request that passed its checks. */
     readonly serve: (request: CallerRequest, response: ServerResponse) => Promise<void>;
     /** The router's status, for operators. */
@@ -147,15 +154,20 @@
     body: Buffer,
 ): Result<CallerRequest, Refusal> {
     return parseCompletionBody(body).andThen((completion) =>
-        findRoute(caller.index, completion.model, RouteKind.Model, caller.account).map((route) =>
-            complete(context, {
+        findModelRoute(caller.index, completion.model, caller.account).map((route) => {
+            const scope = prefixScope(route, caller.account);
+            const prefix = prefixBlocks(scope, completion.prompt);
+            const fields = bodyForEngine(completion, route, scope);
+            return {
                 ...commonFields(context, request, caller, body),
                 route,
                 path: request.url ?? "/",
-                completion,
-                tokens: estimateTokens(completion),
-            })
-        )
+                body: Buffer.from(JSON.stringify(fields)),
+                completion: { ...completion, fields },
+                tokens: mostTokens(prefix.promptTokens, completion),
+                prefix,
+            };
+        })
     );
 }
 
@@ -166,19 +178,15 @@
     body: Buffer,
     target: { readonly name: string; readonly path: string; },
 ): Result<CallerRequest, Refusal> {
-    return findRoute(caller.index, target.name, RouteKind.Service, caller.account).map((route) =>
-        complete(context, {
-            ...commonFields(context, request, caller, body),
-            route,
-            path: target.path,
-            completion: undefined,
-            tokens: route.kind === RouteKind.Service ? route.callTokens : 0,
-        })
-    );
-}
-
-function complete(context: CallerServerContext, request: Omit<CallerRequest, "prefixBlocks">): CallerRequest {
-    return { ...request, prefixBlocks: context.prefixBlocks(request) };
+    return findServiceRoute(caller.index, target.name, caller.account).map((route) => ({
+        ...commonFields(context, request, caller, body),
+        route,
+        path: target.path,
+        body,
+        completion: undefined,
+        tokens: route.callTokens,
+        prefix: { blocks: [], sharedBlocks: 0, promptTokens: route.callTokens },
+    }));
 }
 
 function commonFields(context: CallerServerContext, request: IncomingMessage, caller: Caller, body: Buffer) {
@@ -190,7 +198,6 @@
         account: caller.account,
         method: request.method ?? "GET",
         headers: headersForEndpoint(headerFields(request), caller.key),
-        body,
         idempotencyKey: singleHeader(request, "idempotency-key"),
         deadline: context.clock.now() + context.requestTimeout,
         fingerprint: digestOf(account, body),
--- a/packages/router/src/node/requestPipeline.ts
+++ b/packages/router/src/node/requestPipeline.ts
@@ -4,7 +4,8 @@
  * @module
  */
 import { type Clock, type Logger, type ReasonCounters, runDecision } from "@redwingpin/common";
-import type { VirtualMachine } from "@redwingpin/platform";
+import type { RetryBudget } from "@redwingpin/placement";
+import type { Head } from "@redwingpin/protocol";
 import type { ServerResponse } from "node:http";
 import { maxAttempts } from "../constants.js";
 import { type AttemptEffect, type AttemptEvent, attemptLoop, type RequestOutcome } from "../decision/attemptLoop.js";
@@ -12,6 +13,7 @@
 import { type AttemptContext, AttemptRunner } from "./attemptRunner.js";
 import type { CallerRequest } from "./callerRequest.js";
 import { answerRefusal } from "./errorAnswer.js";
+import type { ChosenAgent, RequestPlacement } from "./requestPlacement.js";
 
 /** What the pipeline needs from its router. */
 export interface PipelineContext {
@@ -19,10 +21,8 @@
     readonly logger: Logger;
     readonly counters: ReasonCounters;
     readonly attempts: AttemptContext;
-    /** Chooses an endpoint for a request, none of the excluded instances. */
-    readonly choose: (request: CallerRequest, excluded: readonly string[]) => VirtualMachine | undefined;
-    /** Asks the retry budget. */
-    readonly spendRetry: () => boolean;
+    readonly placement: RequestPlacement;
+    readonly retryBudget: RetryBudget;
 }
 
 /** Serves requests that passed their checks. */
@@ -37,22 +37,28 @@
     }
 
     private attempt(request: CallerRequest, relay: AnswerRelay): Promise<RequestOutcome> {
-        const runner = new AttemptRunner(this.context.attempts, request, relay);
-        let chosen: VirtualMachine | undefined;
+        const { placement, retryBudget } = this.context;
+        let chosen: ChosenAgent | undefined;
+        const onHead = (head: Head) => placement.observeHead(chosen!, head);
+        const runner = new AttemptRunner(this.context.attempts, request, relay, onHead);
+        retryBudget.recordRequest();
         const perform = async (effect: AttemptEffect): Promise<AttemptEvent> => {
             switch (effect.kind) {
                 case "choose":
-                    chosen = this.context.choose(request, effect.excluded);
-                    return { kind: "chosen", instance: chosen?.instance };
+                    chosen = placement.choose(request, effect.excluded);
+                    return { kind: "chosen", instance: chosen?.machine.instance };
                 case "spendRetry": {
-                    const allowed = this.context.spendRetry();
+                    const allowed = retryBudget.trySpend();
                     if (allowed) {
                         this.context.counters.retried(effect.reason);
                     }
                     return { kind: "retry", allowed };
                 }
-                case "attempt":
-                    return { kind: "ended", end: await runner.run(chosen!, effect.attempt) };
+                case "attempt": {
+                    const end = await runner.run(chosen!.machine, effect.attempt);
+                    placement.observeEnd(chosen!, end);
+                    return { kind: "ended", end };
+                }
             }
         };
         const plan = { idempotent: request.route.idempotent, maxAttempts, pool: request.route.pool };
--- /dev/null
+++ b/packages/router/src/node/requestPlacement.ts
@@ -0,0 +1,86 @@
+/**
+ * Places requests on agents: translates between requests and the placement decision, and tells it how each attempt
+ * went.
+ *
+ * @module
+ */
+import { type Placed, Placement, PlacementOutcome, type PlacementRequest } from "@redwingpin/placement";
+import { type VirtualMachine, VirtualMachineRole } from "@redwingpin/platform";
+import type { EndpointStatus, Head } from "@redwingpin/protocol";
+import type { AttemptEnd } from "../decision/attemptLoop.js";
+import { weightsOf } from "./attemptRunner.js";
+import type { CallerRequest } from "./callerRequest.js";
+
+/** An agent chosen for one attempt. */
+export interface ChosenAgent {
+    readonly machine: VirtualMachine;
+    readonly placed: Placed;
+}
+
+/** The placement of one router. */
+export class RequestPlacement {
+    private readonly agents = new Map<string, VirtualMachine>();
+
+    constructor(private readonly placement: Placement) {}
+
+    /** Takes in a reading of the VM list. */
+    retain(machines: readonly VirtualMachine[]): void {
+        this.agents.clear();
+        for (const machine of machines) {
+            if (machine.role === VirtualMachineRole.Agent) {
+                this.agents.set(machine.instance, machine);
+            }
+        }
+        this.placement.retain(
+            [...this.agents.values()].map((machine) => ({
+                instance: machine.instance,
+                pool: machine.pool ?? "",
+                dataCentre: machine.dataCentre,
+                leaving: machine.leaving,
+            })),
+        );
+    }
+
+    observeStatus(status: EndpointStatus): void {
+        this.placement.observeStatus(status);
+    }
+
+    /** Chooses an agent that is not excluded; `undefined` where none can take the request. */
+    choose(request: CallerRequest, excluded: readonly string[]): ChosenAgent | undefined {
+        const placed = this.placement.choose(placementRequest(request), excluded);
+        const machine = placed && this.agents.get(placed.instance);
+        return placed && machine && { placed, machine };
+    }
+
+    observeHead(chosen: ChosenAgent, head: Head): void {
+        this.placement.observeHead(chosen.placed, head.hitBlocks);
+    }
+
+    observeEnd(chosen: ChosenAgent, end: AttemptEnd): void {
+        this.placement.observeOutcome(chosen.placed, placementOutcome(end));
+    }
+}
+
+function placementRequest(request: CallerRequest): PlacementRequest {
+    return {
+        pool: request.route.pool,
+        weights: weightsOf(request),
+        prefixBlocks: request.prefix.blocks,
+        sharedBlocks: request.prefix.sharedBlocks,
+        promptTokens: request.prefix.promptTokens,
+    };
+}
+
+function placementOutcome(end: AttemptEnd): PlacementOutcome {
+    switch (end.kind) {
+        case "complete":
+            return PlacementOutcome.Completed;
+        case "callerGone":
+            return PlacementOutcome.Cancelled;
+        case "notRun":
+        case "final":
+            return PlacementOutcome.Declined;
+        case "broken":
+            return PlacementOutcome.Failed;
+    }
+}
--- a/packages/router/src/node/router.ts
+++ b/packages/router/src/node/router.ts
@@ -3,26 +3,27 @@
  *
  * @module
  */
-import {
-    type Clock,
-    createReasonCounters,
-    listenOn,
-    type Logger,
-    type ReasonCounters,
-    sleep,
-} from "@redwingpin/common";
+import { type Clock, createReasonCounters, listenOn, type Logger, type ReasonCounters, sleep } from "@redwingpin/common";
+import { defaultBlockTokens, Placement, RetryBudget } from "@redwingpin/placement";
 import type { KeyValueStore, VirtualMachine, VirtualMachineList } from "@redwingpin/platform";
-import { type Connection, type ExchangeMessage, InnerNode, MessageKind, ProcessRole } from "@redwingpin/protocol";
+import {
+    type Connection,
+    type EndpointStatus,
+    type ExchangeMessage,
+    InnerNode,
+    MessageKind,
+    ProcessRole,
+} from "@redwingpin/protocol";
 import { randomUUID } from "node:crypto";
 import type { Server } from "node:http";
 import type { Registry } from "prom-client";
 import type { ResolvedRouterConfig } from "../config.js";
 import { drainGraceMilliseconds } from "../constants.js";
 import { ExchangeTable } from "./agentExchange.js";
-import type { CallerRequest } from "./callerRequest.js";
 import { createCallerServer } from "./callerServer.js";
-import { EndpointDirectory } from "./endpointDirectory.js";
+import { MachineWatch } from "./machineWatch.js";
 import { RequestPipeline } from "./requestPipeline.js";
+import { RequestPlacement } from "./requestPlacement.js";
 import { SilenceProbe } from "./silenceProbe.js";
 
 /** What a router is made from. */
@@ -40,3 +41,154 @@
     readonly listenPort: number;
     readonly innerPort: number;
 }
+
+/** Serves callers. */
+export class Router {
+    private readonly counters: ReasonCounters;
+    private readonly innerNode: InnerNode;
+    private readonly exchanges = new ExchangeTable();
+    private readonly silenceProbe: SilenceProbe;
+    private readonly placement: RequestPlacement;
+    private readonly machineWatch: MachineWatch;
+    private readonly pipeline: RequestPipeline;
+    private readonly callerServer: Server;
+    private readonly incarnation = randomUUID();
+    private stopping = false;
+
+    constructor(private readonly options: RouterOptions) {
+        const { config, clock, logger, registry } = options;
+        this.counters = createReasonCounters(registry);
+        this.innerNode = this.createInnerNode();
+        this.silenceProbe = new SilenceProbe(clock, () => this.exchanges.busyConnections());
+        const { dataCentre } = config;
+        this.placement = new RequestPlacement(new Placement({ clock, dataCentre, blockTokens: defaultBlockTokens }));
+        this.machineWatch = new MachineWatch({
+            list: options.virtualMachineList,
+            clock,
+            logger: logger.scope("vmList"),
+            onMachines: (machines) => this.onMachines(machines),
+        });
+        this.pipeline = this.createPipeline();
+        this.callerServer = this.createCallerServer();
+    }
+
+    /** Starts to serve; resolves with the ports. */
+    async start(): Promise<RouterPorts> {
+        const { config } = this.options;
+        const innerPort = await this.innerNode.listen(config.listenHost, config.innerPort);
+        this.silenceProbe.start();
+        await this.machineWatch.start();
+        const listenPort = await listenOn(this.callerServer, config.listenHost, config.listenPort);
+        return { listenPort, innerPort };
+    }
+
+    /** Leaves without cutting a request: not ready, then no new connection, then what runs to its end. */
+    async drain(): Promise<void> {
+        this.stopping = true;
+        await sleep(this.options.clock, drainGraceMilliseconds);
+        await new Promise<void>((resolve) => {
+            this.callerServer.close(() => resolve());
+            this.callerServer.closeIdleConnections();
+        });
+        this.stop();
+    }
+
+    /** Closes everything at once. */
+    stop(): void {
+        this.machineWatch.stop();
+        this.silenceProbe.stop();
+        this.innerNode.stop();
+        this.callerServer.closeAllConnections();
+        this.callerServer.close();
+    }
+
+    private createInnerNode(): InnerNode {
+        const { config, clock, logger } = this.options;
+        return new InnerNode({
+            role: ProcessRole.Router,
+            instance: config.instance,
+            incarnation: this.incarnation,
+            fleetKeys: config.fleetKeys,
+            clock,
+            logger: logger.scope("inner"),
+            revision: () => this.revision(),
+            onRevision: () => {},
+            onMessage: (connection, message) => this.onMessage(connection, message),
+            onClosed: (connection) => this.onClosed(connection),
+        });
+    }
+
+    private createPipeline(): RequestPipeline {
+        const { clock, logger } = this.options;
+        return new RequestPipeline({
+            clock,
+            logger: logger.scope("request"),
+            counters: this.counters,
+            placement: this.placement,
+            retryBudget: new RetryBudget(),
+            attempts: {
+                clock,
+                innerNode: this.innerNode,
+                exchanges: this.exchanges,
+                revision: () => this.revision(),
+                observeStatus: (status) => this.observeStatus(status),
+            },
+        });
+    }
+
+    private createCallerServer(): Server {
+        const { config, clock, registry } = this.options;
+        return createCallerServer({
+            clock,
+            registry,
+            counters: this.counters,
+            requestTimeout: config.requestTimeoutMilliseconds,
+            maxConnections: config.maxConnections,
+            ready: () => this.isReady(),
+            manifest: () => undefined,
+            serve: (request, response) => this.pipeline.serve(request, response),
+            status: () => this.status(),
+        });
+    }
+
+    private onMessage(connection: Connection, message: ExchangeMessage): void {
+        this.silenceProbe.heard(connection);
+        if (message.kind === MessageKind.Status) {
+            this.observeStatus(message.status);
+            return;
+        }
+        this.exchanges.receive(connection, message);
+    }
+
+    private onClosed(connection: Connection): void {
+        this.silenceProbe.forget(connection);
+        this.exchanges.lose(connection);
+    }
+
+    private onMachines(machines: readonly VirtualMachine[]): void {
+        this.placement.retain(machines);
+    }
+
+    private observeStatus(status: EndpointStatus): void {
+        this.placement.observeStatus(status);
+    }
+
+    private revision(): number {
+        return 0;
+    }
+
+    private isReady(): boolean {
+        return !this.stopping;
+    }
+
+    private status() {
+        return {
+            instance: this.options.config.instance,
+            dataCentre: this.options.config.dataCentre,
+            incarnation: this.incarnation,
+            revision: this.revision(),
+            ready: this.isReady(),
+            openExchanges: this.exchanges.size,
+        };
+    }
+}
