--- /dev/null
+++ b/packages/standins/src/__tests__/serviceStandin.spec.ts
@@ -0,0 +1,30 @@
+import { expect } from "chai";
+import { request } from "undici";
+import { startServiceStandin } from "../node/serviceStandin.js";
+
+describe("standins: service", () => {
+    it("records each execution in order, also those whose caller went away", async () => {
+        const standin = await startServiceStandin({ answerMilliseconds: 200 });
+        const gone = new AbortController();
+        const first = request(`${standin.address}/stamps?batch=1`, {
+            method: "POST",
+            body: "one",
+            signal: gone.signal,
+        }).catch(() => "gone");
+        const executions = async () =>
+            await (await request(`${standin.controlAddress}/control/executions`)).body.json() as object[];
+        while ((await executions()).length === 0) {
+            await new Promise((resolve) => setTimeout(resolve, 5));
+        }
+        gone.abort();
+        expect(await first).to.equal("gone");
+        await request(`${standin.controlAddress}/control/delay`, { method: "POST", body: `{"answer": 0}` });
+        const second = await request(`${standin.address}/stamps/status/404`, { method: "PUT", body: "two" });
+        expect(second.statusCode).to.equal(404);
+        expect(await executions()).to.deep.equal([
+            { number: 0, method: "POST", path: "/stamps?batch=1", body: "one" },
+            { number: 1, method: "PUT", path: "/stamps/status/404", body: "two" },
+        ]);
+        await standin.stop();
+    });
+});
--- a/packages/standins/src/node/main.ts
+++ b/packages/standins/src/node/main.ts
@@ -6,7 +6,9 @@
  */
 import { Builtins, Cli, Command, Option } from "clipanion";
 import { readFileSync } from "node:fs";
+import { startEngineStandin } from "./engineStandin.js";
 import type { Standin, StandinOptions } from "./httpListener.js";
+import { startServiceStandin } from "./serviceStandin.js";
 import { startStoreStandin } from "./storeStandin.js";
 import { startVirtualMachineListStandin, type TargetGroup } from "./virtualMachineListStandin.js";
 
@@ -57,8 +59,79 @@
     }
 }
 
+class ServiceCommand extends StandinCommand {
+    static override paths = [["service"]];
+    static override usage = Command.Usage({ description: "Plain service that records its executions" });
+
+    answer = Option.String("--answer", "0", { description: "Milliseconds between execution and answer" });
+
+    protected start(options: StandinOptions): Promise<Standin> {
+        return startServiceStandin({ ...options, answerMilliseconds: Number(this.answer) });
+    }
+}
+
+class EngineCommand extends StandinCommand {
+    static override paths = [["engine"]];
+    static override usage = Command.Usage({
+        description: "Model engine with an OpenAI-compatible interface",
+    });
+
+    weights = Option.String("--weights", "weights-1", {
+        description: "Weights that are loaded at the start",
+    });
+    weightStore = Option.String("--weight-store", { description: "Address of the weight store" });
+    blockTokens = Option.String("--block-tokens", "2048", { description: "Tokens in one cached block" });
+    cacheBlocks = Option.String("--cache-blocks", "64", { description: "Blocks that the cache holds" });
+    prefill = Option.String("--prefill", "200000", { description: "Prompt tokens computed in a second" });
+    firstToken = Option.String("--first-token", "5", { description: "Milliseconds before the first token" });
+    betweenTokens = Option.String("--between-tokens", "1", {
+        description: "Milliseconds between two tokens",
+    });
+    slots = Option.String("--slots", "64", { description: "Requests that run at once" });
+    loadLag = Option.String("--load-lag", "500", {
+        description: "Milliseconds by which the load report is late",
+    });
+    eventLag = Option.String("--event-lag", "200", {
+        description: "Milliseconds by which cache events are late",
+    });
+    loseEventEvery = Option.String("--lose-event-every", "0", {
+        description: "Every N-th cache event is lost",
+    });
+    crashMarker = Option.String("--crash-marker", {
+        description: "A prompt with this text crashes the engine",
+    });
+    checksFencing = Option.Boolean("--checks-fencing", false, {
+        description: "Refuses orders with an old fence",
+    });
+    senders = Option.String("--senders", {
+        description: "Senders whose orders are taken, with commas between",
+    });
+
+    protected start(options: StandinOptions): Promise<Standin> {
+        return startEngineStandin({
+            ...options,
+            weights: this.weights,
+            weightStoreAddress: this.weightStore,
+            blockTokens: Number(this.blockTokens),
+            cacheBlocks: Number(this.cacheBlocks),
+            prefillTokensPerSecond: Number(this.prefill),
+            firstTokenMilliseconds: Number(this.firstToken),
+            betweenTokensMilliseconds: Number(this.betweenTokens),
+            slots: Number(this.slots),
+            loadLagMilliseconds: Number(this.loadLag),
+            eventLagMilliseconds: Number(this.eventLag),
+            loseEventEvery: Number(this.loseEventEvery),
+            crashMarker: this.crashMarker,
+            checksFencing: this.checksFencing,
+            senders: this.senders?.split(","),
+        });
+    }
+}
+
 const cli = new Cli({ binaryLabel: "Stand-ins", binaryName: "redwingpin-standin" });
 cli.register(Builtins.HelpCommand);
 cli.register(StoreCommand);
 cli.register(VirtualMachineListCommand);
+cli.register(ServiceCommand);
+cli.register(EngineCommand);
 process.exitCode = await cli.run(process.argv.slice(2));
--- a/packages/standins/src/node/seenRequests.ts
+++ b/packages/standins/src/node/seenRequests.ts
@@ -18,13 +18,21 @@
     readonly body: string;
 }
 
+/** What is kept, oldest first, and how many requests there were in all. */
+export interface SeenReport {
+    readonly total: number;
+    readonly requests: readonly SeenRequest[];
+}
+
+const maximumKeptRequests = 2_000;
+const maximumKeptCharacters = 64 * 1_048_576;
+
 /** Keeps the latest requests. */
 export class SeenRequests {
     private readonly requests: SeenRequest[] = [];
+    private characters = 0;
     private count = 0;
 
-    constructor(private readonly capacity: number) {}
-
     /** Adds a request whose body has been read. */
     add(request: IncomingMessage, body: Buffer): SeenRequest {
         const seen: SeenRequest = {
@@ -36,14 +44,14 @@
             body: body.toString("utf8"),
         };
         this.requests.push(seen);
-        if (this.requests.length > this.capacity) {
-            this.requests.shift();
+        this.characters += seen.body.length;
+        while (this.requests.length > maximumKeptRequests || this.characters > maximumKeptCharacters) {
+            this.characters -= this.requests.shift()!.body.length;
         }
         return seen;
     }
 
-    /** What is kept, oldest first, and how many there were in all. */
-    report(): { total: number; requests: readonly SeenRequest[]; } {
+    report(): SeenReport {
         return { total: this.count, requests: this.requests };
     }
 }
--- a/packages/standins/src/node/virtualMachineListStandin.ts
+++ b/packages/standins/src/node/virtualMachineListStandin.ts
@@ -3,7 +3,8 @@
  *
  * The list is at `GET /virtualMachines`. Controls: `PUT /control/virtualMachines` replaces it, `GET` of the same
  * shows what was put, `POST /control/lag {"milliseconds": N}` delays when later changes become visible, and
- * `POST /control/outage {"mode": "down" | "up"}`.
+ * `POST /control/outage {"mode": "down" | "up"}`. The same process stands in for the weight store: `GET
+ * /weights/NAME` answers once the weights are transferred, and `GET /control/weights` shows the transfers.
  *
  * @module
  */
@@ -17,10 +18,16 @@
     type Standin,
     type StandinOptions,
 } from "./httpListener.js";
+import { WeightStore } from "./weightStore.js";
 
 /** Path of the list. */
 export const virtualMachinesPath = "/virtualMachines";
 
+/** Path under which weights are transferred. */
+export const weightsPath = "/weights";
+
+const defaultTransferMilliseconds = 1_000;
+
 /** One entry of the list. */
 export interface TargetGroup {
     /** One `host:port`. */
@@ -32,6 +39,11 @@
 export interface VirtualMachineListStandinOptions extends StandinOptions {
     /** @default [] */
     readonly virtualMachines?: readonly TargetGroup[];
+    /**
+     * Time of one transfer of weights, in milliseconds.
+     * @default 1000
+     */
+    readonly transferMilliseconds?: number;
 }
 
 /** Starts the stand-in. */
@@ -47,6 +59,7 @@
     private readonly listener: HttpListener;
     private readonly control: HttpListener;
     private readonly timers = new Set<NodeJS.Timeout>();
+    private readonly weights: WeightStore;
     private visible: unknown;
     private latest: unknown;
     private lagMilliseconds = 0;
@@ -54,6 +67,7 @@
     constructor(options: VirtualMachineListStandinOptions) {
         this.visible = options.virtualMachines ?? [];
         this.latest = this.visible;
+        this.weights = new WeightStore(options.transferMilliseconds ?? defaultTransferMilliseconds);
         this.listener = new HttpListener(
             options.port ?? 0,
             (request, response) => this.serve(request, response),
@@ -83,11 +97,17 @@
         await this.control.close();
     }
 
-    private serve(request: IncomingMessage, response: ServerResponse): void {
-        if (pathOf(request) === virtualMachinesPath) {
+    private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const path = pathOf(request);
+        if (path === virtualMachinesPath) {
             sendJson(response, 200, this.visible);
             return;
         }
+        if (path.startsWith(`${weightsPath}/`)) {
+            await this.weights.transfer(decodeURIComponent(path.slice(weightsPath.length + 1)));
+            sendJson(response, 200, {});
+            return;
+        }
         sendJson(response, 404, { message: "not found" });
     }
 
@@ -95,6 +115,9 @@
         switch (`${request.method} ${pathOf(request)}`) {
             case "GET /control/virtualMachines":
                 break;
+            case "GET /control/weights":
+                sendJson(response, 200, this.weights.report());
+                return;
             case "PUT /control/virtualMachines":
                 this.replace(JSON.parse((await readBody(request)).toString("utf8")));
                 break;
