--- a/packages/agent/src/index.ts
+++ b/packages/agent/src/index.ts
@@ -1,6 +1,8 @@
 /**
- * Public items of this package.
+ * redwingpin-agent: the only way in to one endpoint.
  *
  * @module
  */
-export {};
+export * from "./config.js";
+export * from "./constants.js";
+export * from "./node/agent.js";
--- a/packages/agent/src/node/agent.ts
+++ b/packages/agent/src/node/agent.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import { type Clock, type Logger } from "@redwingpin/common";
+import type { ManifestIndex } from "@redwingpin/manifest";
 import {
     type Connection,
     type EndpointStatus,
@@ -19,6 +20,7 @@
 import { maxBodyBytes } from "../constants.js";
 import { declineReason } from "../decision/acceptance.js";
 import { RecentRequests } from "../decision/recentRequests.js";
+import { servedWeights } from "../decision/servedWeights.js";
 import { EndpointClient } from "./endpointClient.js";
 import { type EndpointHealth, EndpointMonitor } from "./endpointMonitor.js";
 import { ExchangeTask } from "./exchangeTask.js";
@@ -29,6 +31,8 @@
     readonly config: ResolvedAgentConfig;
     readonly clock: Clock;
     readonly logger: Logger;
+    /** The manifest in force here; absent before the first was found. */
+    readonly manifest: () => ManifestIndex | undefined;
 }
 
 /** Serves one endpoint to the routers. */
@@ -105,7 +109,7 @@
             pool: config.pool,
             incarnation: health.incarnation,
             draining: this.draining,
-            weights: health.weights,
+            weights: servedWeights(this.options.manifest(), health),
             queuedTokens: this.scheduler.queuedTokens,
             running: this.scheduler.running,
             tokensPerSecond: 0,
@@ -159,7 +163,7 @@
         this.options.logger.info("the endpoint changed", {
             incarnation: health.incarnation,
             before: before.incarnation,
-            weights: health.weights.map((weights) => `${weights.model}/${weights.version}`).join(","),
+            weights: health.weights,
         });
         this.broadcastStatus();
     }
--- a/packages/agent/src/node/endpointMonitor.ts
+++ b/packages/agent/src/node/endpointMonitor.ts
@@ -5,7 +5,6 @@
  */
 import type { CancelTimer, Clock, Milliseconds } from "@redwingpin/common";
 import { EndpointKind } from "@redwingpin/manifest";
-import type { WeightsReference } from "@redwingpin/protocol";
 import { request } from "undici";
 
 const healthTimeoutMilliseconds = 1_000;
@@ -14,7 +13,10 @@
 export interface EndpointHealth {
     /** Differs after each start of the endpoint; absent while it gives no answer. */
     readonly incarnation: string | undefined;
-    readonly weights: readonly WeightsReference[];
+    /** Name of the weights that an engine serves now; absent for services and while weights load. */
+    readonly weights: string | undefined;
+    /** Adapters that an engine has loaded. */
+    readonly adapters: readonly string[];
 }
 
 /** Options of {@link EndpointMonitor}. */
@@ -26,7 +28,7 @@
     readonly onChange: (health: EndpointHealth, before: EndpointHealth) => void;
 }
 
-const unknownHealth: EndpointHealth = { incarnation: undefined, weights: [] };
+const unknownHealth: EndpointHealth = { incarnation: undefined, weights: undefined, adapters: [] };
 
 /** Asks the endpoint for its health at an interval and when told that a request broke off. */
 export class EndpointMonitor {
@@ -82,25 +84,23 @@
 }
 
 /** Services need not state a health; any answer shows that they are up. */
-const serviceHealth: EndpointHealth = { incarnation: "up", weights: [] };
+const serviceHealth: EndpointHealth = { incarnation: "up", weights: undefined, adapters: [] };
 
 function readEngineHealth(status: number, text: string): EndpointHealth {
     if (status !== 200) {
         return unknownHealth;
     }
     try {
-        const body = JSON.parse(text) as { incarnation?: unknown; weights?: unknown; };
+        const { incarnation, weights, adapters } = JSON.parse(text) as Readonly<Record<string, unknown>>;
         return {
-            incarnation: typeof body.incarnation === "string" ? body.incarnation : "up",
-            weights: Array.isArray(body.weights) ? body.weights.filter(isWeightsReference) : [],
+            incarnation: typeof incarnation === "string" ? incarnation : "up",
+            weights: typeof weights === "string" ? weights : undefined,
+            adapters: Array.isArray(adapters)
+                ? adapters.filter((adapter) => typeof adapter === "string")
+                : [],
         };
     }
     catch {
         return unknownHealth;
     }
 }
-
-function isWeightsReference(value: unknown): value is WeightsReference {
-    const reference = value as Partial<WeightsReference> | undefined;
-    return typeof reference?.model === "string" && typeof reference.version === "string";
-}
--- a/packages/router/src/decision/routedRequest.ts
+++ b/packages/router/src/decision/routedRequest.ts
@@ -36,18 +36,20 @@
         return malformed("the body is not a JSON object");
     }
     if (typeof fields.model !== "string") {
-        return malformed("field \"model\" must name a route");
+        return malformed('field "model" must name a route');
     }
     if (fields.stream !== undefined && typeof fields.stream !== "boolean") {
-        return malformed("field \"stream\" must be true or false");
+        return malformed('field "stream" must be true or false');
     }
     const prompt = readPrompt(fields);
     if (prompt === undefined) {
-        return malformed("field \"prompt\" must be a text, or field \"messages\" a list of messages with a role and content");
+        return malformed(
+            'field "prompt" must be a text, or field "messages" a list of messages with a role and content',
+        );
     }
     const maxOutputTokens = fields.max_completion_tokens ?? fields.max_tokens ?? defaultMaxOutputTokens;
     if (!Number.isSafeInteger(maxOutputTokens) || (maxOutputTokens as number) < 1) {
-        return malformed("field \"max_tokens\" must be a whole number of at least 1");
+        return malformed('field "max_tokens" must be a whole number of at least 1');
     }
     return ok({
         model: fields.model,
@@ -92,7 +94,11 @@
  * The completion's body as the engine gets it: the model's name in place of the route's, and a salt of its scope, so
  * that the engine's cache shares nothing between accounts or weights.
  */
-export function bodyForEngine(completion: CompletionBody, route: ModelRoute, scope: PrefixScope): Record<string, unknown> {
+export function bodyForEngine(
+    completion: CompletionBody,
+    route: ModelRoute,
+    scope: PrefixScope,
+): Record<string, unknown> {
     const { resume: _resume, ...fields } = completion.fields;
     return { ...fields, model: route.adapter ?? route.model, cache_salt: cacheSalt(scope) };
 }
@@ -114,7 +120,9 @@
     account: ClientAccount | undefined,
 ): Result<ModelRoute, Refusal> {
     const route = index.route(name);
-    return route?.kind === RouteKind.Model ? checkAccess(route, account).map(() => route) : err(unknownRoute(name));
+    return route?.kind === RouteKind.Model
+        ? checkAccess(route, account).map(() => route)
+        : err(unknownRoute(name));
 }
 
 /** Finds a route to a service by name and checks that the account may use it. */
@@ -124,7 +132,9 @@
     account: ClientAccount | undefined,
 ): Result<ServiceRoute, Refusal> {
     const route = index.route(name);
-    return route?.kind === RouteKind.Service ? checkAccess(route, account).map(() => route) : err(unknownRoute(name));
+    return route?.kind === RouteKind.Service
+        ? checkAccess(route, account).map(() => route)
+        : err(unknownRoute(name));
 }
 
 function unknownRoute(name: string): Refusal {
@@ -137,11 +147,18 @@
         return ok(undefined);
     }
     if (account === undefined) {
-        return err(notRun(RefusalReason.MissingKey, `route "${route.name}" needs a key, sent as a bearer token`));
+        return err(
+            notRun(RefusalReason.MissingKey, `route "${route.name}" needs a key, sent as a bearer token`),
+        );
     }
     return route.access.accounts.includes(account.name)
         ? ok(undefined)
-        : err(notRun(RefusalReason.RouteForbidden, `account "${account.name}" may not use route "${route.name}"`));
+        : err(
+            notRun(
+                RefusalReason.RouteForbidden,
+                `account "${account.name}" may not use route "${route.name}"`,
+            ),
+        );
 }
 
 /** Names of the routes to models that a caller may use. */
--- a/packages/router/src/node/machineWatch.ts
+++ b/packages/router/src/node/machineWatch.ts
@@ -40,9 +40,14 @@
             this.options.onMachines(reading.value);
         }
         else {
-            this.options.logger.warn("the VM list gave no answer; the last reading stays in use", { message: reading.error });
+            this.options.logger.warn("the VM list gave no answer; the last reading stays in use", {
+                message: reading.error,
+            });
         }
-        this.cancelTimer = this.options.clock.schedule(virtualMachineListIntervalMilliseconds, () => void this.start());
+        this.cancelTimer = this.options.clock.schedule(
+            virtualMachineListIntervalMilliseconds,
+            () => void this.start(),
+        );
     }
 
     stop(): void {
--- a/packages/router/src/node/main.ts
+++ b/packages/router/src/node/main.ts
@@ -22,7 +22,8 @@
     static override paths = [Command.Default];
     static override usage = Command.Usage({
         description: "Serves callers of language models and services",
-        details: "Every setting can be given as a flag or as the environment variable named in its description.",
+        details:
+            "Every setting can be given as a flag or as the environment variable named in its description.",
     });
 
     constructor() {
--- a/packages/router/src/node/requestPipeline.ts
+++ b/packages/router/src/node/requestPipeline.ts
@@ -8,7 +8,12 @@
 import type { Head } from "@redwingpin/protocol";
 import type { ServerResponse } from "node:http";
 import { maxAttempts } from "../constants.js";
-import { type AttemptEffect, type AttemptEvent, attemptLoop, type RequestOutcome } from "../decision/attemptLoop.js";
+import {
+    type AttemptEffect,
+    type AttemptEvent,
+    attemptLoop,
+    type RequestOutcome,
+} from "../decision/attemptLoop.js";
 import { AnswerRelay } from "./answerRelay.js";
 import { type AttemptContext, AttemptRunner } from "./attemptRunner.js";
 import type { CallerRequest } from "./callerRequest.js";
@@ -65,8 +70,17 @@
         return runDecision(attemptLoop(plan), perform);
     }
 
-    private conclude(request: CallerRequest, outcome: RequestOutcome, relay: AnswerRelay, response: ServerResponse): void {
-        const fields = { request: request.identifier, route: request.route.name, account: request.account?.name };
+    private conclude(
+        request: CallerRequest,
+        outcome: RequestOutcome,
+        relay: AnswerRelay,
+        response: ServerResponse,
+    ): void {
+        const fields = {
+            request: request.identifier,
+            route: request.route.name,
+            account: request.account?.name,
+        };
         switch (outcome.kind) {
             case "answered":
                 this.context.logger.debug("answered", fields);
@@ -76,7 +90,11 @@
                 return;
             case "refused":
                 this.context.counters.refused(outcome.refusal.reason);
-                this.context.logger.info("refused", { ...fields, reason: outcome.refusal.reason, outcome: outcome.refusal.outcome });
+                this.context.logger.info("refused", {
+                    ...fields,
+                    reason: outcome.refusal.reason,
+                    outcome: outcome.refusal.outcome,
+                });
                 answerRefusal(response, outcome.refusal);
                 return;
             case "cut":
