feat(admission): rates and bursts over all routers, first working version

Cause: an account's rate and burst hold over the whole fleet, and no router may rely on the store or on its peers to admit. Change: an account is divided over slots by a monotone rule; positions of a roster in the store say which router holds which slot; a router admits from its own slots, asks other holders when short and queues for a short time. What a bucket answers for is its level and its open charges together, so a late return makes no tokens. Ruled out: slot counts that shrink the share of others when an account grows (holders on two revisions could exceed the total between them); grants that are confirmed by message (a lost confirmation withholds the burst).

--- /dev/null
+++ b/packages/admission/src/__tests__/tokenShare.spec.ts
@@ -0,0 +1,36 @@
+import { expect } from "chai";
+import fc from "fast-check";
+import { maximumSlots } from "../constants.js";
+import { partOf } from "../decision/tokenShare.js";
+
+const quantum = 1_000;
+const total = fc.nat({ max: 3 * maximumSlots * quantum });
+const indices = [...Array(maximumSlots).keys()];
+
+describe("admission: division of an account over its slots", () => {
+    it("gives parts that add up to the total", () => {
+        fc.assert(
+            fc.property(total, (tokens) => {
+                const sum = indices.reduce((sum, index) => sum + partOf(tokens, index, quantum), 0);
+                expect(sum).to.equal(tokens);
+            }),
+            { seed: 1 },
+        );
+    });
+
+    it("never shrinks a part when the total grows", () => {
+        fc.assert(
+            fc.property(
+                total,
+                fc.nat({ max: quantum }),
+                fc.constantFrom(...indices),
+                (tokens, more, index) => {
+                    expect(partOf(tokens + more, index, quantum)).to.be.at.least(
+                        partOf(tokens, index, quantum),
+                    );
+                },
+            ),
+            { seed: 1 },
+        );
+    });
+});
--- /dev/null
+++ b/packages/admission/src/decision/slotHolder.ts
@@ -0,0 +1,199 @@
+/**
+ * The slots that one router holds: admits from them, debits them for other routers and takes back what was not
+ * spent.
+ *
+ * A slot starts empty, because its holder does not know what was spent from it before; and it starts to fill only
+ * after every grant of an earlier holder has lapsed.
+ *
+ * @module
+ */
+import type { Milliseconds } from "@redwingpin/common";
+import type { ClientAccount } from "@redwingpin/manifest";
+import { grantHoldMilliseconds } from "../constants.js";
+import { holdersOf, positionOf, type Roster } from "./roster.js";
+import { TokenBucket } from "./tokenBucket.js";
+import { noLimits, slotCount, slotLimits } from "./tokenShare.js";
+
+const millisecondsPerSecond = 1000;
+
+/** What a holder could give. */
+export interface HolderGrant {
+    readonly tokens: number;
+    /** Time until the holder has the tokens that it could not give; `undefined` where it never will. */
+    readonly retryAfter: Milliseconds | undefined;
+}
+
+/** State of the slots that one router holds. */
+export class SlotHolder {
+    private roster: Roster | undefined;
+    private givenUp = false;
+    private accounts: readonly ClientAccount[] = [];
+    /** Time from which each held position fills. */
+    private readonly startOf = new Map<number, Milliseconds>();
+    private readonly buckets = new Map<string, Map<number, TokenBucket>>();
+
+    constructor(
+        private readonly instance: string,
+        private readonly hold: Milliseconds = grantHoldMilliseconds,
+    ) {}
+
+    /** Takes over a roster. Positions new to this holder start empty once earlier grants have lapsed. */
+    rosterChanged(roster: Roster, now: Milliseconds): void {
+        this.roster = roster;
+        for (const [position, holder] of roster.holders.entries()) {
+            if (holder !== this.instance || this.givenUp) {
+                this.startOf.delete(position);
+            }
+            else if (!this.startOf.has(position)) {
+                this.startOf.set(position, now + this.hold);
+            }
+        }
+        this.dropLostSlots();
+        this.synchronize(now);
+    }
+
+    /** Takes over the accounts of a manifest. An account that was absent before starts empty. */
+    accountsChanged(accounts: readonly ClientAccount[], now: Milliseconds): void {
+        this.accounts = accounts;
+        this.synchronize(now);
+    }
+
+    /** Gives up every slot for good. */
+    giveUp(): void {
+        this.givenUp = true;
+        this.startOf.clear();
+        this.dropLostSlots();
+    }
+
+    /** Tokens that the holder's slots of an account have now. */
+    tokens(account: ClientAccount, now: Milliseconds): number {
+        return this.advance(account, now).reduce((sum, bucket) => sum + bucket.tokens, 0);
+    }
+
+    /** Spends exactly `tokens` from the slots, or nothing. */
+    spend(id: string, account: ClientAccount, tokens: number, now: Milliseconds): boolean {
+        const buckets = this.advance(account, now);
+        if (buckets.reduce((sum, bucket) => sum + bucket.tokens, 0) < tokens) {
+            return false;
+        }
+        takeFrom(buckets, id, tokens, now, now);
+        return true;
+    }
+
+    /** Debits up to `tokens` for another router, which may spend them for a while. */
+    grant(id: string, account: ClientAccount, tokens: number, now: Milliseconds): HolderGrant {
+        const buckets = this.advance(account, now);
+        const taken = takeFrom(buckets, id, tokens, now + this.hold, now);
+        return { tokens: taken, retryAfter: timeUntil(buckets, tokens - taken, now) };
+    }
+
+    /** Takes back up to `tokens` of what was spent or granted under `id`; a second time gives nothing. */
+    giveBack(id: string, account: ClientAccount, tokens: number, now: Milliseconds): number {
+        let left = tokens;
+        for (const bucket of this.advance(account, now)) {
+            left -= bucket.giveBack(id, left);
+        }
+        return tokens - left;
+    }
+
+    /** Buckets in memory. */
+    get slotsInMemory(): number {
+        let count = 0;
+        for (const slots of this.buckets.values()) {
+            count += slots.size;
+        }
+        return count;
+    }
+
+    private advance(account: ClientAccount, now: Milliseconds): TokenBucket[] {
+        const advanced: TokenBucket[] = [];
+        for (const [index, bucket] of this.buckets.get(account.name) ?? []) {
+            bucket.advance(now, slotLimits(account, index));
+            advanced.push(bucket);
+        }
+        return advanced;
+    }
+
+    private synchronize(now: Milliseconds): void {
+        const named = new Set(this.accounts.map((account) => account.name));
+        for (const account of this.accounts) {
+            this.addSlots(account, now);
+            this.advance(account, now);
+        }
+        for (const [name, slots] of this.buckets) {
+            if (!named.has(name)) {
+                this.retire(name, slots, now);
+            }
+        }
+    }
+
+    private addSlots(account: ClientAccount, now: Milliseconds): void {
+        for (const index of this.heldSlots(account)) {
+            const slots = this.buckets.get(account.name) ?? new Map<number, TokenBucket>();
+            this.buckets.set(account.name, slots);
+            if (!slots.has(index)) {
+                const start = this.startOf.get(positionOf(account.name, index)) ?? now + this.hold;
+                slots.set(index, new TokenBucket(Math.max(start, now), slotLimits(account, index)));
+            }
+        }
+    }
+
+    private heldSlots(account: ClientAccount): readonly number[] {
+        if (this.roster === undefined || this.givenUp) {
+            return [];
+        }
+        const holders = holdersOf(this.roster, account.name, slotCount(account));
+        return holders.find((holder) => holder.instance === this.instance)?.slots ?? [];
+    }
+
+    private retire(name: string, slots: Map<number, TokenBucket>, now: Milliseconds): void {
+        for (const [index, bucket] of slots) {
+            bucket.advance(now, noLimits);
+            if (bucket.empty) {
+                slots.delete(index);
+            }
+        }
+        if (slots.size === 0) {
+            this.buckets.delete(name);
+        }
+    }
+
+    private dropLostSlots(): void {
+        for (const [name, slots] of this.buckets) {
+            for (const index of slots.keys()) {
+                if (!this.startOf.has(positionOf(name, index))) {
+                    slots.delete(index);
+                }
+            }
+        }
+    }
+}
+
+function takeFrom(
+    buckets: readonly TokenBucket[],
+    id: string,
+    tokens: number,
+    heldUntil: Milliseconds,
+    now: Milliseconds,
+): number {
+    let missing = tokens;
+    for (const bucket of buckets) {
+        missing -= bucket.take(id, missing, heldUntil, now);
+    }
+    return tokens - missing;
+}
+
+function timeUntil(
+    buckets: readonly TokenBucket[],
+    tokens: number,
+    now: Milliseconds,
+): Milliseconds | undefined {
+    const rate = buckets.reduce((sum, bucket) => sum + bucket.tokensPerSecond, 0);
+    const level = buckets.reduce((sum, bucket) => sum + bucket.tokens, 0);
+    const burst = buckets.reduce((sum, bucket) => sum + bucket.burstTokens, 0);
+    if (rate === 0 || tokens > burst) {
+        return undefined;
+    }
+    const untilStart = Math.max(0, ...buckets.map((bucket) => bucket.start - now));
+    return untilStart + Math.ceil(Math.max(0, tokens - level) * millisecondsPerSecond / rate);
+}
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -1,6 +1,17 @@
 /**
- * Public items of this package.
+ * Rates and bursts of client accounts, counted in tokens over the whole fleet.
  *
  * @module
  */
-export {};
+export * from "./constants.js";
+export * from "./decision/goneWatch.js";
+export * from "./decision/holderChoice.js";
+export * from "./decision/requester.js";
+export * from "./decision/roster.js";
+export * from "./decision/slotHolder.js";
+export * from "./decision/tokenBucket.js";
+export * from "./decision/tokenShare.js";
+export * from "./node/accountQueue.js";
+export * from "./node/admissionController.js";
+export * from "./node/admissionOptions.js";
+export * from "./node/rosterKeeper.js";
--- /dev/null
+++ b/packages/admission/src/node/admissionController.ts
@@ -0,0 +1,390 @@
+/**
+ * The admission task of a router: owns its slots and the requests that wait for tokens, and talks to other holders.
+ *
+ * @module
+ */
+import { type Milliseconds, RefusalReason, runDecision } from "@redwingpin/common";
+import type { ClientAccount } from "@redwingpin/manifest";
+import { type RateAsk, type RateMessage, RateMessageKind, type RateReturn } from "@redwingpin/protocol";
+import { err, ok, type Result } from "neverthrow";
+import { grantUseMilliseconds, maximumWaitMilliseconds } from "../constants.js";
+import { HolderChoice } from "../decision/holderChoice.js";
+import {
+    type AcquireEffect,
+    type AcquireEvent,
+    acquireOnce,
+    type AcquireOutcome,
+    acquireWaiting,
+    type HeldGrant,
+    isUsable,
+    type TokenRequest,
+} from "../decision/requester.js";
+import type { RouterMember } from "../decision/roster.js";
+import { SlotHolder } from "../decision/slotHolder.js";
+import { AccountQueue } from "./accountQueue.js";
+import type {
+    AdmissionController,
+    AdmissionOptions,
+    AdmissionRefusal,
+    Reservation,
+} from "./admissionOptions.js";
+import { RosterKeeper } from "./rosterKeeper.js";
+
+/** Starts the admission task of a router. */
+export function createAdmission(options: AdmissionOptions): AdmissionController {
+    const task = new AdmissionTask(options);
+    task.start();
+    return task;
+}
+
+/** A request on its way to its tokens. */
+interface PendingRequest extends TokenRequest {
+    readonly id: string;
+    readonly accountName: string;
+}
+
+class AdmissionTask implements AdmissionController {
+    private readonly holder: SlotHolder;
+    private readonly choice: HolderChoice;
+    private readonly keeper: RosterKeeper;
+    private readonly queues = new Map<string, AccountQueue>();
+    private knownAccounts: readonly ClientAccount[] | undefined;
+    private accountsByName: ReadonlyMap<string, ClientAccount> = new Map();
+    private identifiers = 0;
+    private stopped = false;
+
+    constructor(private readonly options: AdmissionOptions) {
+        this.holder = new SlotHolder(options.instance);
+        this.choice = new HolderChoice(options.instance);
+        this.keeper = new RosterKeeper({
+            ...options,
+            sources: options.rosterSources ?? (() => []),
+            logger: options.logger.scope("roster"),
+            onRoster: (roster) => this.holder.rosterChanged(roster, this.now()),
+        });
+    }
+
+    start(): void {
+        this.accountsChanged();
+        this.keeper.start();
+    }
+
+    async admit(account: ClientAccount, tokens: number): Promise<Result<Reservation, AdmissionRefusal>> {
+        this.refreshAccounts();
+        const reserved = Math.max(0, Math.ceil(tokens));
+        if (this.stopped) {
+            return err(refusal(RefusalReason.Stopping, `router ${this.options.instance} is stopping`));
+        }
+        if (reserved > account.burstTokens) {
+            const message =
+                `request of ${reserved} tokens exceeds the burst of ${account.burstTokens} tokens of `
+                + `account "${account.name}"`;
+            return err(refusal(RefusalReason.RequestExceedsBurst, message));
+        }
+        const request = this.pendingRequest(account, reserved);
+        const outcome = await this.acquire(request, account);
+        return outcome.admitted
+            ? ok(this.reservation(request, outcome.grants))
+            : err(rateRefusal(account, reserved, outcome.retryAfter));
+    }
+
+    async handle(message: RateMessage, from: string): Promise<RateMessage> {
+        this.refreshAccounts();
+        switch (message.kind) {
+            case RateMessageKind.Ask:
+                void this.keeper.catchUp(from, message.epoch);
+                return this.grant(message);
+            case RateMessageKind.Return:
+                this.takeBack(message);
+                return { kind: RateMessageKind.Acknowledge };
+            case RateMessageKind.RosterRequest:
+                return this.keeper.message();
+            case RateMessageKind.Roster:
+                this.keeper.adoptMessage(message);
+                return this.keeper.message();
+            case RateMessageKind.Grant:
+            case RateMessageKind.Acknowledge:
+                return { kind: RateMessageKind.Acknowledge };
+        }
+    }
+
+    membersChanged(members: readonly RouterMember[]): void {
+        this.keeper.membersRead(members);
+    }
+
+    accountsChanged(): void {
+        this.refreshAccounts();
+    }
+
+    async leave(): Promise<boolean> {
+        this.holder.giveUp();
+        return await this.keeper.release();
+    }
+
+    stop(): void {
+        this.stopped = true;
+        this.keeper.stop();
+        for (const queue of this.queues.values()) {
+            queue.stop();
+        }
+    }
+
+    private now(): Milliseconds {
+        return this.options.clock.now();
+    }
+
+    private pendingRequest(account: ClientAccount, tokens: number): PendingRequest {
+        return {
+            id: this.nextIdentifier(),
+            accountName: account.name,
+            tokens,
+            deadline: this.now() + (this.options.maximumWait ?? maximumWaitMilliseconds),
+            tokensPerSecond: account.tokensPerSecond,
+        };
+    }
+
+    private async acquire(request: PendingRequest, account: ClientAccount): Promise<AcquireOutcome> {
+        const queue = this.queueOf(account.name);
+        if (queue.isEmpty) {
+            const outcome = await this.run(acquireOnce(request), request);
+            if (outcome.admitted) {
+                return outcome;
+            }
+        }
+        const wait = (queue.tokens + request.tokens) * 1000 / Math.max(1, account.tokensPerSecond);
+        if (this.now() + wait > request.deadline) {
+            return { admitted: false, retryAfter: wait };
+        }
+        return await queue.enqueue(request.tokens, () => this.run(acquireWaiting(request), request));
+    }
+
+    private run(decision: ReturnType<typeof acquireOnce>, request: PendingRequest): Promise<AcquireOutcome> {
+        return runDecision(decision, (effect) => this.perform(effect, request));
+    }
+
+    private perform(effect: AcquireEffect, request: PendingRequest): Promise<AcquireEvent> | AcquireEvent {
+        switch (effect.kind) {
+            case "look":
+                return this.look(request);
+            case "ask":
+                return this.ask(effect.holder, effect.tokens, request);
+            case "commit":
+                return this.commit(effect.grants, request);
+            case "giveBack":
+                for (const grant of effect.grants) {
+                    this.sendBack(grant, grant.tokens, request.accountName);
+                }
+                return { kind: "done" };
+            case "pause":
+                return new Promise((resolve) => {
+                    this.options.clock.schedule(effect.duration, () => resolve({ kind: "done" }));
+                });
+        }
+    }
+
+    private look(request: PendingRequest): AcquireEvent {
+        const now = this.now();
+        const account = this.accountOf(request.accountName);
+        return {
+            kind: "view",
+            now,
+            ownTokens: account === undefined ? 0 : this.holder.tokens(account, now),
+            holders: account === undefined ? [] : this.choice.candidates(this.keeper.current, account, now),
+        };
+    }
+
+    private commit(grants: readonly HeldGrant[], request: PendingRequest): AcquireEvent {
+        const now = this.now();
+        const account = this.accountOf(request.accountName);
+        if (account === undefined || this.stopped) {
+            return { kind: "committed", admitted: false, missing: request.tokens };
+        }
+        const usable = grants.filter((grant) => isUsable(grant, account, now));
+        const granted = usable.reduce((sum, grant) => sum + grant.tokens, 0);
+        const missing = Math.max(0, request.tokens - granted);
+        const complete = usable.length === grants.length;
+        if (complete && this.holder.spend(request.id, account, missing, now)) {
+            return { kind: "committed", admitted: true, missing: 0 };
+        }
+        return { kind: "committed", admitted: false, missing: missing - this.holder.tokens(account, now) };
+    }
+
+    private async ask(holder: string, tokens: number, request: PendingRequest): Promise<AcquireEvent> {
+        const asked = this.now();
+        const id = this.nextIdentifier();
+        const message: RateAsk = {
+            kind: RateMessageKind.Ask,
+            id,
+            account: request.accountName,
+            tokens,
+            epoch: this.keeper.current?.epoch ?? 0,
+        };
+        const grant = await this.sendAsk(holder, message, asked + grantUseMilliseconds);
+        if (grant === undefined) {
+            this.choice.wasSilent(holder, this.now());
+        }
+        return { kind: "answer", grant };
+    }
+
+    private sendAsk(
+        holder: string,
+        message: RateAsk,
+        usableUntil: Milliseconds,
+    ): Promise<HeldGrant | undefined> {
+        return new Promise((resolve) => {
+            let open = true;
+            const close = (grant: HeldGrant | undefined) => {
+                open = false;
+                cancel();
+                resolve(grant);
+            };
+            const cancel = this.options.clock.schedule(grantUseMilliseconds, () => close(undefined));
+            void this.options.peers.send(holder, message).then((answer) => {
+                const grant = answer.isOk()
+                    ? this.readGrant(holder, message, answer.value, usableUntil)
+                    : undefined;
+                if (open) {
+                    close(grant);
+                }
+                else if (grant !== undefined) {
+                    this.sendBack(grant, grant.tokens, message.account);
+                }
+            });
+        });
+    }
+
+    private readGrant(
+        holder: string,
+        ask: RateAsk,
+        answer: RateMessage,
+        usableUntil: Milliseconds,
+    ): HeldGrant | undefined {
+        if (answer.kind !== RateMessageKind.Grant || answer.id !== ask.id || answer.tokens > ask.tokens) {
+            return undefined;
+        }
+        void this.keeper.catchUp(holder, answer.epoch);
+        const short = answer.tokens < ask.tokens;
+        this.choice.answered(
+            holder,
+            ask.account,
+            this.now(),
+            short ? answer.retryAfterMilliseconds ?? Infinity : undefined,
+        );
+        return {
+            holder,
+            id: ask.id,
+            tokens: answer.tokens,
+            usableUntil,
+            tokensPerSecond: answer.tokensPerSecond,
+            burstTokens: answer.burstTokens,
+        };
+    }
+
+    private grant(ask: RateAsk): RateMessage {
+        const account = this.accountOf(ask.account);
+        const given = account === undefined || this.stopped
+            ? { tokens: 0, retryAfter: undefined }
+            : this.holder.grant(ask.id, account, ask.tokens, this.now());
+        return {
+            kind: RateMessageKind.Grant,
+            id: ask.id,
+            tokens: given.tokens,
+            retryAfterMilliseconds: given.retryAfter,
+            tokensPerSecond: account?.tokensPerSecond ?? 0,
+            burstTokens: account?.burstTokens ?? 0,
+            epoch: this.keeper.current?.epoch ?? 0,
+        };
+    }
+
+    private takeBack(message: RateReturn): void {
+        const account = this.accountOf(message.account);
+        if (account !== undefined) {
+            this.holder.giveBack(message.id, account, message.tokens, this.now());
+        }
+    }
+
+    private sendBack(grant: HeldGrant, tokens: number, account: string): void {
+        void this.options.peers.send(grant.holder, {
+            kind: RateMessageKind.Return,
+            id: grant.id,
+            account,
+            tokens,
+        });
+    }
+
+    private reservation(request: PendingRequest, grants: readonly HeldGrant[]): Reservation {
+        let open = true;
+        return {
+            tokens: request.tokens,
+            settle: (actualTokens) => {
+                if (open) {
+                    open = false;
+                    this.settle(request, grants, Math.max(0, request.tokens - Math.ceil(actualTokens)));
+                }
+            },
+        };
+    }
+
+    private settle(request: PendingRequest, grants: readonly HeldGrant[], unspent: number): void {
+        this.refreshAccounts();
+        const account = this.accountOf(request.accountName);
+        if (account === undefined) {
+            return;
+        }
+        const granted = grants.reduce((sum, grant) => sum + grant.tokens, 0);
+        const own = Math.min(unspent, request.tokens - granted);
+        this.holder.giveBack(request.id, account, own, this.now());
+        let left = unspent - own;
+        for (const grant of grants) {
+            const tokens = Math.min(left, grant.tokens);
+            left -= tokens;
+            if (tokens > 0) {
+                this.sendBack(grant, tokens, request.accountName);
+            }
+        }
+    }
+
+    private accountOf(name: string): ClientAccount | undefined {
+        this.refreshAccounts();
+        return this.accountsByName.get(name);
+    }
+
+    private refreshAccounts(): void {
+        const accounts = this.options.accounts();
+        if (accounts !== this.knownAccounts) {
+            this.knownAccounts = accounts;
+            this.accountsByName = new Map(accounts.map((account) => [account.name, account]));
+            this.holder.accountsChanged(accounts, this.now());
+        }
+    }
+
+    private queueOf(name: string): AccountQueue {
+        const queue = this.queues.get(name) ?? new AccountQueue();
+        this.queues.set(name, queue);
+        return queue;
+    }
+
+    private nextIdentifier(): string {
+        this.identifiers += 1;
+        return `${this.options.instance}/${this.options.incarnation}/${this.identifiers.toString(36)}`;
+    }
+}
+
+function refusal(
+    reason: RefusalReason,
+    message: string,
+    retryAfterMilliseconds?: Milliseconds,
+): AdmissionRefusal {
+    return { reason, message, retryAfterMilliseconds };
+}
+
+function rateRefusal(account: ClientAccount, tokens: number, retryAfter: Milliseconds): AdmissionRefusal {
+    const message =
+        `request of ${tokens} tokens exceeds the rate of ${account.tokensPerSecond} tokens a second of `
+        + `account "${account.name}"`;
+    return refusal(
+        RefusalReason.RateExceeded,
+        message,
+        Number.isFinite(retryAfter) ? Math.ceil(retryAfter) : undefined,
+    );
+}
--- /dev/null
+++ b/packages/admission/src/node/admissionOptions.ts
@@ -0,0 +1,73 @@
+/**
+ * What the router gives to admission and gets from it.
+ *
+ * @module
+ */
+import type { Clock, Logger, Milliseconds, RefusalReason } from "@redwingpin/common";
+import type { ClientAccount } from "@redwingpin/manifest";
+import type { KeyValueStore } from "@redwingpin/platform";
+import type { RateMessage } from "@redwingpin/protocol";
+import type { Result, ResultAsync } from "neverthrow";
+import type { RouterMember } from "../decision/roster.js";
+
+/** Sends messages on the rates topic to other processes. */
+export interface RatePeers {
+    /** Resolves with the answer, or with an error as soon as none can come. It may also stay open. */
+    send(instance: string, message: RateMessage): ResultAsync<RateMessage, string>;
+}
+
+/** Options of `createAdmission`. */
+export interface AdmissionOptions {
+    readonly clock: Clock;
+    /** Name of this router; no other VM ever bears it. */
+    readonly instance: string;
+    /** Differs at each start of the process. */
+    readonly incarnation: string;
+    readonly store: KeyValueStore;
+    readonly peers: RatePeers;
+    /** Accounts of the manifest in force; a new list for each revision. */
+    readonly accounts: () => readonly ClientAccount[];
+    readonly logger: Logger;
+    /**
+     * Other processes that may know the roster when this one starts: some routers, some agents.
+     * @default none
+     */
+    readonly rosterSources?: () => readonly string[];
+    /**
+     * Longest time for which a request waits for tokens before it is refused.
+     * @default maximumWaitMilliseconds
+     */
+    readonly maximumWait?: Milliseconds;
+}
+
+/** Tokens debited for one request. */
+export interface Reservation {
+    /** Tokens that the request may spend. */
+    readonly tokens: number;
+    /** Ends the reservation with the tokens spent in fact; what was not spent goes back. Has effect once. */
+    settle(actualTokens: number): void;
+}
+
+/** Why a request gets no tokens. */
+export interface AdmissionRefusal {
+    readonly reason: RefusalReason;
+    /** When the caller may try again with some prospect; absent where it never has any. */
+    readonly retryAfterMilliseconds?: Milliseconds;
+    readonly message: string;
+}
+
+/** Admission of one router. */
+export interface AdmissionController {
+    /** Debits `tokens` of the account, the most that the request can spend. May wait a short time for them. */
+    admit(account: ClientAccount, tokens: number): Promise<Result<Reservation, AdmissionRefusal>>;
+    /** Answers a message on the rates topic. */
+    handle(message: RateMessage, from: string): Promise<RateMessage>;
+    /** To be called after every reading of the VM list, whether it has changed or not. */
+    membersChanged(members: readonly RouterMember[]): void;
+    /** To be called at once when another manifest is in force. */
+    accountsChanged(): void;
+    /** Gives up this router's slots for good, because its VM leaves. True where the store shows it. */
+    leave(): Promise<boolean>;
+    /** Ends the task. What waits is refused. */
+    stop(): void;
+}
--- /dev/null
+++ b/packages/admission/src/node/rosterKeeper.ts
@@ -0,0 +1,222 @@
+/**
+ * The task that keeps the roster: reads it at the start from the store and from other processes at once, follows
+ * its changes, and passes on the positions of gone routers.
+ *
+ * @module
+ */
+import type { CancelTimer, Clock, Logger } from "@redwingpin/common";
+import type { KeyValueStore, StoreEntry } from "@redwingpin/platform";
+import { RateMessageKind, type RateRoster } from "@redwingpin/protocol";
+import {
+    rosterGraceMilliseconds,
+    rosterKey,
+    rosterRetryMilliseconds,
+    rosterTurnMilliseconds,
+} from "../constants.js";
+import { GoneWatch } from "../decision/goneWatch.js";
+import {
+    decodeRoster,
+    emptyRoster,
+    encodeRoster,
+    repairRoster,
+    type Roster,
+    type RouterMember,
+} from "../decision/roster.js";
+import type { RatePeers } from "./admissionOptions.js";
+
+/** Options of {@link RosterKeeper}. */
+export interface RosterKeeperOptions {
+    readonly clock: Clock;
+    readonly instance: string;
+    readonly store: KeyValueStore;
+    readonly peers: RatePeers;
+    /** Processes that may know a roster when this one starts. */
+    readonly sources: () => readonly string[];
+    readonly logger: Logger;
+    /** Called with each newer roster. */
+    readonly onRoster: (roster: Roster) => void;
+}
+
+/** Keeps the newest roster that this process knows. */
+export class RosterKeeper {
+    private roster: Roster | undefined;
+    private members: readonly RouterMember[] = [];
+    private readonly goneWatch = new GoneWatch();
+    private readonly cancels = new Set<CancelTimer>();
+    private readonly startedAt: number;
+    private gone: ReadonlySet<string> = new Set();
+    private repairScheduled = false;
+    private released = false;
+    private stopped = false;
+
+    constructor(private readonly options: RosterKeeperOptions) {
+        this.startedAt = options.clock.now();
+    }
+
+    /** Starts to read and to follow the roster. */
+    start(): void {
+        this.cancels.add(this.options.store.watch(rosterKey, (change) => this.adoptEntry(change.entry)));
+        void this.readUntilKnown();
+    }
+
+    /** The newest roster known, or `undefined` before the first. */
+    get current(): Roster | undefined {
+        return this.roster;
+    }
+
+    /** The roster as a message. */
+    message(): RateRoster {
+        return this.roster === undefined
+            ? { kind: RateMessageKind.Roster, epoch: 0 }
+            : { kind: RateMessageKind.Roster, epoch: this.roster.epoch, text: encodeRoster(this.roster) };
+    }
+
+    /** Takes over the roster of a message if it is newer. */
+    adoptMessage(message: RateRoster): void {
+        if (message.text !== undefined && message.epoch > (this.roster?.epoch ?? 0)) {
+            this.adoptText(message.text);
+        }
+    }
+
+    /** Fetches the roster of `instance`, which has shown a newer epoch. */
+    async catchUp(instance: string, epoch: number): Promise<void> {
+        if (epoch > (this.roster?.epoch ?? 0)) {
+            await this.askForRoster(instance);
+        }
+    }
+
+    /** Takes in one reading of the VM list. */
+    membersRead(members: readonly RouterMember[]): void {
+        this.members = members;
+        this.gone = this.goneWatch.observe(this.roster ?? emptyRoster, members, this.options.clock.now());
+        if (members.length > 0 && this.repaired(this.roster ?? emptyRoster) !== undefined) {
+            this.scheduleRepair();
+        }
+    }
+
+    /** Gives up this router's positions for good; resolves once the store shows it or cannot be reached. */
+    async release(): Promise<boolean> {
+        this.released = true;
+        return await this.repair();
+    }
+
+    /** Ends the task. */
+    stop(): void {
+        this.stopped = true;
+        for (const cancel of this.cancels) {
+            cancel();
+        }
+        this.cancels.clear();
+    }
+
+    private async readUntilKnown(): Promise<void> {
+        while (!this.stopped) {
+            const [known] = await Promise.all([this.readStore(), this.askSources()]);
+            if (known) {
+                return;
+            }
+            await this.pause(rosterRetryMilliseconds);
+        }
+    }
+
+    private async readStore(): Promise<boolean> {
+        const entry = await this.options.store.read(rosterKey);
+        if (entry.isErr()) {
+            this.options.logger.warn("roster cannot be read", { error: entry.error.message });
+            return false;
+        }
+        this.adoptEntry(entry.value);
+        return true;
+    }
+
+    private async askSources(): Promise<void> {
+        const others = this.options.sources().filter((source) => source !== this.options.instance);
+        await Promise.all(others.map((source) => this.askForRoster(source)));
+    }
+
+    private async askForRoster(instance: string): Promise<void> {
+        const answer = await this.options.peers.send(instance, { kind: RateMessageKind.RosterRequest });
+        if (answer.isOk() && answer.value.kind === RateMessageKind.Roster) {
+            this.adoptMessage(answer.value);
+        }
+    }
+
+    private scheduleRepair(): void {
+        if (this.repairScheduled) {
+            return;
+        }
+        this.repairScheduled = true;
+        const names = this.members.map((member) => member.instance).sort();
+        const turn = Math.max(0, names.indexOf(this.options.instance));
+        void this.pause(turn * rosterTurnMilliseconds).then(async () => {
+            this.repairScheduled = false;
+            await this.repair();
+        });
+    }
+
+    /** One attempt to write what {@link repairRoster} proposes. True where nothing is left to be changed. */
+    private async repair(): Promise<boolean> {
+        const entry = await this.options.store.read(rosterKey);
+        if (entry.isErr() || this.stopped) {
+            return false;
+        }
+        this.adoptEntry(entry.value);
+        const proposal = this.repaired(this.roster ?? emptyRoster);
+        if (proposal === undefined) {
+            return true;
+        }
+        const value = new TextEncoder().encode(encodeRoster(proposal));
+        const swap = await this.options.store.compareAndSwap(rosterKey, entry.value?.modRevision ?? 0, value);
+        if (swap.isErr()) {
+            this.options.logger.warn("roster cannot be written", { error: swap.error.message });
+            return false;
+        }
+        if (!swap.value.swapped) {
+            this.adoptEntry(swap.value.current);
+            return false;
+        }
+        this.options.logger.info("roster written", { epoch: proposal.epoch });
+        this.adopt(proposal);
+        return true;
+    }
+
+    private repaired(roster: Roster): Roster | undefined {
+        const age = this.options.clock.now() - this.startedAt;
+        return repairRoster(roster, {
+            members: this.members,
+            gone: this.gone,
+            leaveRoom: age < rosterGraceMilliseconds,
+            released: this.released ? this.options.instance : undefined,
+        });
+    }
+
+    private adoptEntry(entry: StoreEntry | undefined): void {
+        if (entry !== undefined) {
+            this.adoptText(new TextDecoder().decode(entry.value));
+        }
+    }
+
+    private adoptText(text: string): void {
+        decodeRoster(text).match(
+            (roster) => this.adopt(roster),
+            (message) => this.options.logger.error("roster is not usable", { error: message }),
+        );
+    }
+
+    private adopt(roster: Roster): void {
+        if (!this.stopped && roster.epoch > (this.roster?.epoch ?? 0)) {
+            this.roster = roster;
+            this.options.onRoster(roster);
+        }
+    }
+
+    private pause(duration: number): Promise<void> {
+        return new Promise((resolve) => {
+            const cancel = this.options.clock.schedule(duration, () => {
+                this.cancels.delete(cancel);
+                resolve();
+            });
+            this.cancels.add(cancel);
+        });
+    }
+}
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -4,3 +4,4 @@
  * @module
  */
 export * from "./messages.js";
+export * from "./rateMessages.js";
