--- a/packages/proofs/src/__tests__/wholePath.spec.ts
+++ b/packages/proofs/src/__tests__/wholePath.spec.ts
@@ -17,7 +17,7 @@
 
 async function refusal(
     response: Response,
-): Promise<{ status: number; code: string; outcome: string | null; }> { // eslint-disable-line no-restricted-syntax -- Headers.get returns null
+): Promise<{ status: number; code: string; outcome: string | null; }> {
     const body = await response.json() as { error: { code: string; }; };
     return {
         status: response.status,
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -13,3 +13,4 @@
 export * from "./node/innerNode.js";
 export * from "./node/secureChannel.js";
 export * from "./protocolError.js";
+export * from "./rateMessages.js";
