feat(command): check, apply, show and follow manifests; fleet status; key digests

Operators drive the system only by manifests, so the command reports every finding at once, names the revision that won a race, settles an unknown outcome by its submission identifier and follows a revision until it is in force. It asks the processes over the inner protocol in the operator's role: the VM list gives inner addresses only, and an answer's revision tells what is in force also at a process of an older build without the status call.

--- /dev/null
+++ b/packages/command/src/commandSettings.ts
@@ -0,0 +1,43 @@
+/**
+ * Settings of the operator's command.
+ *
+ * @module
+ */
+import { parseHttpAddress, type SettingTable } from "@redwingpin/common";
+import { type FleetKeys, parseFleetKeys } from "@redwingpin/protocol";
+
+/** Settings of a command that reads or writes the store. */
+export interface StoreSettings {
+    /** HTTP address of the platform's key-value store. */
+    readonly storeAddress: string;
+}
+
+/** Settings of a command that asks the processes. */
+export interface FleetSettings {
+    readonly virtualMachineListAddress: string;
+    readonly fleetKeys: FleetKeys;
+}
+
+/** Table of {@link StoreSettings}. */
+export const storeSettings: SettingTable<StoreSettings> = {
+    storeAddress: {
+        variable: "REDWINGPIN_STORE_ADDRESS",
+        description: "HTTP address of the platform's key-value store",
+        parse: parseHttpAddress,
+    },
+};
+
+/** Table of {@link FleetSettings}. */
+export const fleetSettings: SettingTable<FleetSettings> = {
+    virtualMachineListAddress: {
+        variable: "REDWINGPIN_VM_LIST_ADDRESS",
+        description: "HTTP address of the list of VMs",
+        parse: parseHttpAddress,
+    },
+    fleetKeys: {
+        variable: "REDWINGPIN_FLEET_KEY",
+        description: "Key that all processes of the fleet share",
+        secret: true,
+        parse: parseFleetKeys,
+    },
+};
--- a/packages/command/src/index.ts
+++ b/packages/command/src/index.ts
@@ -1,6 +1,8 @@
 /**
- * Public items of this package.
+ * The operator's command.
  *
  * @module
  */
-export {};
+export * from "./exitCodes.js";
+export * from "./fleetSummary.js";
+export * from "./node/cli.js";
--- /dev/null
+++ b/packages/command/src/node/cli.ts
@@ -0,0 +1,24 @@
+/**
+ * The command line of `redwingpin`.
+ *
+ * @module
+ */
+import { Builtins, Cli } from "clipanion";
+import { KeyDigestCommand } from "./keyCommands.js";
+import { ManifestApplyCommand } from "./manifestApplyCommand.js";
+import { ManifestCheckCommand, ManifestSchemaCommand, ManifestShowCommand } from "./manifestCommands.js";
+import { ManifestStatusCommand, StatusCommand } from "./statusCommands.js";
+
+/** Makes the command line with every subcommand. */
+export function createCli(): Cli {
+    const cli = new Cli({ binaryName: "redwingpin", binaryLabel: "redwingpin operator's command" });
+    cli.register(Builtins.HelpCommand);
+    cli.register(ManifestCheckCommand);
+    cli.register(ManifestApplyCommand);
+    cli.register(ManifestShowCommand);
+    cli.register(ManifestStatusCommand);
+    cli.register(ManifestSchemaCommand);
+    cli.register(StatusCommand);
+    cli.register(KeyDigestCommand);
+    return cli;
+}
--- /dev/null
+++ b/packages/command/src/node/main.ts
@@ -0,0 +1,9 @@
+#!/usr/bin/env node
+/**
+ * redwingpin: the operator's command.
+ *
+ * @module
+ */
+import { createCli } from "./cli.js";
+
+void createCli().runExit(process.argv.slice(2));
--- /dev/null
+++ b/packages/command/src/node/operatorCommand.ts
@@ -0,0 +1,87 @@
+/**
+ * What every subcommand shares: settings, output for persons and scripts, and the manifest file.
+ *
+ * @module
+ */
+import {
+    describeSettingsFindings,
+    type Finding,
+    formatFinding,
+    SettingsCommand,
+    type SettingTable,
+    systemClock,
+} from "@redwingpin/common";
+import { type Manifest, parseManifest } from "@redwingpin/manifest";
+import { createEtcdStore, type EtcdStore } from "@redwingpin/platform";
+import { Option } from "clipanion";
+import { err, type Result } from "neverthrow";
+import { readFileSync } from "node:fs";
+import { ExitCode } from "../exitCodes.js";
+
+/** A subcommand whose settings come from a table. */
+export abstract class OperatorCommand<Resolved> extends SettingsCommand<Resolved> {
+    json = Option.Boolean("--json", false, { description: "Write the result as JSON" });
+
+    constructor(table: SettingTable<Resolved>) {
+        super(table);
+    }
+
+    /** Runs with resolved settings. */
+    protected abstract run(settings: Resolved): Promise<ExitCode>;
+
+    async execute(): Promise<number> {
+        const settings = this.resolve(this.context.env as NodeJS.ProcessEnv);
+        if (settings.isErr()) {
+            this.context.stderr.write(describeSettingsFindings("redwingpin", settings.error));
+            return ExitCode.BadSettings;
+        }
+        return this.run(settings.value);
+    }
+
+    /** Writes a result: the value for a script, the text for a person. */
+    protected report(value: unknown, text: string): void {
+        this.context.stdout.write(this.json ? `${JSON.stringify(value)}\n` : `${text}\n`);
+    }
+
+    /** Writes why the command failed. */
+    protected fail(exitCode: ExitCode, value: Readonly<Record<string, unknown>>, text: string): ExitCode {
+        if (this.json) {
+            this.context.stdout.write(`${JSON.stringify({ ...value, exitCode })}\n`);
+        }
+        else {
+            this.context.stderr.write(`redwingpin: ${text}\n`);
+        }
+        return exitCode;
+    }
+
+    /** Writes findings in a manifest. */
+    protected failWithFindings(file: string, findings: readonly Finding[]): ExitCode {
+        const lines = findings.map(formatFinding).join("\n");
+        const text = `manifest "${file}" has ${findings.length} finding(s)\n${lines}`;
+        return this.fail(ExitCode.ManifestFindings, { findings }, text);
+    }
+}
+
+/** Reads and checks a manifest file. */
+export function readManifestFile(file: string): Result<Manifest, Finding[]> {
+    let text: string;
+    try {
+        text = readFileSync(file, "utf8");
+    }
+    catch (error) {
+        const message = `the file cannot be read: ${(error as Error).message}`;
+        return err([{ place: file, message, advice: "check the name of the file" }]);
+    }
+    return parseManifest(text, file);
+}
+
+/** Runs `use` with a client of the store, and closes it. */
+export async function withStore<T>(address: string, use: (store: EtcdStore) => Promise<T>): Promise<T> {
+    const store = createEtcdStore({ address, clock: systemClock });
+    try {
+        return await use(store);
+    }
+    finally {
+        await store.close();
+    }
+}
--- a/packages/manifest/src/parseManifest.ts
+++ b/packages/manifest/src/parseManifest.ts
@@ -5,7 +5,7 @@
  */
 import type { Finding } from "@redwingpin/common";
 import { err, ok, type Result } from "neverthrow";
-import { type Document, isNode, LineCounter, parseDocument } from "yaml";
+import { type Document, isNode, LineCounter, parseDocument, stringify } from "yaml";
 import type { Manifest } from "./manifest.js";
 import { checkReferences } from "./manifestReferences.js";
 import { manifestSchema } from "./manifestSchema.js";
@@ -41,6 +41,11 @@
     );
 }
 
+/** Writes a manifest as YAML that {@link parseManifest} reads. */
+export function formatManifest(manifest: Manifest): string {
+    return stringify(manifest);
+}
+
 /** Checks a value that may be a manifest, and fills in its defaults in place. */
 export function checkManifest(value: unknown): Result<Manifest, SchemaMismatch[]> {
     const mismatches = checkSchema(value);
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -12,5 +12,6 @@
 export * from "./node/fleetKey.js";
 export * from "./node/innerNode.js";
 export * from "./node/secureChannel.js";
+export * from "./operatorMessages.js";
 export * from "./protocolError.js";
 export * from "./rateMessages.js";
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -212,6 +212,7 @@
     Claims = "claims",
     Orders = "orders",
     Quarantine = "quarantine",
+    Operator = "operator",
 }
 
 /** A message on a topic; the body's shape is defined by the topic's package and checked by its handler. */
