feat(membership): constant-cost probing, lagging VM list, leaving VMs and reused addresses

Each router pings one router, one agent that it looks after and one dead member a second, whatever the fleet's size; news ride on pings and answers. The VM list lags, so it adds members and says who leaves, but removes nobody that answers; reads become rarer with its length, as each reading of a long list costs more than everything else.

--- /dev/null
+++ b/packages/membership/src/decision/probeOrder.ts
@@ -0,0 +1,30 @@
+/**
+ * Random round robin: every member is chosen once before any is chosen again.
+ *
+ * @module
+ */
+import type { RandomSource } from "@redwingpin/common";
+import type { MemberEntry } from "@redwingpin/protocol";
+
+/** The order in which one process pings. */
+export class ProbeOrder {
+    private round: string[] = [];
+
+    constructor(private readonly random: RandomSource) {}
+
+    /** The next of the given members; `undefined` where there is none. */
+    next(members: readonly MemberEntry[]): MemberEntry | undefined {
+        const byName = new Map(members.map((member) => [member.instance, member]));
+        while (byName.size > 0) {
+            if (this.round.length === 0) {
+                this.round = [...byName.keys()];
+            }
+            const [name] = this.round.splice(this.random.integerBelow(this.round.length), 1);
+            const member = byName.get(name);
+            if (member !== undefined) {
+                return member;
+            }
+        }
+        return undefined;
+    }
+}
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,6 +1,12 @@
 /**
- * Public items of this package.
+ * Which instances live: pings, the VM list, incarnations, and who looks after which agent.
  *
  * @module
  */
-export {};
+export * from "./constants.js";
+export * from "./decision/homeAgents.js";
+export * from "./decision/membershipDecision.js";
+export * from "./decision/memberTable.js";
+export * from "./node/innerTransport.js";
+export * from "./node/membershipResponder.js";
+export * from "./node/membershipTask.js";
--- /dev/null
+++ b/packages/membership/src/node/membershipTask.ts
@@ -0,0 +1,250 @@
+/**
+ * The task that keeps a router's view of the members: it sends pings, reads the VM list and carries out what the
+ * decision asks for.
+ *
+ * @module
+ */
+import {
+    assertNever,
+    type CancelTimer,
+    type Clock,
+    type Logger,
+    type Milliseconds,
+    type RandomSource,
+} from "@redwingpin/common";
+import type { VirtualMachineList } from "@redwingpin/platform";
+import {
+    isMembershipAnswer,
+    isMembershipCall,
+    type MemberEntry,
+    type MembershipAnswer,
+    type MembershipCall,
+    MembershipMessageKind,
+    MemberState,
+    ProcessRole,
+} from "@redwingpin/protocol";
+import { directTimeout, indirectTimeout } from "../constants.js";
+import {
+    MembershipDecision,
+    type MembershipEffect,
+    MembershipEffectKind,
+    type MembershipEvent,
+    MembershipEventKind,
+} from "../decision/membershipDecision.js";
+import type { Member } from "../decision/memberTable.js";
+
+const tickInterval: Milliseconds = 100;
+
+/** The answer to a call, with the name of the process that gave it. */
+export interface PeerAnswer {
+    readonly instance: string;
+    readonly body: unknown;
+}
+
+/** Calls a peer on the membership topic; `undefined` where no answer came in time. */
+export type MembershipTransport = (
+    target: MemberEntry,
+    call: MembershipCall,
+    timeout: Milliseconds,
+) => Promise<PeerAnswer | undefined>;
+
+/** Options of {@link createMembership}. */
+export interface MembershipOptions {
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly logger: Logger;
+    readonly instance: string;
+    readonly dataCentre: string;
+    /** Address of this process's inner listener. */
+    readonly host: string;
+    readonly port: number;
+    readonly list: VirtualMachineList;
+    readonly transport: MembershipTransport;
+}
+
+/** A router's view of the members. */
+export interface Membership {
+    /** Other live routers that do not leave. */
+    routers(): readonly MemberEntry[];
+    /** Agents that may be given new work, of one pool or of all. */
+    agents(pool?: string): readonly MemberEntry[];
+    /** Agents that this router looks after. */
+    homeAgents(): readonly MemberEntry[];
+    /** Everything that is known, the dead and leaving included. */
+    members(): readonly Member[];
+    /** Calls back when routers or agents have changed; returns how to stop that. */
+    onChange(listener: () => void): () => void;
+    /** Answers the body of a call on the membership topic; `undefined` where it is malformed. */
+    handle(body: unknown): Promise<MembershipAnswer | undefined>;
+    /** Tells the others that this process leaves. */
+    leave(): void;
+    start(): void;
+    stop(): void;
+}
+
+/** Makes a router's membership; it does nothing before `start`. */
+export function createMembership(options: MembershipOptions): Membership {
+    return new MembershipTask(options);
+}
+
+class MembershipTask implements Membership {
+    private readonly decision: MembershipDecision;
+    private readonly listeners = new Set<() => void>();
+    private cancelTick: CancelTimer | undefined;
+    private isRunning = false;
+
+    constructor(private readonly options: MembershipOptions) {
+        const { instance, dataCentre, host, port, clock, random } = options;
+        this.decision = new MembershipDecision({
+            instance,
+            role: ProcessRole.Router,
+            host,
+            port,
+            dataCentre,
+            epoch: Math.max(1, Math.round(clock.wallTime())),
+            state: MemberState.Alive,
+        }, random);
+    }
+
+    routers(): readonly MemberEntry[] {
+        return this.decision.routers();
+    }
+
+    agents(pool?: string): readonly MemberEntry[] {
+        const agents = this.decision.agents();
+        return pool === undefined ? agents : agents.filter((agent) => agent.pool === pool);
+    }
+
+    homeAgents(): readonly MemberEntry[] {
+        return this.decision.homeAgents();
+    }
+
+    members(): readonly Member[] {
+        return this.decision.members();
+    }
+
+    onChange(listener: () => void): () => void {
+        this.listeners.add(listener);
+        return () => this.listeners.delete(listener);
+    }
+
+    async handle(body: unknown): Promise<MembershipAnswer | undefined> {
+        if (!isMembershipCall(body)) {
+            return undefined;
+        }
+        this.dispatch({ kind: MembershipEventKind.Received, call: body });
+        switch (body.kind) {
+            case MembershipMessageKind.Ping:
+                return this.decision.acknowledge();
+            case MembershipMessageKind.PingRequest:
+                return this.pingFor(body.target);
+            default:
+                return assertNever(body);
+        }
+    }
+
+    leave(): void {
+        this.dispatch({ kind: MembershipEventKind.Leave });
+        const news = [this.decision.own];
+        for (const router of this.decision.routers()) {
+            void this.options.transport(router, { ...this.decision.pingTo(router), news }, directTimeout);
+        }
+    }
+
+    start(): void {
+        this.isRunning = true;
+        this.tick();
+    }
+
+    stop(): void {
+        this.isRunning = false;
+        this.cancelTick?.();
+    }
+
+    private tick(): void {
+        this.dispatch({ kind: MembershipEventKind.Tick });
+        this.cancelTick = this.options.clock.schedule(tickInterval, () => this.tick());
+    }
+
+    private dispatch(event: MembershipEvent): void {
+        if (!this.isRunning) {
+            return;
+        }
+        // Effects only start work whose outcome comes back as a later event, so no event arises while one is handled.
+        for (const effect of this.decision.receive(event, this.options.clock.now())) {
+            this.perform(effect);
+        }
+    }
+
+    private perform(effect: MembershipEffect): void {
+        switch (effect.kind) {
+            case MembershipEffectKind.Ping:
+                void this.ping(effect);
+                return;
+            case MembershipEffectKind.AskOthers:
+                void this.askOthers(effect);
+                return;
+            case MembershipEffectKind.ReadList:
+                void this.readList();
+                return;
+            case MembershipEffectKind.Changed:
+                for (const listener of this.listeners) {
+                    listener();
+                }
+                return;
+            default:
+                return assertNever(effect);
+        }
+    }
+
+    private async ping(
+        { target, ping }: Extract<MembershipEffect, { kind: MembershipEffectKind.Ping; }>,
+    ): Promise<void> {
+        this.dispatch(await this.outcomeOf(target, ping));
+    }
+
+    private async outcomeOf(target: MemberEntry, call: MembershipCall): Promise<MembershipEvent> {
+        const answer = await this.options.transport(target, call, directTimeout);
+        if (answer === undefined) {
+            return { kind: MembershipEventKind.Unanswered, target, isDirect: true };
+        }
+        if (answer.instance !== target.instance) {
+            return { kind: MembershipEventKind.Displaced, target };
+        }
+        const { body } = answer;
+        return isMembershipAnswer(body) && body.kind === MembershipMessageKind.Acknowledgement
+            ? { kind: MembershipEventKind.Acknowledged, answer: body, isDirect: true }
+            : { kind: MembershipEventKind.Unanswered, target, isDirect: true };
+    }
+
+    private async askOthers(
+        { target, helpers, request }: Extract<MembershipEffect, { kind: MembershipEffectKind.AskOthers; }>,
+    ): Promise<void> {
+        const answers = await Promise.all(
+            helpers.map((helper) => this.options.transport(helper, request, indirectTimeout)),
+        );
+        for (const answer of answers) {
+            const body = answer?.body;
+            if (isMembershipAnswer(body) && body.kind === MembershipMessageKind.Acknowledgement) {
+                this.dispatch({ kind: MembershipEventKind.Acknowledged, answer: body, isDirect: false });
+                return;
+            }
+        }
+        this.dispatch({ kind: MembershipEventKind.Unanswered, target, isDirect: false });
+    }
+
+    private async pingFor(target: MemberEntry): Promise<MembershipAnswer> {
+        const outcome = await this.outcomeOf(target, this.decision.pingTo(target));
+        return outcome.kind === MembershipEventKind.Acknowledged
+            ? outcome.answer
+            : { kind: MembershipMessageKind.NoAnswer };
+    }
+
+    private async readList(): Promise<void> {
+        const machines = await this.options.list.read();
+        machines.match(
+            (list) => this.dispatch({ kind: MembershipEventKind.ListRead, machines: list }),
+            (error) => this.options.logger.warn("the VM list gave no answer", { error }),
+        );
+    }
+}
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -6,6 +6,7 @@
 export * from "./configurationMessages.js";
 export * from "./constants.js";
 export * from "./frame.js";
+export * from "./membershipMessages.js";
 export * from "./messages.js";
 export * from "./messageShape.js";
 export * from "./node/connection.js";
