feat(router): admission and claims in the request's path

Cause: rates and at-most-once were modules without a caller. Change: a request reserves its tokens, is claimed where it carries an idempotency key, and settles both at the end.

--- a/packages/agent/src/node/agent.ts
+++ b/packages/agent/src/node/agent.ts
@@ -14,6 +14,7 @@
     MessageKind,
     type Open,
     ProcessRole,
+    Topic,
 } from "@redwingpin/protocol";
 import { randomUUID } from "node:crypto";
 import type { ResolvedAgentConfig } from "../config.js";
@@ -73,6 +74,7 @@
             onMessage: (connection, message) => this.onMessage(connection, message),
             onClosed: (connection) => this.onClosed(connection),
         });
+        this.innerNode.handle(Topic.Membership, () => Promise.resolve({ kind: "pong" }));
     }
 
     /** Starts to listen; resolves with the port of the inner protocol. */
--- a/packages/proofs/src/__tests__/siteFixture.ts
+++ b/packages/proofs/src/__tests__/siteFixture.ts
@@ -103,22 +103,22 @@
     const ports = await Promise.all(agents.map((agent) => agent.start()));
     const list = await startVirtualMachineListStandin({
         port: 0,
-        virtualMachines: ports.map((port, position) => ({
-            targets: [`${host}:${port}`],
-            labels: {
-                instance: `agent-${position}`,
-                role: "agent",
-                data_centre: "hobart",
-                pool: endpoints[position].pool,
-                leaving: "false",
-            },
-        })),
     });
     const store = createEtcdStore({ address: storeStandin.address, clock: systemClock });
     (await submitManifest(store, manifest, "site fixture"))._unsafeUnwrap();
     const virtualMachineList = createVirtualMachineList({ address: list.address, clock: systemClock });
     const router = createRouter(store, virtualMachineList);
-    const address = `http://${host}:${(await router.start()).listenPort}`;
+    const routerPorts = await router.start();
+    const address = `http://${host}:${routerPorts.listenPort}`;
+    await fetch(`${list.controlAddress}/control/virtualMachines`, {
+        method: "PUT",
+        body: JSON.stringify([
+            target("router-1", "router", routerPorts.innerPort),
+            ...ports.map((port, position) =>
+                target(`agent-${position}`, "agent", port, endpoints[position].pool)
+            ),
+        ]),
+    });
     await untilReady(address);
     return {
         address,
@@ -133,6 +133,11 @@
     };
 }
 
+function target(instance: string, role: string, port: number, pool = "") {
+    const labels = { instance, role, data_centre: "hobart", pool, leaving: "false" };
+    return { targets: [`${host}:${port}`], labels };
+}
+
 /** Waits until the router says that it is ready. */
 export async function untilReady(address: string): Promise<void> {
     while ((await fetch(`${address}/ready`)).status !== 200) {
--- a/packages/proofs/src/__tests__/wholePath.spec.ts
+++ b/packages/proofs/src/__tests__/wholePath.spec.ts
@@ -72,6 +72,22 @@
         expect(executions).to.have.length(1);
     });
 
+    it("replays the answer of a call with the same idempotency key", async () => {
+        const send = () =>
+            fetch(`${site.address}/services/stamps/batch/8`, {
+                method: "POST",
+                headers: { authorization: `Bearer ${workshopKey}`, "idempotency-key": "batch 8" },
+                body: "stamp 8",
+            });
+        const first = await send();
+        const second = await send();
+        expect([first.status, second.status]).to.deep.equal([200, 200]);
+        expect(second.headers.get("redwingpin-outcome")).to.equal("replayed");
+        expect(await second.text()).to.equal(await first.text());
+        const executions = await (await fetch(`${site.service.controlAddress}/control/executions`)).text();
+        expect(executions.split("stamp 8")).to.have.length(2);
+    });
+
     it("lists the models that the caller may use", async () => {
         const headers = { authorization: `Bearer ${workshopKey}` };
         const body = await (await fetch(`${site.address}/v1/models`, { headers })).json() as {
--- /dev/null
+++ b/packages/router/src/decision/spentTokens.ts
@@ -0,0 +1,53 @@
+/**
+ * Tokens that a request has spent in fact, for the settlement of its reservation.
+ *
+ * @module
+ */
+import type { PrefixChain } from "@redwingpin/placement";
+import type { RequestOutcome } from "./attemptLoop.js";
+import { CallOutcome } from "./refusal.js";
+
+/** The part of a request that its cost depends on. */
+export interface CostedRequest {
+    /** Tokens that were reserved: the most that the request can cost. */
+    readonly tokens: number;
+    readonly prefix: PrefixChain;
+    readonly completion: object | undefined;
+}
+
+/**
+ * Tokens spent: nothing where the request certainly did not run, the prompt and the delivered tokens for a stream,
+ * the engine's own count for a completion in one piece, and everything reserved where none of these is known.
+ */
+export function spentTokens(
+    request: CostedRequest,
+    outcome: RequestOutcome,
+    deliveredTokens: number,
+    body: Buffer | undefined,
+): number {
+    if (outcome.kind === "refused" && outcome.refusal.outcome === CallOutcome.NotRun) {
+        return 0;
+    }
+    if (request.completion === undefined || outcome.kind === "refused") {
+        return request.tokens;
+    }
+    if (deliveredTokens > 0) {
+        return Math.min(request.tokens, request.prefix.promptTokens + deliveredTokens);
+    }
+    const output = body && outputTokens(body);
+    return output === undefined
+        ? request.tokens
+        : Math.min(request.tokens, request.prefix.promptTokens + output);
+}
+
+function outputTokens(body: Buffer): number | undefined {
+    try {
+        const usage =
+            (JSON.parse(body.toString("utf8")) as { usage?: { completion_tokens?: unknown; }; }).usage;
+        const tokens = usage?.completion_tokens;
+        return Number.isSafeInteger(tokens) && (tokens as number) >= 0 ? tokens as number : undefined;
+    }
+    catch {
+        return undefined;
+    }
+}
--- a/packages/router/src/node/attemptRunner.ts
+++ b/packages/router/src/node/attemptRunner.ts
@@ -47,8 +47,8 @@
         private readonly onHead: (head: Head) => void,
     ) {}
 
-    /** Makes an attempt and resolves with how it ended. */
-    async run(machine: VirtualMachine, attempt: number): Promise<AttemptEnd> {
+    /** Makes an attempt and resolves with how it ended. `mayDispatch` is asked right before anything is sent. */
+    async run(machine: VirtualMachine, attempt: number, mayDispatch: () => boolean): Promise<AttemptEnd> {
         const connection = await this.context.innerNode.connect(machine);
         if (connection.isErr()) {
             const refusal = notRun(
@@ -64,6 +64,10 @@
             );
             return { kind: "notRun", retry: RetryReason.ConnectFailed, refusal };
         }
+        if (!mayDispatch()) {
+            const message = "the call could not be dispatched in the time that its claim allows";
+            return { kind: "final", refusal: notRun(RefusalReason.DeadlineExceeded, message) };
+        }
         return this.exchange(connection.value, attempt);
     }
 
--- a/packages/router/src/node/callerRequest.ts
+++ b/packages/router/src/node/callerRequest.ts
@@ -11,7 +11,7 @@
 
 /** A request that may be run. */
 export interface CallerRequest {
-    /** Request identifier; the trace identifier of its trace context. */
+    /** Differs for each request, also within one trace. */
     readonly identifier: string;
     readonly traceparent: string;
     readonly route: Route;
--- a/packages/router/src/node/callerServer.ts
+++ b/packages/router/src/node/callerServer.ts
@@ -16,6 +16,7 @@
 import { prefixBlocks } from "@redwingpin/placement";
 import type { HeaderField } from "@redwingpin/protocol";
 import { err, ok, type Result } from "neverthrow";
+import { randomUUID } from "node:crypto";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { authenticate, findKey, headersForEndpoint, refuseKeyInContent } from "../decision/credentials.js";
 import { notRun, type Refusal } from "../decision/refusal.js";
@@ -205,11 +206,10 @@
 }
 
 function commonFields(context: CallerServerContext, request: IncomingMessage, caller: Caller, body: Buffer) {
-    const trace = continueTrace(singleHeader(request, "traceparent"));
     const account = caller.account?.name ?? "";
     return {
-        identifier: trace.traceIdentifier,
-        traceparent: trace.traceparent,
+        identifier: randomUUID(),
+        traceparent: continueTrace(singleHeader(request, "traceparent")),
         account: caller.account,
         method: request.method ?? "GET",
         headers: headersForEndpoint(headerFields(request), caller.key),
--- a/packages/router/src/node/errorAnswer.ts
+++ b/packages/router/src/node/errorAnswer.ts
@@ -3,8 +3,9 @@
  *
  * @module
  */
+import type { CallAnswer } from "@redwingpin/claims";
 import type { ServerResponse } from "node:http";
-import { type Refusal, statusOf } from "../decision/refusal.js";
+import { CallOutcome, type Refusal, statusOf } from "../decision/refusal.js";
 
 const millisecondsPerSecond = 1_000;
 
@@ -44,3 +45,16 @@
     response.writeHead(status, { "content-type": "application/json" });
     response.end(JSON.stringify(value));
 }
+
+/** Answers with the answer of an earlier execution of the same call. */
+export function answerReplay(response: ServerResponse, answer: CallAnswer): void {
+    const headers = answer.headers.flatMap((header) => [header.name, header.value]);
+    response.writeHead(answer.status, [
+        ...headers,
+        outcomeHeader,
+        CallOutcome.Replayed,
+        "content-length",
+        String(answer.body.length),
+    ]);
+    response.end(answer.body);
+}
--- a/packages/router/src/node/machineWatch.ts
+++ b/packages/router/src/node/machineWatch.ts
@@ -29,6 +29,11 @@
         return this.machines;
     }
 
+    /** The VM of an instance; absent where the last reading does not show it. */
+    find(instance: string): VirtualMachine | undefined {
+        return this.machines.find((machine) => machine.instance === instance);
+    }
+
     /** Reads the list once and then at the interval. */
     async start(): Promise<void> {
         const reading = await this.options.list.read();
--- a/packages/router/src/node/requestPipeline.ts
+++ b/packages/router/src/node/requestPipeline.ts
@@ -1,11 +1,14 @@
 /**
- * Serves one checked request: attempts, the caller's answer and the counters.
+ * Serves one checked request: tokens, claim, attempts, the caller's answer, and the settlement of both.
  *
  * @module
  */
-import { type Clock, type Logger, type ReasonCounters, runDecision } from "@redwingpin/common";
+import type { AdmissionController, Reservation } from "@redwingpin/admission";
+import { CallOutcome as ClaimOutcome, type Claim, type Claims } from "@redwingpin/claims";
+import { type Clock, type Logger, type ReasonCounters, RefusalReason, runDecision } from "@redwingpin/common";
 import type { RetryBudget } from "@redwingpin/placement";
 import type { Head } from "@redwingpin/protocol";
+import { ok, type Result } from "neverthrow";
 import type { ServerResponse } from "node:http";
 import { maxAttempts } from "../constants.js";
 import {
@@ -14,10 +17,12 @@
     attemptLoop,
     type RequestOutcome,
 } from "../decision/attemptLoop.js";
+import { CallOutcome, notRun, type Refusal } from "../decision/refusal.js";
+import { spentTokens } from "../decision/spentTokens.js";
 import { AnswerRelay } from "./answerRelay.js";
 import { type AttemptContext, AttemptRunner } from "./attemptRunner.js";
 import type { CallerRequest } from "./callerRequest.js";
-import { answerRefusal } from "./errorAnswer.js";
+import { answerRefusal, answerReplay } from "./errorAnswer.js";
 import type { ChosenAgent, RequestPlacement } from "./requestPlacement.js";
 
 /** What the pipeline needs from its router. */
@@ -28,21 +33,95 @@
     readonly attempts: AttemptContext;
     readonly placement: RequestPlacement;
     readonly retryBudget: RetryBudget;
+    readonly admission: AdmissionController;
+    readonly claims: Claims;
 }
 
+/** A reservation for callers that no rate applies to: routes open to all, without a key. */
+const freeReservation: Reservation = { tokens: 0, settle: () => {} };
+
 /** Serves requests that passed their checks. */
 export class RequestPipeline {
     constructor(private readonly context: PipelineContext) {}
 
-    /** Makes attempts and answers the caller. */
+    /** Runs a request to its end and answers the caller. */
     async serve(request: CallerRequest, response: ServerResponse): Promise<void> {
+        const reservation = await this.admit(request);
+        if (reservation.isErr()) {
+            this.refuse(request, reservation.error, response);
+            return;
+        }
+        if (request.route.idempotent || request.idempotencyKey === undefined) {
+            await this.run(request, response, reservation.value, undefined);
+            return;
+        }
+        await this.runClaimed(request, request.idempotencyKey, response, reservation.value);
+    }
+
+    private async admit(request: CallerRequest): Promise<Result<Reservation, Refusal>> {
+        if (request.account === undefined) {
+            return ok(freeReservation);
+        }
+        const admitted = await this.context.admission.admit(request.account, request.tokens);
+        return admitted.mapErr((refusal) =>
+            notRun(refusal.reason, refusal.message, refusal.retryAfterMilliseconds)
+        );
+    }
+
+    private async runClaimed(
+        request: CallerRequest,
+        idempotencyKey: string,
+        response: ServerResponse,
+        reservation: Reservation,
+    ): Promise<void> {
+        const decision = await this.context.claims.begin({
+            account: request.account?.name,
+            route: request.route.name,
+            idempotencyKey,
+            method: request.method,
+            path: request.path,
+            body: request.body,
+        });
+        switch (decision.kind) {
+            case "run":
+                return this.run(request, response, reservation, decision.claim);
+            case "replay":
+                reservation.settle(0);
+                answerReplay(response, decision.answer);
+                return;
+            case "refuse": {
+                reservation.settle(0);
+                const outcome = toCallOutcome(decision.outcome);
+                this.refuse(
+                    request,
+                    { reason: decision.reason, outcome, message: claimRefusalMessage(decision.reason) },
+                    response,
+                );
+            }
+        }
+    }
+
+    private async run(
+        request: CallerRequest,
+        response: ServerResponse,
+        reservation: Reservation,
+        claim: Claim | undefined,
+    ): Promise<void> {
         const relay = new AnswerRelay(response, request.completion?.stream === true);
-        const outcome = await this.attempt(request, relay);
+        const outcome = await this.attempt(request, relay, claim);
+        reservation.settle(spentTokens(request, outcome, relay.deliveredTokens, relay.heldAnswer()?.body));
+        if (claim !== undefined) {
+            this.concludeClaim(claim, outcome, relay);
+        }
         this.conclude(request, outcome, relay, response);
     }
 
-    private attempt(request: CallerRequest, relay: AnswerRelay): Promise<RequestOutcome> {
-        const { placement, retryBudget } = this.context;
+    private attempt(
+        request: CallerRequest,
+        relay: AnswerRelay,
+        claim: Claim | undefined,
+    ): Promise<RequestOutcome> {
+        const { placement, retryBudget, claims } = this.context;
         let chosen: ChosenAgent | undefined;
         const onHead = (head: Head) => placement.observeHead(chosen!, head);
         const runner = new AttemptRunner(this.context.attempts, request, relay, onHead);
@@ -60,7 +139,8 @@
                     return { kind: "retry", allowed };
                 }
                 case "attempt": {
-                    const end = await runner.run(chosen!.machine, effect.attempt);
+                    const mayDispatch = () => claim === undefined || claims.mayDispatch(claim);
+                    const end = await runner.run(chosen!.machine, effect.attempt, mayDispatch);
                     placement.observeEnd(chosen!, end);
                     return { kind: "ended", end };
                 }
@@ -70,38 +150,74 @@
         return runDecision(attemptLoop(plan), perform);
     }
 
+    private concludeClaim(claim: Claim, outcome: RequestOutcome, relay: AnswerRelay): void {
+        const answer = outcome.kind === "answered" ? relay.heldAnswer() : undefined;
+        if (answer !== undefined) {
+            this.context.claims.finish(claim, answer);
+            return;
+        }
+        const certainlyNotRun = outcome.kind === "refused" && outcome.refusal.outcome === CallOutcome.NotRun;
+        this.context.claims.abandon(claim, certainlyNotRun);
+    }
+
     private conclude(
         request: CallerRequest,
         outcome: RequestOutcome,
         relay: AnswerRelay,
         response: ServerResponse,
     ): void {
-        const fields = {
-            request: request.identifier,
-            route: request.route.name,
-            account: request.account?.name,
-        };
         switch (outcome.kind) {
             case "answered":
-                this.context.logger.debug("answered", fields);
+                this.context.logger.debug("answered", logFields(request));
                 return;
             case "abandoned":
-                this.context.logger.debug("the caller has gone", fields);
+                this.context.logger.debug("the caller has gone", logFields(request));
                 return;
             case "refused":
-                this.context.counters.refused(outcome.refusal.reason);
-                this.context.logger.info("refused", {
-                    ...fields,
-                    reason: outcome.refusal.reason,
-                    outcome: outcome.refusal.outcome,
-                });
-                answerRefusal(response, outcome.refusal);
+                this.refuse(request, outcome.refusal, response);
                 return;
             case "cut":
                 this.context.counters.refused(outcome.refusal.reason);
-                this.context.logger.warn("cut", { ...fields, reason: outcome.refusal.reason });
+                this.context.logger.warn("cut", { ...logFields(request), reason: outcome.refusal.reason });
                 relay.cut(outcome.refusal);
                 return;
         }
     }
+
+    private refuse(request: CallerRequest, refusal: Refusal, response: ServerResponse): void {
+        this.context.counters.refused(refusal.reason);
+        this.context.logger.info("refused", {
+            ...logFields(request),
+            reason: refusal.reason,
+            outcome: refusal.outcome,
+            detail: refusal.message,
+        });
+        answerRefusal(response, refusal);
+    }
+}
+
+function toCallOutcome(outcome: ClaimOutcome): Refusal["outcome"] {
+    return outcome === ClaimOutcome.NotRun ? CallOutcome.NotRun : CallOutcome.Unknown;
+}
+
+function claimRefusalMessage(reason: RefusalReason): string {
+    switch (reason) {
+        case RefusalReason.ClaimStoreUnavailable:
+            return "the store did not record the call in time; send it again with the same idempotency key";
+        case RefusalReason.IdempotencyKeyReused:
+            return "the idempotency key was used before with another method, path or body";
+        case RefusalReason.CallInProgress:
+            return "a call with this idempotency key is running";
+        default:
+            return "a call with this idempotency key was begun before; what became of it is not known";
+    }
+}
+
+function logFields(request: CallerRequest) {
+    return {
+        request: request.identifier,
+        traceparent: request.traceparent,
+        route: request.route.name,
+        account: request.account?.name,
+    };
 }
--- a/packages/router/src/node/router.ts
+++ b/packages/router/src/node/router.ts
@@ -3,6 +3,8 @@
  *
  * @module
  */
+import { type AdmissionController, createAdmission } from "@redwingpin/admission";
+import { type Claims, createClaims } from "@redwingpin/claims";
 import {
     type Clock,
     createReasonCounters,
@@ -12,7 +14,12 @@
     sleep,
 } from "@redwingpin/common";
 import { defaultBlockTokens, Placement, RetryBudget } from "@redwingpin/placement";
-import type { KeyValueStore, VirtualMachine, VirtualMachineList } from "@redwingpin/platform";
+import {
+    type KeyValueStore,
+    type VirtualMachine,
+    type VirtualMachineList,
+    VirtualMachineRole,
+} from "@redwingpin/platform";
 import {
     type Connection,
     type EndpointStatus,
@@ -29,8 +36,10 @@
 import { ExchangeTable } from "./agentExchange.js";
 import { createCallerServer } from "./callerServer.js";
 import { MachineWatch } from "./machineWatch.js";
+import { createRatePeers } from "./ratePeers.js";
 import { RequestPipeline } from "./requestPipeline.js";
 import { RequestPlacement } from "./requestPlacement.js";
+import { handlePings, handleRates } from "./routerTopics.js";
 import { SilenceProbe } from "./silenceProbe.js";
 import { StoreConfiguration } from "./storeConfiguration.js";
 
@@ -58,6 +67,8 @@
     private readonly silenceProbe: SilenceProbe;
     private readonly placement: RequestPlacement;
     private readonly machineWatch: MachineWatch;
+    private readonly admission: AdmissionController;
+    private readonly claims: Claims;
     private readonly pipeline: RequestPipeline;
     private readonly callerServer: Server;
     private readonly configuration: StoreConfiguration;
@@ -69,6 +80,7 @@
         this.counters = createReasonCounters(registry);
         this.configuration = new StoreConfiguration(options.store, clock, logger.scope("configuration"));
         this.innerNode = this.createInnerNode();
+        handlePings(this.innerNode);
         this.silenceProbe = new SilenceProbe(clock, () => this.exchanges.busyConnections());
         const { dataCentre } = config;
         this.placement = new RequestPlacement(
@@ -80,6 +92,8 @@
             logger: logger.scope("vmList"),
             onMachines: (machines) => this.onMachines(machines),
         });
+        this.admission = this.createAdmission();
+        this.claims = this.createClaims();
         this.pipeline = this.createPipeline();
         this.callerServer = this.createCallerServer();
     }
@@ -103,12 +117,14 @@
             this.callerServer.close(() => resolve());
             this.callerServer.closeIdleConnections();
         });
+        await Promise.all([this.claims.stop(), this.admission.leave()]);
         this.stop();
     }
 
     /** Closes everything at once. */
     stop(): void {
         this.configuration.stop();
+        this.admission.stop();
         this.machineWatch.stop();
         this.silenceProbe.stop();
         this.innerNode.stop();
@@ -140,6 +156,8 @@
             counters: this.counters,
             placement: this.placement,
             retryBudget: new RetryBudget(),
+            admission: this.admission,
+            claims: this.claims,
             attempts: {
                 clock,
                 innerNode: this.innerNode,
@@ -150,6 +168,32 @@
         });
     }
 
+    private createAdmission(): AdmissionController {
+        const { clock, config, logger, store } = this.options;
+        const admission = createAdmission({
+            clock,
+            instance: config.instance,
+            incarnation: this.incarnation,
+            store,
+            peers: createRatePeers(this.innerNode, (instance) => this.machineWatch.find(instance)),
+            accounts: () => this.configuration.manifest?.manifest.accounts ?? [],
+            logger: logger.scope("admission"),
+        });
+        handleRates(this.innerNode, admission);
+        return admission;
+    }
+
+    private createClaims(): Claims {
+        const { clock, config, logger, store } = this.options;
+        return createClaims({
+            clock,
+            instance: config.instance,
+            incarnation: this.incarnation,
+            store,
+            logger: logger.scope("claims"),
+        });
+    }
+
     private createCallerServer(): Server {
         const { config, clock, registry } = this.options;
         return createCallerServer({
@@ -181,6 +225,8 @@
 
     private onMachines(machines: readonly VirtualMachine[]): void {
         this.placement.retain(machines);
+        const routers = machines.filter((machine) => machine.role === VirtualMachineRole.Router);
+        this.admission.membersChanged(routers);
     }
 
     private observeStatus(status: EndpointStatus): void {
--- /dev/null
+++ b/packages/router/src/node/routerTopics.ts
@@ -0,0 +1,22 @@
+/**
+ * Sets the handlers of the topics that a router answers.
+ *
+ * @module
+ */
+import type { AdmissionController } from "@redwingpin/admission";
+import { type InnerNode, isRateMessage, Topic } from "@redwingpin/protocol";
+
+/** Answers a ping, so that a peer learns that this process lives. */
+export function handlePings(innerNode: InnerNode): void {
+    innerNode.handle(Topic.Membership, () => Promise.resolve({ kind: "pong" }));
+}
+
+/** Hands rate messages to admission; a malformed one is answered with an error. */
+export function handleRates(innerNode: InnerNode, admission: AdmissionController): void {
+    innerNode.handle(Topic.Rates, async (body, from) => {
+        if (!isRateMessage(body)) {
+            return { error: "the body is no rate message" };
+        }
+        return admission.handle(body, from.instance);
+    });
+}
