--- a/packages/admission/src/decision/holderChoice.ts
+++ b/packages/admission/src/decision/holderChoice.ts
@@ -12,7 +12,7 @@
     silencePauseMilliseconds,
 } from "../constants.js";
 import { holdersOf, type Roster } from "./roster.js";
-import { slotCount } from "./tokenShare.js";
+import { defaultDivision, slotCount, type SlotDivision } from "./tokenShare.js";
 
 interface Silence {
     readonly until: Milliseconds;
@@ -25,14 +25,17 @@
     /** For each account, the time until which each holder is short of its tokens. */
     private readonly shortUntil = new Map<string, Map<string, Milliseconds>>();
 
-    constructor(private readonly instance: string) {}
+    constructor(
+        private readonly instance: string,
+        private readonly division: SlotDivision = defaultDivision,
+    ) {}
 
     /** Other holders of the account that are worth asking, in the order of asking. */
     candidates(roster: Roster | undefined, account: ClientAccount, now: Milliseconds): string[] {
         if (roster === undefined) {
             return [];
         }
-        const holders = holdersOf(roster, account.name, slotCount(account))
+        const holders = holdersOf(roster, account.name, slotCount(account, this.division))
             .map((holder) => holder.instance)
             .filter((holder) => holder !== this.instance && this.worthAsking(holder, account.name, now));
         return rendezvousOrder(`${this.instance}/${account.name}`, holders, (holder) => holder);
--- a/packages/admission/src/decision/tokenShare.ts
+++ b/packages/admission/src/decision/tokenShare.ts
@@ -8,7 +8,26 @@
  * @module
  */
 import type { ClientAccount } from "@redwingpin/manifest";
-import { baseSlots, maximumSlots, slotBurstTokens, slotTokensPerSecond } from "../constants.js";
+
+/** Into how many slots accounts are divided. The same in the whole fleet, and never changed while it runs. */
+export interface SlotDivision {
+    /** Slots of every account. */
+    readonly baseSlots: number;
+    /** Most slots of an account. */
+    readonly maximumSlots: number;
+    /** Tokens a second of one slot above which an account's rate is divided over more than `baseSlots`. */
+    readonly slotTokensPerSecond: number;
+    /** Burst tokens of one slot above which an account's burst is divided over more than `baseSlots`. */
+    readonly slotBurstTokens: number;
+}
+
+/** Three slots, and up to 32 for accounts that are too large for three holders to answer for. */
+export const defaultDivision: SlotDivision = {
+    baseSlots: 3,
+    maximumSlots: 32,
+    slotTokensPerSecond: 120_000,
+    slotBurstTokens: 120_000,
+};
 
 /** Rate and burst of one slot. */
 export interface SlotLimits {
@@ -21,7 +40,8 @@
 export const noLimits: SlotLimits = { tokensPerSecond: 0, burstTokens: 0 };
 
 /** Part of `total` that slot `index` has, in whole tokens, where a slot takes `quantum` before others are added. */
-export function partOf(total: number, index: number, quantum: number): number {
+export function partOf(total: number, index: number, quantum: number, division: SlotDivision): number {
+    const { baseSlots, maximumSlots } = division;
     if (total <= baseSlots * quantum) {
         return equalPart(total, index, baseSlots);
     }
@@ -36,18 +56,17 @@
 }
 
 /** Limits of slot `index` of an account. */
-export function slotLimits(account: ClientAccount, index: number): SlotLimits {
+export function slotLimits(account: ClientAccount, index: number, division: SlotDivision): SlotLimits {
+    const rate = Math.floor(account.tokensPerSecond);
+    const burst = Math.floor(account.burstTokens);
     return {
-        tokensPerSecond: partOf(Math.floor(account.tokensPerSecond), index, slotTokensPerSecond),
-        burstTokens: partOf(Math.floor(account.burstTokens), index, slotBurstTokens),
+        tokensPerSecond: partOf(rate, index, division.slotTokensPerSecond, division),
+        burstTokens: partOf(burst, index, division.slotBurstTokens, division),
     };
 }
 
 /** Number of slots with a part in the account's burst. */
-export function slotCount(account: ClientAccount): number {
-    return slotsFor(Math.floor(account.burstTokens), slotBurstTokens);
-}
-
-function slotsFor(total: number, quantum: number): number {
-    return Math.max(baseSlots, Math.min(maximumSlots, Math.ceil(total / quantum)));
+export function slotCount(account: ClientAccount, division: SlotDivision): number {
+    const wanted = Math.ceil(Math.floor(account.burstTokens) / division.slotBurstTokens);
+    return Math.max(division.baseSlots, Math.min(division.maximumSlots, wanted));
 }
--- a/packages/admission/src/node/admissionOptions.ts
+++ b/packages/admission/src/node/admissionOptions.ts
@@ -9,6 +9,7 @@
 import type { RateMessage } from "@redwingpin/protocol";
 import type { Result, ResultAsync } from "neverthrow";
 import type { RouterMember } from "../decision/roster.js";
+import type { SlotDivision } from "../decision/tokenShare.js";
 
 /** Sends messages on the rates topic to other processes. */
 export interface RatePeers {
@@ -38,6 +39,11 @@
      * @default maximumWaitMilliseconds
      */
     readonly maximumWait?: Milliseconds;
+    /**
+     * Into how many slots accounts are divided.
+     * @default defaultDivision
+     */
+    readonly division?: SlotDivision;
 }
 
 /** Tokens debited for one request. */
--- a/packages/admission/src/node/rosterKeeper.ts
+++ b/packages/admission/src/node/rosterKeeper.ts
@@ -1,6 +1,7 @@
 /**
- * The task that keeps the roster: reads it at the start from the store and from other processes at once, follows
- * its changes, and passes on the positions of gone routers.
+ * The task that keeps the roster: reads it at the start from the store and from other processes at once, and passes
+ * on the positions of gone routers. Changes spread by contact: every ask and every grant carries the epoch of its
+ * sender, and who is behind fetches the roster from who is ahead. Whoever gains positions is told at once.
  *
  * @module
  */
@@ -53,9 +54,8 @@
         this.startedAt = options.clock.now();
     }
 
-    /** Starts to read and to follow the roster. */
+    /** Starts to read the roster. */
     start(): void {
-        this.cancels.add(this.options.store.watch(rosterKey, (change) => this.adoptEntry(change.entry)));
         void this.readUntilKnown();
     }
 
@@ -176,10 +176,25 @@
             return false;
         }
         this.options.logger.info("roster written", { epoch: proposal.epoch });
+        this.tellGainers(this.roster ?? emptyRoster, proposal);
         this.adopt(proposal);
         return true;
     }
 
+    private tellGainers(before: Roster, after: Roster): void {
+        const gained = after.holders.filter((holder, position) => holder !== before.holders[position]);
+        const gainers = new Set(gained.filter((holder) => holder !== undefined));
+        gainers.delete(this.options.instance);
+        const message: RateRoster = {
+            kind: RateMessageKind.Roster,
+            epoch: after.epoch,
+            text: encodeRoster(after),
+        };
+        for (const gainer of gainers) {
+            void this.options.peers.send(gainer, message);
+        }
+    }
+
     private repaired(roster: Roster): Roster | undefined {
         const age = this.options.clock.now() - this.startedAt;
         return repairRoster(roster, {
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -3,5 +3,9 @@
  *
  * @module
  */
+export * from "./constants.js";
+export * from "./etcdStore.js";
+export * from "./memoryStore.js";
+export * from "./prometheusVirtualMachineList.js";
 export * from "./store.js";
 export * from "./virtualMachineList.js";
