--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -1,6 +1,8 @@
 /**
- * Public items of this package.
+ * redwingpin-router: serves callers.
  *
  * @module
  */
-export {};
+export * from "./config.js";
+export * from "./constants.js";
+export * from "./node/router.js";
--- a/packages/router/src/node/router.ts
+++ b/packages/router/src/node/router.ts
@@ -32,6 +32,7 @@
 import { RequestPipeline } from "./requestPipeline.js";
 import { RequestPlacement } from "./requestPlacement.js";
 import { SilenceProbe } from "./silenceProbe.js";
+import { StoreConfiguration } from "./storeConfiguration.js";
 
 /** What a router is made from. */
 export interface RouterOptions {
@@ -59,12 +60,14 @@
     private readonly machineWatch: MachineWatch;
     private readonly pipeline: RequestPipeline;
     private readonly callerServer: Server;
+    private readonly configuration: StoreConfiguration;
     private readonly incarnation = randomUUID();
     private stopping = false;
 
     constructor(private readonly options: RouterOptions) {
         const { config, clock, logger, registry } = options;
         this.counters = createReasonCounters(registry);
+        this.configuration = new StoreConfiguration(options.store, clock, logger.scope("configuration"));
         this.innerNode = this.createInnerNode();
         this.silenceProbe = new SilenceProbe(clock, () => this.exchanges.busyConnections());
         const { dataCentre } = config;
@@ -86,7 +89,8 @@
         const { config } = this.options;
         const innerPort = await this.innerNode.listen(config.listenHost, config.innerPort);
         this.silenceProbe.start();
-        await this.machineWatch.start();
+        void this.configuration.start();
+        void this.machineWatch.start();
         const listenPort = await listenOn(this.callerServer, config.listenHost, config.listenPort);
         return { listenPort, innerPort };
     }
@@ -104,6 +108,7 @@
 
     /** Closes everything at once. */
     stop(): void {
+        this.configuration.stop();
         this.machineWatch.stop();
         this.silenceProbe.stop();
         this.innerNode.stop();
@@ -154,7 +159,7 @@
             requestTimeout: config.requestTimeoutMilliseconds,
             maxConnections: config.maxConnections,
             ready: () => this.isReady(),
-            manifest: () => undefined,
+            manifest: () => this.configuration.manifest,
             serve: (request, response) => this.pipeline.serve(request, response),
             status: () => this.status(),
         });
@@ -183,11 +188,11 @@
     }
 
     private revision(): number {
-        return 0;
+        return this.configuration.revision;
     }
 
     private isReady(): boolean {
-        return !this.stopping;
+        return !this.stopping && this.configuration.manifest !== undefined;
     }
 
     private status() {
