--- a/packages/admission/src/node/admissionController.ts
+++ b/packages/admission/src/node/admissionController.ts
@@ -54,8 +54,8 @@
     private stopped = false;
 
     constructor(private readonly options: AdmissionOptions) {
-        this.holder = new SlotHolder(options.instance);
-        this.choice = new HolderChoice(options.instance);
+        this.holder = new SlotHolder(options.instance, options.division);
+        this.choice = new HolderChoice(options.instance, options.division);
         this.keeper = new RosterKeeper({
             ...options,
             sources: options.rosterSources ?? (() => []),
