feat(standins): engine health lists model and version, as the agent reads it

The agent takes the weights of an endpoint as model, version and adapter; the stand-in gave a bare name. Weights are now named MODEL/VERSION in the stand-in, and its health lists them with the adapters.

--- a/packages/standins/src/node/engineOptions.ts
+++ b/packages/standins/src/node/engineOptions.ts
@@ -8,8 +8,8 @@
 /** Options of the engine stand-in. */
 export interface EngineStandinOptions extends StandinOptions {
     /**
-     * Name of the weights that are loaded at the start.
-     * @default "weights-1"
+     * Name of the weights that are loaded at the start, `MODEL/VERSION`.
+     * @default "model/1"
      */
     readonly weights?: string;
     /**
@@ -57,6 +57,11 @@
      * @default 0
      */
     readonly loseEventEvery?: number;
+    /**
+     * Adapters that are loaded at the start.
+     * @default []
+     */
+    readonly adapters?: readonly string[];
     /**
      * A prompt that contains this text crashes the engine.
      * @default no prompt does
@@ -101,7 +106,8 @@
     return {
         port: 0,
         controlPort: 0,
-        weights: "weights-1",
+        weights: "model/1",
+        adapters: [],
         blockTokens: 2_048,
         cacheBlocks: 64,
         prefillTokensPerSecond: 200_000,
--- a/packages/standins/src/node/engineOrders.ts
+++ b/packages/standins/src/node/engineOrders.ts
@@ -34,6 +34,8 @@
 export interface EngineOrdersOptions {
     /** Weights that are loaded at the start. */
     readonly weights: string;
+    /** Adapters that are loaded at the start. */
+    readonly adapters: readonly string[];
     /** True refuses an order whose fence is lower than the newest seen. */
     readonly checksFencing: boolean;
     /** Senders whose orders are taken; undefined takes every sender's. */
@@ -58,7 +60,7 @@
 export class EngineOrders {
     /** Weights that requests run on; undefined while others load. */
     weights: string | undefined;
-    readonly adapters = new Set<string>();
+    readonly adapters: Set<string>;
     role = "any";
     readonly records: OrderRecord[] = [];
     private newestFence = 0;
@@ -69,6 +71,7 @@
         private readonly onUnload: () => void,
     ) {
         this.weights = options.weights;
+        this.adapters = new Set(options.adapters);
     }
 
     /** Checks and carries out one order; answers once it is done. */
--- a/packages/standins/src/node/engineStandin.ts
+++ b/packages/standins/src/node/engineStandin.ts
@@ -3,7 +3,7 @@
  *
  * Interface: `POST /v1/completions`, `POST /v1/chat/completions` (JSON or server-sent events, one token an event),
  * `GET /v1/models`, `GET /health`, `GET /load` (late), `GET /cache/events` (server-sent events, late, with gaps) and
- * `POST /orders`. A request with `"resume": {"after_tokens": N}` continues the same answer at token N.
+ * `POST /orders`. `GET /health` gives the incarnation and the weights as `{"model", "version", "adapter"?}`. A request with `"resume": {"after_tokens": N}` continues the same answer at token N.
  *
  * Controls: `POST /control/delay {"firstToken", "betweenTokens"}` in milliseconds, `GET /control/seen`,
  * `GET /control/work`, `GET /control/orders` and `POST /control/crash`.
@@ -174,7 +174,12 @@
     private health(): object {
         const { weights, adapters, role } = this.orders;
         const status = weights === undefined ? "loading" : "ok";
-        return { status, incarnation: this.incarnation, weights, adapters: [...adapters], role };
+        return {
+            status,
+            incarnation: this.incarnation,
+            weights: weightsReferences(weights, [...adapters]),
+            role,
+        };
     }
 
     private currentLoad(): object {
@@ -212,6 +217,16 @@
     }
 }
 
+/** What can be served, by the convention that weights are named `MODEL/VERSION`. */
+function weightsReferences(weights: string | undefined, adapters: readonly string[]): object[] {
+    if (weights === undefined) {
+        return [];
+    }
+    const slash = weights.lastIndexOf("/");
+    const reference = { model: weights.slice(0, Math.max(0, slash)), version: weights.slice(slash + 1) };
+    return [reference, ...adapters.map((adapter) => ({ ...reference, adapter }))];
+}
+
 function sendError(response: ServerResponse, status: number, message: string): void {
     sendJson(response, status, { error: { message, type: "invalid_request_error", code: status } });
 }
