--- a/packages/router/src/config.ts
+++ b/packages/router/src/config.ts
@@ -41,11 +41,7 @@
 /** The settings of a router. */
 export const routerSettings: SettingTable<ResolvedRouterConfig> = {
     instance: { variable: "REDWINGPIN_INSTANCE", description: "Name of this instance", parse: parseText },
-    dataCentre: {
-        variable: "REDWINGPIN_DATA_CENTRE",
-        description: "Data centre of this VM",
-        parse: parseText,
-    },
+    dataCentre: { variable: "REDWINGPIN_DATA_CENTRE", description: "Data centre of this VM", parse: parseText },
     listenHost: {
         variable: "REDWINGPIN_LISTEN_HOST",
         description: "Address to listen on",
@@ -74,8 +70,7 @@
     },
     fleetKeys: {
         variable: "REDWINGPIN_FLEET_KEY",
-        description:
-            "Key that all processes of the fleet share; two, separated by a comma, while it is changed",
+        description: "Key that all processes of the fleet share; two, separated by a comma, while it is changed",
         secret: true,
         parse: parseFleetKeys,
     },
--- a/packages/router/src/decision/attemptLoop.ts
+++ b/packages/router/src/decision/attemptLoop.ts
@@ -15,12 +15,7 @@
     /** The request certainly did not run; another endpoint may run it. */
     | { readonly kind: "notRun"; readonly retry: RetryReason; readonly refusal: Refusal; }
     /** The request may have run and the answer is not complete. */
-    | {
-        readonly kind: "broken";
-        readonly retry: RetryReason;
-        readonly refusal: Refusal;
-        readonly progress: AnswerProgress;
-    }
+    | { readonly kind: "broken"; readonly retry: RetryReason; readonly refusal: Refusal; readonly progress: AnswerProgress; }
     /** No other endpoint may be asked. */
     | { readonly kind: "final"; readonly refusal: Refusal; };
 
@@ -79,10 +74,7 @@
     const history: RequestHistory = {
         mayHaveRun: false,
         progress: AnswerProgress.Nothing,
-        refusal: notRun(
-            RefusalReason.NoEndpoint,
-            `pool "${plan.pool}" has no endpoint that can take the request now`,
-        ),
+        refusal: notRun(RefusalReason.NoEndpoint, `pool "${plan.pool}" has no endpoint that can take the request now`),
     };
     for (let attempt = 1; attempt <= plan.maxAttempts; attempt++) {
         const instance = expectChosen(yield { kind: "choose", excluded: [...excluded] });
@@ -132,9 +124,7 @@
 
 function refuse(plan: AttemptPlan, history: RequestHistory): RequestOutcome {
     const refusal = history.mayHaveRun ? withUnknownOutcome(plan, history.refusal) : history.refusal;
-    return history.progress === AnswerProgress.Nothing
-        ? { kind: "refused", refusal }
-        : { kind: "cut", refusal };
+    return history.progress === AnswerProgress.Nothing ? { kind: "refused", refusal } : { kind: "cut", refusal };
 }
 
 function withUnknownOutcome(plan: AttemptPlan, refusal: Refusal): Refusal {
--- a/packages/router/src/decision/credentials.ts
+++ b/packages/router/src/decision/credentials.ts
@@ -40,10 +40,7 @@
 }
 
 /** The account that holds a key, or `undefined` where no key was sent. */
-export function authenticate(
-    index: ManifestIndex,
-    key: string | undefined,
-): Result<ClientAccount | undefined, Refusal> {
+export function authenticate(index: ManifestIndex, key: string | undefined): Result<ClientAccount | undefined, Refusal> {
     if (key === undefined) {
         return ok(undefined);
     }
@@ -61,29 +58,15 @@
 }
 
 /** Refuses a request whose path or body holds the caller's key, since both go to the endpoint. */
-export function refuseKeyInContent(
-    key: string | undefined,
-    path: string,
-    body: Buffer,
-): Result<void, Refusal> {
+export function refuseKeyInContent(key: string | undefined, path: string, body: Buffer): Result<void, Refusal> {
     if (key === undefined) {
         return ok(undefined);
     }
     if (path.includes(key) || path.includes(encodeURIComponent(key))) {
-        return err(
-            notRun(
-                RefusalReason.MalformedRequest,
-                "the path or query holds the caller's key; send it only as a bearer token",
-            ),
-        );
+        return err(notRun(RefusalReason.MalformedRequest, "the path or query holds the caller's key; send it only as a bearer token"));
     }
     if (body.includes(key)) {
-        return err(
-            notRun(
-                RefusalReason.MalformedRequest,
-                "the body holds the caller's key; send it only as a bearer token",
-            ),
-        );
+        return err(notRun(RefusalReason.MalformedRequest, "the body holds the caller's key; send it only as a bearer token"));
     }
     return ok(undefined);
 }
--- a/packages/router/src/decision/eventStream.ts
+++ b/packages/router/src/decision/eventStream.ts
@@ -21,8 +21,7 @@
 
     /** Takes in bytes and returns the events that they complete. */
     read(data: Uint8Array): StreamEvent[] {
-        const pieces = (this.rest + this.decoder.decode(data, { stream: true })).replaceAll("\r\n", "\n")
-            .split("\n\n");
+        const pieces = (this.rest + this.decoder.decode(data, { stream: true })).replaceAll("\r\n", "\n").split("\n\n");
         this.rest = pieces.pop()!;
         return pieces
             .filter((piece) => piece.length > 0)
@@ -52,10 +51,7 @@
 }
 
 interface CompletionEvent {
-    readonly choices?: readonly {
-        readonly text?: string;
-        readonly delta?: { readonly content?: string; };
-    }[];
+    readonly choices?: readonly { readonly text?: string; readonly delta?: { readonly content?: string; }; }[];
 }
 
 /** The event that tells a caller that its stream broke off; no end event follows it. */
--- a/packages/router/src/decision/routedRequest.ts
+++ b/packages/router/src/decision/routedRequest.ts
@@ -35,20 +35,18 @@
         return malformed("the body is not a JSON object");
     }
     if (typeof fields.model !== "string") {
-        return malformed('field "model" must name a route');
+        return malformed("field \"model\" must name a route");
     }
     if (fields.stream !== undefined && typeof fields.stream !== "boolean") {
-        return malformed('field "stream" must be true or false');
+        return malformed("field \"stream\" must be true or false");
     }
     const promptText = readPromptText(fields);
     if (promptText === undefined) {
-        return malformed(
-            'field "prompt" must be a text, or field "messages" a list of messages with a role and content',
-        );
+        return malformed("field \"prompt\" must be a text, or field \"messages\" a list of messages with a role and content");
     }
     const maxOutputTokens = fields.max_completion_tokens ?? fields.max_tokens ?? defaultMaxOutputTokens;
     if (!Number.isSafeInteger(maxOutputTokens) || (maxOutputTokens as number) < 1) {
-        return malformed('field "max_tokens" must be a whole number of at least 1');
+        return malformed("field \"max_tokens\" must be a whole number of at least 1");
     }
     return ok({
         model: fields.model,
@@ -106,18 +104,11 @@
         return ok(undefined);
     }
     if (account === undefined) {
-        return err(
-            notRun(RefusalReason.MissingKey, `route "${route.name}" needs a key, sent as a bearer token`),
-        );
+        return err(notRun(RefusalReason.MissingKey, `route "${route.name}" needs a key, sent as a bearer token`));
     }
     return route.access.accounts.includes(account.name)
         ? ok(undefined)
-        : err(
-            notRun(
-                RefusalReason.RouteForbidden,
-                `account "${account.name}" may not use route "${route.name}"`,
-            ),
-        );
+        : err(notRun(RefusalReason.RouteForbidden, `account "${account.name}" may not use route "${route.name}"`));
 }
 
 /** Names of the routes to models that a caller may use. */
--- a/packages/router/src/node/agentExchange.ts
+++ b/packages/router/src/node/agentExchange.ts
@@ -90,10 +90,7 @@
         const onConnection = this.exchanges.get(connection);
         this.exchanges.delete(connection);
         for (const [exchange, state] of onConnection ?? []) {
-            this.deliver(connection, exchange, state, {
-                kind: "lost",
-                message: "the connection to the agent closed",
-            });
+            this.deliver(connection, exchange, state, { kind: "lost", message: "the connection to the agent closed" });
         }
     }
 
@@ -107,12 +104,7 @@
         return [...this.exchanges.values()].reduce((sum, exchanges) => sum + exchanges.size, 0);
     }
 
-    private deliver(
-        connection: Connection,
-        exchange: number,
-        state: ExchangeState,
-        event: ExchangeEvent | undefined,
-    ): void {
+    private deliver(connection: Connection, exchange: number, state: ExchangeState, event: ExchangeEvent | undefined): void {
         if (event === undefined) {
             return;
         }
@@ -153,18 +145,9 @@
 /** Bytes after which the router allows the agent as many more. */
 export const creditStepBytes = answerWindowBytes / 4;
 
-async function sendBody(
-    connection: Connection,
-    exchange: number,
-    body: Buffer,
-    state: ExchangeState,
-): Promise<void> {
+async function sendBody(connection: Connection, exchange: number, body: Buffer, state: ExchangeState): Promise<void> {
     for (let start = 0; start < body.length && !state.done; start += bodyPartBytes) {
-        connection.send({
-            kind: MessageKind.Body,
-            exchange,
-            data: body.subarray(start, start + bodyPartBytes),
-        });
+        connection.send({ kind: MessageKind.Body, exchange, data: body.subarray(start, start + bodyPartBytes) });
         await connection.whenWritable();
     }
 }
@@ -175,10 +158,7 @@
             return { kind: "head", head: message };
         case MessageKind.Chunk:
             if (message.sequence !== state.nextSequence) {
-                return {
-                    kind: "lost",
-                    message: `chunk ${message.sequence} came in place of chunk ${state.nextSequence}`,
-                };
+                return { kind: "lost", message: `chunk ${message.sequence} came in place of chunk ${state.nextSequence}` };
             }
             state.nextSequence++;
             return { kind: "data", data: message.data };
@@ -187,10 +167,7 @@
         case MessageKind.End:
             return message.chunks === state.nextSequence
                 ? { kind: "ended", end: message }
-                : {
-                    kind: "lost",
-                    message: `the answer ended after ${state.nextSequence} of ${message.chunks} chunks`,
-                };
+                : { kind: "lost", message: `the answer ended after ${state.nextSequence} of ${message.chunks} chunks` };
         case MessageKind.Failed:
             return { kind: "failed", failed: message };
         default:
--- a/packages/router/src/node/answerRelay.ts
+++ b/packages/router/src/node/answerRelay.ts
@@ -70,9 +70,7 @@
         }
         this.status = status;
         this.headers = headers;
-        const streams = headers.some((header) =>
-            header.name === "content-type" && header.value.startsWith("text/event-stream")
-        );
+        const streams = headers.some((header) => header.name === "content-type" && header.value.startsWith("text/event-stream"));
         this.mode = this.isCompletionStream && streams && status === 200 ? Mode.Events : Mode.Held;
     }
 
@@ -163,11 +161,7 @@
     private sendHeld(): void {
         const body = Buffer.concat(this.held);
         this.committed = true;
-        this.response.writeHead(this.status, [
-            ...flatHeaders(this.headers),
-            "content-length",
-            String(body.length),
-        ]);
+        this.response.writeHead(this.status, [...flatHeaders(this.headers), "content-length", String(body.length)]);
         this.response.end(body);
     }
 }
--- a/packages/router/src/node/attemptRunner.ts
+++ b/packages/router/src/node/attemptRunner.ts
@@ -5,7 +5,6 @@
  */
 import { type Clock, RefusalReason, RetryReason } from "@redwingpin/common";
 import { RouteKind } from "@redwingpin/manifest";
-import type { VirtualMachine } from "@redwingpin/platform";
 import {
     type Connection,
     DeclineReason,
@@ -14,15 +13,10 @@
     type InnerNode,
     type WeightsReference,
 } from "@redwingpin/protocol";
+import type { VirtualMachine } from "@redwingpin/platform";
 import type { AttemptEnd } from "../decision/attemptLoop.js";
 import { notRun, outcomeUnknown } from "../decision/refusal.js";
-import {
-    creditStepBytes,
-    type Exchange,
-    type ExchangeEvent,
-    type ExchangeTable,
-    type OpenFields,
-} from "./agentExchange.js";
+import { creditStepBytes, type Exchange, type ExchangeEvent, type ExchangeTable, type OpenFields } from "./agentExchange.js";
 import type { AnswerRelay } from "./answerRelay.js";
 import type { CallerRequest } from "./callerRequest.js";
 
@@ -52,28 +46,18 @@
     async run(machine: VirtualMachine, attempt: number): Promise<AttemptEnd> {
         const connection = await this.context.innerNode.connect(machine);
         if (connection.isErr()) {
-            const refusal = notRun(
-                RefusalReason.NoEndpoint,
-                `instance "${machine.instance}" can not be reached`,
-            );
+            const refusal = notRun(RefusalReason.NoEndpoint, `instance "${machine.instance}" can not be reached`);
             return { kind: "notRun", retry: RetryReason.ConnectFailed, refusal };
         }
         if (connection.value.peer.instance !== machine.instance) {
-            const refusal = notRun(
-                RefusalReason.NoEndpoint,
-                `the address of instance "${machine.instance}" belongs to another`,
-            );
+            const refusal = notRun(RefusalReason.NoEndpoint, `the address of instance "${machine.instance}" belongs to another`);
             return { kind: "notRun", retry: RetryReason.ConnectFailed, refusal };
         }
         return this.exchange(connection.value, attempt);
     }
 
     private async exchange(connection: Connection, attempt: number): Promise<AttemptEnd> {
-        const exchange = this.context.exchanges.open(
-            connection,
-            this.openFields(attempt),
-            this.bodyForAttempt(),
-        );
+        const exchange = this.context.exchanges.open(connection, this.openFields(attempt), this.bodyForAttempt());
         let unacknowledged = 0;
         while (true) {
             const event = await exchange.next();
@@ -112,11 +96,7 @@
                 this.context.observeStatus(event.end.status);
                 return this.relay.finish()
                     ? { kind: "complete" }
-                    : this.broken(
-                        RetryReason.EndpointError,
-                        RefusalReason.EndpointFailed,
-                        "the stream ended early",
-                    );
+                    : this.broken(RetryReason.EndpointError, RefusalReason.EndpointFailed, "the stream ended early");
             case "failed":
                 this.context.observeStatus(event.failed.status);
                 return this.failed(event.failed);
@@ -136,15 +116,9 @@
         return undefined;
     }
 
-    private failed(
-        failed: { readonly mayHaveRun: boolean; readonly reason: RefusalReason; readonly message: string; },
-    ): AttemptEnd {
+    private failed(failed: { readonly mayHaveRun: boolean; readonly reason: RefusalReason; readonly message: string; }): AttemptEnd {
         if (!failed.mayHaveRun) {
-            return {
-                kind: "notRun",
-                retry: RetryReason.EndpointError,
-                refusal: notRun(failed.reason, failed.message),
-            };
+            return { kind: "notRun", retry: RetryReason.EndpointError, refusal: notRun(failed.reason, failed.message) };
         }
         if (failed.reason === RefusalReason.DeadlineExceeded && this.relay.deliveredTokens === 0) {
             return { kind: "final", refusal: outcomeUnknown(failed.reason, failed.message) };
@@ -153,12 +127,7 @@
     }
 
     private broken(retry: RetryReason, reason: RefusalReason, message: string): AttemptEnd {
-        return {
-            kind: "broken",
-            retry,
-            refusal: outcomeUnknown(reason, message),
-            progress: this.relay.progress,
-        };
+        return { kind: "broken", retry, refusal: outcomeUnknown(reason, message), progress: this.relay.progress };
     }
 
     private openFields(attempt: number): OpenFields {
@@ -189,9 +158,7 @@
         if (completion === undefined || this.relay.deliveredTokens === 0) {
             return body;
         }
-        return Buffer.from(
-            JSON.stringify({ ...completion.fields, resume: { after_tokens: this.relay.deliveredTokens } }),
-        );
+        return Buffer.from(JSON.stringify({ ...completion.fields, resume: { after_tokens: this.relay.deliveredTokens } }));
     }
 }
 
@@ -207,30 +174,14 @@
     const refuse = (refusal: RefusalReason) => notRun(refusal, `instance "${instance}" declined: ${reason}`);
     switch (reason) {
         case DeclineReason.Draining:
-            return {
-                kind: "notRun",
-                retry: RetryReason.AgentDeclinedDraining,
-                refusal: refuse(RefusalReason.NoEndpoint),
-            };
+            return { kind: "notRun", retry: RetryReason.AgentDeclinedDraining, refusal: refuse(RefusalReason.NoEndpoint) };
         case DeclineReason.QueueFull:
-            return {
-                kind: "notRun",
-                retry: RetryReason.AgentDeclinedQueueFull,
-                refusal: refuse(RefusalReason.QueueFull),
-            };
+            return { kind: "notRun", retry: RetryReason.AgentDeclinedQueueFull, refusal: refuse(RefusalReason.QueueFull) };
         case DeclineReason.WrongWeights:
-            return {
-                kind: "notRun",
-                retry: RetryReason.AgentDeclinedVersion,
-                refusal: refuse(RefusalReason.NoEndpoint),
-            };
+            return { kind: "notRun", retry: RetryReason.AgentDeclinedVersion, refusal: refuse(RefusalReason.NoEndpoint) };
         case DeclineReason.EndpointDown:
         case DeclineReason.Suspect:
-            return {
-                kind: "notRun",
-                retry: RetryReason.AgentDeclinedEndpointDown,
-                refusal: refuse(RefusalReason.NoEndpoint),
-            };
+            return { kind: "notRun", retry: RetryReason.AgentDeclinedEndpointDown, refusal: refuse(RefusalReason.NoEndpoint) };
         case DeclineReason.DeadlineExceeded:
             return { kind: "final", refusal: refuse(RefusalReason.DeadlineExceeded) };
         case DeclineReason.Quarantined:
@@ -238,12 +189,7 @@
         case DeclineReason.Malformed:
             return { kind: "final", refusal: refuse(RefusalReason.MalformedRequest) };
         case DeclineReason.Duplicate:
-            return {
-                kind: "final",
-                refusal: outcomeUnknown(
-                    RefusalReason.OutcomeUnknown,
-                    `instance "${instance}" has seen this request before`,
-                ),
-            };
+            return { kind: "final", refusal: outcomeUnknown(RefusalReason.OutcomeUnknown, `instance "${instance}" has seen this request before`) };
     }
 }
+
--- a/packages/router/src/node/callerBody.ts
+++ b/packages/router/src/node/callerBody.ts
@@ -17,12 +17,7 @@
         for await (const part of request as AsyncIterable<Buffer>) {
             bytes += part.length;
             if (bytes > maxBodyBytes) {
-                return err(
-                    notRun(
-                        RefusalReason.BodyTooLarge,
-                        `the body is longer than the limit of ${maxBodyBytes} bytes`,
-                    ),
-                );
+                return err(notRun(RefusalReason.BodyTooLarge, `the body is longer than the limit of ${maxBodyBytes} bytes`));
             }
             parts.push(part);
         }
--- a/packages/router/src/node/callerServer.ts
+++ b/packages/router/src/node/callerServer.ts
@@ -49,11 +49,7 @@
 /** Makes the callers' server; it does not listen yet. */
 export function createCallerServer(context: CallerServerContext): Server {
     const server = createServer(
-        {
-            maxHeaderSize: maxHeaderBytes,
-            headersTimeout: headersTimeoutMilliseconds,
-            requestTimeout: context.requestTimeout,
-        },
+        { maxHeaderSize: maxHeaderBytes, headersTimeout: headersTimeoutMilliseconds, requestTimeout: context.requestTimeout },
         (request, response) => void answer(context, request, response),
     );
     server.maxConnections = context.maxConnections;
@@ -65,11 +61,7 @@
     return server;
 }
 
-async function answer(
-    context: CallerServerContext,
-    request: IncomingMessage,
-    response: ServerResponse,
-): Promise<void> {
+async function answer(context: CallerServerContext, request: IncomingMessage, response: ServerResponse): Promise<void> {
     const url = request.url ?? "/";
     if (answerHealthRequest(url, response, context)) {
         return;
@@ -101,12 +93,7 @@
 ): Promise<Result<CallerRequest | undefined, Refusal>> {
     const index = context.manifest();
     if (index === undefined) {
-        return err(
-            notRun(
-                RefusalReason.NotConfigured,
-                "no manifest is in force yet; apply one or wait for the store",
-            ),
-        );
+        return err(notRun(RefusalReason.NotConfigured, "no manifest is in force yet; apply one or wait for the store"));
     }
     const key = findKey(request.headers.authorization);
     const account = key.andThen((value) => authenticate(index, value));
@@ -121,9 +108,7 @@
     const body = await readBody(request);
     const caller: Caller = { index, key: key.value, account: account.value };
     return body.andThen((bytes) =>
-        refuseKeyInContent(caller.key, url, bytes).andThen(() =>
-            routeRequest(context, request, caller, bytes)
-        )
+        refuseKeyInContent(caller.key, url, bytes).andThen(() => routeRequest(context, request, caller, bytes))
     );
 }
 
@@ -212,17 +197,8 @@
     };
 }
 
-function answerModels(
-    index: ManifestIndex,
-    account: ClientAccount | undefined,
-    response: ServerResponse,
-): void {
-    const data = visibleModels(index, account).map((id) => ({
-        id,
-        object: "model",
-        created: 0,
-        owned_by: "redwingpin",
-    }));
+function answerModels(index: ManifestIndex, account: ClientAccount | undefined, response: ServerResponse): void {
+    const data = visibleModels(index, account).map((id) => ({ id, object: "model", created: 0, owned_by: "redwingpin" }));
     answerJson(response, 200, { object: "list", data });
 }
 
--- a/packages/router/src/node/endpointDirectory.ts
+++ b/packages/router/src/node/endpointDirectory.ts
@@ -51,9 +51,7 @@
     /** Endpoints of a pool that are not leaving. */
     endpointsOf(pool: string): KnownEndpoint[] {
         return this.machines
-            .filter((machine) =>
-                machine.role === VirtualMachineRole.Agent && machine.pool === pool && !machine.leaving
-            )
+            .filter((machine) => machine.role === VirtualMachineRole.Agent && machine.pool === pool && !machine.leaving)
             .map((machine) => ({ machine, status: this.statuses.get(machine.instance) }));
     }
 
@@ -72,14 +70,8 @@
         if (this.stopped) {
             return;
         }
-        machines.match(
-            (value) => this.install(value),
-            (message) => this.options.logger.warn("the VM list gave no answer", { message }),
-        );
-        this.cancelTimer = this.options.clock.schedule(
-            virtualMachineListIntervalMilliseconds,
-            () => void this.refresh(),
-        );
+        machines.match((value) => this.install(value), (message) => this.options.logger.warn("the VM list gave no answer", { message }));
+        this.cancelTimer = this.options.clock.schedule(virtualMachineListIntervalMilliseconds, () => void this.refresh());
     }
 
     private install(machines: readonly VirtualMachine[]): void {
--- a/packages/router/src/node/errorAnswer.ts
+++ b/packages/router/src/node/errorAnswer.ts
@@ -25,10 +25,7 @@
             code: refusal.reason,
         },
     });
-    const headers: Record<string, string> = {
-        "content-type": "application/json",
-        [outcomeHeader]: refusal.outcome,
-    };
+    const headers: Record<string, string> = { "content-type": "application/json", [outcomeHeader]: refusal.outcome };
     if (refusal.retryAfter !== undefined) {
         headers["retry-after"] = String(Math.max(1, Math.ceil(refusal.retryAfter / millisecondsPerSecond)));
     }
--- a/packages/router/src/node/requestPipeline.ts
+++ b/packages/router/src/node/requestPipeline.ts
@@ -7,12 +7,7 @@
 import type { VirtualMachine } from "@redwingpin/platform";
 import type { ServerResponse } from "node:http";
 import { maxAttempts } from "../constants.js";
-import {
-    type AttemptEffect,
-    type AttemptEvent,
-    attemptLoop,
-    type RequestOutcome,
-} from "../decision/attemptLoop.js";
+import { type AttemptEffect, type AttemptEvent, attemptLoop, type RequestOutcome } from "../decision/attemptLoop.js";
 import { AnswerRelay } from "./answerRelay.js";
 import { type AttemptContext, AttemptRunner } from "./attemptRunner.js";
 import type { CallerRequest } from "./callerRequest.js";
@@ -64,17 +59,8 @@
         return runDecision(attemptLoop(plan), perform);
     }
 
-    private conclude(
-        request: CallerRequest,
-        outcome: RequestOutcome,
-        relay: AnswerRelay,
-        response: ServerResponse,
-    ): void {
-        const fields = {
-            request: request.identifier,
-            route: request.route.name,
-            account: request.account?.name,
-        };
+    private conclude(request: CallerRequest, outcome: RequestOutcome, relay: AnswerRelay, response: ServerResponse): void {
+        const fields = { request: request.identifier, route: request.route.name, account: request.account?.name };
         switch (outcome.kind) {
             case "answered":
                 this.context.logger.debug("answered", fields);
@@ -84,11 +70,7 @@
                 return;
             case "refused":
                 this.context.counters.refused(outcome.refusal.reason);
-                this.context.logger.info("refused", {
-                    ...fields,
-                    reason: outcome.refusal.reason,
-                    outcome: outcome.refusal.outcome,
-                });
+                this.context.logger.info("refused", { ...fields, reason: outcome.refusal.reason, outcome: outcome.refusal.outcome });
                 answerRefusal(response, outcome.refusal);
                 return;
             case "cut":
--- a/packages/router/src/node/router.ts
+++ b/packages/router/src/node/router.ts
@@ -12,13 +12,7 @@
     sleep,
 } from "@redwingpin/common";
 import type { KeyValueStore, VirtualMachine, VirtualMachineList } from "@redwingpin/platform";
-import {
-    type Connection,
-    type ExchangeMessage,
-    InnerNode,
-    MessageKind,
-    ProcessRole,
-} from "@redwingpin/protocol";
+import { type Connection, type ExchangeMessage, InnerNode, MessageKind, ProcessRole } from "@redwingpin/protocol";
 import { randomUUID } from "node:crypto";
 import type { Server } from "node:http";
 import type { Registry } from "prom-client";
--- a/packages/router/src/node/silenceProbe.ts
+++ b/packages/router/src/node/silenceProbe.ts
@@ -14,10 +14,7 @@
     private readonly probing = new Set<Connection>();
     private cancelTimer: CancelTimer = () => {};
 
-    constructor(
-        private readonly clock: Clock,
-        private readonly busyConnections: () => readonly Connection[],
-    ) {}
+    constructor(private readonly clock: Clock, private readonly busyConnections: () => readonly Connection[]) {}
 
     start(): void {
         this.cancelTimer = this.clock.schedule(silenceBeforeProbeMilliseconds / 2, () => {
@@ -47,9 +44,7 @@
             if (heard === undefined) {
                 this.heard(connection);
             }
-            else if (
-                this.clock.now() - heard >= silenceBeforeProbeMilliseconds && !this.probing.has(connection)
-            ) {
+            else if (this.clock.now() - heard >= silenceBeforeProbeMilliseconds && !this.probing.has(connection)) {
                 void this.probe(connection);
             }
         }
