--- a/packages/router/src/node/callerServer.ts
+++ b/packages/router/src/node/callerServer.ts
@@ -12,13 +12,22 @@
     type ReasonCounters,
     RefusalReason,
 } from "@redwingpin/common";
-import { type ClientAccount, type ManifestIndex, RouteKind } from "@redwingpin/manifest";
+import type { ClientAccount, ManifestIndex } from "@redwingpin/manifest";
+import { prefixBlocks } from "@redwingpin/placement";
 import type { HeaderField } from "@redwingpin/protocol";
 import { err, ok, type Result } from "neverthrow";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { authenticate, findKey, headersForEndpoint, refuseKeyInContent } from "../decision/credentials.js";
 import { notRun, type Refusal } from "../decision/refusal.js";
-import { estimateTokens, findRoute, parseCompletionBody, visibleModels } from "../decision/routedRequest.js";
+import {
+    bodyForEngine,
+    findModelRoute,
+    findServiceRoute,
+    mostTokens,
+    parseCompletionBody,
+    prefixScope,
+    visibleModels,
+} from "../decision/routedRequest.js";
 import { readBody } from "./callerBody.js";
 import type { CallerRequest } from "./callerRequest.js";
 import { answerJson, answerRefusal } from "./errorAnswer.js";
@@ -32,8 +41,6 @@
     readonly maxConnections: number;
     /** The manifest in force; absent before the first was found. */
     readonly manifest: () => ManifestIndex | undefined;
-    /** Digests of a prompt's nested prefix blocks. */
-    readonly prefixBlocks: (request: Omit<CallerRequest, "prefixBlocks">) => readonly string[];
     /** Serves a request that passed its checks. */
     readonly serve: (request: CallerRequest, response: ServerResponse) => Promise<void>;
     /** The router's status, for operators. */
@@ -49,7 +56,11 @@
 /** Makes the callers' server; it does not listen yet. */
 export function createCallerServer(context: CallerServerContext): Server {
     const server = createServer(
-        { maxHeaderSize: maxHeaderBytes, headersTimeout: headersTimeoutMilliseconds, requestTimeout: context.requestTimeout },
+        {
+            maxHeaderSize: maxHeaderBytes,
+            headersTimeout: headersTimeoutMilliseconds,
+            requestTimeout: context.requestTimeout,
+        },
         (request, response) => void answer(context, request, response),
     );
     server.maxConnections = context.maxConnections;
@@ -61,7 +72,11 @@
     return server;
 }
 
-async function answer(context: CallerServerContext, request: IncomingMessage, response: ServerResponse): Promise<void> {
+async function answer(
+    context: CallerServerContext,
+    request: IncomingMessage,
+    response: ServerResponse,
+): Promise<void> {
     const url = request.url ?? "/";
     if (answerHealthRequest(url, response, context)) {
         return;
@@ -93,7 +108,12 @@
 ): Promise<Result<CallerRequest | undefined, Refusal>> {
     const index = context.manifest();
     if (index === undefined) {
-        return err(notRun(RefusalReason.NotConfigured, "no manifest is in force yet; apply one or wait for the store"));
+        return err(
+            notRun(
+                RefusalReason.NotConfigured,
+                "no manifest is in force yet; apply one or wait for the store",
+            ),
+        );
     }
     const key = findKey(request.headers.authorization);
     const account = key.andThen((value) => authenticate(index, value));
@@ -108,7 +128,9 @@
     const body = await readBody(request);
     const caller: Caller = { index, key: key.value, account: account.value };
     return body.andThen((bytes) =>
-        refuseKeyInContent(caller.key, url, bytes).andThen(() => routeRequest(context, request, caller, bytes))
+        refuseKeyInContent(caller.key, url, bytes).andThen(() =>
+            routeRequest(context, request, caller, bytes)
+        )
     );
 }
 
@@ -147,15 +169,20 @@
     body: Buffer,
 ): Result<CallerRequest, Refusal> {
     return parseCompletionBody(body).andThen((completion) =>
-        findRoute(caller.index, completion.model, RouteKind.Model, caller.account).map((route) =>
-            complete(context, {
+        findModelRoute(caller.index, completion.model, caller.account).map((route) => {
+            const scope = prefixScope(route, caller.account);
+            const prefix = prefixBlocks(scope, completion.prompt);
+            const fields = bodyForEngine(completion, route, scope);
+            return {
                 ...commonFields(context, request, caller, body),
                 route,
                 path: request.url ?? "/",
-                completion,
-                tokens: estimateTokens(completion),
-            })
-        )
+                body: Buffer.from(JSON.stringify(fields)),
+                completion: { ...completion, fields },
+                tokens: mostTokens(prefix.promptTokens, completion),
+                prefix,
+            };
+        })
     );
 }
 
@@ -166,19 +193,15 @@
     body: Buffer,
     target: { readonly name: string; readonly path: string; },
 ): Result<CallerRequest, Refusal> {
-    return findRoute(caller.index, target.name, RouteKind.Service, caller.account).map((route) =>
-        complete(context, {
-            ...commonFields(context, request, caller, body),
-            route,
-            path: target.path,
-            completion: undefined,
-            tokens: route.kind === RouteKind.Service ? route.callTokens : 0,
-        })
-    );
-}
-
-function complete(context: CallerServerContext, request: Omit<CallerRequest, "prefixBlocks">): CallerRequest {
-    return { ...request, prefixBlocks: context.prefixBlocks(request) };
+    return findServiceRoute(caller.index, target.name, caller.account).map((route) => ({
+        ...commonFields(context, request, caller, body),
+        route,
+        path: target.path,
+        body,
+        completion: undefined,
+        tokens: route.callTokens,
+        prefix: { blocks: [], sharedBlocks: 0, promptTokens: route.callTokens },
+    }));
 }
 
 function commonFields(context: CallerServerContext, request: IncomingMessage, caller: Caller, body: Buffer) {
@@ -190,15 +213,23 @@
         account: caller.account,
         method: request.method ?? "GET",
         headers: headersForEndpoint(headerFields(request), caller.key),
-        body,
         idempotencyKey: singleHeader(request, "idempotency-key"),
         deadline: context.clock.now() + context.requestTimeout,
         fingerprint: digestOf(account, body),
     };
 }
 
-function answerModels(index: ManifestIndex, account: ClientAccount | undefined, response: ServerResponse): void {
-    const data = visibleModels(index, account).map((id) => ({ id, object: "model", created: 0, owned_by: "redwingpin" }));
+function answerModels(
+    index: ManifestIndex,
+    account: ClientAccount | undefined,
+    response: ServerResponse,
+): void {
+    const data = visibleModels(index, account).map((id) => ({
+        id,
+        object: "model",
+        created: 0,
+        owned_by: "redwingpin",
+    }));
     answerJson(response, 200, { object: "list", data });
 }
 
--- a/packages/router/src/node/requestPipeline.ts
+++ b/packages/router/src/node/requestPipeline.ts
@@ -4,14 +4,21 @@
  * @module
  */
 import { type Clock, type Logger, type ReasonCounters, runDecision } from "@redwingpin/common";
-import type { VirtualMachine } from "@redwingpin/platform";
+import type { RetryBudget } from "@redwingpin/placement";
+import type { Head } from "@redwingpin/protocol";
 import type { ServerResponse } from "node:http";
 import { maxAttempts } from "../constants.js";
-import { type AttemptEffect, type AttemptEvent, attemptLoop, type RequestOutcome } from "../decision/attemptLoop.js";
+import {
+    type AttemptEffect,
+    type AttemptEvent,
+    attemptLoop,
+    type RequestOutcome,
+} from "../decision/attemptLoop.js";
 import { AnswerRelay } from "./answerRelay.js";
 import { type AttemptContext, AttemptRunner } from "./attemptRunner.js";
 import type { CallerRequest } from "./callerRequest.js";
 import { answerRefusal } from "./errorAnswer.js";
+import type { ChosenAgent, RequestPlacement } from "./requestPlacement.js";
 
 /** What the pipeline needs from its router. */
 export interface PipelineContext {
@@ -19,10 +26,8 @@
     readonly logger: Logger;
     readonly counters: ReasonCounters;
     readonly attempts: AttemptContext;
-    /** Chooses an endpoint for a request, none of the excluded instances. */
-    readonly choose: (request: CallerRequest, excluded: readonly string[]) => VirtualMachine | undefined;
-    /** Asks the retry budget. */
-    readonly spendRetry: () => boolean;
+    readonly placement: RequestPlacement;
+    readonly retryBudget: RetryBudget;
 }
 
 /** Serves requests that passed their checks. */
@@ -37,30 +42,45 @@
     }
 
     private attempt(request: CallerRequest, relay: AnswerRelay): Promise<RequestOutcome> {
-        const runner = new AttemptRunner(this.context.attempts, request, relay);
-        let chosen: VirtualMachine | undefined;
+        const { placement, retryBudget } = this.context;
+        let chosen: ChosenAgent | undefined;
+        const onHead = (head: Head) => placement.observeHead(chosen!, head);
+        const runner = new AttemptRunner(this.context.attempts, request, relay, onHead);
+        retryBudget.recordRequest();
         const perform = async (effect: AttemptEffect): Promise<AttemptEvent> => {
             switch (effect.kind) {
                 case "choose":
-                    chosen = this.context.choose(request, effect.excluded);
-                    return { kind: "chosen", instance: chosen?.instance };
+                    chosen = placement.choose(request, effect.excluded);
+                    return { kind: "chosen", instance: chosen?.machine.instance };
                 case "spendRetry": {
-                    const allowed = this.context.spendRetry();
+                    const allowed = retryBudget.trySpend();
                     if (allowed) {
                         this.context.counters.retried(effect.reason);
                     }
                     return { kind: "retry", allowed };
                 }
-                case "attempt":
-                    return { kind: "ended", end: await runner.run(chosen!, effect.attempt) };
+                case "attempt": {
+                    const end = await runner.run(chosen!.machine, effect.attempt);
+                    placement.observeEnd(chosen!, end);
+                    return { kind: "ended", end };
+                }
             }
         };
         const plan = { idempotent: request.route.idempotent, maxAttempts, pool: request.route.pool };
         return runDecision(attemptLoop(plan), perform);
     }
 
-    private conclude(request: CallerRequest, outcome: RequestOutcome, relay: AnswerRelay, response: ServerResponse): void {
-        const fields = { request: request.identifier, route: request.route.name, account: request.account?.name };
+    private conclude(
+        request: CallerRequest,
+        outcome: RequestOutcome,
+        relay: AnswerRelay,
+        response: ServerResponse,
+    ): void {
+        const fields = {
+            request: request.identifier,
+            route: request.route.name,
+            account: request.account?.name,
+        };
         switch (outcome.kind) {
             case "answered":
                 this.context.logger.debug("answered", fields);
@@ -70,7 +90,11 @@
                 return;
             case "refused":
                 this.context.counters.refused(outcome.refusal.reason);
-                this.context.logger.info("refused", { ...fields, reason: outcome.refusal.reason, outcome: outcome.refusal.outcome });
+                this.context.logger.info("refused", {
+                    ...fields,
+                    reason: outcome.refusal.reason,
+                    outcome: outcome.refusal.outcome,
+                });
                 answerRefusal(response, outcome.refusal);
                 return;
             case "cut":
