fix(standins): engine health gives names of weights again

The agent maps the name of the loaded weights to model and version by the manifest, so the stand-in needs no convention of its own.

--- a/packages/standins/src/node/engineOptions.ts
+++ b/packages/standins/src/node/engineOptions.ts
@@ -8,8 +8,8 @@
 /** Options of the engine stand-in. */
 export interface EngineStandinOptions extends StandinOptions {
     /**
-     * Name of the weights that are loaded at the start, `MODEL/VERSION`.
-     * @default "model/1"
+     * Name of the weights that are loaded at the start.
+     * @default "weights-1"
      */
     readonly weights?: string;
     /**
@@ -106,7 +106,7 @@
     return {
         port: 0,
         controlPort: 0,
-        weights: "model/1",
+        weights: "weights-1",
         adapters: [],
         blockTokens: 2_048,
         cacheBlocks: 64,
--- a/packages/standins/src/node/main.ts
+++ b/packages/standins/src/node/main.ts
@@ -76,7 +76,7 @@
         description: "Model engine with an OpenAI-compatible interface",
     });
 
-    weights = Option.String("--weights", "model/1", { description: "Weights at the start, MODEL/VERSION" });
+    weights = Option.String("--weights", "weights-1", { description: "Weights at the start" });
     adapters = Option.Array("--adapter", [], { description: "Adapter that is loaded at the start" });
     weightStore = Option.String("--weight-store", { description: "Address of the weight store" });
     blockTokens = Option.String("--block-tokens", "2048", { description: "Tokens in one cached block" });
