feat(router): configuration spreads to routers and agents

Cause: the router read the whole configuration from the store at an interval, and agents had none. Change: router and agent install revisions by contact and deltas; a router greets the agents it keeps; agents state which weights they serve under the manifest in force.

--- a/packages/agent/src/node/agent.ts
+++ b/packages/agent/src/node/agent.ts
@@ -4,8 +4,8 @@
  *
  * @module
  */
-import { type Clock, type Logger } from "@redwingpin/common";
-import type { ManifestIndex } from "@redwingpin/manifest";
+import { type Clock, type Logger, maxSeed, seededRandom } from "@redwingpin/common";
+import { type Configuration, createAgentPeers, createConfiguration } from "@redwingpin/configuration";
 import {
     type Connection,
     type EndpointStatus,
@@ -16,7 +16,7 @@
     ProcessRole,
     Topic,
 } from "@redwingpin/protocol";
-import { randomUUID } from "node:crypto";
+import { randomInt, randomUUID } from "node:crypto";
 import type { ResolvedAgentConfig } from "../config.js";
 import { maxBodyBytes } from "../constants.js";
 import { declineReason } from "../decision/acceptance.js";
@@ -32,8 +32,6 @@
     readonly config: ResolvedAgentConfig;
     readonly clock: Clock;
     readonly logger: Logger;
-    /** The manifest in force here; absent before the first was found. */
-    readonly manifest: () => ManifestIndex | undefined;
 }
 
 /** Serves one endpoint to the routers. */
@@ -44,6 +42,7 @@
     private readonly scheduler: RequestScheduler;
     private readonly exchanges = new Map<Connection, Map<number, ExchangeTask>>();
     private readonly recent = new RecentRequests();
+    private readonly configuration: Configuration;
     private draining = false;
     private wakeWhenIdle: (() => void) | undefined;
 
@@ -69,10 +68,24 @@
             fleetKeys: config.fleetKeys,
             clock,
             logger: logger.scope("inner"),
-            revision: () => 0,
-            onRevision: () => {},
+            revision: () => this.configuration?.revision() ?? 0,
+            onRevision: (peer, revision) => this.configuration.observeRevision(peer.instance, revision),
             onMessage: (connection, message) => this.onMessage(connection, message),
             onClosed: (connection) => this.onClosed(connection),
+            onConnected: (connection) => this.sendStatus(connection),
+        });
+        this.configuration = createConfiguration({
+            clock,
+            random: seededRandom(randomInt(maxSeed)),
+            logger: logger.scope("configuration"),
+            instance: config.instance,
+            dataCentre: config.dataCentre,
+            peers: createAgentPeers(this.innerNode),
+        });
+        this.configuration.onInstalled(() => this.broadcastStatus());
+        this.innerNode.handle(Topic.Configuration, (body, from) => {
+            this.configuration.handle(body, from.instance);
+            return Promise.resolve(undefined);
         });
         this.innerNode.handle(Topic.Membership, () => Promise.resolve({ kind: "pong" }));
     }
@@ -80,6 +93,7 @@
     /** Starts to listen; resolves with the port of the inner protocol. */
     async start(): Promise<number> {
         await this.monitor.start();
+        this.configuration.start();
         return this.innerNode.listen(this.options.config.listenHost, this.options.config.innerPort);
     }
 
@@ -97,6 +111,7 @@
 
     /** Closes everything at once. */
     stop(): void {
+        this.configuration.stop();
         this.monitor.stop();
         this.innerNode.stop();
         void this.endpoint.stop();
@@ -111,7 +126,7 @@
             pool: config.pool,
             incarnation: health.incarnation,
             draining: this.draining,
-            weights: servedWeights(this.options.manifest(), health),
+            weights: servedWeights(this.configuration.current()?.index, health),
             queuedTokens: this.scheduler.queuedTokens,
             running: this.scheduler.running,
             tokensPerSecond: 0,
@@ -172,10 +187,18 @@
 
     private broadcastStatus(): void {
         for (const connection of this.innerNode.openConnections()) {
-            connection.send({ kind: MessageKind.Status, revision: 0, status: this.status() });
+            this.sendStatus(connection);
         }
     }
 
+    private sendStatus(connection: Connection): void {
+        connection.send({
+            kind: MessageKind.Status,
+            revision: this.configuration.revision(),
+            status: this.status(),
+        });
+    }
+
     private onClosed(connection: Connection): void {
         const exchanges = this.exchanges.get(connection);
         this.exchanges.delete(connection);
--- a/packages/common/src/random.ts
+++ b/packages/common/src/random.ts
@@ -8,6 +8,9 @@
 
 const unitSteps = 0x40000000;
 
+/** Seeds are below this. */
+export const maxSeed = 2 ** 31;
+
 /** A source of random numbers; the same seed gives the same sequence. */
 export interface RandomSource {
     /** An integer from 0 up to, not including, `bound`. */
--- a/packages/proofs/src/__tests__/siteFixture.ts
+++ b/packages/proofs/src/__tests__/siteFixture.ts
@@ -6,7 +6,7 @@
 import { Agent, agentSettings } from "@redwingpin/agent";
 import { resolveSettings, sha256Hex, silentLogger, systemClock } from "@redwingpin/common";
 import { submitManifest } from "@redwingpin/configuration";
-import { EndpointKind, type Manifest, ManifestIndex, RouteKind, RoutePriority } from "@redwingpin/manifest";
+import { EndpointKind, type Manifest, RouteKind, RoutePriority } from "@redwingpin/manifest";
 import { createEtcdStore, createVirtualMachineList } from "@redwingpin/platform";
 import { Router, routerSettings } from "@redwingpin/router";
 import {
@@ -98,8 +98,7 @@
         ...engines.map((engine) => ({ address: engine.address, pool: "engines", kind: EndpointKind.Engine })),
         { address: service.address, pool: "registry", kind: EndpointKind.Service },
     ];
-    const index = new ManifestIndex(manifest);
-    const agents = endpoints.map((endpoint, position) => createAgent(`agent-${position}`, endpoint, index));
+    const agents = endpoints.map((endpoint, position) => createAgent(`agent-${position}`, endpoint));
     const ports = await Promise.all(agents.map((agent) => agent.start()));
     const list = await startVirtualMachineListStandin({
         port: 0,
@@ -138,9 +137,11 @@
     return { targets: [`${host}:${port}`], labels };
 }
 
-/** Waits until the router says that it is ready. */
+/** Waits until the router admits requests of the workshop. A new site gives out its rates in its first seconds. */
 export async function untilReady(address: string): Promise<void> {
-    while ((await fetch(`${address}/ready`)).status !== 200) {
+    const body = JSON.stringify({ model: "draft", prompt: "ready?", max_tokens: 1 });
+    const headers = { authorization: `Bearer ${workshopKey}` };
+    while ((await fetch(`${address}/v1/completions`, { method: "POST", headers, body })).status !== 200) {
         await new Promise((resolve) => setTimeout(resolve, 20));
     }
 }
@@ -148,7 +149,6 @@
 function createAgent(
     instance: string,
     endpoint: { readonly address: string; readonly pool: string; readonly kind: EndpointKind; },
-    index: ManifestIndex,
 ): Agent {
     const config = resolveSettings(agentSettings, {
         instance,
@@ -159,7 +159,7 @@
         endpointKind: endpoint.kind,
         virtualMachineListAddress: "http://127.0.0.1:1",
     }, { REDWINGPIN_FLEET_KEY: fleetKey })._unsafeUnwrap();
-    return new Agent({ config, clock: systemClock, logger: silentLogger, manifest: () => index });
+    return new Agent({ config, clock: systemClock, logger: silentLogger });
 }
 
 function createRouter(
--- a/packages/protocol/src/__tests__/innerNode.spec.ts
+++ b/packages/protocol/src/__tests__/innerNode.spec.ts
@@ -18,7 +18,7 @@
         clock: systemClock,
         logger: silentLogger,
         revision: () => 7,
-        onRevision: (_peer, _address, revision) => revisions.push(revision),
+        onRevision: (_peer, revision) => revisions.push(revision),
         onMessage: () => {},
         onClosed: () => {},
     });
--- a/packages/protocol/src/node/innerNode.ts
+++ b/packages/protocol/src/node/innerNode.ts
@@ -36,10 +36,15 @@
     /** Revision of the configuration in force at this process; 0 for none. */
     readonly revision: () => number;
     /** Receives every revision that a peer's message carries. */
-    readonly onRevision: (peer: Hello, address: InnerAddress | undefined, revision: number) => void;
+    readonly onRevision: (peer: Hello, revision: number) => void;
     /** Receives messages of exchanges and endpoints' status. */
     readonly onMessage: (connection: Connection, message: ExchangeMessage) => void;
     readonly onClosed: (connection: Connection) => void;
+    /**
+     * Called with each connection once both ends have said Hello.
+     * @default nothing is done
+     */
+    readonly onConnected?: (connection: Connection) => void;
 }
 
 /** Listens, dials and hands messages to their topic or exchange. */
@@ -58,8 +63,7 @@
             handler: {
                 onMessage: options.onMessage,
                 onTopic: (connection, message) => this.answerTopic(connection, message),
-                onRevision: (connection, revision) =>
-                    options.onRevision(connection.peer, this.addresses.get(connection), revision),
+                onRevision: (connection, revision) => options.onRevision(connection.peer, revision),
                 onClosed: (connection) => this.forget(connection),
             },
         };
@@ -73,7 +77,7 @@
     /** Starts to listen; resolves with the port, which differs from the given one only where that is 0. */
     listen(host: string, port: number): Promise<number> {
         const server = createSecureServer(this.options.fleetKeys, (socket) => {
-            void Connection.start(socket, this.context).map((connection) => this.connections.add(connection));
+            void Connection.start(socket, this.context).map((connection) => this.register(connection));
         });
         this.server = server;
         return new Promise((resolve, reject) => {
@@ -140,10 +144,17 @@
             );
         }
         this.addresses.set(result.value, address);
-        this.connections.add(result.value);
+        this.register(result.value);
         return ok(result.value);
     }
 
+    private register(connection: Connection): void {
+        if (!connection.isClosed) {
+            this.connections.add(connection);
+            this.options.onConnected?.(connection);
+        }
+    }
+
     private forget(connection: Connection): void {
         this.connections.delete(connection);
         const address = this.addresses.get(connection);
--- a/packages/router/src/node/router.ts
+++ b/packages/router/src/node/router.ts
@@ -10,9 +10,17 @@
     createReasonCounters,
     listenOn,
     type Logger,
+    maxSeed,
     type ReasonCounters,
+    seededRandom,
     sleep,
 } from "@redwingpin/common";
+import {
+    type AddressedPeer,
+    type Configuration,
+    createConfiguration,
+    createRouterPeers,
+} from "@redwingpin/configuration";
 import { defaultBlockTokens, Placement, RetryBudget } from "@redwingpin/placement";
 import {
     type KeyValueStore,
@@ -28,7 +36,7 @@
     MessageKind,
     ProcessRole,
 } from "@redwingpin/protocol";
-import { randomUUID } from "node:crypto";
+import { randomInt, randomUUID } from "node:crypto";
 import type { Server } from "node:http";
 import type { Registry } from "prom-client";
 import type { ResolvedRouterConfig } from "../config.js";
@@ -36,12 +44,12 @@
 import { ExchangeTable } from "./agentExchange.js";
 import { createCallerServer } from "./callerServer.js";
 import { MachineWatch } from "./machineWatch.js";
+import { PeerDirectory } from "./peerDirectory.js";
 import { createRatePeers } from "./ratePeers.js";
 import { RequestPipeline } from "./requestPipeline.js";
 import { RequestPlacement } from "./requestPlacement.js";
-import { handlePings, handleRates } from "./routerTopics.js";
+import { handleConfiguration, handlePings, handleRates } from "./routerTopics.js";
 import { SilenceProbe } from "./silenceProbe.js";
-import { StoreConfiguration } from "./storeConfiguration.js";
 
 /** What a router is made from. */
 export interface RouterOptions {
@@ -71,15 +79,17 @@
     private readonly claims: Claims;
     private readonly pipeline: RequestPipeline;
     private readonly callerServer: Server;
-    private readonly configuration: StoreConfiguration;
+    private readonly configuration: Configuration;
+    private readonly peers: PeerDirectory;
     private readonly incarnation = randomUUID();
     private stopping = false;
 
     constructor(private readonly options: RouterOptions) {
         const { config, clock, logger, registry } = options;
         this.counters = createReasonCounters(registry);
-        this.configuration = new StoreConfiguration(options.store, clock, logger.scope("configuration"));
+        this.peers = new PeerDirectory(config.instance);
         this.innerNode = this.createInnerNode();
+        this.configuration = this.createConfiguration();
         handlePings(this.innerNode);
         this.silenceProbe = new SilenceProbe(clock, () => this.exchanges.busyConnections());
         const { dataCentre } = config;
@@ -103,7 +113,7 @@
         const { config } = this.options;
         const innerPort = await this.innerNode.listen(config.listenHost, config.innerPort);
         this.silenceProbe.start();
-        void this.configuration.start();
+        this.configuration.start();
         void this.machineWatch.start();
         const listenPort = await listenOn(this.callerServer, config.listenHost, config.listenPort);
         return { listenPort, innerPort };
@@ -142,7 +152,7 @@
             clock,
             logger: logger.scope("inner"),
             revision: () => this.revision(),
-            onRevision: () => {},
+            onRevision: (peer, revision) => this.configuration.observeRevision(peer.instance, revision),
             onMessage: (connection, message) => this.onMessage(connection, message),
             onClosed: (connection) => this.onClosed(connection),
         });
@@ -168,6 +178,22 @@
         });
     }
 
+    private createConfiguration(): Configuration {
+        const { clock, config, logger, store } = this.options;
+        const configuration = createConfiguration({
+            clock,
+            random: seededRandom(randomInt(maxSeed)),
+            logger: logger.scope("configuration"),
+            instance: config.instance,
+            dataCentre: config.dataCentre,
+            store,
+            peers: createRouterPeers(this.innerNode, this.peers),
+        });
+        configuration.onInstalled(() => this.admission.accountsChanged());
+        handleConfiguration(this.innerNode, configuration);
+        return configuration;
+    }
+
     private createAdmission(): AdmissionController {
         const { clock, config, logger, store } = this.options;
         const admission = createAdmission({
@@ -176,7 +202,7 @@
             incarnation: this.incarnation,
             store,
             peers: createRatePeers(this.innerNode, (instance) => this.machineWatch.find(instance)),
-            accounts: () => this.configuration.manifest?.manifest.accounts ?? [],
+            accounts: () => this.configuration.current()?.index.manifest.accounts ?? [],
             logger: logger.scope("admission"),
         });
         handleRates(this.innerNode, admission);
@@ -203,7 +229,7 @@
             requestTimeout: config.requestTimeoutMilliseconds,
             maxConnections: config.maxConnections,
             ready: () => this.isReady(),
-            manifest: () => this.configuration.manifest,
+            manifest: () => this.configuration.current()?.index,
             serve: (request, response) => this.pipeline.serve(request, response),
             status: () => this.status(),
         });
@@ -225,20 +251,30 @@
 
     private onMachines(machines: readonly VirtualMachine[]): void {
         this.placement.retain(machines);
+        this.peers.update(machines);
+        this.configuration.peersChanged();
+        this.greet(this.peers.agents());
         const routers = machines.filter((machine) => machine.role === VirtualMachineRole.Router);
         this.admission.membersChanged(routers);
     }
 
+    /** Connects to agents, so that they and this router learn of each other's revision and status. */
+    private greet(agents: readonly AddressedPeer[]): void {
+        for (const agent of agents) {
+            void this.innerNode.connect(agent);
+        }
+    }
+
     private observeStatus(status: EndpointStatus): void {
         this.placement.observeStatus(status);
     }
 
     private revision(): number {
-        return this.configuration.revision;
+        return this.configuration?.revision() ?? 0;
     }
 
     private isReady(): boolean {
-        return !this.stopping && this.configuration.manifest !== undefined;
+        return !this.stopping && this.configuration.current() !== undefined;
     }
 
     private status() {
--- a/packages/router/src/node/routerTopics.ts
+++ b/packages/router/src/node/routerTopics.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { AdmissionController } from "@redwingpin/admission";
+import type { Configuration } from "@redwingpin/configuration";
 import { type InnerNode, isRateMessage, Topic } from "@redwingpin/protocol";
 
 /** Answers a ping, so that a peer learns that this process lives. */
@@ -20,3 +21,11 @@
         return admission.handle(body, from.instance);
     });
 }
+
+/** Hands configuration messages to the configuration. */
+export function handleConfiguration(innerNode: InnerNode, configuration: Configuration): void {
+    innerNode.handle(Topic.Configuration, (body, from) => {
+        configuration.handle(body, from.instance);
+        return Promise.resolve(undefined);
+    });
+}
