feat(proofs): fuzz of rates over a simulated fleet

Cause: the sum over all routers must hold in every interval through kills, herds, freezes, cuts, lost, repeated and late messages, store faults, replaced VMs and changed limits. Change: a simulated fleet with a network and store that fail, a judge over every interval of the recorded admissions, and a check that a whole burst is available again once everything is mended. Agents keep the roster, so that a herd of restarts serves while the store is down.

--- a/packages/admission/src/constants.ts
+++ b/packages/admission/src/constants.ts
@@ -54,3 +54,15 @@
 
 /** Longest time for which a holder that has answered that it is short is not asked again. */
 export const maximumShortPauseMilliseconds = 250;
+
+/** Agents that keep the roster for a router. */
+export const rosterCaches = 3;
+
+/** Pause between checks that the agents still keep the roster. */
+export const rosterCacheCheckMilliseconds = 30_000;
+
+/** Routers that a starting router asks for the roster. */
+export const rosterSourceRouters = 5;
+
+/** Time after which a question for the roster is given up. */
+export const rosterCallMilliseconds = 1_000;
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -14,4 +14,5 @@
 export * from "./node/accountQueue.js";
 export * from "./node/admissionController.js";
 export * from "./node/admissionOptions.js";
+export * from "./node/rosterCache.js";
 export * from "./node/rosterKeeper.js";
--- a/packages/admission/src/node/admissionController.ts
+++ b/packages/admission/src/node/admissionController.ts
@@ -28,6 +28,7 @@
     AdmissionRefusal,
     Reservation,
 } from "./admissionOptions.js";
+import { callPeer } from "./peerCall.js";
 import { RosterKeeper } from "./rosterKeeper.js";
 
 /** Starts the admission task of a router. */
@@ -58,7 +59,7 @@
         this.choice = new HolderChoice(options.instance, options.division);
         this.keeper = new RosterKeeper({
             ...options,
-            sources: options.rosterSources ?? (() => []),
+            agents: options.rosterAgents ?? (() => []),
             logger: options.logger.scope("roster"),
             onRoster: (roster) => this.holder.rosterChanged(roster, this.now()),
         });
@@ -219,38 +220,27 @@
             tokens,
             epoch: this.keeper.current?.epoch ?? 0,
         };
-        const grant = await this.sendAsk(holder, message, asked + grantUseMilliseconds);
-        if (grant === undefined) {
+        const usableUntil = asked + grantUseMilliseconds;
+        const answer = await callPeer({
+            clock: this.options.clock,
+            peers: this.options.peers,
+            instance: holder,
+            message,
+            timeout: grantUseMilliseconds,
+            onLate: (late) =>
+                this.returnLate(this.readGrant(holder, message, late, usableUntil), message.account),
+        });
+        if (answer === undefined) {
             this.choice.wasSilent(holder, this.now());
+            return { kind: "answer", grant: undefined };
         }
-        return { kind: "answer", grant };
+        return { kind: "answer", grant: this.readGrant(holder, message, answer, usableUntil) };
     }
 
-    private sendAsk(
-        holder: string,
-        message: RateAsk,
-        usableUntil: Milliseconds,
-    ): Promise<HeldGrant | undefined> {
-        return new Promise((resolve) => {
-            let open = true;
-            const close = (grant: HeldGrant | undefined) => {
-                open = false;
-                cancel();
-                resolve(grant);
-            };
-            const cancel = this.options.clock.schedule(grantUseMilliseconds, () => close(undefined));
-            void this.options.peers.send(holder, message).then((answer) => {
-                const grant = answer.isOk()
-                    ? this.readGrant(holder, message, answer.value, usableUntil)
-                    : undefined;
-                if (open) {
-                    close(grant);
-                }
-                else if (grant !== undefined) {
-                    this.sendBack(grant, grant.tokens, message.account);
-                }
-            });
-        });
+    private returnLate(grant: HeldGrant | undefined, account: string): void {
+        if (grant !== undefined) {
+            this.sendBack(grant, grant.tokens, account);
+        }
     }
 
     private readGrant(
--- a/packages/admission/src/node/admissionOptions.ts
+++ b/packages/admission/src/node/admissionOptions.ts
@@ -30,10 +30,10 @@
     readonly accounts: () => readonly ClientAccount[];
     readonly logger: Logger;
     /**
-     * Other processes that may know the roster when this one starts: some routers, some agents.
+     * Agents that can keep the roster; each answers the rates topic with a `RosterCache`. A router uses a few.
      * @default none
      */
-    readonly rosterSources?: () => readonly string[];
+    readonly rosterAgents?: () => readonly string[];
     /**
      * Longest time for which a request waits for tokens before it is refused.
      * @default maximumWaitMilliseconds
--- a/packages/admission/src/node/rosterKeeper.ts
+++ b/packages/admission/src/node/rosterKeeper.ts
@@ -5,13 +5,17 @@
  *
  * @module
  */
-import type { CancelTimer, Clock, Logger } from "@redwingpin/common";
+import { type CancelTimer, type Clock, type Logger, rendezvousOrder } from "@redwingpin/common";
 import type { KeyValueStore, StoreEntry } from "@redwingpin/platform";
-import { RateMessageKind, type RateRoster } from "@redwingpin/protocol";
+import { type RateMessage, RateMessageKind, type RateRoster } from "@redwingpin/protocol";
 import {
+    rosterCacheCheckMilliseconds,
+    rosterCaches,
+    rosterCallMilliseconds,
     rosterGraceMilliseconds,
     rosterKey,
     rosterRetryMilliseconds,
+    rosterSourceRouters,
     rosterTurnMilliseconds,
 } from "../constants.js";
 import { GoneWatch } from "../decision/goneWatch.js";
@@ -24,6 +28,7 @@
     type RouterMember,
 } from "../decision/roster.js";
 import type { RatePeers } from "./admissionOptions.js";
+import { callPeer } from "./peerCall.js";
 
 /** Options of {@link RosterKeeper}. */
 export interface RosterKeeperOptions {
@@ -31,8 +36,8 @@
     readonly instance: string;
     readonly store: KeyValueStore;
     readonly peers: RatePeers;
-    /** Processes that may know a roster when this one starts. */
-    readonly sources: () => readonly string[];
+    /** Agents that can keep the roster. */
+    readonly agents: () => readonly string[];
     readonly logger: Logger;
     /** Called with each newer roster. */
     readonly onRoster: (roster: Roster) => void;
@@ -57,6 +62,7 @@
     /** Starts to read the roster. */
     start(): void {
         void this.readUntilKnown();
+        void this.checkCaches();
     }
 
     /** The newest roster known, or `undefined` before the first. */
@@ -111,7 +117,8 @@
 
     private async readUntilKnown(): Promise<void> {
         while (!this.stopped) {
-            const [known] = await Promise.all([this.readStore(), this.askSources()]);
+            const asking = this.roster === undefined ? this.askSources() : Promise.resolve();
+            const [known] = await Promise.all([this.readStore(), asking]);
             if (known) {
                 return;
             }
@@ -130,17 +137,51 @@
     }
 
     private async askSources(): Promise<void> {
-        const others = this.options.sources().filter((source) => source !== this.options.instance);
-        await Promise.all(others.map((source) => this.askForRoster(source)));
+        const { instance } = this.options;
+        const routers = this.members.map((member) => member.instance).filter((name) => name !== instance);
+        const chosen = rendezvousOrder(instance, routers, (name) => name).slice(0, rosterSourceRouters);
+        await Promise.all([...this.caches(), ...chosen].map((source) => this.askForRoster(source)));
+    }
+
+    private caches(): string[] {
+        return rendezvousOrder(this.options.instance, this.options.agents(), (name) => name).slice(
+            0,
+            rosterCaches,
+        );
+    }
+
+    private async checkCaches(): Promise<void> {
+        while (!this.stopped) {
+            await this.pause(rosterCacheCheckMilliseconds);
+            await this.offerToCaches();
+        }
+    }
+
+    /** Brings the roster to the agents that keep it for this router. */
+    private async offerToCaches(): Promise<void> {
+        await Promise.all(this.caches().map((cache) => this.offerTo(cache)));
+    }
+
+    private async offerTo(cache: string): Promise<void> {
+        const offer = this.message();
+        const known = await this.call(cache, { kind: RateMessageKind.Roster, epoch: offer.epoch });
+        if (known?.kind === RateMessageKind.Roster && known.epoch < offer.epoch) {
+            await this.call(cache, offer);
+        }
     }
 
     private async askForRoster(instance: string): Promise<void> {
-        const answer = await this.options.peers.send(instance, { kind: RateMessageKind.RosterRequest });
-        if (answer.isOk() && answer.value.kind === RateMessageKind.Roster) {
-            this.adoptMessage(answer.value);
+        const answer = await this.call(instance, { kind: RateMessageKind.RosterRequest });
+        if (answer?.kind === RateMessageKind.Roster) {
+            this.adoptMessage(answer);
         }
     }
 
+    private call(instance: string, message: RateMessage): Promise<RateMessage | undefined> {
+        const { clock, peers } = this.options;
+        return callPeer({ clock, peers, instance, message, timeout: rosterCallMilliseconds });
+    }
+
     private scheduleRepair(): void {
         if (this.repairScheduled) {
             return;
@@ -191,7 +232,7 @@
             text: encodeRoster(after),
         };
         for (const gainer of gainers) {
-            void this.options.peers.send(gainer, message);
+            void this.call(gainer, message);
         }
     }
 
@@ -219,10 +260,22 @@
     }
 
     private adopt(roster: Roster): void {
-        if (!this.stopped && roster.epoch > (this.roster?.epoch ?? 0)) {
-            this.roster = roster;
-            this.options.onRoster(roster);
+        if (this.stopped || roster.epoch <= (this.roster?.epoch ?? 0)) {
+            return;
         }
+        const gained = this.hasGained(roster);
+        this.roster = roster;
+        this.options.onRoster(roster);
+        if (gained) {
+            void this.offerToCaches();
+        }
+    }
+
+    private hasGained(roster: Roster): boolean {
+        const { instance } = this.options;
+        return roster.holders.some((holder, position) =>
+            holder === instance && this.roster?.holders[position] !== instance
+        );
     }
 
     private pause(duration: number): Promise<void> {
--- /dev/null
+++ b/packages/admission/src/trial/index.ts
@@ -0,0 +1,8 @@
+/**
+ * Simulated fleet, network and judge of admission, for fuzzing and experiments. No product process uses them.
+ *
+ * @module
+ */
+export * from "./rateFleet.js";
+export * from "./rateLedger.js";
+export * from "./rateNetwork.js";
--- /dev/null
+++ b/packages/admission/src/trial/rateFleet.ts
@@ -0,0 +1,300 @@
+/**
+ * A fleet of simulated routers that admit requests on a fake clock, for fuzzing and experiments. It makes the
+ * faults, and records what was admitted and refused.
+ *
+ * @module
+ */
+import {
+    FakeClock,
+    type Milliseconds,
+    type RandomSource,
+    RefusalReason,
+    silentLogger,
+} from "@redwingpin/common";
+import type { ClientAccount } from "@redwingpin/manifest";
+import { MemoryStore, SimulatedProcess, type StoreFault } from "@redwingpin/platform";
+import { type RateMessage, RateMessageKind } from "@redwingpin/protocol";
+import { errAsync } from "neverthrow";
+import type { RouterMember } from "../decision/roster.js";
+import type { SlotDivision } from "../decision/tokenShare.js";
+import { createAdmission } from "../node/admissionController.js";
+import type { AdmissionController, RatePeers } from "../node/admissionOptions.js";
+import { RosterCache } from "../node/rosterCache.js";
+import { type AdmittedRequest, type LimitsInForce, overspentTokens } from "./rateLedger.js";
+import { RateNetwork } from "./rateNetwork.js";
+
+/** Options of {@link RateFleet}. */
+export interface RateFleetOptions {
+    readonly routers: number;
+    readonly accounts: readonly ClientAccount[];
+    readonly random: RandomSource;
+    /**
+     * Time that a message takes one way.
+     * @default 1
+     */
+    readonly latency?: Milliseconds;
+    /**
+     * Longest time that passes before what has become due runs to its end.
+     * @default 5
+     */
+    readonly step?: Milliseconds;
+    /**
+     * Into how many slots accounts are divided.
+     * @default defaultDivision
+     */
+    readonly division?: SlotDivision;
+    /**
+     * False for routers that never ask each other for tokens.
+     * @default true
+     */
+    readonly asksOthers?: boolean;
+}
+
+/** One request that was offered to a router. */
+export interface OfferedRequest {
+    readonly account: string;
+    readonly at: Milliseconds;
+    readonly router: number;
+    readonly tokens: number;
+    /** Absent while it waits, and for good where its router died. */
+    outcome?: "admitted" | RefusalReason;
+    /** Time at which the outcome was known. */
+    decidedAt?: Milliseconds;
+}
+
+interface SimulatedRouter {
+    readonly instance: string;
+    readonly process: SimulatedProcess;
+    readonly controller: AdmissionController;
+    /** What is in force at the router. */
+    readonly inForce: { accounts: readonly ClientAccount[]; };
+    alive: boolean;
+}
+
+const startOfTime: Milliseconds = 1_000_000;
+const storeLatency: Milliseconds = 4;
+const listInterval: Milliseconds = 1_000;
+const defaultStep: Milliseconds = 5;
+const agentInstances = ["agent-0", "agent-1", "agent-2"];
+
+/** The fleet. */
+export class RateFleet {
+    readonly clock = new FakeClock(startOfTime);
+    readonly store = new MemoryStore(this.clock, storeLatency);
+    readonly network: RateNetwork;
+    readonly offered: OfferedRequest[] = [];
+    private readonly routers: SimulatedRouter[] = [];
+    private readonly admitted: AdmittedRequest[] = [];
+    private readonly limits = new Map<string, LimitsInForce[]>();
+    private accounts: readonly ClientAccount[];
+    private machines: RouterMember[];
+    private starts = 0;
+
+    constructor(private readonly options: RateFleetOptions) {
+        this.network = new RateNetwork(this.clock, options.random, options.latency ?? 1);
+        this.accounts = options.accounts;
+        this.machines = Array.from({ length: options.routers }, (_, index) => memberOf(index));
+        for (let index = 0; index < options.routers; index++) {
+            this.routers.push(this.startRouter(this.machines[index].instance));
+        }
+        agentInstances.forEach((instance) => this.startAgent(instance));
+        this.readList();
+        this.recordLimits();
+    }
+
+    /** Lets time pass. */
+    async pass(duration: Milliseconds): Promise<void> {
+        const step = this.options.step ?? defaultStep;
+        for (let passed = 0; passed < duration; passed += step) {
+            this.clock.advance(Math.min(step, duration - passed));
+            await new Promise((resolve) => {
+                setImmediate(resolve);
+            });
+        }
+    }
+
+    /** True where the router runs. */
+    runs(router: number): boolean {
+        return this.routers[router].alive && this.routers[router].process.runs;
+    }
+
+    /** Offers a request; after `duration` it settles with `actual` tokens. */
+    offer(router: number, account: string, tokens: number, actual: number, duration: Milliseconds): void {
+        const serving = this.routers[router];
+        const found = serving.inForce.accounts.find((candidate) => candidate.name === account);
+        if (!this.runs(router) || found === undefined) {
+            return;
+        }
+        const offer: OfferedRequest = { account, at: this.clock.now(), router, tokens };
+        this.offered.push(offer);
+        void serving.controller.admit(found, tokens).then((result) => {
+            offer.decidedAt = this.clock.now();
+            offer.outcome = result.isOk() ? "admitted" : result.error.reason;
+            if (result.isErr()) {
+                return;
+            }
+            const admission: AdmittedRequest = { account, at: this.clock.now(), charge: tokens };
+            this.admitted.push(admission);
+            serving.process.clock.schedule(duration, () => {
+                admission.charge = actual;
+                result.value.settle(actual);
+            });
+        });
+    }
+
+    /** Kills a router; its VM stays. */
+    kill(router: number): void {
+        const killed = this.routers[router];
+        killed.process.kill();
+        killed.controller.stop();
+        killed.alive = false;
+        this.network.attach(killed.instance, undefined);
+        this.recordLimits();
+    }
+
+    /** Starts a router's process again, on the same VM. */
+    restart(router: number): void {
+        if (this.routers[router].alive) {
+            this.kill(router);
+        }
+        this.routers[router] = this.startRouter(this.routers[router].instance);
+        this.recordLimits();
+    }
+
+    /** Replaces the VM of a router by another that bears a new name. */
+    replace(router: number): void {
+        this.kill(router);
+        const instance = `${this.routers[router].instance}x`;
+        this.machines = this.machines.map((machine, index) =>
+            index === router ? { instance, leaving: false } : machine
+        );
+        this.routers[router] = this.startRouter(instance);
+        this.recordLimits();
+    }
+
+    /** Lets a router give up its slots for good, and then replaces its VM. */
+    async leave(router: number): Promise<void> {
+        void this.routers[router].controller.leave();
+        await this.pass(50);
+        this.replace(router);
+    }
+
+    freeze(router: number): void {
+        this.routers[router].process.freeze();
+    }
+
+    thaw(router: number): void {
+        this.routers[router].process.thaw();
+    }
+
+    setStoreFault(fault: StoreFault): void {
+        this.store.fault = fault;
+    }
+
+    /** Cuts or heals the way from one router to another. */
+    setCut(from: number, to: number, cut: boolean): void {
+        this.network.setCut(this.routers[from].instance, this.routers[to].instance, cut);
+    }
+
+    /** Puts accounts in force: at one router, or at all that run and at those that start later. */
+    install(accounts: readonly ClientAccount[], router?: number): void {
+        this.accounts = accounts;
+        for (const [index, one] of this.routers.entries()) {
+            if (router === undefined || router === index) {
+                one.process.run(() => {
+                    one.inForce.accounts = accounts;
+                    one.controller.accountsChanged();
+                    this.recordLimits();
+                });
+            }
+        }
+        this.recordLimits();
+    }
+
+    /** Tokens by which each account exceeded its bound in its worst interval. */
+    overspent(): ReadonlyMap<string, number> {
+        const names = [...this.limits.keys()];
+        return new Map(names.map((name) => {
+            const admissions = this.admitted.filter((admission) => admission.account === name);
+            return [name, overspentTokens(admissions, this.limits.get(name)!)];
+        }));
+    }
+
+    /** Tokens admitted, as they count in the end. */
+    admittedTokens(account: string): number {
+        return this.admitted
+            .filter((admission) => admission.account === account)
+            .reduce((sum, admission) => sum + admission.charge, 0);
+    }
+
+    private startAgent(instance: string): void {
+        const cache = new RosterCache();
+        const process = new SimulatedProcess(this.clock);
+        const nothing: RateMessage = { kind: RateMessageKind.Acknowledge };
+        this.network.attach(instance, {
+            process,
+            handle: async (message) => cache.handle(message) ?? nothing,
+        });
+    }
+
+    private startRouter(instance: string): SimulatedRouter {
+        const process = new SimulatedProcess(this.clock);
+        const inForce = { accounts: this.accounts };
+        const controller = createAdmission({
+            clock: process.clock,
+            instance,
+            incarnation: String(++this.starts),
+            store: process.storeClient(this.store.client()),
+            peers: this.peersOf(instance, process),
+            accounts: () => inForce.accounts,
+            logger: silentLogger,
+            rosterAgents: () => agentInstances,
+            division: this.options.division,
+        });
+        this.network.attach(instance, {
+            process,
+            handle: (message, from) => controller.handle(message, from),
+        });
+        controller.membersChanged(this.machines);
+        return { instance, process, controller, inForce, alive: true };
+    }
+
+    private peersOf(instance: string, process: SimulatedProcess): RatePeers {
+        const peers = this.network.peersOf(instance, process);
+        if (this.options.asksOthers ?? true) {
+            return peers;
+        }
+        const refused = errAsync<RateMessage, string>("routers do not ask each other");
+        return {
+            send: (to, message) => message.kind === RateMessageKind.Ask ? refused : peers.send(to, message),
+        };
+    }
+
+    private readList(): void {
+        const { machines } = this;
+        for (const router of this.routers) {
+            router.process.run(() => router.controller.membersChanged(machines));
+        }
+        this.clock.schedule(listInterval, () => this.readList());
+    }
+
+    private recordLimits(): void {
+        const names = new Set([...this.limits.keys(), ...this.accounts.map((account) => account.name)]);
+        for (const name of names) {
+            const known = this.routers
+                .filter((router) => router.alive)
+                .flatMap((router) => router.inForce.accounts.filter((account) => account.name === name));
+            const history = this.limits.get(name) ?? [];
+            this.limits.set(name, history);
+            history.push({
+                from: this.clock.now(),
+                tokensPerSecond: Math.max(0, ...known.map((account) => account.tokensPerSecond)),
+                burstTokens: Math.max(0, ...known.map((account) => account.burstTokens)),
+            });
+        }
+    }
+}
+
+function memberOf(index: number): RouterMember {
+    return { instance: `router-${index}`, leaving: false };
+}
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -7,5 +7,6 @@
 export * from "./etcdStore.js";
 export * from "./memoryStore.js";
 export * from "./prometheusVirtualMachineList.js";
+export * from "./simulatedProcess.js";
 export * from "./store.js";
 export * from "./virtualMachineList.js";
--- a/packages/proofs/src/fuzz/targets.ts
+++ b/packages/proofs/src/fuzz/targets.ts
@@ -4,5 +4,6 @@
  * @module
  */
 import type { FuzzTarget } from "./fuzzTarget.js";
+import { ratesTarget } from "./ratesTarget.js";
 
-export const fuzzTargets: readonly FuzzTarget[] = [];
+export const fuzzTargets: readonly FuzzTarget[] = [ratesTarget];
--- a/packages/protocol/src/rateMessages.ts
+++ b/packages/protocol/src/rateMessages.ts
@@ -59,7 +59,7 @@
     readonly kind: RateMessageKind.RosterRequest;
 }
 
-/** The roster that the sender knows; epoch 0 and no text where it knows none. As a request, an offer to keep it. */
+/** The epoch of the roster that the sender knows, and the roster where the receiver may lack it. */
 export interface RateRoster {
     readonly kind: RateMessageKind.Roster;
     readonly epoch: number;
