feat(playground): stand-ins and product as separate processes on loopback

`npm run playground` chooses free ports below those of outgoing connections, so that a stopped process can start again on its address, starts the stand-ins, fills the VM list, starts agents and routers, applies a manifest with the operator's command and writes the state file at once when every router is ready. Keys are made up at each start; the fleet key reaches processes by a file, never by an argument.

--- a/packages/standins/src/node/engineStandin.ts
+++ b/packages/standins/src/node/engineStandin.ts
@@ -3,7 +3,8 @@
  *
  * Interface: `POST /v1/completions`, `POST /v1/chat/completions` (JSON or server-sent events, one token an event),
  * `GET /v1/models`, `GET /health`, `GET /load` (late), `GET /cache/events` (server-sent events, late, with gaps) and
- * `POST /orders`. `GET /health` gives the incarnation and the weights as `{"model", "version", "adapter"?}`. A request with `"resume": {"after_tokens": N}` continues the same answer at token N.
+ * `POST /orders`. `GET /health` gives the incarnation and the names of the loaded weights and adapters. A request
+ * with `"resume": {"after_tokens": N}` continues the same answer at token N.
  *
  * Controls: `POST /control/delay {"firstToken", "betweenTokens"}` in milliseconds, `GET /control/seen`,
  * `GET /control/work`, `GET /control/orders` and `POST /control/crash`.
--- /dev/null
+++ b/playground/src/main.ts
@@ -0,0 +1,115 @@
+/**
+ * `npm run playground -- [--state FILE] [--routers N] [--engines N] [--services N] [--deployment NAME]`: starts a
+ * playground, says how to send a request, and stays until SIGTERM.
+ *
+ * @module
+ */
+import { parseInteger, parseMember } from "@redwingpin/common";
+import { Command, Option, runExit } from "clipanion";
+import { rename, writeFile } from "node:fs/promises";
+import { defaultSize, DeploymentName } from "./deployment.js";
+import { type Playground, startPlayground } from "./playground.js";
+import type { PlaygroundState } from "./state.js";
+
+const maximumProcesses = 200;
+const orphanPollMilliseconds = 500;
+const usageExitCode = 2;
+
+class PlaygroundCommand extends Command {
+    static override paths = [Command.Default];
+    static override usage = Command.Usage({
+        description: "Starts stand-ins and the product as separate processes on loopback",
+    });
+
+    stateFile = Option.String("--state", {
+        description: "File that receives the state as JSON once all is ready",
+    });
+    routers = Option.String("--routers", { description: "Number of routers" });
+    engines = Option.String("--engines", { description: "Number of engines" });
+    services = Option.String("--services", { description: "Number of service replicas" });
+    deployment = Option.String("--deployment", DeploymentName.Sample, {
+        description: `Deployment: ${Object.values(DeploymentName).join(", ")}`,
+    });
+
+    async execute(): Promise<number> {
+        const stop = untilStopped();
+        const options = this.parse();
+        if (options.isErr()) {
+            this.context.stderr.write(`playground: ${options.error}\n`);
+            return usageExitCode;
+        }
+        const playground = await startPlayground(options.value);
+        if (this.stateFile !== undefined) {
+            await writeState(this.stateFile, playground.state);
+        }
+        this.context.stdout.write(describe(playground));
+        await stop;
+        await playground.stop();
+        return 0;
+    }
+
+    private parse() {
+        return parseMember(DeploymentName)(this.deployment).andThen((deployment) => {
+            const size = defaultSize(deployment);
+            const count = parseInteger(1, maximumProcesses);
+            return count(this.routers ?? String(size.routers)).andThen((routers) =>
+                count(this.engines ?? String(size.engines)).andThen((engines) =>
+                    count(this.services ?? String(size.services)).map((services) => ({
+                        deployment,
+                        routers,
+                        engines,
+                        services,
+                    }))
+                )
+            );
+        });
+    }
+}
+
+/** Resolves on SIGTERM, on SIGINT, and where the process that started this one has ended. */
+function untilStopped(): Promise<void> {
+    const parent = process.ppid;
+    return new Promise((resolve) => {
+        const timer = setInterval(() => process.ppid !== parent && finish(), orphanPollMilliseconds);
+        const finish = () => {
+            clearInterval(timer);
+            resolve();
+        };
+        process.on("SIGTERM", finish);
+        process.on("SIGINT", finish);
+    });
+}
+
+/** Writes the file at once, so that a reader never sees a part of it. */
+async function writeState(file: string, state: PlaygroundState): Promise<void> {
+    const partial = `${file}.partial`;
+    await writeFile(partial, `${JSON.stringify(state, undefined, 4)}\n`);
+    await rename(partial, file);
+}
+
+function describe(playground: Playground): string {
+    const { routers, keys, models, nonIdempotent, operator } = playground.state;
+    const key = `-H "authorization: Bearer ${keys[0]!.key}"`;
+    const body = JSON.stringify({
+        model: models[0],
+        prompt: "Does this pattern match?",
+        max_tokens: 20,
+        stream: true,
+    });
+    return [
+        `The playground is ready with ${routers.length} routers: ${routers.join(" ")}`,
+        `Logs are in ${playground.folder}`,
+        "",
+        "A stream:",
+        `    curl -N ${routers[0]}/v1/completions ${key} -H "content-type: application/json" -d '${body}'`,
+        "A call that runs at most once:",
+        `    curl ${routers[0]}${nonIdempotent} ${key} -H "idempotency-key: stamp-1" -d '{"stamp": 1}'`,
+        "The operator's command:",
+        `    ${operator.join(" ")} manifest status`,
+        "",
+        "Press Ctrl-C to stop.",
+        "",
+    ].join("\n");
+}
+
+void runExit(PlaygroundCommand);
--- /dev/null
+++ b/playground/src/processPlans.ts
@@ -0,0 +1,257 @@
+/**
+ * Plans of every process of a playground: command, environment and addresses.
+ *
+ * @module
+ */
+import { EndpointKind } from "@redwingpin/manifest";
+import { createRequire } from "node:module";
+import { dirname, join } from "node:path";
+import type { Deployment, DeploymentSize } from "./deployment.js";
+import type { PortAllocator } from "./ports.js";
+import { PlaygroundRole, type ProcessEnvironment } from "./state.js";
+
+/** Address of everything in a playground. */
+export const playgroundHost = "127.0.0.1";
+
+/** A prompt that contains this text crashes the engine that runs it. */
+export const crashMarker = "[crash the engine]";
+
+/** How to start one process and to see that it is ready. */
+export interface ProcessPlan {
+    readonly name: string;
+    readonly role: PlaygroundRole;
+    readonly command: readonly string[];
+    readonly environment: ProcessEnvironment;
+    /** Base address of a stand-in's controls. */
+    readonly control?: string;
+    /** Address that answers with status 200 once the process is ready. */
+    readonly readyAddress: string;
+    /** Base address of a router. */
+    readonly address?: string;
+}
+
+/** One entry of the VM list. */
+export interface ListedMachine {
+    readonly targets: readonly string[];
+    readonly labels: Readonly<Record<string, string>>;
+}
+
+/** Plans of all processes, in the order in which they start. */
+export interface PlaygroundPlan {
+    readonly standins: readonly ProcessPlan[];
+    readonly agents: readonly ProcessPlan[];
+    readonly routers: readonly ProcessPlan[];
+    readonly virtualMachines: readonly ListedMachine[];
+    readonly virtualMachineListControl: string;
+    /** Settings of the operator's command. */
+    readonly operatorEnvironment: ProcessEnvironment;
+}
+
+/** What plans are made from. */
+export interface PlanInput {
+    readonly deployment: Deployment;
+    readonly size: DeploymentSize;
+    readonly ports: PortAllocator;
+    /** File that holds the fleet key. */
+    readonly fleetKeyFile: string;
+}
+
+const resolver = createRequire(import.meta.url);
+
+/** Path of a program of the monorepo. */
+export function programOf(packageName: string): string {
+    const entry = resolver.resolve(`@redwingpin/${packageName}`);
+    return join(dirname(entry), "node", "main.js");
+}
+
+/** Chooses ports and plans every process. */
+export async function planPlayground(input: PlanInput): Promise<PlaygroundPlan> {
+    const planner = new Planner(input);
+    return planner.plan();
+}
+
+interface Endpoint {
+    readonly plan: ProcessPlan;
+    readonly address: string;
+    readonly kind: EndpointKind;
+    readonly pool: string;
+}
+
+class Planner {
+    private readonly machines: ListedMachine[] = [];
+    private storeAddress = "";
+    private virtualMachineListAddress = "";
+    private weightStoreAddress = "";
+
+    constructor(private readonly input: PlanInput) {}
+
+    async plan(): Promise<PlaygroundPlan> {
+        const store = await this.store();
+        const virtualMachineList = await this.virtualMachineList();
+        const endpoints = [...await this.engines(), ...await this.services()];
+        const agents = await this.each(endpoints, (endpoint, index) => this.agent(endpoint, index));
+        const routerNumbers = Array.from({ length: this.input.size.routers }, (_, index) => index);
+        const routers = await this.each(routerNumbers, (index) => this.router(index));
+        return {
+            standins: [store, virtualMachineList, ...endpoints.map((endpoint) => endpoint.plan)],
+            agents,
+            routers,
+            virtualMachines: this.machines,
+            virtualMachineListControl: virtualMachineList.control!,
+            operatorEnvironment: this.platformEnvironment(),
+        };
+    }
+
+    private async each<T, R>(
+        items: readonly T[],
+        make: (item: T, index: number) => Promise<R>,
+    ): Promise<R[]> {
+        const made: R[] = [];
+        for (const [index, item] of items.entries()) {
+            made.push(await make(item, index));
+        }
+        return made;
+    }
+
+    private async store(): Promise<ProcessPlan> {
+        const { plan, address } = await this.standin(
+            "store",
+            PlaygroundRole.Store,
+            ["store"],
+            "/control/counts",
+        );
+        this.storeAddress = address;
+        return plan;
+    }
+
+    private async virtualMachineList(): Promise<ProcessPlan> {
+        const role = PlaygroundRole.VirtualMachineList;
+        const { plan, address } = await this.standin("vmList", role, ["vmList"], "/control/virtualMachines");
+        this.virtualMachineListAddress = `${address}/virtualMachines`;
+        this.weightStoreAddress = `${address}/weights`;
+        return plan;
+    }
+
+    private engines(): Promise<Endpoint[]> {
+        const { deployment } = this.input;
+        return this.each(deployment.weights, async (weights, index) => {
+            const options = ["--weights", weights, "--weight-store", this.weightStoreAddress];
+            const marker = ["--crash-marker", crashMarker];
+            const { plan, address } = await this.standin(
+                `engine-${index + 1}`,
+                PlaygroundRole.Engine,
+                ["engine", ...options, ...marker],
+                "/control/work",
+            );
+            return { plan, address, kind: EndpointKind.Engine, pool: deployment.enginePool.name };
+        });
+    }
+
+    private services(): Promise<Endpoint[]> {
+        const names = Array.from({ length: this.input.size.services }, (_, index) => `service-${index + 1}`);
+        return this.each(names, async (name) => {
+            const role = PlaygroundRole.Service;
+            const { plan, address } = await this.standin(name, role, ["service"], "/control/executions");
+            return {
+                plan,
+                address,
+                kind: EndpointKind.Service,
+                pool: this.input.deployment.servicePool.name,
+            };
+        });
+    }
+
+    private async standin(
+        name: string,
+        role: PlaygroundRole,
+        commandArguments: readonly string[],
+        readyPath: string,
+    ): Promise<{ plan: ProcessPlan; address: string; }> {
+        const port = await this.input.ports.allocate();
+        const controlPort = await this.input.ports.allocate();
+        const control = addressOf(controlPort);
+        const ports = ["--port", String(port), "--control-port", String(controlPort)];
+        const command = [process.execPath, programOf("standins"), ...commandArguments, ...ports];
+        const plan = {
+            name,
+            role,
+            command,
+            environment: {},
+            control,
+            readyAddress: `${control}${readyPath}`,
+        };
+        return { plan, address: addressOf(port) };
+    }
+
+    private async agent(endpoint: Endpoint, index: number): Promise<ProcessPlan> {
+        const innerPort = await this.input.ports.allocate();
+        const metricsPort = await this.input.ports.allocate();
+        const instance = `agent-${index + 1}`;
+        const dataCentre = this.dataCentre(index);
+        this.machines.push({
+            targets: [`${playgroundHost}:${innerPort}`],
+            labels: { instance, role: "agent", data_centre: dataCentre, pool: endpoint.pool },
+        });
+        return {
+            name: instance,
+            role: PlaygroundRole.Agent,
+            command: [process.execPath, programOf("agent")],
+            environment: {
+                REDWINGPIN_INSTANCE: instance,
+                REDWINGPIN_DATA_CENTRE: dataCentre,
+                REDWINGPIN_POOL: endpoint.pool,
+                REDWINGPIN_LISTEN_HOST: playgroundHost,
+                REDWINGPIN_INNER_PORT: String(innerPort),
+                REDWINGPIN_METRICS_PORT: String(metricsPort),
+                REDWINGPIN_ENDPOINT_ADDRESS: endpoint.address,
+                REDWINGPIN_ENDPOINT_KIND: endpoint.kind,
+                REDWINGPIN_VM_LIST_ADDRESS: this.virtualMachineListAddress,
+                REDWINGPIN_FLEET_KEY_FILE: this.input.fleetKeyFile,
+            },
+            readyAddress: `${addressOf(metricsPort)}/ready`,
+        };
+    }
+
+    private async router(index: number): Promise<ProcessPlan> {
+        const listenPort = await this.input.ports.allocate();
+        const innerPort = await this.input.ports.allocate();
+        const instance = `router-${index + 1}`;
+        const dataCentre = this.dataCentre(index);
+        this.machines.push({
+            targets: [`${playgroundHost}:${innerPort}`],
+            labels: { instance, role: "router", data_centre: dataCentre },
+        });
+        return {
+            name: instance,
+            role: PlaygroundRole.Router,
+            command: [process.execPath, programOf("router")],
+            environment: {
+                REDWINGPIN_INSTANCE: instance,
+                REDWINGPIN_DATA_CENTRE: dataCentre,
+                REDWINGPIN_LISTEN_HOST: playgroundHost,
+                REDWINGPIN_LISTEN_PORT: String(listenPort),
+                REDWINGPIN_INNER_PORT: String(innerPort),
+                ...this.platformEnvironment(),
+            },
+            readyAddress: `${addressOf(listenPort)}/ready`,
+            address: addressOf(listenPort),
+        };
+    }
+
+    private platformEnvironment(): ProcessEnvironment {
+        return {
+            REDWINGPIN_STORE_ADDRESS: this.storeAddress,
+            REDWINGPIN_VM_LIST_ADDRESS: this.virtualMachineListAddress,
+            REDWINGPIN_FLEET_KEY_FILE: this.input.fleetKeyFile,
+        };
+    }
+
+    private dataCentre(index: number): string {
+        const { dataCentres } = this.input.deployment;
+        return dataCentres[index % dataCentres.length]!;
+    }
+}
+
+function addressOf(port: number): string {
+    return `http://${playgroundHost}:${port}`;
+}
