--- a/packages/admission/src/decision/roster.ts
+++ b/packages/admission/src/decision/roster.ts
@@ -9,7 +9,7 @@
  */
 import { rendezvousScore } from "@redwingpin/common";
 import { err, ok, type Result } from "neverthrow";
-import { baseSlots, rosterPositions } from "../constants.js";
+import { rosterPositions, rosterSpread } from "../constants.js";
 
 /** Who holds which position. */
 export interface Roster {
@@ -106,7 +106,9 @@
             loads.set(holder!, loads.get(holder!)! + 1);
         }
     }
-    const most = leaveRoom ? Math.ceil(holders.length / Math.max(baseSlots, takers.length)) : holders.length;
+    const most = leaveRoom
+        ? Math.ceil(holders.length / Math.max(rosterSpread, takers.length))
+        : holders.length;
     for (const position of holders.keys()) {
         if (holders[position] === undefined) {
             const taker = chooseTaker(holders, position, loads, most);
@@ -141,7 +143,7 @@
 
 function neighboursOf(holders: readonly (string | undefined)[], position: number): (string | undefined)[] {
     const neighbours: (string | undefined)[] = [];
-    for (let distance = 1; distance < baseSlots; distance++) {
+    for (let distance = 1; distance < rosterSpread; distance++) {
         neighbours.push(holders[(position + distance) % holders.length]);
         neighbours.push(holders[(position - distance + holders.length) % holders.length]);
     }
--- a/packages/admission/src/decision/slotHolder.ts
+++ b/packages/admission/src/decision/slotHolder.ts
@@ -12,7 +12,7 @@
 import { grantHoldMilliseconds } from "../constants.js";
 import { holdersOf, positionOf, type Roster } from "./roster.js";
 import { TokenBucket } from "./tokenBucket.js";
-import { noLimits, slotCount, slotLimits } from "./tokenShare.js";
+import { defaultDivision, noLimits, slotCount, type SlotDivision, slotLimits } from "./tokenShare.js";
 
 const millisecondsPerSecond = 1000;
 
@@ -34,6 +34,7 @@
 
     constructor(
         private readonly instance: string,
+        private readonly division: SlotDivision = defaultDivision,
         private readonly hold: Milliseconds = grantHoldMilliseconds,
     ) {}
 
@@ -108,7 +109,7 @@
     private advance(account: ClientAccount, now: Milliseconds): TokenBucket[] {
         const advanced: TokenBucket[] = [];
         for (const [index, bucket] of this.buckets.get(account.name) ?? []) {
-            bucket.advance(now, slotLimits(account, index));
+            bucket.advance(now, slotLimits(account, index, this.division));
             advanced.push(bucket);
         }
         return advanced;
@@ -133,7 +134,10 @@
             this.buckets.set(account.name, slots);
             if (!slots.has(index)) {
                 const start = this.startOf.get(positionOf(account.name, index)) ?? now + this.hold;
-                slots.set(index, new TokenBucket(Math.max(start, now), slotLimits(account, index)));
+                slots.set(
+                    index,
+                    new TokenBucket(Math.max(start, now), slotLimits(account, index, this.division)),
+                );
             }
         }
     }
@@ -142,7 +146,7 @@
         if (this.roster === undefined || this.givenUp) {
             return [];
         }
-        const holders = holdersOf(this.roster, account.name, slotCount(account));
+        const holders = holdersOf(this.roster, account.name, slotCount(account, this.division));
         return holders.find((holder) => holder.instance === this.instance)?.slots ?? [];
     }
 
