feat(router): membership in place of a VM list read each second by every process

Membership reads it ever more seldom as it grows and spreads what it learns on pings. Rates still follow the list itself, since a member that gives no answer may only be paused and must not lose its share.

Routers and agents answer the operator's status call, and tell the others when they leave. A process of an older build that answers pings in another form counts as alive.

--- a/packages/agent/src/node/agent.ts
+++ b/packages/agent/src/node/agent.ts
@@ -6,6 +6,7 @@
  */
 import { type Clock, type Logger, maxSeed, seededRandom } from "@redwingpin/common";
 import { type Configuration, createAgentPeers, createConfiguration } from "@redwingpin/configuration";
+import { MembershipResponder } from "@redwingpin/membership";
 import {
     type Connection,
     type EndpointStatus,
@@ -13,6 +14,7 @@
     InnerNode,
     MessageKind,
     type Open,
+    type OperatorStatus,
     ProcessRole,
     Topic,
 } from "@redwingpin/protocol";
@@ -43,6 +45,7 @@
     private readonly exchanges = new Map<Connection, Map<number, ExchangeTask>>();
     private readonly recent = new RecentRequests();
     private readonly configuration: Configuration;
+    private readonly membership: MembershipResponder;
     private draining = false;
     private wakeWhenIdle: (() => void) | undefined;
 
@@ -87,19 +90,28 @@
             this.configuration.handle(body, from.instance);
             return Promise.resolve(undefined);
         });
-        this.innerNode.handle(Topic.Membership, () => Promise.resolve({ kind: "pong" }));
+        this.membership = this.createMembership();
+        this.innerNode.handle(
+            Topic.Membership,
+            (body) => Promise.resolve(this.membership.handle(body) ?? { kind: "pong" }),
+        );
+        this.innerNode.handle(Topic.Operator, () => Promise.resolve(this.operatorStatus()));
     }
 
     /** Starts to listen; resolves with the port of the inner protocol. */
     async start(): Promise<number> {
         await this.monitor.start();
         this.configuration.start();
-        return this.innerNode.listen(this.options.config.listenHost, this.options.config.innerPort);
+        const { config } = this.options;
+        const port = await this.innerNode.listen(config.listenHost, config.innerPort);
+        this.membership.listensOn(port);
+        return port;
     }
 
     /** Takes no new work, waits until what runs has ended, and closes everything. */
     async drain(): Promise<void> {
         this.draining = true;
+        this.membership.leave();
         this.broadcastStatus();
         if (this.exchangeCount() > 0) {
             await new Promise<void>((resolve) => {
@@ -133,6 +145,33 @@
         };
     }
 
+    private createMembership(): MembershipResponder {
+        const { clock, config } = this.options;
+        return new MembershipResponder({
+            instance: config.instance,
+            role: ProcessRole.Agent,
+            host: config.listenHost,
+            port: config.innerPort,
+            dataCentre: config.dataCentre,
+            pool: config.pool,
+            epoch: Math.max(1, Math.round(clock.wallTime())),
+        });
+    }
+
+    private operatorStatus(): OperatorStatus {
+        const { config } = this.options;
+        return {
+            instance: config.instance,
+            role: ProcessRole.Agent,
+            dataCentre: config.dataCentre,
+            revision: this.configuration.revision(),
+            ready: !this.draining,
+            refusals: [],
+            accounts: [],
+            endpoint: this.status(),
+        };
+    }
+
     private onMessage(connection: Connection, message: ExchangeMessage): void {
         switch (message.kind) {
             case MessageKind.Open:
--- a/packages/common/src/metrics.ts
+++ b/packages/common/src/metrics.ts
@@ -6,6 +6,9 @@
 import { Counter, Registry } from "prom-client";
 import { RefusalReason, RetryReason } from "./reasons.js";
 
+/** Name of the counter of refusals. */
+export const refusalsMetricName = "redwingpin_refusals_total";
+
 /** Counters that every process of the product keeps. */
 export interface ReasonCounters {
     /** Counts one refusal. */
@@ -18,7 +21,7 @@
 export function createReasonCounters(registry: Registry): ReasonCounters {
     const refusals = reasonCounter(
         registry,
-        "redwingpin_refusals_total",
+        refusalsMetricName,
         "Requests refused",
         Object.values(RefusalReason),
     );
--- a/packages/configuration/src/node/configurationTask.ts
+++ b/packages/configuration/src/node/configurationTask.ts
@@ -36,6 +36,9 @@
 /** Time between two ticks of the replica. */
 const tickInterval: Milliseconds = 100;
 
+/** Time between two looks at the peers, for those that come and go without notice. */
+const peersInterval: Milliseconds = 1_000;
+
 /** A configuration in force, indexed for look-up. */
 export interface InstalledConfiguration {
     readonly revision: number;
@@ -104,6 +107,8 @@
     private cancelWatch: CancelTimer | undefined;
     private isHandling = false;
     private isRunning = false;
+    private knownPeers: string | undefined;
+    private peersReadAt: Milliseconds = 0;
 
     constructor(private readonly options: ConfigurationOptions) {
         this.replica = new ConfigurationReplica({
@@ -143,16 +148,19 @@
     }
 
     peersChanged(): void {
-        const { peers } = this.options;
-        this.dispatch({
-            kind: ReplicaEventKind.PeersChanged,
-            routers: peers.routers(),
-            agents: peers.agents(),
-        });
+        const routers = this.options.peers.routers();
+        const agents = this.options.peers.agents();
+        const names = [...routers.map((router) => router.instance), "", ...agents].join(" ");
+        this.peersReadAt = this.options.clock.now();
+        if (names !== this.knownPeers) {
+            this.knownPeers = names;
+            this.dispatch({ kind: ReplicaEventKind.PeersChanged, routers, agents });
+        }
     }
 
     start(): void {
         this.isRunning = true;
+        this.knownPeers = undefined;
         this.peersChanged();
         this.tick();
     }
@@ -165,6 +173,9 @@
     }
 
     private tick(): void {
+        if (this.options.clock.now() - this.peersReadAt >= peersInterval) {
+            this.peersChanged();
+        }
         this.dispatch({ kind: ReplicaEventKind.Tick });
         this.cancelTick = this.options.clock.schedule(tickInterval, () => this.tick());
     }
--- a/packages/membership/src/__tests__/membershipFixture.ts
+++ b/packages/membership/src/__tests__/membershipFixture.ts
@@ -52,12 +52,11 @@
             instance,
             dataCentre: "hobart",
             host: "10.0.0.1",
-            port: portOf(instance),
             list,
             transport: (target, call, timeout) => this.call(instance, target, call, timeout),
         });
         this.listeners.set(portOf(instance), { instance, answer: (call) => membership.handle(call) });
-        membership.start();
+        membership.start(portOf(instance));
         return membership;
     }
 
--- a/packages/membership/src/decision/homeAgents.ts
+++ b/packages/membership/src/decision/homeAgents.ts
@@ -7,6 +7,17 @@
 import { rendezvousScore } from "@redwingpin/common";
 import type { MemberEntry } from "@redwingpin/protocol";
 
+/** Routers that keep a connection to one agent, so that two ways lead to it and it can pass on news between them. */
+export const keepersPerAgent = 2;
+
+/** The agents of one router. */
+export interface ChosenAgents {
+    /** Agents that this router alone pings and keeps up to date. */
+    readonly home: readonly MemberEntry[];
+    /** Agents that this router keeps a connection to; the home ones included. */
+    readonly kept: readonly MemberEntry[];
+}
+
 /** Chooses agents; scores are kept, since a change of one router must not cost a hash for every pair. */
 export class HomeAgents {
     private readonly scores = new Map<string, Map<string, number>>();
@@ -16,26 +27,30 @@
         self: MemberEntry,
         routers: readonly MemberEntry[],
         agents: readonly MemberEntry[],
-    ): MemberEntry[] {
+    ): ChosenAgents {
         const byDataCentre = new Map<string, MemberEntry[]>();
         for (const router of routers) {
             const list = byDataCentre.get(router.dataCentre) ?? [];
             byDataCentre.set(router.dataCentre, [...list, router]);
         }
         this.forgetOthers(agents);
-        return agents.filter((agent) =>
-            this.isHome(self, agent, byDataCentre.get(agent.dataCentre) ?? routers)
-        );
+        const ranked = agents.map((agent) => {
+            const candidates = byDataCentre.get(agent.dataCentre) ?? routers;
+            return { agent, rank: this.rank(self, agent, candidates) };
+        });
+        return {
+            home: ranked.filter(({ rank }) => rank === 0).map(({ agent }) => agent),
+            kept: ranked.filter(({ rank }) => rank < keepersPerAgent).map(({ agent }) => agent),
+        };
     }
 
-    private isHome(self: MemberEntry, agent: MemberEntry, candidates: readonly MemberEntry[]): boolean {
+    /** How many candidates come before `self`; without end where it is no candidate. */
+    private rank(self: MemberEntry, agent: MemberEntry, candidates: readonly MemberEntry[]): number {
         if (!candidates.some((router) => router.instance === self.instance)) {
-            return false;
+            return Infinity;
         }
         const own = this.score(agent.instance, self.instance);
-        return candidates.every((router) =>
-            router.instance === self.instance || this.score(agent.instance, router.instance) < own
-        );
+        return candidates.filter((router) => this.score(agent.instance, router.instance) > own).length;
     }
 
     private score(agent: string, router: string): number {
--- a/packages/membership/src/decision/memberTable.ts
+++ b/packages/membership/src/decision/memberTable.ts
@@ -57,6 +57,11 @@
         return this.members.get(instance);
     }
 
+    /** States the port on which this process listens. */
+    listensOn(port: number): void {
+        this.self = { ...this.self, port };
+    }
+
     /** States that this process leaves. */
     leave(): void {
         this.self = { ...this.self, state: MemberState.Leaving };
@@ -135,9 +140,11 @@
         const listed = new Set(machines.map((machine) => machine.instance));
         for (const machine of machines) {
             if (machine.instance === this.self.instance) {
-                continue;
+                this.readOwnMachine(machine);
+            }
+            else {
+                this.readMachine(machine, now);
             }
-            this.readMachine(machine, now);
         }
         for (const member of this.all()) {
             const isListed = listed.has(member.entry.instance);
@@ -153,6 +160,13 @@
         return this.hasReadList;
     }
 
+    /** A process that listens on all addresses learns from the list by which one others reach it. */
+    private readOwnMachine(machine: VirtualMachine): void {
+        if (isUnspecifiedHost(this.self.host)) {
+            this.self = { ...this.self, host: machine.host };
+        }
+    }
+
     private readMachine(machine: VirtualMachine, now: Milliseconds): void {
         const known = this.members.get(machine.instance);
         if (known === undefined) {
@@ -194,6 +208,11 @@
     }
 }
 
+/** Whether a host stands for every address of its VM. */
+export function isUnspecifiedHost(host: string): boolean {
+    return host === "0.0.0.0" || host === "::";
+}
+
 /** Time after an answer within which the address that answered is preferred to the list's. */
 const provenTime: Milliseconds = 5_000;
 
--- a/packages/membership/src/decision/membershipDecision.ts
+++ b/packages/membership/src/decision/membershipDecision.ts
@@ -23,7 +23,7 @@
     listPeriod,
     probePeriod,
 } from "../constants.js";
-import { HomeAgents } from "./homeAgents.js";
+import { type ChosenAgents, HomeAgents } from "./homeAgents.js";
 import { type Member, MemberTable } from "./memberTable.js";
 import { NewsQueue } from "./newsQueue.js";
 import { ProbeOrder } from "./probeOrder.js";
@@ -103,7 +103,7 @@
     private nextDeadProbe: Milliseconds = 0;
     private nextList: Milliseconds = 0;
     private lastShown = "";
-    private homeList: readonly MemberEntry[] = [];
+    private chosen: ChosenAgents = { home: [], kept: [] };
 
     constructor(self: MemberEntry, private readonly random: RandomSource) {
         this.table = new MemberTable(self, (entry) => this.news.add(entry));
@@ -128,8 +128,13 @@
     }
 
     /** Agents that this router looks after. */
-    homeAgents(): readonly MemberEntry[] {
-        return this.homeList;
+    get chosenAgents(): ChosenAgents {
+        return this.chosen;
+    }
+
+    /** States the port on which this process listens. */
+    listensOn(port: number): void {
+        this.table.listensOn(port);
     }
 
     /** Everything that is known, for operators and tests. */
@@ -137,6 +142,11 @@
         return this.table.all();
     }
 
+    /** What is known of one member. */
+    member(instance: string): Member | undefined {
+        return this.table.get(instance);
+    }
+
     /** Takes in one event. */
     *receive(event: MembershipEvent, now: Milliseconds): MembershipEffects {
         yield* this.handle(event, now);
@@ -188,7 +198,7 @@
         if (now >= this.nextProbe) {
             this.nextProbe = now + probePeriod;
             yield* this.ping(this.routerOrder.next(this.present(ProcessRole.Router)));
-            yield* this.ping(this.agentOrder.next(this.homeList));
+            yield* this.ping(this.agentOrder.next(this.chosen.home));
         }
         if (now >= this.nextDeadProbe) {
             this.nextDeadProbe = now + deadProbePeriod;
@@ -275,7 +285,7 @@
         }
         this.lastShown = shown;
         const agents = this.present(ProcessRole.Agent);
-        this.homeList = this.home.choose(this.own, [this.own, ...this.routers()], agents);
+        this.chosen = this.home.choose(this.own, [this.own, ...this.routers()], agents);
         yield { kind: MembershipEffectKind.Changed };
     }
 }
--- a/packages/membership/src/node/membershipResponder.ts
+++ b/packages/membership/src/node/membershipResponder.ts
@@ -10,7 +10,7 @@
     MembershipMessageKind,
     MemberState,
 } from "@redwingpin/protocol";
-import { supersedes } from "../decision/memberTable.js";
+import { isUnspecifiedHost, supersedes } from "../decision/memberTable.js";
 
 /** Answers pings at an agent. */
 export class MembershipResponder {
@@ -20,6 +20,11 @@
         this.own = { ...own, state: MemberState.Alive };
     }
 
+    /** States the port on which this process listens. */
+    listensOn(port: number): void {
+        this.own = { ...this.own, port };
+    }
+
     /** From now on answers say that this process leaves. */
     leave(): void {
         this.own = { ...this.own, state: MemberState.Leaving };
@@ -34,6 +39,7 @@
         if (about.instance === this.own.instance && supersedes(about, this.own)) {
             this.own = { ...this.own, epoch: about.epoch + 1 };
         }
-        return { kind: MembershipMessageKind.Acknowledgement, member: this.own, news: [] };
+        const member = isUnspecifiedHost(this.own.host) ? { ...this.own, host: about.host } : this.own;
+        return { kind: MembershipMessageKind.Acknowledgement, member, news: [] };
     }
 }
--- a/packages/membership/src/node/membershipTask.ts
+++ b/packages/membership/src/node/membershipTask.ts
@@ -12,11 +12,12 @@
     type Milliseconds,
     type RandomSource,
 } from "@redwingpin/common";
-import type { VirtualMachineList } from "@redwingpin/platform";
+import { type VirtualMachine, type VirtualMachineList, VirtualMachineRole } from "@redwingpin/platform";
 import {
     isMembershipAnswer,
     isMembershipCall,
     type MemberEntry,
+    type MembershipAcknowledgement,
     type MembershipAnswer,
     type MembershipCall,
     MembershipMessageKind,
@@ -55,11 +56,15 @@
     readonly logger: Logger;
     readonly instance: string;
     readonly dataCentre: string;
-    /** Address of this process's inner listener. */
+    /** Host of this process's inner listener. */
     readonly host: string;
-    readonly port: number;
     readonly list: VirtualMachineList;
     readonly transport: MembershipTransport;
+    /**
+     * Called with each reading of the VM list, for those that must know whom the platform itself has dropped.
+     * @default nothing is called
+     */
+    readonly onListRead?: (machines: readonly VirtualMachine[]) => void;
 }
 
 /** A router's view of the members. */
@@ -68,8 +73,14 @@
     routers(): readonly MemberEntry[];
     /** Agents that may be given new work, of one pool or of all. */
     agents(pool?: string): readonly MemberEntry[];
-    /** Agents that this router looks after. */
+    /** Agents that this router looks after: it pings them and keeps them up to date. */
     homeAgents(): readonly MemberEntry[];
+    /** Agents that this router keeps a connection to, those that it looks after included. */
+    keptAgents(): readonly MemberEntry[];
+    /** Every member that is not dead, leaving ones included, in the form of the VM list. */
+    machines(): readonly VirtualMachine[];
+    /** The last known address of an instance. */
+    find(instance: string): MemberEntry | undefined;
     /** Everything that is known, the dead and leaving included. */
     members(): readonly Member[];
     /** Calls back when routers or agents have changed; returns how to stop that. */
@@ -78,7 +89,8 @@
     handle(body: unknown): Promise<MembershipAnswer | undefined>;
     /** Tells the others that this process leaves. */
     leave(): void;
-    start(): void;
+    /** Starts to ping; `port` is that of this process's inner listener. */
+    start(port: number): void;
     stop(): void;
 }
 
@@ -94,12 +106,12 @@
     private isRunning = false;
 
     constructor(private readonly options: MembershipOptions) {
-        const { instance, dataCentre, host, port, clock, random } = options;
+        const { instance, dataCentre, host, clock, random } = options;
         this.decision = new MembershipDecision({
             instance,
             role: ProcessRole.Router,
             host,
-            port,
+            port: 0,
             dataCentre,
             epoch: Math.max(1, Math.round(clock.wallTime())),
             state: MemberState.Alive,
@@ -116,7 +128,21 @@
     }
 
     homeAgents(): readonly MemberEntry[] {
-        return this.decision.homeAgents();
+        return this.decision.chosenAgents.home;
+    }
+
+    keptAgents(): readonly MemberEntry[] {
+        return this.decision.chosenAgents.kept;
+    }
+
+    machines(): readonly VirtualMachine[] {
+        return this.decision.members()
+            .filter((member) => member.diedAt === undefined)
+            .map((member) => machineOf(member.entry));
+    }
+
+    find(instance: string): MemberEntry | undefined {
+        return this.decision.member(instance)?.entry;
     }
 
     members(): readonly Member[] {
@@ -151,7 +177,8 @@
         }
     }
 
-    start(): void {
+    start(port: number): void {
+        this.decision.listensOn(port);
         this.isRunning = true;
         this.tick();
     }
@@ -214,7 +241,15 @@
         const { body } = answer;
         return isMembershipAnswer(body) && body.kind === MembershipMessageKind.Acknowledgement
             ? { kind: MembershipEventKind.Acknowledged, answer: body, isDirect: true }
-            : { kind: MembershipEventKind.Unanswered, target, isDirect: true };
+            : { kind: MembershipEventKind.Acknowledged, answer: this.assumeAlive(target), isDirect: true };
+    }
+
+    /** A process of another build answers in another form; that it answers shows that it lives. */
+    private assumeAlive(target: MemberEntry): MembershipAcknowledgement {
+        const known = this.decision.member(target.instance)?.entry ?? target;
+        const isDoubted = known.state === MemberState.Suspect || known.state === MemberState.Dead;
+        const member = isDoubted ? { ...known, state: MemberState.Alive, epoch: known.epoch + 1 } : known;
+        return { kind: MembershipMessageKind.Acknowledgement, member, news: [] };
     }
 
     private async askOthers(
@@ -243,8 +278,24 @@
     private async readList(): Promise<void> {
         const machines = await this.options.list.read();
         machines.match(
-            (list) => this.dispatch({ kind: MembershipEventKind.ListRead, machines: list }),
+            (list) => {
+                this.dispatch({ kind: MembershipEventKind.ListRead, machines: list });
+                this.options.onListRead?.(list);
+            },
             (error) => this.options.logger.warn("the VM list gave no answer", { error }),
         );
     }
 }
+
+function machineOf(entry: MemberEntry): VirtualMachine {
+    const { instance, host, port, dataCentre, pool, state } = entry;
+    return {
+        instance,
+        role: entry.role === ProcessRole.Router ? VirtualMachineRole.Router : VirtualMachineRole.Agent,
+        host,
+        port,
+        dataCentre,
+        pool,
+        leaving: state === MemberState.Leaving,
+    };
+}
--- a/packages/router/src/constants.ts
+++ b/packages/router/src/constants.ts
@@ -22,8 +22,5 @@
 /** Milliseconds in which an agent must answer that it lives. */
 export const probeTimeoutMilliseconds = 2_000;
 
-/** Milliseconds between two readings of the VM list. */
-export const virtualMachineListIntervalMilliseconds = 1_000;
-
 /** Milliseconds for which a stopping router still takes requests, so that the balancer sees that it is not ready. */
 export const drainGraceMilliseconds = 1_000;
--- a/packages/router/src/node/ratePeers.ts
+++ b/packages/router/src/node/ratePeers.ts
@@ -4,16 +4,21 @@
  * @module
  */
 import type { RatePeers } from "@redwingpin/admission";
-import type { VirtualMachine } from "@redwingpin/platform";
-import { type InnerNode, isRateMessage, type RateMessage, Topic } from "@redwingpin/protocol";
+import {
+    type InnerAddress,
+    type InnerNode,
+    isRateMessage,
+    type RateMessage,
+    Topic,
+} from "@redwingpin/protocol";
 import { errAsync, okAsync } from "neverthrow";
 
 const rateCallTimeoutMilliseconds = 1_000;
 
-/** Makes the peers of admission; `find` gives the VM of an instance. */
+/** Makes the peers of admission; `find` gives the address of an instance. */
 export function createRatePeers(
     innerNode: InnerNode,
-    find: (instance: string) => VirtualMachine | undefined,
+    find: (instance: string) => InnerAddress | undefined,
 ): RatePeers {
     return {
         send(instance: string, message: RateMessage) {
--- a/packages/router/src/node/router.ts
+++ b/packages/router/src/node/router.ts
@@ -15,12 +15,8 @@
     seededRandom,
     sleep,
 } from "@redwingpin/common";
-import {
-    type AddressedPeer,
-    type Configuration,
-    createConfiguration,
-    createRouterPeers,
-} from "@redwingpin/configuration";
+import { type Configuration, createConfiguration, createRouterPeers } from "@redwingpin/configuration";
+import { createInnerTransport, createMembership, type Membership } from "@redwingpin/membership";
 import { defaultBlockTokens, Placement, RetryBudget } from "@redwingpin/placement";
 import {
     type KeyValueStore,
@@ -34,6 +30,7 @@
     type ExchangeMessage,
     InnerNode,
     MessageKind,
+    type OperatorStatus,
     ProcessRole,
 } from "@redwingpin/protocol";
 import { randomInt, randomUUID } from "node:crypto";
@@ -43,12 +40,11 @@
 import { drainGraceMilliseconds } from "../constants.js";
 import { ExchangeTable } from "./agentExchange.js";
 import { createCallerServer } from "./callerServer.js";
-import { MachineWatch } from "./machineWatch.js";
-import { PeerDirectory } from "./peerDirectory.js";
+import { createOperatorStatus } from "./operatorStatus.js";
 import { createRatePeers } from "./ratePeers.js";
 import { RequestPipeline } from "./requestPipeline.js";
 import { RequestPlacement } from "./requestPlacement.js";
-import { handleConfiguration, handlePings, handleRates } from "./routerTopics.js";
+import { handleConfiguration, handleMembership, handleOperators, handleRates } from "./routerTopics.js";
 import { SilenceProbe } from "./silenceProbe.js";
 
 /** What a router is made from. */
@@ -74,34 +70,27 @@
     private readonly exchanges = new ExchangeTable();
     private readonly silenceProbe: SilenceProbe;
     private readonly placement: RequestPlacement;
-    private readonly machineWatch: MachineWatch;
+    private readonly membership: Membership;
     private readonly admission: AdmissionController;
     private readonly claims: Claims;
     private readonly pipeline: RequestPipeline;
     private readonly callerServer: Server;
     private readonly configuration: Configuration;
-    private readonly peers: PeerDirectory;
     private readonly incarnation = randomUUID();
     private stopping = false;
 
     constructor(private readonly options: RouterOptions) {
-        const { config, clock, logger, registry } = options;
+        const { config, clock, registry } = options;
         this.counters = createReasonCounters(registry);
-        this.peers = new PeerDirectory(config.instance);
         this.innerNode = this.createInnerNode();
+        this.membership = this.createMembership();
         this.configuration = this.createConfiguration();
-        handlePings(this.innerNode);
+        handleOperators(this.innerNode, () => this.operatorStatus());
         this.silenceProbe = new SilenceProbe(clock, () => this.exchanges.busyConnections());
         const { dataCentre } = config;
         this.placement = new RequestPlacement(
             new Placement({ clock, dataCentre, blockTokens: defaultBlockTokens }),
         );
-        this.machineWatch = new MachineWatch({
-            list: options.virtualMachineList,
-            clock,
-            logger: logger.scope("vmList"),
-            onMachines: (machines) => this.onMachines(machines),
-        });
         this.admission = this.createAdmission();
         this.claims = this.createClaims();
         this.pipeline = this.createPipeline();
@@ -114,7 +103,7 @@
         const innerPort = await this.innerNode.listen(config.listenHost, config.innerPort);
         this.silenceProbe.start();
         this.configuration.start();
-        void this.machineWatch.start();
+        this.membership.start(innerPort);
         const listenPort = await listenOn(this.callerServer, config.listenHost, config.listenPort);
         return { listenPort, innerPort };
     }
@@ -122,6 +111,7 @@
     /** Leaves without cutting a request: not ready, then no new connection, then what runs to its end. */
     async drain(): Promise<void> {
         this.stopping = true;
+        this.membership.leave();
         await sleep(this.options.clock, drainGraceMilliseconds);
         await new Promise<void>((resolve) => {
             this.callerServer.close(() => resolve());
@@ -135,7 +125,7 @@
     stop(): void {
         this.configuration.stop();
         this.admission.stop();
-        this.machineWatch.stop();
+        this.membership.stop();
         this.silenceProbe.stop();
         this.innerNode.stop();
         this.callerServer.closeAllConnections();
@@ -178,6 +168,24 @@
         });
     }
 
+    private createMembership(): Membership {
+        const { clock, config, logger, virtualMachineList } = this.options;
+        const membership = createMembership({
+            clock,
+            random: seededRandom(randomInt(maxSeed)),
+            logger: logger.scope("membership"),
+            instance: config.instance,
+            dataCentre: config.dataCentre,
+            host: config.listenHost,
+            list: virtualMachineList,
+            transport: createInnerTransport(this.innerNode),
+            onListRead: (machines) => this.onListRead(machines),
+        });
+        membership.onChange(() => this.onMembersChanged());
+        handleMembership(this.innerNode, membership);
+        return membership;
+    }
+
     private createConfiguration(): Configuration {
         const { clock, config, logger, store } = this.options;
         const configuration = createConfiguration({
@@ -187,7 +195,10 @@
             instance: config.instance,
             dataCentre: config.dataCentre,
             store,
-            peers: createRouterPeers(this.innerNode, this.peers),
+            peers: createRouterPeers(this.innerNode, {
+                routers: () => this.membership.routers(),
+                agents: () => this.membership.homeAgents(),
+            }),
         });
         configuration.onInstalled(() => this.admission.accountsChanged());
         handleConfiguration(this.innerNode, configuration);
@@ -201,7 +212,7 @@
             instance: config.instance,
             incarnation: this.incarnation,
             store,
-            peers: createRatePeers(this.innerNode, (instance) => this.machineWatch.find(instance)),
+            peers: createRatePeers(this.innerNode, (instance) => this.membership.find(instance)),
             accounts: () => this.configuration.current()?.index.manifest.accounts ?? [],
             logger: logger.scope("admission"),
         });
@@ -249,18 +260,22 @@
         this.exchanges.lose(connection);
     }
 
-    private onMachines(machines: readonly VirtualMachine[]): void {
-        this.placement.retain(machines);
-        this.peers.update(machines);
+    private onMembersChanged(): void {
+        this.placement.retain(this.membership.machines());
         this.configuration.peersChanged();
-        this.greet(this.peers.agents());
+        this.greetAgents();
+    }
+
+    /** Rates pass on only what the platform itself has dropped: a member that gives no answer may only be paused. */
+    private onListRead(machines: readonly VirtualMachine[]): void {
         const routers = machines.filter((machine) => machine.role === VirtualMachineRole.Router);
         this.admission.membersChanged(routers);
+        this.greetAgents();
     }
 
     /** Connects to agents, so that they and this router learn of each other's revision and status. */
-    private greet(agents: readonly AddressedPeer[]): void {
-        for (const agent of agents) {
+    private greetAgents(): void {
+        for (const agent of this.membership.keptAgents()) {
             void this.innerNode.connect(agent);
         }
     }
@@ -277,6 +292,17 @@
         return !this.stopping && this.configuration.current() !== undefined;
     }
 
+    private operatorStatus(): Promise<OperatorStatus> {
+        const { config, registry } = this.options;
+        return createOperatorStatus({
+            instance: config.instance,
+            dataCentre: config.dataCentre,
+            revision: this.revision(),
+            ready: this.isReady(),
+            registry,
+        });
+    }
+
     private status() {
         return {
             instance: this.options.config.instance,
--- a/packages/router/src/node/routerTopics.ts
+++ b/packages/router/src/node/routerTopics.ts
@@ -5,11 +5,25 @@
  */
 import type { AdmissionController } from "@redwingpin/admission";
 import type { Configuration } from "@redwingpin/configuration";
-import { type InnerNode, isRateMessage, Topic } from "@redwingpin/protocol";
+import type { Membership } from "@redwingpin/membership";
+import {
+    type InnerNode,
+    isOperatorStatusCall,
+    isRateMessage,
+    type OperatorStatus,
+    Topic,
+} from "@redwingpin/protocol";
 
-/** Answers a ping, so that a peer learns that this process lives. */
-export function handlePings(innerNode: InnerNode): void {
-    innerNode.handle(Topic.Membership, () => Promise.resolve({ kind: "pong" }));
+/** Hands membership calls to membership; any other body is answered too, so that a peer learns that this process lives. */
+export function handleMembership(innerNode: InnerNode, membership: Membership): void {
+    innerNode.handle(Topic.Membership, async (body) => await membership.handle(body) ?? { kind: "pong" });
+}
+
+/** Answers the operator's command. */
+export function handleOperators(innerNode: InnerNode, status: () => Promise<OperatorStatus>): void {
+    innerNode.handle(Topic.Operator, async (body) => {
+        return isOperatorStatusCall(body) ? status() : { error: "the body is no call of an operator" };
+    });
 }
 
 /** Hands rate messages to admission; a malformed one is answered with an error. */
