feat(agent): fair queue between accounts before the endpoint

Cause: the agent served requests first in, first out. Change: the agent starts requests in the order of the fair queue, expires what waits past its deadline, and lets the next start once one has begun to answer. Services are limited by their concurrency alone.

--- a/packages/agent/src/config.ts
+++ b/packages/agent/src/config.ts
@@ -38,6 +38,10 @@
     readonly fleetKeys: FleetKeys;
     /** Requests that run at the endpoint at once. */
     readonly concurrency: number;
+    /** Requests that run at the endpoint and have not begun to answer; the others wait here, where order is fair. */
+    readonly maxUnanswered: number;
+    /** Requests that may wait in the queue. */
+    readonly maxQueuedRequests: number;
     /** Tokens that may wait in the queue. */
     readonly maxQueuedTokens: number;
     /** Milliseconds between two looks at the endpoint's health. */
@@ -99,6 +103,18 @@
         defaultText: "32",
         parse: parseInteger(1, maxConcurrency),
     },
+    maxUnanswered: {
+        variable: "REDWINGPIN_MAX_UNANSWERED",
+        description: "Requests that run at the endpoint and have not begun to answer",
+        defaultText: "4",
+        parse: parseInteger(1, maxConcurrency),
+    },
+    maxQueuedRequests: {
+        variable: "REDWINGPIN_MAX_QUEUED_REQUESTS",
+        description: "Requests that may wait in the queue",
+        defaultText: "1000",
+        parse: parseInteger(1, maxConcurrency),
+    },
     maxQueuedTokens: {
         variable: "REDWINGPIN_MAX_QUEUED_TOKENS",
         description: "Tokens that may wait in the queue",
--- a/packages/agent/src/node/agent.ts
+++ b/packages/agent/src/node/agent.ts
@@ -6,6 +6,7 @@
  */
 import { type Clock, type Logger, maxSeed, seededRandom } from "@redwingpin/common";
 import { type Configuration, createAgentPeers, createConfiguration } from "@redwingpin/configuration";
+import { EndpointKind } from "@redwingpin/manifest";
 import {
     type Connection,
     type EndpointStatus,
@@ -52,6 +53,10 @@
         this.scheduler = new RequestScheduler({
             clock,
             concurrency: config.concurrency,
+            maxUnanswered: config.endpointKind === EndpointKind.Engine
+                ? config.maxUnanswered
+                : config.concurrency,
+            maxQueuedRequests: config.maxQueuedRequests,
             maxQueuedTokens: config.maxQueuedTokens,
         });
         this.monitor = new EndpointMonitor({
@@ -127,7 +132,7 @@
             incarnation: health.incarnation,
             draining: this.draining,
             weights: servedWeights(this.configuration.current()?.index, health),
-            queuedTokens: this.scheduler.queuedTokens,
+            queuedTokens: this.scheduler.pendingTokens,
             running: this.scheduler.running,
             tokensPerSecond: 0,
         };
--- a/packages/agent/src/node/exchangeTask.ts
+++ b/packages/agent/src/node/exchangeTask.ts
@@ -43,9 +43,9 @@
     private readonly parts: Uint8Array[] = [];
     private readonly abort = new AbortController();
     private readonly deadline: number;
+    private readonly id: string;
     private received = 0;
     private stage = Stage.Receiving;
-    private waiting: WaitingRequest | undefined;
     private credit = answerWindowBytes;
     private wakeForCredit: (() => void) | undefined;
     private abandoned = false;
@@ -56,6 +56,7 @@
         private readonly context: ExchangeContext,
     ) {
         this.deadline = context.clock.now() + open.deadlineMilliseconds;
+        this.id = `${open.request}/${open.attempt}`;
     }
 
     /** True while the request may be at the endpoint. */
@@ -100,7 +101,7 @@
     cancel(): void {
         this.abandoned = true;
         this.wakeForCredit?.();
-        if (this.waiting !== undefined && this.context.scheduler.withdraw(this.waiting)) {
+        if (this.stage === Stage.Waiting && this.context.scheduler.withdraw(this.id)) {
             this.decline(DeclineReason.DeadlineExceeded);
         }
         else if (this.stage === Stage.Receiving) {
@@ -113,15 +114,16 @@
 
     private enqueue(): void {
         this.stage = Stage.Waiting;
-        this.waiting = {
-            account: this.open.account ?? "",
+        const waiting: WaitingRequest = {
+            id: this.id,
+            account: this.open.account,
             tokens: this.open.tokens,
             priority: this.open.priority,
             deadline: this.deadline,
             start: () => void this.run(),
-            expire: () => this.decline(DeclineReason.DeadlineExceeded),
+            refuse: (reason) => this.decline(reason),
         };
-        this.context.scheduler.submit(this.waiting).mapErr((reason) => this.decline(reason));
+        this.context.scheduler.submit(waiting).mapErr((reason) => this.decline(reason));
     }
 
     private async run(): Promise<void> {
@@ -146,7 +148,7 @@
             await this.relay(answer.value, hitBlocks);
         }
         cancelDeadline();
-        this.context.scheduler.finished();
+        this.context.scheduler.finished(this.id);
     }
 
     private endWithoutAnswer(mayHaveRun: boolean, message: string): void {
@@ -159,6 +161,7 @@
 
     private async relay(answer: EndpointAnswer, hitBlocks: number): Promise<void> {
         const { exchange } = this.open;
+        this.context.scheduler.answered(this.id);
         this.connection.send({
             kind: MessageKind.Head,
             exchange,
--- a/packages/command/src/node/fleetInquiry.ts
+++ b/packages/command/src/node/fleetInquiry.ts
@@ -42,7 +42,7 @@
             clock: systemClock,
             logger: silentLogger,
             revision: () => 0,
-            onRevision: (peer, _address, revision) => this.revisions.set(peer.instance, revision),
+            onRevision: (peer, revision) => this.revisions.set(peer.instance, revision),
             onMessage: () => {},
             onClosed: () => {},
         });
