--- a/packages/bench/src/node/main.ts
+++ b/packages/bench/src/node/main.ts
@@ -4,9 +4,10 @@
  * @module
  */
 import { Builtins, Cli, type CommandClass } from "clipanion";
+import { OverheadCommand } from "../overhead/overheadCommand.js";
 import { PolicyCommand } from "../policy/policyCommand.js";
 
-const experiments: readonly CommandClass[] = [PolicyCommand];
+const experiments: readonly CommandClass[] = [OverheadCommand, PolicyCommand];
 
 const cli = new Cli({ binaryName: "redwingpin-bench", binaryLabel: "redwingpin bench" });
 cli.register(Builtins.HelpCommand);
