--- /dev/null
+++ b/packages/proofs/src/scenarios/features/pauses.feature
@@ -0,0 +1,46 @@
+Feature: Pauses
+  A process stops running for longer than every time-out, and wakes up.
+
+  Scenario: an engine is paused in the middle of streams
+    Given a site with 2 routers, 3 engines and 1 services
+    And engines need 5 ms to the first token and 10 ms between tokens
+    When 6 callers keep asking for streams of 50 tokens
+    And at least 12 calls have ended
+    And engine 1 is paused
+    And 8 seconds pass
+    And engine 1 is resumed
+    And at least 12 calls have ended
+    And the callers stop
+    Then every answer is whole and belongs to its own request
+    And no stream that was cut looks complete
+    And every refusal as not-run is true
+
+  Scenario: an agent is paused between a call and its answer
+    Given a site with 2 routers, 2 engines and 2 services
+    And services need 200 ms to answer
+    When 8 callers keep sending stamps without idempotency keys
+    And at least 16 calls have ended
+    And agent 3 is paused
+    And 8 seconds pass
+    And agent 3 is resumed
+    And at least 16 calls have ended
+    And the callers stop
+    And 2 seconds pass
+    Then every stamp was executed at most once
+    And every refusal as not-run is true
+    And every answered stamp was executed exactly once
+
+  Scenario: a router is paused for longer than every time-out and wakes with old rights
+    Given a site with 2 routers, 2 engines and 2 services
+    And services need 50 ms to answer
+    When 8 callers keep sending stamps with idempotency keys
+    And 8 callers of trial keep asking for 50 tokens without a pause
+    And at least 40 calls have ended
+    And router 1 is paused
+    And 15 seconds pass
+    And router 1 is resumed
+    And at least 40 calls have ended
+    And the callers stop
+    Then every stamp was executed at most once
+    And every refusal as not-run is true
+    And account trial got at most its rate and burst
--- /dev/null
+++ b/packages/proofs/src/scenarios/steps/operatorSteps.ts
@@ -0,0 +1,210 @@
+/**
+ * Steps of operators: they submit manifests and see when these are in force.
+ *
+ * @module
+ */
+import type { ClientAccount, Manifest, Model } from "@redwingpin/manifest";
+import { PlaygroundRole } from "@redwingpin/playground";
+import { writeFile } from "node:fs/promises";
+import { join } from "node:path";
+import { request } from "undici";
+import type { StepDefinition } from "../stepRegistry.js";
+import type { OperatorResult, World } from "../world.js";
+import { expect } from "./callerSteps.js";
+
+const millisecondsPerSecond = 1_000;
+const statusOk = 200;
+const statusUnauthorized = 401;
+
+/** Steps of this subject. */
+export const operatorSteps: readonly StepDefinition<World>[] = [
+    {
+        pattern: "a caller of {name} is connected to every router",
+        action: (world, account) => connect(world, account!),
+    },
+    {
+        pattern: "the operator withdraws the keys of {name}",
+        action: (world, account) =>
+            apply(world, "operator", changeAccount(world.manifest, account!, { keys: [] })),
+    },
+    {
+        pattern: "the operator sets the rate of {name} to {number} and its burst to {number}",
+        action: (world, account, tokensPerSecond, burstTokens) => {
+            const rate = { tokensPerSecond: Number(tokensPerSecond), burstTokens: Number(burstTokens) };
+            apply(world, "operator", changeAccount(world.manifest, account!, rate));
+        },
+    },
+    {
+        pattern: "operators {text} and {text} race with different rates of {name}",
+        action: (world, first, second, account) => {
+            apply(world, first!, changeAccount(world.manifest, account!, { tokensPerSecond: 101 }));
+            apply(world, second!, changeAccount(world.manifest, account!, { tokensPerSecond: 102 }));
+        },
+    },
+    {
+        pattern: "the operator wants {number} replicas of version {name} and the rest of version {name}",
+        action: (world, replicas, version, rest) =>
+            apply(world, "operator", moveReplicas(world.manifest, version!, Number(replicas), rest!)),
+    },
+    {
+        pattern: "the submission of {text} is accepted",
+        action: async (world, name) => {
+            const result = await resultOf(world, name!);
+            expect(
+                result.exitCode === 0,
+                `"${name}" ended with exit code ${result.exitCode}: ${result.errors}`,
+            );
+        },
+    },
+    {
+        pattern: "the submissions of {text} and {text} have ended, and at least one is accepted",
+        action: async (world, first, second) => {
+            const results = [await resultOf(world, first!), await resultOf(world, second!)];
+            const codes = results.map((result) => result.exitCode);
+            world.measures.push(`exit codes ${codes.join(" and ")}`);
+            expect(
+                codes.includes(0),
+                `both ended with errors: ${results.map((result) => result.errors).join("; ")}`,
+            );
+        },
+    },
+    {
+        pattern: "every router refuses the key of {name} within {number} seconds",
+        action: (world, account, seconds) =>
+            untilRefused(
+                world,
+                account!,
+                world.playground.state.routers,
+                Number(seconds) * millisecondsPerSecond,
+            ),
+    },
+    {
+        pattern: "every router is at the same revision within {number} seconds",
+        action: async (world, seconds) => {
+            const limit = Number(seconds) * millisecondsPerSecond;
+            const took = await world.until("all routers are at the same revision", async () => {
+                const revisions = await revisionsOf(world);
+                return revisions.every((revision) => revision !== undefined && revision === revisions[0]);
+            }, limit);
+            world.measures.push(`same revision ${(await revisionsOf(world))[0]} after ${took} ms`);
+        },
+    },
+    {
+        pattern: "no router is at a lower revision than before",
+        action: async (world) => {
+            const revisions = await revisionsOf(world);
+            const before = world.revisions;
+            world.revisions = revisions;
+            expect(
+                revisions.every((revision, index) => (revision ?? 0) >= (before[index] ?? 0)),
+                `the routers were at revisions ${before.join(", ")} and are at ${revisions.join(", ")}`,
+            );
+        },
+    },
+    {
+        pattern: "{number} engines serve the weights {name} within {number} seconds",
+        action: async (world, count, weights, seconds) => {
+            const wanted = weights!.replace(".", "/");
+            const limit = Number(seconds) * millisecondsPerSecond;
+            const took = await world.until(`${count} engines serve "${wanted}"`, async () => {
+                const serving = await weightsOfEngines(world);
+                return serving.filter((name) => name === wanted).length === Number(count);
+            }, limit);
+            world.measures.push(`${count} engines serve ${wanted} after ${took} ms`);
+        },
+    },
+    {
+        pattern: "at most {number} weight loads ran at once",
+        action: async (world, limit) => {
+            const { mostAtOnce } = await world.control<{ mostAtOnce: number; }>("vmList", "/control/weights");
+            world.measures.push(`at most ${mostAtOnce} weight loads at once`);
+            expect(mostAtOnce <= Number(limit), `${mostAtOnce} weight loads ran at once`);
+        },
+    },
+];
+
+function changeAccount(manifest: Manifest, name: string, changes: Partial<ClientAccount>): Manifest {
+    expect(manifest.accounts.some((account) => account.name === name), `account "${name}" does not exist`);
+    const accounts = manifest.accounts.map((account) =>
+        account.name === name ? { ...account, ...changes } : account
+    );
+    return { ...manifest, accounts };
+}
+
+function moveReplicas(manifest: Manifest, version: string, replicas: number, rest: string): Manifest {
+    const move = (model: Model): Model => {
+        const total = model.versions.reduce((sum, each) => sum + each.replicas, 0);
+        const versions = model.versions.map((each) => {
+            if (each.name === version) {
+                return { ...each, replicas };
+            }
+            return each.name === rest ? { ...each, replicas: total - replicas } : each;
+        });
+        return { ...model, versions };
+    };
+    return { ...manifest, models: manifest.models.map(move) };
+}
+
+function apply(world: World, operator: string, manifest: Manifest): void {
+    const file = join(world.playground.folder, `manifest-of-${operator}.json`);
+    const result = writeFile(file, JSON.stringify(manifest))
+        .then(() => world.operate(["manifest", "apply", file]));
+    world.operatorResults.set(operator, result);
+}
+
+function resultOf(world: World, operator: string): Promise<OperatorResult> {
+    const result = world.operatorResults.get(operator);
+    expect(result !== undefined, `operator "${operator}" has submitted nothing`);
+    return result;
+}
+
+/** Status of a request with an account's key over the connection that stays open. */
+async function statusOfKey(world: World, router: string, account: string): Promise<number> {
+    const answer = await request(`${router}/v1/models`, {
+        dispatcher: world.connected,
+        headers: { authorization: `Bearer ${world.keyOf(account)}` },
+    });
+    await answer.body.dump();
+    return answer.statusCode;
+}
+
+async function connect(world: World, account: string): Promise<void> {
+    for (const router of world.playground.state.routers) {
+        const status = await statusOfKey(world, router, account);
+        expect(status === statusOk, `${router} answered the key of "${account}" with status ${status}`);
+    }
+}
+
+async function untilRefused(world: World, account: string, limit: number): Promise<void> {
+    const times = await Promise.all(world.playground.state.routers.map((router) =>
+        world.until(
+            `${router} refuses the key of "${account}"`,
+            async () => await statusOfKey(world, router, account) === statusUnauthorized,
+            limit,
+        )
+    ));
+    world.measures.push(`the key of ${account} stopped after ${times.join(", ")} ms`);
+}
+
+async function revisionsOf(world: World): Promise<(number | undefined)[]> {
+    return Promise.all(world.playground.state.routers.map(async (router) => {
+        try {
+            const answer = await request(`${router}/status`);
+            return (await answer.body.json() as { revision?: number; }).revision;
+        }
+        catch {
+            return undefined;
+        }
+    }));
+}
+
+async function weightsOfEngines(world: World): Promise<(string | undefined)[]> {
+    const names = world.namesOf(PlaygroundRole.Engine).filter((name) =>
+        world.playground.child(name).isRunning
+    );
+    return Promise.all(
+        names.map(async (name) =>
+            (await world.control<{ weights?: string; }>(name, "/control/health")).weights
+        ),
+    );
+}
--- a/packages/standins/src/node/engineStandin.ts
+++ b/packages/standins/src/node/engineStandin.ts
@@ -7,7 +7,7 @@
  * with `"resume": {"after_tokens": N}` continues the same answer at token N.
  *
  * Controls: `POST /control/delay {"firstToken", "betweenTokens"}` in milliseconds, `GET /control/seen`,
- * `GET /control/work`, `GET /control/orders` and `POST /control/crash`.
+ * `GET /control/work`, `GET /control/health`, `GET /control/orders` and `POST /control/crash`.
  *
  * @module
  */
@@ -195,6 +195,9 @@
             case "GET /control/work":
                 sendJson(response, 200, this.work.counts);
                 return;
+            case "GET /control/health":
+                sendJson(response, 200, this.health());
+                return;
             case "GET /control/orders":
                 sendJson(response, 200, this.orders.records);
                 return;
