--- a/packages/admission/src/__tests__/tokenShare.spec.ts
+++ b/packages/admission/src/__tests__/tokenShare.spec.ts
@@ -1,17 +1,19 @@
 import { expect } from "chai";
 import fc from "fast-check";
-import { maximumSlots } from "../constants.js";
-import { partOf } from "../decision/tokenShare.js";
+import { defaultDivision, partOf } from "../decision/tokenShare.js";
 
 const quantum = 1_000;
-const total = fc.nat({ max: 3 * maximumSlots * quantum });
-const indices = [...Array(maximumSlots).keys()];
+const total = fc.nat({ max: 3 * defaultDivision.maximumSlots * quantum });
+const indices = [...Array(defaultDivision.maximumSlots).keys()];
 
 describe("admission: division of an account over its slots", () => {
     it("gives parts that add up to the total", () => {
         fc.assert(
             fc.property(total, (tokens) => {
-                const sum = indices.reduce((sum, index) => sum + partOf(tokens, index, quantum), 0);
+                const sum = indices.reduce(
+                    (sum, index) => sum + partOf(tokens, index, quantum, defaultDivision),
+                    0,
+                );
                 expect(sum).to.equal(tokens);
             }),
             { seed: 1 },
@@ -25,8 +27,8 @@
                 fc.nat({ max: quantum }),
                 fc.constantFrom(...indices),
                 (tokens, more, index) => {
-                    expect(partOf(tokens + more, index, quantum)).to.be.at.least(
-                        partOf(tokens, index, quantum),
+                    expect(partOf(tokens + more, index, quantum, defaultDivision)).to.be.at.least(
+                        partOf(tokens, index, quantum, defaultDivision),
                     );
                 },
             ),
--- a/packages/admission/src/constants.ts
+++ b/packages/admission/src/constants.ts
@@ -7,17 +7,8 @@
 /** Positions of the roster. Fixed for the life of a fleet; each router holds some of them. */
 export const rosterPositions = 1024;
 
-/** Slots over which every account is split. */
-export const baseSlots = 3;
-
-/** Most slots over which an account is split. */
-export const maximumSlots = 32;
-
-/** Tokens a second of one slot above which an account gets more than {@link baseSlots} slots. */
-export const slotTokensPerSecond = 120_000;
-
-/** Burst tokens of one slot above which an account's burst is split over more than {@link baseSlots} slots. */
-export const slotBurstTokens = 120_000;
+/** Neighbouring positions that stand with different routers where there are that many. */
+export const rosterSpread = 3;
 
 /** How long an asker may spend a grant, counted from before it asked. */
 export const grantUseMilliseconds = 250;
@@ -63,3 +54,15 @@
 
 /** Longest time for which a holder that has answered that it is short is not asked again. */
 export const maximumShortPauseMilliseconds = 250;
+
+/** Agents that keep the roster for a router. */
+export const rosterCaches = 3;
+
+/** Pause between checks that the agents still keep the roster. */
+export const rosterCacheCheckMilliseconds = 30_000;
+
+/** Routers that a starting router asks for the roster. */
+export const rosterSourceRouters = 5;
+
+/** Time after which a question for the roster is given up. */
+export const rosterCallMilliseconds = 1_000;
--- a/packages/admission/src/node/admissionOptions.ts
+++ b/packages/admission/src/node/admissionOptions.ts
@@ -9,6 +9,7 @@
 import type { RateMessage } from "@redwingpin/protocol";
 import type { Result, ResultAsync } from "neverthrow";
 import type { RouterMember } from "../decision/roster.js";
+import type { SlotDivision } from "../decision/tokenShare.js";
 
 /** Sends messages on the rates topic to other processes. */
 export interface RatePeers {
@@ -29,15 +30,20 @@
     readonly accounts: () => readonly ClientAccount[];
     readonly logger: Logger;
     /**
-     * Other processes that may know the roster when this one starts: some routers, some agents.
+     * Agents that can keep the roster; each answers the rates topic with a `RosterCache`. A router uses a few.
      * @default none
      */
-    readonly rosterSources?: () => readonly string[];
+    readonly rosterAgents?: () => readonly string[];
     /**
      * Longest time for which a request waits for tokens before it is refused.
      * @default maximumWaitMilliseconds
      */
     readonly maximumWait?: Milliseconds;
+    /**
+     * Into how many slots accounts are divided.
+     * @default defaultDivision
+     */
+    readonly division?: SlotDivision;
 }
 
 /** Tokens debited for one request. */
--- a/packages/admission/src/node/rosterKeeper.ts
+++ b/packages/admission/src/node/rosterKeeper.ts
@@ -1,16 +1,21 @@
 /**
- * The task that keeps the roster: reads it at the start from the store and from other processes at once, follows
- * its changes, and passes on the positions of gone routers.
+ * The task that keeps the roster: reads it at the start from the store and from other processes at once, and passes
+ * on the positions of gone routers. Changes spread by contact: every ask and every grant carries the epoch of its
+ * sender, and who is behind fetches the roster from who is ahead. Whoever gains positions is told at once.
  *
  * @module
  */
-import type { CancelTimer, Clock, Logger } from "@redwingpin/common";
+import { type CancelTimer, type Clock, type Logger, rendezvousOrder } from "@redwingpin/common";
 import type { KeyValueStore, StoreEntry } from "@redwingpin/platform";
-import { RateMessageKind, type RateRoster } from "@redwingpin/protocol";
+import { type RateMessage, RateMessageKind, type RateRoster } from "@redwingpin/protocol";
 import {
+    rosterCacheCheckMilliseconds,
+    rosterCaches,
+    rosterCallMilliseconds,
     rosterGraceMilliseconds,
     rosterKey,
     rosterRetryMilliseconds,
+    rosterSourceRouters,
     rosterTurnMilliseconds,
 } from "../constants.js";
 import { GoneWatch } from "../decision/goneWatch.js";
@@ -23,6 +28,7 @@
     type RouterMember,
 } from "../decision/roster.js";
 import type { RatePeers } from "./admissionOptions.js";
+import { callPeer } from "./peerCall.js";
 
 /** Options of {@link RosterKeeper}. */
 export interface RosterKeeperOptions {
@@ -30,8 +36,8 @@
     readonly instance: string;
     readonly store: KeyValueStore;
     readonly peers: RatePeers;
-    /** Processes that may know a roster when this one starts. */
-    readonly sources: () => readonly string[];
+    /** Agents that can keep the roster. */
+    readonly agents: () => readonly string[];
     readonly logger: Logger;
     /** Called with each newer roster. */
     readonly onRoster: (roster: Roster) => void;
@@ -53,10 +59,10 @@
         this.startedAt = options.clock.now();
     }
 
-    /** Starts to read and to follow the roster. */
+    /** Starts to read the roster. */
     start(): void {
-        this.cancels.add(this.options.store.watch(rosterKey, (change) => this.adoptEntry(change.entry)));
         void this.readUntilKnown();
+        void this.checkCaches();
     }
 
     /** The newest roster known, or `undefined` before the first. */
@@ -111,7 +117,8 @@
 
     private async readUntilKnown(): Promise<void> {
         while (!this.stopped) {
-            const [known] = await Promise.all([this.readStore(), this.askSources()]);
+            const asking = this.roster === undefined ? this.askSources() : Promise.resolve();
+            const [known] = await Promise.all([this.readStore(), asking]);
             if (known) {
                 return;
             }
@@ -130,17 +137,51 @@
     }
 
     private async askSources(): Promise<void> {
-        const others = this.options.sources().filter((source) => source !== this.options.instance);
-        await Promise.all(others.map((source) => this.askForRoster(source)));
+        const { instance } = this.options;
+        const routers = this.members.map((member) => member.instance).filter((name) => name !== instance);
+        const chosen = rendezvousOrder(instance, routers, (name) => name).slice(0, rosterSourceRouters);
+        await Promise.all([...this.caches(), ...chosen].map((source) => this.askForRoster(source)));
+    }
+
+    private caches(): string[] {
+        return rendezvousOrder(this.options.instance, this.options.agents(), (name) => name).slice(
+            0,
+            rosterCaches,
+        );
+    }
+
+    private async checkCaches(): Promise<void> {
+        while (!this.stopped) {
+            await this.pause(rosterCacheCheckMilliseconds);
+            await this.offerToCaches();
+        }
+    }
+
+    /** Brings the roster to the agents that keep it for this router. */
+    private async offerToCaches(): Promise<void> {
+        await Promise.all(this.caches().map((cache) => this.offerTo(cache)));
+    }
+
+    private async offerTo(cache: string): Promise<void> {
+        const offer = this.message();
+        const known = await this.call(cache, { kind: RateMessageKind.Roster, epoch: offer.epoch });
+        if (known?.kind === RateMessageKind.Roster && known.epoch < offer.epoch) {
+            await this.call(cache, offer);
+        }
     }
 
     private async askForRoster(instance: string): Promise<void> {
-        const answer = await this.options.peers.send(instance, { kind: RateMessageKind.RosterRequest });
-        if (answer.isOk() && answer.value.kind === RateMessageKind.Roster) {
-            this.adoptMessage(answer.value);
+        const answer = await this.call(instance, { kind: RateMessageKind.RosterRequest });
+        if (answer?.kind === RateMessageKind.Roster) {
+            this.adoptMessage(answer);
         }
     }
 
+    private call(instance: string, message: RateMessage): Promise<RateMessage | undefined> {
+        const { clock, peers } = this.options;
+        return callPeer({ clock, peers, instance, message, timeout: rosterCallMilliseconds });
+    }
+
     private scheduleRepair(): void {
         if (this.repairScheduled) {
             return;
@@ -176,10 +217,25 @@
             return false;
         }
         this.options.logger.info("roster written", { epoch: proposal.epoch });
+        this.tellGainers(this.roster ?? emptyRoster, proposal);
         this.adopt(proposal);
         return true;
     }
 
+    private tellGainers(before: Roster, after: Roster): void {
+        const gained = after.holders.filter((holder, position) => holder !== before.holders[position]);
+        const gainers = new Set(gained.filter((holder) => holder !== undefined));
+        gainers.delete(this.options.instance);
+        const message: RateRoster = {
+            kind: RateMessageKind.Roster,
+            epoch: after.epoch,
+            text: encodeRoster(after),
+        };
+        for (const gainer of gainers) {
+            void this.call(gainer, message);
+        }
+    }
+
     private repaired(roster: Roster): Roster | undefined {
         const age = this.options.clock.now() - this.startedAt;
         return repairRoster(roster, {
@@ -204,12 +260,24 @@
     }
 
     private adopt(roster: Roster): void {
-        if (!this.stopped && roster.epoch > (this.roster?.epoch ?? 0)) {
-            this.roster = roster;
-            this.options.onRoster(roster);
+        if (this.stopped || roster.epoch <= (this.roster?.epoch ?? 0)) {
+            return;
+        }
+        const gained = this.hasGained(roster);
+        this.roster = roster;
+        this.options.onRoster(roster);
+        if (gained) {
+            void this.offerToCaches();
         }
     }
 
+    private hasGained(roster: Roster): boolean {
+        const { instance } = this.options;
+        return roster.holders.some((holder, position) =>
+            holder === instance && this.roster?.holders[position] !== instance
+        );
+    }
+
     private pause(duration: number): Promise<void> {
         return new Promise((resolve) => {
             const cancel = this.options.clock.schedule(duration, () => {
