test(claims): stateful fuzz of the claims against the service's list of executions

Routers over one store with faults are sent the same calls while they are killed, stopped and frozen; the oracle is what the service executed. Found by it: outcomes could not be written while the ring was full of young claims; a segment is now kept free for them, and the ring needs three slots.

--- a/packages/claims/src/__tests__/claims.spec.ts
+++ b/packages/claims/src/__tests__/claims.spec.ts
@@ -98,7 +98,7 @@
 
     it("forgets old claims only after the retention, and refuses new ones until then", async () => {
         const { clock, store } = makeSite();
-        const writer = { slots: 2, segmentCloseBytes: 100, minimumRetention: 60_000 };
+        const writer = { slots: 3, segmentCloseBytes: 100, minimumRetention: 60_000 };
         const claims = makeClaims(clock, store, "a", { shards: 1, writer });
         const decisions: ClaimDecision[] = [];
         for (let index = 0; index < 10; index++) {
--- a/packages/claims/src/constants.ts
+++ b/packages/claims/src/constants.ts
@@ -11,7 +11,7 @@
  */
 export const claimShardCount = 16;
 
-/** Slots of each shard's ring; a constant for the same reason. */
+/** Slots of each shard's ring, at least three; a constant for the same reason. */
 export const claimRingSlots = 64;
 
 /** Size in bytes from which a segment is closed. */
--- a/packages/claims/src/decision/shardWriter.ts
+++ b/packages/claims/src/decision/shardWriter.ts
@@ -60,6 +60,9 @@
     readonly wallTime: Milliseconds;
 }
 
+/** Segments kept free for the outcomes of calls that are already claimed. */
+const segmentsForOutcomes = 1;
+
 type Step<Outcome> = Decision<ShardEffect, ShardEvent, Outcome>;
 
 /** Runs one shard for ever. */
@@ -143,21 +146,26 @@
             maximumBatchBytes,
             maximumCallDuration,
             dispatchWindow,
-            hasRoom: this.hasRoom(state),
+            hasRoom: this.hasRoom(state, openedByWrite(state) + segmentsForOutcomes),
             doubtful: this.doubtful,
         });
     }
 
-    private hasRoom(state: ShardState): boolean {
-        if (!state.tail.closed) {
-            return true;
+    /** True where `segments` further segments can be opened without forgetting a claim before its time. */
+    private hasRoom(state: ShardState, segments: number): boolean {
+        for (let ahead = 1; ahead <= segments; ahead++) {
+            const overwrittenAt = state.overwrittenAt(state.tail.sequence + ahead);
+            const retained = overwrittenAt !== undefined
+                && this.wallTime - overwrittenAt < this.options.minimumRetention;
+            if (retained) {
+                return false;
+            }
         }
-        const overwrittenAt = state.overwrittenAt(state.tail.sequence + 1);
-        return overwrittenAt === undefined || this.wallTime - overwrittenAt >= this.options.minimumRetention;
+        return true;
     }
 
     private *commit(state: ShardState, plan: BatchPlan): Step<void> {
-        if (!this.hasRoom(state)) {
+        if (!this.hasRoom(state, openedByWrite(state))) {
             yield { kind: "pause", duration: this.options.maximumStoreBackoff };
             return;
         }
@@ -240,6 +248,11 @@
     outcome: CallOutcome.NotRun,
 };
 
+/** Segments that the next write opens: one where the tail is closed, else none. */
+function openedByWrite(state: ShardState): number {
+    return state.tail.closed ? 1 : 0;
+}
+
 function adoptValue(state: ShardState, entry: StoreEntry): void {
     const segment = decodeSegment(entry.value);
     if (segment.isErr()) {
--- a/packages/proofs/src/fuzz/fuzzTarget.ts
+++ b/packages/proofs/src/fuzz/fuzzTarget.ts
@@ -29,7 +29,11 @@
 
 /** Runs one target with a seed. */
 export async function runFuzzTarget(target: FuzzTarget, seed: number, runs: number): Promise<FuzzResult> {
-    const details = await fc.check(target.property() as fc.IAsyncProperty<unknown>, { seed, numRuns: runs });
+    const details = await fc.check(target.property() as fc.IAsyncProperty<unknown>, {
+        seed,
+        numRuns: runs,
+        includeErrorInReport: true,
+    });
     return {
         name: target.name,
         seed,
--- a/packages/proofs/src/fuzz/targets.ts
+++ b/packages/proofs/src/fuzz/targets.ts
@@ -3,6 +3,9 @@
  *
  * @module
  */
+import { claimsTarget } from "./claimsTarget.js";
 import type { FuzzTarget } from "./fuzzTarget.js";
 
-export const fuzzTargets: readonly FuzzTarget[] = [];
+export const fuzzTargets: readonly FuzzTarget[] = [
+    claimsTarget,
+];
