--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -24,7 +24,10 @@
                 { selector: "interface", format: ["PascalCase"], custom: { regex: "^I[A-Z]", match: false } },
             ],
             "@typescript-eslint/no-explicit-any": "error",
-            "@typescript-eslint/no-unused-vars": ["error", { argsIgnorePattern: "^_" }],
+            "@typescript-eslint/no-unused-vars": ["error", {
+                argsIgnorePattern: "^_",
+                varsIgnorePattern: "^_",
+            }],
             "max-lines": ["error", { max: 400, skipBlankLines: true, skipComments: true }],
             "max-lines-per-function": ["error", { max: 60, skipBlankLines: true, skipComments: true }],
         },
--- a/packages/proofs/src/fuzz/simulatedProcess.ts
+++ b/packages/platform/src/simulatedProcess.ts
@@ -1,12 +1,13 @@
 /**
- * Simulated processes for fuzzing: each has its own clock and store client, and can be killed or frozen. A killed
- * process never runs again, but what it has sent still arrives; a frozen one goes on after it is thawed.
+ * Simulated processes for fuzzing, tests and experiments: each has its own clock and store client, and can be
+ * killed or frozen. A killed process never runs again, but what it has sent still arrives; a frozen one goes on
+ * after it is thawed.
  *
  * @module
  */
 import type { Clock, FakeClock, Milliseconds } from "@redwingpin/common";
-import type { KeyValueStore } from "@redwingpin/platform";
 import { ResultAsync } from "neverthrow";
+import type { KeyValueStore } from "./store.js";
 
 const minimumStep: Milliseconds = 5;
 const maximumStepsPerPass = 400;
--- a/packages/proofs/src/__tests__/frozenClaimant.spec.ts
+++ b/packages/proofs/src/__tests__/frozenClaimant.spec.ts
@@ -1,9 +1,9 @@
 import { CallOutcome } from "@redwingpin/claims";
+import { passTime } from "@redwingpin/platform";
 import { expect } from "chai";
 import { ClaimsSite, siteLimits } from "../fuzz/claimsSite.js";
-import { passTime } from "../fuzz/simulatedProcess.js";
 
-const commitInFlight = 15;
+const committed = 25;
 const settled = 400;
 const callsPerSegment = 16;
 
@@ -20,7 +20,7 @@
     it("are not dispatched when it wakes after they were forgotten", async () => {
         const site = new ClaimsSite(2);
         const first = site.send(0, "key", "body");
-        await passTime(site.clock, commitInFlight);
+        await passTime(site.clock, committed);
         site.process(0).freeze();
         await turnRing(site, 1);
         await passTime(site.clock, 2 * siteLimits.minimumRetention);
--- a/packages/proofs/src/fuzz/claimsSite.ts
+++ b/packages/proofs/src/fuzz/claimsSite.ts
@@ -5,8 +5,7 @@
  */
 import { type CallAnswer, CallOutcome, type Claim, type Claims, createClaims } from "@redwingpin/claims";
 import { FakeClock, silentLogger } from "@redwingpin/common";
-import { MemoryStore } from "@redwingpin/platform";
-import { SimulatedProcess } from "./simulatedProcess.js";
+import { MemoryStore, SimulatedProcess } from "@redwingpin/platform";
 
 /** How the service behaves. */
 export enum ServiceMode {
@@ -42,6 +41,7 @@
 
 const startOfTime = 1_000_000;
 const storeLatency = 10;
+const connectLatency = 10;
 const serviceLatency = 20;
 const lateLatency = 1_500;
 const callTimeout = 500;
@@ -120,7 +120,10 @@
         const decision = await claims.begin({ ...call, body: Buffer.from(body) });
         switch (decision.kind) {
             case "run":
-                this.dispatch(process, claims, request, decision.claim);
+                process.clock.schedule(
+                    connectLatency,
+                    () => this.dispatch(process, claims, request, decision.claim),
+                );
                 break;
             case "replay":
                 request.told = { kind: "answer", text: Buffer.from(decision.answer.body).toString() };
--- a/packages/proofs/src/fuzz/claimsTarget.ts
+++ b/packages/proofs/src/fuzz/claimsTarget.ts
@@ -6,11 +6,10 @@
  */
 import { CallOutcome } from "@redwingpin/claims";
 import { assertNever } from "@redwingpin/common";
-import { StoreFault } from "@redwingpin/platform";
+import { passTime, StoreFault } from "@redwingpin/platform";
 import fc from "fast-check";
 import { answerText, ClaimsSite, ServiceMode, siteLimits } from "./claimsSite.js";
 import type { FuzzTarget } from "./fuzzTarget.js";
-import { passTime } from "./simulatedProcess.js";
 
 const routerCount = 3;
 const keyCount = 2;
--- a/packages/proofs/src/fuzz/targets.ts
+++ b/packages/proofs/src/fuzz/targets.ts
@@ -5,7 +5,9 @@
  */
 import { claimsTarget } from "./claimsTarget.js";
 import type { FuzzTarget } from "./fuzzTarget.js";
+import { ratesTarget } from "./ratesTarget.js";
 
 export const fuzzTargets: readonly FuzzTarget[] = [
     claimsTarget,
+    ratesTarget,
 ];
