--- a/packages/proofs/src/fuzz/targets.ts
+++ b/packages/proofs/src/fuzz/targets.ts
@@ -3,7 +3,11 @@
  *
  * @module
  */
+import { claimsTarget } from "./claimsTarget.js";
 import type { FuzzTarget } from "./fuzzTarget.js";
 import { ratesTarget } from "./ratesTarget.js";
 
-export const fuzzTargets: readonly FuzzTarget[] = [ratesTarget];
+export const fuzzTargets: readonly FuzzTarget[] = [
+    claimsTarget,
+    ratesTarget,
+];
