feat(proofs): stateful fuzz of the configuration; fix: settle writes whose answers stay lost

The fuzz races operators against outages, lost and delayed answers, cuts, loss, doubled and late messages, frozen and restarted processes; the oracle is the order in which the store itself accepted submissions.

It showed that a store which loses the answers to all writes made each submission fail as unavailable at its first shard, although each write took effect. A read now tells.

--- a/packages/configuration/src/__tests__/memoryStoreFixture.ts
+++ b/packages/configuration/src/__tests__/memoryStoreFixture.ts
@@ -6,6 +6,7 @@
     Up = "up",
     Down = "down",
     LoseAnswers = "loseAnswers",
+    LoseWriteAnswers = "loseWriteAnswers",
 }
 
 /** A key-value store in memory, with outages and lost answers. */
@@ -39,7 +40,7 @@
     }
 
     compareAndDelete(key: string, expected: number): ResultAsync<SwapOutcome, StoreError> {
-        return this.call(key, () => this.change(key, expected, undefined));
+        return this.call(key, () => this.change(key, expected, undefined), true);
     }
 
     grantLease(): ResultAsync<string, StoreError> {
@@ -75,17 +76,19 @@
         return { swapped: true, modRevision: this.revision };
     }
 
-    private call<T>(key: string, perform: () => T): ResultAsync<T, StoreError> {
-        return new ResultAsync(this.answer(key, perform));
+    private call<T>(key: string, perform: () => T, isWrite = false): ResultAsync<T, StoreError> {
+        return new ResultAsync(this.answer(key, perform, isWrite));
     }
 
-    private async answer<T>(key: string, perform: () => T): Promise<Result<T, StoreError>> {
+    private async answer<T>(key: string, perform: () => T, isWrite: boolean): Promise<Result<T, StoreError>> {
         await this.beforeCall(key);
         if (this.mode === StoreMode.Down) {
             return err({ kind: "notApplied", message: "the store is down" });
         }
         const answer = perform();
-        return this.mode === StoreMode.LoseAnswers
+        const isLost = this.mode === StoreMode.LoseAnswers
+            || (this.mode === StoreMode.LoseWriteAnswers && isWrite);
+        return isLost
             ? err({ kind: "unknown", message: "the answer was lost" })
             : ok(answer);
     }
--- a/packages/configuration/src/decision/submission.ts
+++ b/packages/configuration/src/decision/submission.ts
@@ -29,7 +29,14 @@
     submissionPrefix,
 } from "../records.js";
 import { type LoadError, loadOutline, loadRoot, loadShards, type StoredRoot } from "./loadConfiguration.js";
-import { deleteKey, readKeys, type StoreDecision, StoreEffectKind, swapKey } from "./storeDecision.js";
+import {
+    deleteKey,
+    readKey,
+    readKeys,
+    type StoreDecision,
+    StoreEffectKind,
+    swapKey,
+} from "./storeDecision.js";
 
 /** A manifest to submit. */
 export interface SubmissionRequest {
@@ -180,7 +187,10 @@
     return ok(references);
 }
 
-/** Writes a record of this submission alone; one that is there already was written by a try whose answer was lost. */
+/**
+ * Writes a record of this submission alone. One that is there already was written by a try whose answer was lost;
+ * where answers to writes stay lost, a read tells.
+ */
 function* writeOnce(key: string, value: Uint8Array): Attempt<void> {
     let message = "";
     for (let attempt = 0; attempt < writeAttempts; attempt++) {
@@ -189,6 +199,10 @@
             return ok(undefined);
         }
         message = outcome.error.message;
+        const present = yield* readKey(key);
+        if (present.isOk() && present.value !== undefined) {
+            return ok(undefined);
+        }
         yield { kind: StoreEffectKind.Pause, milliseconds: retryPauseMilliseconds };
     }
     return err({ kind: "unavailable", message });
@@ -226,7 +240,7 @@
     return outcome;
 }
 
-/** Swaps the root until the answer is known: the root itself tells whether a try whose answer was lost took effect. */
+/** Swaps the root until the answer is known: where it was lost, the root itself tells whether the swap took effect. */
 function* swapRoot(base: Base, root: RootRecord): Attempt<SubmissionOutcome> {
     let mayBeApplied = false;
     let message = "";
@@ -237,6 +251,10 @@
         }
         message = outcome.error.message;
         mayBeApplied ||= outcome.error.kind === "unknown";
+        const present = yield* readKey(rootKey);
+        if (present.isOk() && (present.value?.modRevision ?? 0) !== base.stored.modRevision) {
+            return yield* settle(root.submission);
+        }
         yield { kind: StoreEffectKind.Pause, milliseconds: retryPauseMilliseconds };
     }
     return err({ kind: mayBeApplied ? "unknown" : "unavailable", message });
--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -11,4 +11,6 @@
 export * from "./node/configurationTask.js";
 export * from "./node/innerPeers.js";
 export * from "./records.js";
+export * from "./simulation/replicaNetwork.js";
+export * from "./simulation/simulatedStore.js";
 export * from "./submitManifest.js";
--- /dev/null
+++ b/packages/configuration/src/simulation/simulatedStore.ts
@@ -0,0 +1,102 @@
+/**
+ * A key-value store in memory that performs the effects of store decisions at once, with faults that can be switched
+ * on. For fuzzing and experiments on simulated time.
+ *
+ * @module
+ */
+import { assertNever } from "@redwingpin/common";
+import { type StoreEntry, StoreFault } from "@redwingpin/platform";
+import {
+    type StoreEffect,
+    StoreEffectKind,
+    type StoreEvent,
+    StoreEventKind,
+} from "../decision/storeDecision.js";
+
+/** Calls that the store has answered. */
+export interface StoreCounts {
+    reads: number;
+    writes: number;
+}
+
+/** The store; `onChange` hears of every change when it takes effect. */
+export class SimulatedStore {
+    fault = StoreFault.None;
+    readonly counts: StoreCounts = { reads: 0, writes: 0 };
+    private readonly entries = new Map<string, StoreEntry>();
+    private revision = 0;
+
+    constructor(private readonly onChange: (entry: StoreEntry) => void) {}
+
+    /** Performs a call under the present fault; `defer` runs an effect that takes place later. */
+    perform(effect: StoreEffect, defer: (apply: () => void) => void): StoreEvent {
+        if (effect.kind === StoreEffectKind.Pause) {
+            return { kind: StoreEventKind.Paused };
+        }
+        if (this.fault === StoreFault.Down) {
+            return {
+                kind: StoreEventKind.Failed,
+                error: { kind: "notApplied", message: "the store is down" },
+            };
+        }
+        const isWrite = effect.kind === StoreEffectKind.Swap || effect.kind === StoreEffectKind.Delete;
+        if (isWrite && this.fault === StoreFault.DelaysEffects) {
+            defer(() => this.apply(effect));
+            return lost();
+        }
+        const event = this.apply(effect);
+        return isWrite && this.fault === StoreFault.LosesAnswers ? lost() : event;
+    }
+
+    /** Reads without fault and without counting. */
+    peek(key: string): StoreEntry | undefined {
+        return this.entries.get(key);
+    }
+
+    private apply(effect: StoreEffect): StoreEvent {
+        switch (effect.kind) {
+            case StoreEffectKind.Read: {
+                this.counts.reads++;
+                const entry = this.entries.get(effect.key);
+                return { kind: StoreEventKind.Entries, entries: entry === undefined ? [] : [entry] };
+            }
+            case StoreEffectKind.ReadPrefix: {
+                this.counts.reads++;
+                const entries = [...this.entries.values()].filter((entry) =>
+                    entry.key.startsWith(effect.prefix)
+                );
+                return { kind: StoreEventKind.Entries, entries };
+            }
+            case StoreEffectKind.Swap:
+                return this.write(effect.key, effect.expected, effect.value);
+            case StoreEffectKind.Delete:
+                return this.write(effect.key, effect.expected, undefined);
+            case StoreEffectKind.Pause:
+                return { kind: StoreEventKind.Paused };
+            default:
+                return assertNever(effect);
+        }
+    }
+
+    private write(key: string, expected: number, value: Uint8Array | undefined): StoreEvent {
+        this.counts.writes++;
+        const current = this.entries.get(key);
+        if ((current?.modRevision ?? 0) !== expected) {
+            return { kind: StoreEventKind.Swapped, outcome: { swapped: false, current } };
+        }
+        const modRevision = ++this.revision;
+        if (value === undefined) {
+            this.entries.delete(key);
+        }
+        else {
+            const entry = { key, value, modRevision };
+            this.entries.set(key, entry);
+            this.onChange(entry);
+        }
+        return { kind: StoreEventKind.Swapped, outcome: { swapped: true, modRevision } };
+    }
+}
+
+function lost(): StoreEvent {
+    return { kind: StoreEventKind.Failed, error: { kind: "unknown", message: "the answer was lost" } };
+}
--- a/packages/proofs/src/fuzz/targets.ts
+++ b/packages/proofs/src/fuzz/targets.ts
@@ -4,10 +4,12 @@
  * @module
  */
 import { claimsTarget } from "./claimsTarget.js";
+import { configurationTarget } from "./configurationTarget.js";
 import type { FuzzTarget } from "./fuzzTarget.js";
 import { ratesTarget } from "./ratesTarget.js";
 
 export const fuzzTargets: readonly FuzzTarget[] = [
     claimsTarget,
+    configurationTarget,
     ratesTarget,
 ];
