feat(router): ready once rates are given out; agents keep the roster of rate slots

Cause: a router of a new site said ready and then refused for seconds; routers that all restart with the store down had no source for the roster. Change: readiness waits for the roster, at most 0.8 s where none is known; agents keep a copy of it.

--- a/packages/admission/src/node/admissionController.ts
+++ b/packages/admission/src/node/admissionController.ts
@@ -117,6 +117,14 @@
         this.refreshAccounts();
     }
 
+    rosterKnown(): boolean {
+        return this.keeper.current !== undefined;
+    }
+
+    settled(): boolean {
+        return this.keeper.current?.holders.every((holder) => holder !== undefined) ?? false;
+    }
+
     async leave(): Promise<boolean> {
         this.holder.giveUp();
         return await this.keeper.release();
--- a/packages/admission/src/node/admissionOptions.ts
+++ b/packages/admission/src/node/admissionOptions.ts
@@ -72,6 +72,10 @@
     membersChanged(members: readonly RouterMember[]): void;
     /** To be called at once when another manifest is in force. */
     accountsChanged(): void;
+    /** True once a roster of slots is known. */
+    rosterKnown(): boolean;
+    /** True once every slot of the fleet has a holder; before, accounts can not spend their whole rate. */
+    settled(): boolean;
     /** Gives up this router's slots for good, because its VM leaves. True where the store shows it. */
     leave(): Promise<boolean>;
     /** Ends the task. What waits is refused. */
--- a/packages/agent/src/node/agent.ts
+++ b/packages/agent/src/node/agent.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import { RosterCache } from "@redwingpin/admission";
 import { type Clock, type Logger, maxSeed, seededRandom } from "@redwingpin/common";
 import { type Configuration, createAgentPeers, createConfiguration } from "@redwingpin/configuration";
 import { EndpointKind } from "@redwingpin/manifest";
@@ -12,6 +13,7 @@
     type EndpointStatus,
     type ExchangeMessage,
     InnerNode,
+    isRateMessage,
     MessageKind,
     type Open,
     ProcessRole,
@@ -44,6 +46,7 @@
     private readonly exchanges = new Map<Connection, Map<number, ExchangeTask>>();
     private readonly recent = new RecentRequests();
     private readonly configuration: Configuration;
+    private readonly rosterCache = new RosterCache();
     private draining = false;
     private wakeWhenIdle: (() => void) | undefined;
 
@@ -92,6 +95,7 @@
             this.configuration.handle(body, from.instance);
             return Promise.resolve(undefined);
         });
+        this.innerNode.handle(Topic.Rates, (body) => Promise.resolve(this.answerRates(body)));
         this.innerNode.handle(Topic.Membership, () => Promise.resolve({ kind: "pong" }));
     }
 
@@ -181,6 +185,10 @@
         }
     }
 
+    private answerRates(body: unknown): unknown {
+        return isRateMessage(body) ? this.rosterCache.handle(body) : { error: "the body is no rate message" };
+    }
+
     private onHealthChange(health: EndpointHealth, before: EndpointHealth): void {
         this.options.logger.info("the endpoint changed", {
             incarnation: health.incarnation,
--- a/packages/router/src/constants.ts
+++ b/packages/router/src/constants.ts
@@ -27,3 +27,9 @@
 
 /** Milliseconds for which a stopping router still takes requests, so that the balancer sees that it is not ready. */
 export const drainGraceMilliseconds = 1_000;
+
+/** Milliseconds after its start for which a router that finds no roster of rate slots says that it is not ready. */
+export const maxWaitForRosterMilliseconds = 800;
+
+/** The same where a roster is known that is not complete, as in the first seconds of a new site. */
+export const maxWaitForRatesMilliseconds = 10_000;
--- a/packages/router/src/node/router.ts
+++ b/packages/router/src/node/router.ts
@@ -11,6 +11,7 @@
     listenOn,
     type Logger,
     maxSeed,
+    type Milliseconds,
     type ReasonCounters,
     seededRandom,
     sleep,
@@ -40,7 +41,11 @@
 import type { Server } from "node:http";
 import type { Registry } from "prom-client";
 import type { ResolvedRouterConfig } from "../config.js";
-import { drainGraceMilliseconds } from "../constants.js";
+import {
+    drainGraceMilliseconds,
+    maxWaitForRatesMilliseconds,
+    maxWaitForRosterMilliseconds,
+} from "../constants.js";
 import { ExchangeTable } from "./agentExchange.js";
 import { createCallerServer } from "./callerServer.js";
 import { MachineWatch } from "./machineWatch.js";
@@ -82,10 +87,12 @@
     private readonly configuration: Configuration;
     private readonly peers: PeerDirectory;
     private readonly incarnation = randomUUID();
+    private readonly startedAt: Milliseconds;
     private stopping = false;
 
     constructor(private readonly options: RouterOptions) {
         const { config, clock, logger, registry } = options;
+        this.startedAt = clock.now();
         this.counters = createReasonCounters(registry);
         this.peers = new PeerDirectory(config.instance);
         this.innerNode = this.createInnerNode();
@@ -201,6 +208,7 @@
             instance: config.instance,
             incarnation: this.incarnation,
             store,
+            rosterAgents: () => this.peers.agents().map((agent) => agent.instance),
             peers: createRatePeers(this.innerNode, (instance) => this.machineWatch.find(instance)),
             accounts: () => this.configuration.current()?.index.manifest.accounts ?? [],
             logger: logger.scope("admission"),
@@ -274,7 +282,16 @@
     }
 
     private isReady(): boolean {
-        return !this.stopping && this.configuration.current() !== undefined;
+        return !this.stopping && this.configuration.current() !== undefined && this.ratesAreReady();
+    }
+
+    /** Waits for a roster of rate slots, and longer where one is known that is not complete: the site is new. */
+    private ratesAreReady(): boolean {
+        const age = this.options.clock.now() - this.startedAt;
+        const limit = this.admission.rosterKnown()
+            ? maxWaitForRatesMilliseconds
+            : maxWaitForRosterMilliseconds;
+        return this.admission.settled() || age >= limit;
     }
 
     private status() {
