feat(agent): a model of the engine's cache

Cause: the agent told routers of no hit depth. Change: the agent mirrors the engine's cache from the prompts it gave, its capacity and cleared caches; charges the queue only for what the cache misses; and sends routers a bounded summary.

--- a/packages/agent/src/node/agent.ts
+++ b/packages/agent/src/node/agent.ts
@@ -8,6 +8,7 @@
 import { type Clock, type Logger, maxSeed, seededRandom } from "@redwingpin/common";
 import { type Configuration, createAgentPeers, createConfiguration } from "@redwingpin/configuration";
 import { EndpointKind } from "@redwingpin/manifest";
+import { defaultBlockTokens } from "@redwingpin/placement";
 import {
     type Connection,
     type EndpointStatus,
@@ -25,6 +26,7 @@
 import { declineReason } from "../decision/acceptance.js";
 import { RecentRequests } from "../decision/recentRequests.js";
 import { servedWeights } from "../decision/servedWeights.js";
+import { EndpointCache } from "./endpointCache.js";
 import { EndpointClient } from "./endpointClient.js";
 import { type EndpointHealth, EndpointMonitor } from "./endpointMonitor.js";
 import { ExchangeTask } from "./exchangeTask.js";
@@ -46,6 +48,7 @@
     private readonly exchanges = new Map<Connection, Map<number, ExchangeTask>>();
     private readonly recent = new RecentRequests();
     private readonly configuration: Configuration;
+    private readonly cache: EndpointCache;
     private readonly rosterCache = new RosterCache();
     private draining = false;
     private wakeWhenIdle: (() => void) | undefined;
@@ -62,6 +65,11 @@
             maxQueuedRequests: config.maxQueuedRequests,
             maxQueuedTokens: config.maxQueuedTokens,
         });
+        this.cache = new EndpointCache({
+            address: config.endpointAddress,
+            clock,
+            logger: logger.scope("cache"),
+        });
         this.monitor = new EndpointMonitor({
             address: config.endpointAddress,
             kind: config.endpointKind,
@@ -122,6 +130,7 @@
     stop(): void {
         this.configuration.stop();
         this.monitor.stop();
+        this.cache.stop();
         this.innerNode.stop();
         void this.endpoint.stop();
     }
@@ -139,6 +148,7 @@
             queuedTokens: this.scheduler.pendingTokens,
             running: this.scheduler.running,
             tokensPerSecond: 0,
+            heldPrefixes: this.cache.heldPrefixes(),
         };
     }
 
@@ -167,8 +177,8 @@
             endpoint: this.endpoint,
             scheduler: this.scheduler,
             status: () => this.status(),
-            hitBlocks: () => 0,
-            onDispatched: () => {},
+            cache: this.cache,
+            blockTokens: defaultBlockTokens,
             onEnded: (ended) => this.forget(connection, ended),
         });
         this.remember(connection, exchange);
@@ -190,6 +200,9 @@
     }
 
     private onHealthChange(health: EndpointHealth, before: EndpointHealth): void {
+        if (this.options.config.endpointKind === EndpointKind.Engine) {
+            void this.cache.restarted(health.incarnation);
+        }
         this.options.logger.info("the endpoint changed", {
             incarnation: health.incarnation,
             before: before.incarnation,
--- a/packages/agent/src/node/exchangeTask.ts
+++ b/packages/agent/src/node/exchangeTask.ts
@@ -14,6 +14,7 @@
     MessageKind,
     type Open,
 } from "@redwingpin/protocol";
+import type { EndpointCache } from "./endpointCache.js";
 import type { EndpointAnswer, EndpointClient } from "./endpointClient.js";
 import type { RequestScheduler, WaitingRequest } from "./requestScheduler.js";
 
@@ -23,10 +24,9 @@
     readonly endpoint: EndpointClient;
     readonly scheduler: RequestScheduler;
     readonly status: () => EndpointStatus;
-    /** Prefix blocks of the request that the endpoint is believed to hold now. */
-    readonly hitBlocks: (open: Open) => number;
-    /** Called once when the request leaves for the endpoint. */
-    readonly onDispatched: (open: Open) => void;
+    readonly cache: EndpointCache;
+    /** Tokens in one prefix block. */
+    readonly blockTokens: number;
     /** Called once when nothing more follows. */
     readonly onEnded: (exchange: ExchangeTask) => void;
 }
@@ -49,6 +49,7 @@
     private credit = answerWindowBytes;
     private wakeForCredit: (() => void) | undefined;
     private abandoned = false;
+    private awaitsCache = false;
 
     constructor(
         private readonly connection: Connection,
@@ -114,10 +115,12 @@
 
     private enqueue(): void {
         this.stage = Stage.Waiting;
+        this.awaitsCache = true;
+        this.context.cache.awaited(this.open.prefixBlocks);
         const waiting: WaitingRequest = {
             id: this.id,
             account: this.open.account,
-            tokens: this.open.tokens,
+            tokens: this.expectedTokens(),
             priority: this.open.priority,
             deadline: this.deadline,
             start: () => void this.run(),
@@ -126,10 +129,15 @@
         this.context.scheduler.submit(waiting).mapErr((reason) => this.decline(reason));
     }
 
+    /** Tokens of work that the endpoint is expected to spend: what its cache holds costs nothing. */
+    private expectedTokens(): number {
+        const held = this.context.cache.hitBlocks(this.open.prefixBlocks) * this.context.blockTokens;
+        return Math.max(1, this.open.tokens - held);
+    }
+
     private async run(): Promise<void> {
         this.stage = Stage.Running;
-        const hitBlocks = this.context.hitBlocks(this.open);
-        this.context.onDispatched(this.open);
+        const hitBlocks = this.context.cache.hitBlocks(this.open.prefixBlocks);
         const cancelDeadline = this.context.clock.schedule(
             this.deadline - this.context.clock.now(),
             () => this.open.idempotent && this.abort.abort(),
@@ -162,6 +170,7 @@
     private async relay(answer: EndpointAnswer, hitBlocks: number): Promise<void> {
         const { exchange } = this.open;
         this.context.scheduler.answered(this.id);
+        this.settleCache(true);
         this.connection.send({
             kind: MessageKind.Head,
             exchange,
@@ -202,6 +211,13 @@
         await this.connection.whenWritable();
     }
 
+    private settleCache(answered: boolean): void {
+        if (this.awaitsCache) {
+            this.awaitsCache = false;
+            this.context.cache.settled(this.open.prefixBlocks, answered);
+        }
+    }
+
     private fail(message: string): void {
         const { exchange } = this.open;
         const expired = this.context.clock.now() >= this.deadline;
@@ -221,6 +237,7 @@
             return;
         }
         this.stage = Stage.Ended;
+        this.settleCache(false);
         this.connection.send(message);
         this.context.onEnded(this);
     }
