--- a/packages/proofs/src/__tests__/siteFixture.ts
+++ b/packages/proofs/src/__tests__/siteFixture.ts
@@ -3,11 +3,12 @@
  *
  * @module
  */
+import { encodeRoster, rosterKey, rosterPositions } from "@redwingpin/admission";
 import { Agent, agentSettings } from "@redwingpin/agent";
 import { resolveSettings, sha256Hex, silentLogger, systemClock } from "@redwingpin/common";
 import { submitManifest } from "@redwingpin/configuration";
 import { EndpointKind, type Manifest, RouteKind, RoutePriority } from "@redwingpin/manifest";
-import { createEtcdStore, createVirtualMachineList } from "@redwingpin/platform";
+import { createEtcdStore, createVirtualMachineList, type KeyValueStore } from "@redwingpin/platform";
 import { Router, routerSettings } from "@redwingpin/router";
 import {
     type Standin,
@@ -105,6 +106,7 @@
     });
     const store = createEtcdStore({ address: storeStandin.address, clock: systemClock });
     (await submitManifest(store, manifest, "site fixture"))._unsafeUnwrap();
+    await giveOutRates(store);
     const virtualMachineList = createVirtualMachineList({ address: list.address, clock: systemClock });
     const router = createRouter(store, virtualMachineList);
     const routerPorts = await router.start();
@@ -132,12 +134,18 @@
     };
 }
 
+/** Gives every rate slot to the router, as a site that has run for a while has it. */
+async function giveOutRates(store: KeyValueStore): Promise<void> {
+    const roster = { epoch: 1, holders: new Array<string>(rosterPositions).fill("router-1") };
+    await store.compareAndSwap(rosterKey, 0, new TextEncoder().encode(encodeRoster(roster)));
+}
+
 function target(instance: string, role: string, port: number, pool = "") {
     const labels = { instance, role, data_centre: "hobart", pool, leaving: "false" };
     return { targets: [`${host}:${port}`], labels };
 }
 
-/** Waits until the router admits requests of the workshop. A new site gives out its rates in its first seconds. */
+/** Waits until the router admits requests of the workshop. */
 export async function untilReady(address: string): Promise<void> {
     const body = JSON.stringify({ model: "draft", prompt: "ready?", max_tokens: 1 });
     const headers = { authorization: `Bearer ${workshopKey}` };
--- a/packages/router/src/decision/routedRequest.ts
+++ b/packages/router/src/decision/routedRequest.ts
@@ -5,7 +5,7 @@
  */
 import { digestOf, RefusalReason } from "@redwingpin/common";
 import type { ClientAccount, ManifestIndex, ModelRoute, Route, ServiceRoute } from "@redwingpin/manifest";
-import { RouteKind } from "@redwingpin/manifest";
+import { RouteKind, RoutePriority } from "@redwingpin/manifest";
 import { type PrefixScope, type Prompt, type PromptMessage, ScopeKind } from "@redwingpin/placement";
 import { err, ok, type Result } from "neverthrow";
 import { defaultMaxOutputTokens } from "../constants.js";
@@ -91,8 +91,9 @@
 }
 
 /**
- * The completion's body as the engine gets it: the model's name in place of the route's, and a salt of its scope, so
- * that the engine's cache shares nothing between accounts or weights.
+ * The completion's body as the engine gets it: the model's name in place of the route's, the route's priority, and a
+ * salt of its scope, so that the engine's cache shares nothing between accounts or weights. What the caller wrote in
+ * these fields is dropped.
  */
 export function bodyForEngine(
     completion: CompletionBody,
@@ -100,7 +101,24 @@
     scope: PrefixScope,
 ): Record<string, unknown> {
     const { resume: _resume, ...fields } = completion.fields;
-    return { ...fields, model: route.adapter ?? route.model, cache_salt: cacheSalt(scope) };
+    return {
+        ...fields,
+        model: route.adapter ?? route.model,
+        cache_salt: cacheSalt(scope),
+        priority: enginePriority(route.priority),
+    };
+}
+
+/** Priority in the engines' terms: lower values are served first. */
+function enginePriority(priority: RoutePriority): number {
+    switch (priority) {
+        case RoutePriority.Interactive:
+            return 0;
+        case RoutePriority.Normal:
+            return 1;
+        case RoutePriority.Bulk:
+            return 2;
+    }
 }
 
 function cacheSalt(scope: PrefixScope): string {
