--- a/packages/agent/src/node/agent.ts
+++ b/packages/agent/src/node/agent.ts
@@ -8,6 +8,7 @@
 import { type Clock, type Logger, maxSeed, seededRandom } from "@redwingpin/common";
 import { type Configuration, createAgentPeers, createConfiguration } from "@redwingpin/configuration";
 import { EndpointKind } from "@redwingpin/manifest";
+import { MembershipResponder } from "@redwingpin/membership";
 import { defaultBlockTokens } from "@redwingpin/placement";
 import {
     type Connection,
@@ -17,6 +18,7 @@
     isRateMessage,
     MessageKind,
     type Open,
+    type OperatorStatus,
     ProcessRole,
     Topic,
 } from "@redwingpin/protocol";
@@ -50,6 +52,7 @@
     private readonly configuration: Configuration;
     private readonly cache: EndpointCache;
     private readonly rosterCache = new RosterCache();
+    private readonly membership: MembershipResponder;
     private draining = false;
     private wakeWhenIdle: (() => void) | undefined;
 
@@ -104,19 +107,28 @@
             return Promise.resolve(undefined);
         });
         this.innerNode.handle(Topic.Rates, (body) => Promise.resolve(this.answerRates(body)));
-        this.innerNode.handle(Topic.Membership, () => Promise.resolve({ kind: "pong" }));
+        this.membership = this.createMembership();
+        this.innerNode.handle(
+            Topic.Membership,
+            (body) => Promise.resolve(this.membership.handle(body) ?? { kind: "pong" }),
+        );
+        this.innerNode.handle(Topic.Operator, () => Promise.resolve(this.operatorStatus()));
     }
 
     /** Starts to listen; resolves with the port of the inner protocol. */
     async start(): Promise<number> {
         await this.monitor.start();
         this.configuration.start();
-        return this.innerNode.listen(this.options.config.listenHost, this.options.config.innerPort);
+        const { config } = this.options;
+        const port = await this.innerNode.listen(config.listenHost, config.innerPort);
+        this.membership.listensOn(port);
+        return port;
     }
 
     /** Takes no new work, waits until what runs has ended, and closes everything. */
     async drain(): Promise<void> {
         this.draining = true;
+        this.membership.leave();
         this.broadcastStatus();
         if (this.exchangeCount() > 0) {
             await new Promise<void>((resolve) => {
@@ -152,6 +164,33 @@
         };
     }
 
+    private createMembership(): MembershipResponder {
+        const { clock, config } = this.options;
+        return new MembershipResponder({
+            instance: config.instance,
+            role: ProcessRole.Agent,
+            host: config.listenHost,
+            port: config.innerPort,
+            dataCentre: config.dataCentre,
+            pool: config.pool,
+            epoch: Math.max(1, Math.round(clock.wallTime())),
+        });
+    }
+
+    private operatorStatus(): OperatorStatus {
+        const { config } = this.options;
+        return {
+            instance: config.instance,
+            role: ProcessRole.Agent,
+            dataCentre: config.dataCentre,
+            revision: this.configuration.revision(),
+            ready: !this.draining,
+            refusals: [],
+            accounts: [],
+            endpoint: this.status(),
+        };
+    }
+
     private onMessage(connection: Connection, message: ExchangeMessage): void {
         switch (message.kind) {
             case MessageKind.Open:
