feat(playground): wait until each account is served through each router

A router said that it was ready before it held a share of an account's rate, so the first request after the state file was refused as rate_exceeded. The playground now sends one-token requests until each account is answered. The process that started it may end before it: watching for that ended playgrounds that were started in the background.

--- a/packages/proofs/src/scenarios/steps/operatorSteps.ts
+++ b/packages/proofs/src/scenarios/steps/operatorSteps.ts
@@ -71,12 +71,7 @@
     {
         pattern: "every router refuses the key of {name} within {number} seconds",
         action: (world, account, seconds) =>
-            untilRefused(
-                world,
-                account!,
-                world.playground.state.routers,
-                Number(seconds) * millisecondsPerSecond,
-            ),
+            untilRefused(world, account!, Number(seconds) * millisecondsPerSecond),
     },
     {
         pattern: "every router is at the same revision within {number} seconds",
--- a/packages/proofs/src/scenarios/world.ts
+++ b/packages/proofs/src/scenarios/world.ts
@@ -67,7 +67,6 @@
 
     async start(routers: number, engines: number, services: number): Promise<void> {
         this.running = await startPlayground({ routers, engines, services });
-        await this.untilServing();
     }
 
     async stop(): Promise<void> {
@@ -212,18 +211,6 @@
         });
     }
 
-    private async untilServing(): Promise<void> {
-        const { models, routers } = this.playground.state;
-        for (const router of routers) {
-            await this.until(`router ${router} serves "${models[0]}"`, async () => {
-                const call = this.caller.send(
-                    this.plan({ kind: CallKind.Completion, router, maximumTokens: 1 }),
-                );
-                return (await call.ended).status === 200;
-            });
-        }
-    }
-
     private targetOf(kind: CallKind): string {
         const { state } = this.playground;
         switch (kind) {
--- a/playground/src/main.ts
+++ b/playground/src/main.ts
@@ -12,7 +12,6 @@
 import type { PlaygroundState } from "./state.js";
 
 const maximumProcesses = 200;
-const orphanPollMilliseconds = 500;
 const usageExitCode = 2;
 
 class PlaygroundCommand extends Command {
@@ -66,17 +65,11 @@
     }
 }
 
-/** Resolves on SIGTERM, on SIGINT, and where the process that started this one has ended. */
+/** Resolves on SIGTERM and on SIGINT. */
 function untilStopped(): Promise<void> {
-    const parent = process.ppid;
     return new Promise((resolve) => {
-        const timer = setInterval(() => process.ppid !== parent && finish(), orphanPollMilliseconds);
-        const finish = () => {
-            clearInterval(timer);
-            resolve();
-        };
-        process.on("SIGTERM", finish);
-        process.on("SIGINT", finish);
+        process.on("SIGTERM", () => resolve());
+        process.on("SIGINT", () => resolve());
     });
 }
 
--- a/playground/src/playground.ts
+++ b/playground/src/playground.ts
@@ -27,6 +27,7 @@
     programOf,
 } from "./processPlans.js";
 import type { PlaygroundState } from "./state.js";
+import { untilAnswered } from "./warmUp.js";
 
 /** Options of {@link startPlayground}. */
 export interface PlaygroundOptions extends Partial<DeploymentSize> {
@@ -118,6 +119,7 @@
         this.plan.routers.forEach((plan) => this.spawn(plan));
         await this.applyManifest();
         await Promise.all(this.plan.routers.map((plan) => this.child(plan.name).untilReady()));
+        await this.untilServing();
     }
 
     child(name: string): PlaygroundChild {
@@ -149,6 +151,15 @@
         await this.stopAll(this.plan?.standins ?? [], standinStopLimitMilliseconds);
     }
 
+    /** Waits until each account has had an answer through each router. */
+    private async untilServing(): Promise<void> {
+        for (const router of this.plan.routers) {
+            for (const account of this.deployment.manifest.accounts) {
+                await untilAnswered(router.address!, this.deployment, account.name);
+            }
+        }
+    }
+
     private get manifestFile(): string {
         return join(this.folder, "manifest.json");
     }
