feat(claims): routers hand calls to the one that writes their shard

Cause: with every router writing for itself, store writes grow with the number of routers. Change: begin and conclude travel on the claims topic to the shard's writer; where it gives no answer the asker writes the same claim, under the same token, itself. Who writes is economy only; the compare-and-swap decides. Only the asker may report its own claim as not run: the writer answers without reporting.

--- a/packages/claims/src/decision/shardWriter.ts
+++ b/packages/claims/src/decision/shardWriter.ts
@@ -242,7 +242,8 @@
     }
 }
 
-const storeUnavailable: ClaimDecision = {
+/** The refusal of a call whose claim could not be recorded. */
+export const storeUnavailable: ClaimDecision = {
     kind: "refuse",
     reason: RefusalReason.ClaimStoreUnavailable,
     outcome: CallOutcome.NotRun,
--- a/packages/claims/src/index.ts
+++ b/packages/claims/src/index.ts
@@ -5,4 +5,5 @@
  */
 export * from "./constants.js";
 export * from "./decision/claimCall.js";
+export * from "./decision/claimMessages.js";
 export * from "./node/claims.js";
--- a/packages/claims/src/node/claims.ts
+++ b/packages/claims/src/node/claims.ts
@@ -12,8 +12,9 @@
     sleep,
 } from "@redwingpin/common";
 import type { KeyValueStore } from "@redwingpin/platform";
+import type { ResultAsync } from "neverthrow";
 import * as constants from "../constants.js";
-import type { PendingOutcome } from "../decision/batch.js";
+import type { PendingBegin, PendingOutcome } from "../decision/batch.js";
 import {
     type CallAnswer,
     CallOutcome,
@@ -23,10 +24,28 @@
     identifyCall,
     shardOf,
 } from "../decision/claimCall.js";
+import {
+    type ClaimBegin,
+    type ClaimConclude,
+    ClaimMessageKind,
+    type ClaimReply,
+    type ClaimRequest,
+    isAcknowledge,
+    isClaimDecided,
+    isClaimRequest,
+} from "../decision/claimMessages.js";
 import { ClaimRecordKind } from "../decision/segment.js";
-import type { ShardWriterOptions } from "../decision/shardWriter.js";
+import { type ShardWriterOptions, storeUnavailable } from "../decision/shardWriter.js";
 import { ShardTask } from "./shardTask.js";
 
+/** How routers hand calls to the one that writes their shard. */
+export interface ClaimPeers {
+    /** Instance that writes a shard; this instance or `undefined` where this process writes it itself. */
+    writerOf(shard: number): string | undefined;
+    /** Sends a message on the claims topic; fails where no answer comes in time. */
+    ask(instance: string, message: ClaimRequest): ResultAsync<unknown, string>;
+}
+
 /** Options of {@link createClaims}. */
 export interface ClaimsOptions {
     readonly clock: Clock;
@@ -36,6 +55,11 @@
     readonly incarnation: string;
     readonly store: KeyValueStore;
     readonly logger: Logger;
+    /**
+     * The other routers.
+     * @default this process writes every shard that it needs
+     */
+    readonly peers?: ClaimPeers;
     /**
      * Shards over which claims are spread; the same in every process.
      * @default claimShardCount
@@ -73,6 +97,8 @@
     /** Gives a claim up without an answer; `notRun` only where the call certainly did not run and will not run. */
     abandon(claim: Claim, notRun: boolean): void;
     statistics(): ClaimsStatistics;
+    /** Answers a message on the claims topic; `undefined` where it is malformed. */
+    handle(body: unknown): Promise<ClaimReply | undefined>;
     /** Refuses new calls, and resolves once what became of the earlier ones is written or cannot be in time. */
     stop(): Promise<void>;
 }
@@ -88,6 +114,7 @@
     private readonly shards = new Map<number, ShardTask>();
     private readonly shardCount: number;
     private readonly tokenPrefix: string;
+    private readonly pendingConclusions = new Set<Promise<void>>();
     private tokens = 0;
     private stopping = false;
 
@@ -103,14 +130,33 @@
         const identity = identifyCall(call, this.shardCount);
         const token = `${this.tokenPrefix}.${++this.tokens}`;
         const deadline = this.options.clock.now() + (this.options.timeout ?? constants.claimTimeout);
-        const shard = this.shard(identity.shard);
-        const decision = await shard.begin({ identity, token, deadline });
+        const decision = await this.decide({ identity, token, deadline });
         if (decision.kind === "refuse" && decision.reason === RefusalReason.ClaimStoreUnavailable) {
-            shard.conclude({ ...identity, token, kind: ClaimRecordKind.NotRun });
+            this.conclude({
+                key: identity.key,
+                content: identity.content,
+                token,
+                kind: ClaimRecordKind.NotRun,
+            });
         }
         return decision;
     }
 
+    async handle(body: unknown): Promise<ClaimReply | undefined> {
+        if (!isClaimRequest(body, this.shardCount)) {
+            return undefined;
+        }
+        if (body.kind === ClaimMessageKind.Conclude) {
+            this.shard(body.shard).conclude(body.outcome);
+            return { kind: ClaimMessageKind.Acknowledge };
+        }
+        const { identity, token } = body;
+        const timeout = Math.min(body.timeout, constants.claimTimeout);
+        const deadline = this.options.clock.now() + timeout;
+        const decision = await this.shard(identity.shard).begin({ identity, token, deadline });
+        return { kind: ClaimMessageKind.Decided, decision };
+    }
+
     mayDispatch(claim: Claim): boolean {
         return this.options.clock.now() < claim.dispatchBefore;
     }
@@ -133,12 +179,67 @@
 
     async stop(): Promise<void> {
         this.stopping = true;
-        const written = Promise.all([...this.shards.values()].map((shard) => shard.stop()));
+        const written = Promise.all(this.pendingConclusions)
+            .then(() => Promise.all([...this.shards.values()].map((shard) => shard.stop())));
         await Promise.race([written, sleep(this.options.clock, constants.claimTimeout)]);
     }
 
+    private decide(begin: PendingBegin): Promise<ClaimDecision> {
+        const { shard } = begin.identity;
+        const writer = this.writerOf(shard);
+        if (writer === undefined) {
+            return this.shard(shard).begin(begin);
+        }
+        const overdue = sleep(this.options.clock, begin.deadline - this.options.clock.now());
+        return Promise.race([this.askWriter(writer, begin), overdue.then(() => storeUnavailable)]);
+    }
+
+    /** Asks the shard's writer; where it gives no answer, this process writes the same claim itself. */
+    private async askWriter(writer: string, begin: PendingBegin): Promise<ClaimDecision> {
+        const { identity, token, deadline } = begin;
+        const { clock, peers } = this.options;
+        const askedAt = clock.now();
+        const message: ClaimBegin = {
+            kind: ClaimMessageKind.Begin,
+            identity,
+            token,
+            timeout: deadline - askedAt,
+        };
+        const reply = await peers!.ask(writer, message);
+        if (reply.isErr() || !isClaimDecided(reply.value)) {
+            return this.shard(identity.shard).begin(begin);
+        }
+        const { decision } = reply.value;
+        const dispatchBefore = askedAt + (this.options.writer?.dispatchWindow ?? constants.dispatchWindow);
+        return decision.kind === "run"
+            ? { kind: "run", claim: { ...identity, token, dispatchBefore } }
+            : decision;
+    }
+
     private conclude(outcome: PendingOutcome): void {
-        this.shard(shardOf(outcome.key, this.shardCount)).conclude(outcome);
+        const shard = shardOf(outcome.key, this.shardCount);
+        const writer = this.writerOf(shard);
+        if (writer === undefined) {
+            this.shard(shard).conclude(outcome);
+            return;
+        }
+        this.pendingConclusions.add(this.handOver(writer, shard, outcome));
+    }
+
+    private handOver(writer: string, shard: number, outcome: PendingOutcome): Promise<void> {
+        const message: ClaimConclude = { kind: ClaimMessageKind.Conclude, shard, outcome };
+        const handedOver = Promise.resolve(this.options.peers!.ask(writer, message)).then((reply) => {
+            if (reply.isErr() || !isAcknowledge(reply.value)) {
+                this.shard(shard).conclude(outcome);
+            }
+            this.pendingConclusions.delete(handedOver);
+        });
+        return handedOver;
+    }
+
+    private writerOf(shard: number): string | undefined {
+        const writer = this.options.peers?.writerOf(shard);
+        return writer === this.options.instance ? undefined : writer;
     }
 
     private shard(number: number): ShardTask {
--- a/packages/claims/src/node/shardTask.ts
+++ b/packages/claims/src/node/shardTask.ts
@@ -3,15 +3,16 @@
  *
  * @module
  */
-import { assertNever, type Clock, type Logger, RefusalReason, runDecision, sleep } from "@redwingpin/common";
+import { assertNever, type Clock, type Logger, runDecision, sleep } from "@redwingpin/common";
 import type { KeyValueStore } from "@redwingpin/platform";
 import type { PendingBegin, PendingOutcome } from "../decision/batch.js";
-import { CallOutcome, type ClaimDecision } from "../decision/claimCall.js";
+import type { ClaimDecision } from "../decision/claimCall.js";
 import { shardPrefix } from "../decision/shardState.js";
 import {
     type ShardEffect,
     type ShardEvent,
     type ShardWriterOptions,
+    storeUnavailable,
     writeShard,
 } from "../decision/shardWriter.js";
 
@@ -41,7 +42,10 @@
     begin(begin: PendingBegin): Promise<ClaimDecision> {
         return new Promise((resolve) => {
             const delay = begin.deadline - this.options.clock.now();
-            const cancelTimer = this.options.clock.schedule(delay, () => this.settle(begin.token, overdue));
+            const cancelTimer = this.options.clock.schedule(
+                delay,
+                () => this.settle(begin.token, storeUnavailable),
+            );
             this.waiting.set(begin.token, (decision) => {
                 cancelTimer();
                 resolve(decision);
@@ -139,9 +143,3 @@
         settle?.(decision);
     }
 }
-
-const overdue: ClaimDecision = {
-    kind: "refuse",
-    reason: RefusalReason.ClaimStoreUnavailable,
-    outcome: CallOutcome.NotRun,
-};
--- a/packages/proofs/src/fuzz/claimsSite.ts
+++ b/packages/proofs/src/fuzz/claimsSite.ts
@@ -3,9 +3,17 @@
  *
  * @module
  */
-import { type CallAnswer, CallOutcome, type Claim, type Claims, createClaims } from "@redwingpin/claims";
+import {
+    type CallAnswer,
+    CallOutcome,
+    type Claim,
+    type ClaimRequest,
+    type Claims,
+    createClaims,
+} from "@redwingpin/claims";
 import { FakeClock, silentLogger } from "@redwingpin/common";
 import { MemoryStore, SimulatedProcess } from "@redwingpin/platform";
+import { err, ok, type Result, ResultAsync } from "neverthrow";
 
 /** How the service behaves. */
 export enum ServiceMode {
@@ -41,6 +49,8 @@
 
 const startOfTime = 1_000_000;
 const storeLatency = 10;
+const networkLatency = 5;
+const askTimeout = 300;
 const connectLatency = 10;
 const serviceLatency = 20;
 const lateLatency = 1_500;
@@ -70,8 +80,13 @@
     private readonly routers: Router[];
     private starts = 0;
 
+    /** Router that the others take for the writer of the shard; `undefined` where each writes by itself. */
+    writer: number | undefined;
+    /** True while messages between routers are lost on the way there, or the answers on the way back. */
+    readonly cuts = { requests: false, replies: false };
+
     constructor(routerCount: number) {
-        this.routers = Array.from({ length: routerCount }, () => this.startRouter());
+        this.routers = Array.from({ length: routerCount }, (_, index) => this.startRouter(index));
     }
 
     /** Process of a router. */
@@ -82,13 +97,13 @@
     /** Kills a router and starts another in its place. */
     restart(router: number): void {
         this.routers[router].process.kill();
-        this.routers[router] = this.startRouter();
+        this.routers[router] = this.startRouter(router);
     }
 
     /** Stops a router in order, and starts another in its place. */
     stop(router: number): void {
         void this.routers[router].claims.stop();
-        this.routers[router] = this.startRouter();
+        this.routers[router] = this.startRouter(router);
     }
 
     /** Sends a request; what its caller was told is noted in it. */
@@ -100,20 +115,45 @@
         return request;
     }
 
-    private startRouter(): Router {
+    private startRouter(index: number): Router {
         const process = new SimulatedProcess(this.clock);
         const claims = createClaims({
             clock: process.clock,
-            instance: "router",
+            instance: routerName(index),
             incarnation: String(++this.starts),
             store: process.storeClient(this.store.client()),
             logger: silentLogger,
             shards: 1,
             writer: siteLimits,
+            peers: {
+                writerOf: () => this.writer === undefined ? undefined : routerName(this.writer),
+                ask: (instance, message) => new ResultAsync(this.ask(process, instance, message)),
+            },
         });
         return { process, claims };
     }
 
+    private ask(
+        process: SimulatedProcess,
+        instance: string,
+        message: ClaimRequest,
+    ): Promise<Result<unknown, string>> {
+        return new Promise((resolve) => {
+            process.clock.schedule(askTimeout, () => resolve(err("no answer")));
+            const target = this.routers.find((_, index) => routerName(index) === instance);
+            const lost = this.cuts.requests;
+            this.clock.schedule(networkLatency, () => {
+                target?.process.run(() => void (lost || reply(target)));
+            });
+            const reply = async (from: Router) => {
+                const answer = await from.claims.handle(message);
+                if (!this.cuts.replies) {
+                    this.clock.schedule(networkLatency, () => process.run(() => resolve(ok(answer))));
+                }
+            };
+        });
+    }
+
     private async serve(process: SimulatedProcess, claims: Claims, request: Request): Promise<void> {
         const { key, body } = request;
         const call = { account: "maker", route: "stamps", idempotencyKey: key, method: "POST", path: "/" };
@@ -166,6 +206,10 @@
     }
 }
 
+function routerName(index: number): string {
+    return `router-${index}`;
+}
+
 /** Text that the service answers to an execution; no two executions have the same. */
 export function answerText(execution: Execution): string {
     return `executed ${execution.key} ${execution.body} at ${execution.at} for ${execution.request}`;
--- a/packages/proofs/src/fuzz/claimsTarget.ts
+++ b/packages/proofs/src/fuzz/claimsTarget.ts
@@ -30,6 +30,8 @@
     | { readonly kind: "restartAll"; }
     | { readonly kind: "store"; readonly fault: StoreFault; }
     | { readonly kind: "service"; readonly mode: ServiceMode; }
+    | { readonly kind: "writer"; readonly router: number | undefined; }
+    | { readonly kind: "cut"; readonly requests: boolean; readonly replies: boolean; }
     | { readonly kind: "pass"; readonly duration: number; };
 
 const router = fc.nat(routerCount - 1);
@@ -75,6 +77,21 @@
             mode: fc.constantFrom(...Object.values(ServiceMode)),
         }),
     },
+    {
+        weight: 2,
+        arbitrary: fc.record({
+            kind: fc.constant("writer" as const),
+            router: fc.constantFrom(undefined, 0, 1, 2),
+        }),
+    },
+    {
+        weight: 1,
+        arbitrary: fc.record({
+            kind: fc.constant("cut" as const),
+            requests: fc.boolean(),
+            replies: fc.boolean(),
+        }),
+    },
     {
         weight: 6,
         arbitrary: fc.record({
@@ -132,6 +149,13 @@
         case "service":
             site.service = one.mode;
             return;
+        case "writer":
+            site.writer = one.router;
+            return;
+        case "cut":
+            site.cuts.requests = one.requests;
+            site.cuts.replies = one.replies;
+            return;
         case "pass":
             return await passTime(site.clock, one.duration);
         default:
@@ -157,6 +181,8 @@
 async function recover(site: ClaimsSite): Promise<void> {
     site.store.fault = StoreFault.None;
     site.service = ServiceMode.Normal;
+    site.cuts.requests = false;
+    site.cuts.replies = false;
     for (let index = 0; index < routerCount; index++) {
         site.process(index).thaw();
     }
