feat(claims): orders to endpoints from a table in the store, with a fuzz against what engines are told

Cause: endpoints may ignore fencing and not check who orders; a paused leader wakes with old orders; an upgrade halts half way. Change: a pure planner compares the manifest with what endpoints serve; the leader records orders in one table by compare-and-swap before it gives them, two weight loads at most; the agent carries out only what it finds in the table when it is about to, and passes the table's revision on as fencing number. What an agent has not answered stays in the table, so that the next leader counts it. Found by it: the store in memory kept a record written under a lapsed lease for ever; such a write now fails.

--- a/packages/claims/src/constants.ts
+++ b/packages/claims/src/constants.ts
@@ -49,3 +49,9 @@
 
 /** Outcomes that a shard's writer keeps for the store while it cannot be reached. */
 export const maximumPendingOutcomes = 10_000;
+
+/** Duration of the lease of the router that leads the orders. */
+export const leaderLeaseDuration: Milliseconds = 10_000;
+
+/** Time between two rounds of the router that leads the orders. */
+export const orderRoundInterval: Milliseconds = 1_000;
--- a/packages/claims/src/index.ts
+++ b/packages/claims/src/index.ts
@@ -6,4 +6,9 @@
 export * from "./constants.js";
 export * from "./decision/claimCall.js";
 export * from "./decision/claimMessages.js";
+export * from "./decision/orders/order.js";
+export { OrderProgress } from "./decision/orders/orderRound.js";
+export { maximumWeightLoads, planOrders } from "./decision/orders/planOrders.js";
 export * from "./node/claims.js";
+export * from "./node/orderLeader.js";
+export * from "./node/orderTaker.js";
--- a/packages/platform/src/memoryStore.ts
+++ b/packages/platform/src/memoryStore.ts
@@ -43,7 +43,12 @@
             read: (key) => this.readCall(() => this.peek(key)),
             readPrefix: (prefix) => this.readCall(() => this.peekPrefix(prefix)),
             compareAndSwap: (key, expected, value, lease) =>
-                this.writeCall(() => this.swap(key, expected, value, lease)),
+                this.writeCall(() => this.isHeld(lease) ? this.swap(key, expected, value, lease) : undefined)
+                    .andThen((outcome) =>
+                        outcome === undefined
+                            ? err(failure("notApplied", `lease "${lease}" has expired`))
+                            : ok(outcome)
+                    ),
             compareAndDelete: (key, expected) => this.writeCall(() => this.swap(key, expected, undefined)),
             grantLease: (duration) => this.writeCall(() => this.grant(duration)),
             keepLeaseAlive: (lease) =>
@@ -125,6 +130,11 @@
         return known !== undefined;
     }
 
+    private isHeld(lease: string | undefined): boolean {
+        this.expireLeases();
+        return lease === undefined || this.leases.has(lease);
+    }
+
     private expireLeases(): void {
         for (const [lease, { expires }] of this.leases) {
             if (expires <= this.clock.now()) {
