--- a/packages/router/src/node/router.ts
+++ b/packages/router/src/node/router.ts
@@ -11,6 +11,7 @@
     listenOn,
     type Logger,
     maxSeed,
+    type Milliseconds,
     type ReasonCounters,
     seededRandom,
     sleep,
@@ -37,7 +38,11 @@
 import type { Server } from "node:http";
 import type { Registry } from "prom-client";
 import type { ResolvedRouterConfig } from "../config.js";
-import { drainGraceMilliseconds } from "../constants.js";
+import {
+    drainGraceMilliseconds,
+    maxWaitForRatesMilliseconds,
+    maxWaitForRosterMilliseconds,
+} from "../constants.js";
 import { ExchangeTable } from "./agentExchange.js";
 import { createCallerServer } from "./callerServer.js";
 import { createOperatorStatus } from "./operatorStatus.js";
@@ -77,10 +82,12 @@
     private readonly callerServer: Server;
     private readonly configuration: Configuration;
     private readonly incarnation = randomUUID();
+    private readonly startedAt: Milliseconds;
     private stopping = false;
 
     constructor(private readonly options: RouterOptions) {
         const { config, clock, registry } = options;
+        this.startedAt = clock.now();
         this.counters = createReasonCounters(registry);
         this.innerNode = this.createInnerNode();
         this.membership = this.createMembership();
@@ -212,6 +219,7 @@
             instance: config.instance,
             incarnation: this.incarnation,
             store,
+            rosterAgents: () => this.membership.homeAgents().map((agent) => agent.instance),
             peers: createRatePeers(this.innerNode, (instance) => this.membership.find(instance)),
             accounts: () => this.configuration.current()?.index.manifest.accounts ?? [],
             logger: logger.scope("admission"),
@@ -289,7 +297,16 @@
     }
 
     private isReady(): boolean {
-        return !this.stopping && this.configuration.current() !== undefined;
+        return !this.stopping && this.configuration.current() !== undefined && this.ratesAreReady();
+    }
+
+    /** Waits for a roster of rate slots, and longer where one is known that is not complete: the site is new. */
+    private ratesAreReady(): boolean {
+        const age = this.options.clock.now() - this.startedAt;
+        const limit = this.admission.rosterKnown()
+            ? maxWaitForRatesMilliseconds
+            : maxWaitForRosterMilliseconds;
+        return this.admission.settled() || age >= limit;
     }
 
     private operatorStatus(): Promise<OperatorStatus> {
