feat(proofs): stateful fuzz of membership; fix: agents whose home does not know them, homes after a return

The fuzz stops, restarts, freezes and lets leave routers and agents, reuses addresses and cuts the network; the oracle knows what runs. A version of the table now counts every such change.

--- a/packages/membership/src/decision/memberTable.ts
+++ b/packages/membership/src/decision/memberTable.ts
@@ -37,6 +37,7 @@
 export class MemberTable {
     private readonly members = new Map<string, Member>();
     private hasReadList = false;
+    private changes = 0;
     private self: MemberEntry;
 
     constructor(self: MemberEntry, private readonly onNews: (entry: MemberEntry) => void) {
@@ -48,6 +49,11 @@
         return this.self;
     }
 
+    /** Grows whenever a member comes, goes, moves, or begins to leave; suspicion alone does not count. */
+    get version(): number {
+        return this.changes;
+    }
+
     /** Every member but this process. */
     all(): Member[] {
         return [...this.members.values()];
@@ -127,6 +133,7 @@
             if (diedAt !== undefined) {
                 if (!member.isListed && now - diedAt >= tombstoneTime) {
                     this.members.delete(entry.instance);
+                    this.changes++;
                 }
             }
             else if (silentSince !== undefined && now - silentSince >= patience) {
@@ -181,6 +188,7 @@
             const { host, port, dataCentre, pool } = machine;
             const moved = { ...known.entry, host, port, dataCentre, pool };
             this.members.set(machine.instance, { ...known, entry: moved });
+            this.changes++;
         }
         if (machine.leaving) {
             this.merge({ ...known.entry, state: MemberState.Leaving }, now);
@@ -189,6 +197,7 @@
 
     private put(known: Member | undefined, entry: MemberEntry, now: Milliseconds): void {
         const isSilent = entry.state === MemberState.Suspect;
+        this.changes += known !== undefined && isUsedAlike(known.entry, entry) ? 0 : 1;
         const keepsSilence = entry.state === MemberState.Leaving && known?.entry.epoch === entry.epoch;
         this.members.set(entry.instance, {
             entry,
@@ -213,6 +222,15 @@
     return host === "0.0.0.0" || host === "::";
 }
 
+/** Whether two entries of one member lead to the same use of it. */
+function isUsedAlike(left: MemberEntry, right: MemberEntry): boolean {
+    return left.host === right.host && left.port === right.port && useOf(left.state) === useOf(right.state);
+}
+
+function useOf(state: MemberState): MemberState {
+    return state === MemberState.Suspect ? MemberState.Alive : state;
+}
+
 /** Time after an answer within which the address that answered is preferred to the list's. */
 const provenTime: Milliseconds = 5_000;
 
--- a/packages/membership/src/decision/membershipDecision.ts
+++ b/packages/membership/src/decision/membershipDecision.ts
@@ -102,7 +102,7 @@
     private nextProbe: Milliseconds = 0;
     private nextDeadProbe: Milliseconds = 0;
     private nextList: Milliseconds = 0;
-    private lastShown = "";
+    private lastVersion = 0;
     private chosen: ChosenAgents = { home: [], kept: [] };
 
     constructor(self: MemberEntry, private readonly random: RandomSource) {
@@ -198,7 +198,7 @@
         if (now >= this.nextProbe) {
             this.nextProbe = now + probePeriod;
             yield* this.ping(this.routerOrder.next(this.present(ProcessRole.Router)));
-            yield* this.ping(this.agentOrder.next(this.chosen.home));
+            yield* this.ping(this.agentOrder.next(this.agentsToPing()));
         }
         if (now >= this.nextDeadProbe) {
             this.nextDeadProbe = now + deadProbePeriod;
@@ -207,6 +207,16 @@
         }
     }
 
+    /** Agents that the list does not show are pinged by every router that knows them: the home may not know them. */
+    private agentsToPing(): MemberEntry[] {
+        const unlisted = this.table.all().filter((member) =>
+            !member.isListed && member.diedAt === undefined && member.entry.role === ProcessRole.Agent
+        );
+        const names = new Set(this.chosen.home.map((entry) => entry.instance));
+        const others = unlisted.map((member) => member.entry).filter((entry) => !names.has(entry.instance));
+        return [...this.chosen.home, ...others];
+    }
+
     /** Grows with the list, and differs between routers so that some router reads it soon. */
     private listInterval(): Milliseconds {
         const entries = this.table.all().length;
@@ -278,12 +288,10 @@
     }
 
     private *showChange(): MembershipEffects {
-        const usable = [...this.routers(), ...this.agents()];
-        const shown = usable.map((entry) => `${entry.instance}@${entry.host}:${entry.port}`).sort().join(" ");
-        if (shown === this.lastShown) {
+        if (this.table.version === this.lastVersion) {
             return;
         }
-        this.lastShown = shown;
+        this.lastVersion = this.table.version;
         const agents = this.present(ProcessRole.Agent);
         this.chosen = this.home.choose(this.own, [this.own, ...this.routers()], agents);
         yield { kind: MembershipEffectKind.Changed };
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -10,3 +10,4 @@
 export * from "./node/innerTransport.js";
 export * from "./node/membershipResponder.js";
 export * from "./node/membershipTask.js";
+export * from "./simulation/memberNetwork.js";
--- a/packages/proofs/src/fuzz/targets.ts
+++ b/packages/proofs/src/fuzz/targets.ts
@@ -6,12 +6,14 @@
 import { claimsTarget } from "./claimsTarget.js";
 import { configurationTarget } from "./configurationTarget.js";
 import type { FuzzTarget } from "./fuzzTarget.js";
+import { membershipTarget } from "./membershipTarget.js";
 import { ordersTarget } from "./ordersTarget.js";
 import { ratesTarget } from "./ratesTarget.js";
 
 export const fuzzTargets: readonly FuzzTarget[] = [
     claimsTarget,
     configurationTarget,
+    membershipTarget,
     ordersTarget,
     ratesTarget,
 ];
