feat(claims): suspects run apart and are quarantined at the second crash, with a fuzz that counts crashes

Cause: a request that crashes each endpoint that runs it is sent again and again, among others that do not. Change: an agent reports the fingerprints that ran at a crash to the routers; routers merge and pass on what they know and keep it in the store; the agent's gate runs a suspect only while nothing else runs, and refuses one that crashed its endpoint while it ran apart. A suspect that ran apart to its end is cleared.

--- a/packages/claims/src/constants.ts
+++ b/packages/claims/src/constants.ts
@@ -55,3 +55,18 @@
 
 /** Time between two rounds of the router that leads the orders. */
 export const orderRoundInterval: Milliseconds = 1_000;
+
+/** Time after its last crash for which a request is suspect or quarantined. */
+export const quarantineDuration: Milliseconds = 600_000;
+
+/** Crashes after which a request is quarantined. */
+export const crashesBeforeQuarantine = 2;
+
+/** Suspects that are remembered at most; a record of that many stays below a megabyte. */
+export const maximumSuspects = 3_000;
+
+/** Time between two looks of a router at the suspects in the store. */
+export const quarantineReadInterval: Milliseconds = 60_000;
+
+/** Attempts to write suspects to the store. */
+export const quarantineWriteAttempts = 20;
--- a/packages/proofs/src/fuzz/targets.ts
+++ b/packages/proofs/src/fuzz/targets.ts
@@ -6,10 +6,12 @@
 import { claimsTarget } from "./claimsTarget.js";
 import type { FuzzTarget } from "./fuzzTarget.js";
 import { ordersTarget } from "./ordersTarget.js";
+import { quarantineTarget } from "./quarantineTarget.js";
 import { ratesTarget } from "./ratesTarget.js";
 
 export const fuzzTargets: readonly FuzzTarget[] = [
     claimsTarget,
     ordersTarget,
+    quarantineTarget,
     ratesTarget,
 ];
