--- a/packages/proofs/src/fuzz/targets.ts
+++ b/packages/proofs/src/fuzz/targets.ts
@@ -8,6 +8,7 @@
 import type { FuzzTarget } from "./fuzzTarget.js";
 import { membershipTarget } from "./membershipTarget.js";
 import { ordersTarget } from "./ordersTarget.js";
+import { quarantineTarget } from "./quarantineTarget.js";
 import { ratesTarget } from "./ratesTarget.js";
 
 export const fuzzTargets: readonly FuzzTarget[] = [
@@ -15,5 +16,6 @@
     configurationTarget,
     membershipTarget,
     ordersTarget,
+    quarantineTarget,
     ratesTarget,
 ];
