--- a/packages/agent/src/node/agent.ts
+++ b/packages/agent/src/node/agent.ts
@@ -4,23 +4,31 @@
  *
  * @module
  */
-import { type Clock, type Logger } from "@redwingpin/common";
-import type { ManifestIndex } from "@redwingpin/manifest";
+import { RosterCache } from "@redwingpin/admission";
+import { type Clock, type Logger, maxSeed, seededRandom } from "@redwingpin/common";
+import { type Configuration, createAgentPeers, createConfiguration } from "@redwingpin/configuration";
+import { EndpointKind } from "@redwingpin/manifest";
+import { MembershipResponder } from "@redwingpin/membership";
+import { defaultBlockTokens } from "@redwingpin/placement";
 import {
     type Connection,
     type EndpointStatus,
     type ExchangeMessage,
     InnerNode,
+    isRateMessage,
     MessageKind,
     type Open,
+    type OperatorStatus,
     ProcessRole,
+    Topic,
 } from "@redwingpin/protocol";
-import { randomUUID } from "node:crypto";
+import { randomInt, randomUUID } from "node:crypto";
 import type { ResolvedAgentConfig } from "../config.js";
 import { maxBodyBytes } from "../constants.js";
 import { declineReason } from "../decision/acceptance.js";
 import { RecentRequests } from "../decision/recentRequests.js";
 import { servedWeights } from "../decision/servedWeights.js";
+import { EndpointCache } from "./endpointCache.js";
 import { EndpointClient } from "./endpointClient.js";
 import { type EndpointHealth, EndpointMonitor } from "./endpointMonitor.js";
 import { ExchangeTask } from "./exchangeTask.js";
@@ -31,8 +39,6 @@
     readonly config: ResolvedAgentConfig;
     readonly clock: Clock;
     readonly logger: Logger;
-    /** The manifest in force here; absent before the first was found. */
-    readonly manifest: () => ManifestIndex | undefined;
 }
 
 /** Serves one endpoint to the routers. */
@@ -43,6 +49,10 @@
     private readonly scheduler: RequestScheduler;
     private readonly exchanges = new Map<Connection, Map<number, ExchangeTask>>();
     private readonly recent = new RecentRequests();
+    private readonly configuration: Configuration;
+    private readonly cache: EndpointCache;
+    private readonly rosterCache = new RosterCache();
+    private readonly membership: MembershipResponder;
     private draining = false;
     private wakeWhenIdle: (() => void) | undefined;
 
@@ -52,8 +62,17 @@
         this.scheduler = new RequestScheduler({
             clock,
             concurrency: config.concurrency,
+            maxUnanswered: config.endpointKind === EndpointKind.Engine
+                ? config.maxUnanswered
+                : config.concurrency,
+            maxQueuedRequests: config.maxQueuedRequests,
             maxQueuedTokens: config.maxQueuedTokens,
         });
+        this.cache = new EndpointCache({
+            address: config.endpointAddress,
+            clock,
+            logger: logger.scope("cache"),
+        });
         this.monitor = new EndpointMonitor({
             address: config.endpointAddress,
             kind: config.endpointKind,
@@ -68,22 +87,48 @@
             fleetKeys: config.fleetKeys,
             clock,
             logger: logger.scope("inner"),
-            revision: () => 0,
-            onRevision: () => {},
+            revision: () => this.configuration?.revision() ?? 0,
+            onRevision: (peer, revision) => this.configuration.observeRevision(peer.instance, revision),
             onMessage: (connection, message) => this.onMessage(connection, message),
             onClosed: (connection) => this.onClosed(connection),
+            onConnected: (connection) => this.sendStatus(connection),
+        });
+        this.configuration = createConfiguration({
+            clock,
+            random: seededRandom(randomInt(maxSeed)),
+            logger: logger.scope("configuration"),
+            instance: config.instance,
+            dataCentre: config.dataCentre,
+            peers: createAgentPeers(this.innerNode),
+        });
+        this.configuration.onInstalled(() => this.broadcastStatus());
+        this.innerNode.handle(Topic.Configuration, (body, from) => {
+            this.configuration.handle(body, from.instance);
+            return Promise.resolve(undefined);
         });
+        this.innerNode.handle(Topic.Rates, (body) => Promise.resolve(this.answerRates(body)));
+        this.membership = this.createMembership();
+        this.innerNode.handle(
+            Topic.Membership,
+            (body) => Promise.resolve(this.membership.handle(body) ?? { kind: "pong" }),
+        );
+        this.innerNode.handle(Topic.Operator, () => Promise.resolve(this.operatorStatus()));
     }
 
     /** Starts to listen; resolves with the port of the inner protocol. */
     async start(): Promise<number> {
         await this.monitor.start();
-        return this.innerNode.listen(this.options.config.listenHost, this.options.config.innerPort);
+        this.configuration.start();
+        const { config } = this.options;
+        const port = await this.innerNode.listen(config.listenHost, config.innerPort);
+        this.membership.listensOn(port);
+        return port;
     }
 
     /** Takes no new work, waits until what runs has ended, and closes everything. */
     async drain(): Promise<void> {
         this.draining = true;
+        this.membership.leave();
         this.broadcastStatus();
         if (this.exchangeCount() > 0) {
             await new Promise<void>((resolve) => {
@@ -95,7 +140,9 @@
 
     /** Closes everything at once. */
     stop(): void {
+        this.configuration.stop();
         this.monitor.stop();
+        this.cache.stop();
         this.innerNode.stop();
         void this.endpoint.stop();
     }
@@ -109,10 +156,38 @@
             pool: config.pool,
             incarnation: health.incarnation,
             draining: this.draining,
-            weights: servedWeights(this.options.manifest(), health),
-            queuedTokens: this.scheduler.queuedTokens,
+            weights: servedWeights(this.configuration.current()?.index, health),
+            queuedTokens: this.scheduler.pendingTokens,
             running: this.scheduler.running,
             tokensPerSecond: 0,
+            heldPrefixes: this.cache.heldPrefixes(),
+        };
+    }
+
+    private createMembership(): MembershipResponder {
+        const { clock, config } = this.options;
+        return new MembershipResponder({
+            instance: config.instance,
+            role: ProcessRole.Agent,
+            host: config.listenHost,
+            port: config.innerPort,
+            dataCentre: config.dataCentre,
+            pool: config.pool,
+            epoch: Math.max(1, Math.round(clock.wallTime())),
+        });
+    }
+
+    private operatorStatus(): OperatorStatus {
+        const { config } = this.options;
+        return {
+            instance: config.instance,
+            role: ProcessRole.Agent,
+            dataCentre: config.dataCentre,
+            revision: this.configuration.revision(),
+            ready: !this.draining,
+            refusals: [],
+            accounts: [],
+            endpoint: this.status(),
         };
     }
 
@@ -141,8 +216,8 @@
             endpoint: this.endpoint,
             scheduler: this.scheduler,
             status: () => this.status(),
-            hitBlocks: () => 0,
-            onDispatched: () => {},
+            cache: this.cache,
+            blockTokens: defaultBlockTokens,
             onEnded: (ended) => this.forget(connection, ended),
         });
         this.remember(connection, exchange);
@@ -159,7 +234,14 @@
         }
     }
 
+    private answerRates(body: unknown): unknown {
+        return isRateMessage(body) ? this.rosterCache.handle(body) : { error: "the body is no rate message" };
+    }
+
     private onHealthChange(health: EndpointHealth, before: EndpointHealth): void {
+        if (this.options.config.endpointKind === EndpointKind.Engine) {
+            void this.cache.restarted(health.incarnation);
+        }
         this.options.logger.info("the endpoint changed", {
             incarnation: health.incarnation,
             before: before.incarnation,
@@ -170,10 +252,18 @@
 
     private broadcastStatus(): void {
         for (const connection of this.innerNode.openConnections()) {
-            connection.send({ kind: MessageKind.Status, revision: 0, status: this.status() });
+            this.sendStatus(connection);
         }
     }
 
+    private sendStatus(connection: Connection): void {
+        connection.send({
+            kind: MessageKind.Status,
+            revision: this.configuration.revision(),
+            status: this.status(),
+        });
+    }
+
     private onClosed(connection: Connection): void {
         const exchanges = this.exchanges.get(connection);
         this.exchanges.delete(connection);
--- a/packages/agent/src/node/exchangeTask.ts
+++ b/packages/agent/src/node/exchangeTask.ts
@@ -14,6 +14,7 @@
     MessageKind,
     type Open,
 } from "@redwingpin/protocol";
+import type { EndpointCache } from "./endpointCache.js";
 import type { EndpointAnswer, EndpointClient } from "./endpointClient.js";
 import type { RequestScheduler, WaitingRequest } from "./requestScheduler.js";
 
@@ -23,10 +24,9 @@
     readonly endpoint: EndpointClient;
     readonly scheduler: RequestScheduler;
     readonly status: () => EndpointStatus;
-    /** Prefix blocks of the request that the endpoint is believed to hold now. */
-    readonly hitBlocks: (open: Open) => number;
-    /** Called once when the request leaves for the endpoint. */
-    readonly onDispatched: (open: Open) => void;
+    readonly cache: EndpointCache;
+    /** Tokens in one prefix block. */
+    readonly blockTokens: number;
     /** Called once when nothing more follows. */
     readonly onEnded: (exchange: ExchangeTask) => void;
 }
@@ -43,12 +43,13 @@
     private readonly parts: Uint8Array[] = [];
     private readonly abort = new AbortController();
     private readonly deadline: number;
+    private readonly id: string;
     private received = 0;
     private stage = Stage.Receiving;
-    private waiting: WaitingRequest | undefined;
     private credit = answerWindowBytes;
     private wakeForCredit: (() => void) | undefined;
     private abandoned = false;
+    private awaitsCache = false;
 
     constructor(
         private readonly connection: Connection,
@@ -56,6 +57,7 @@
         private readonly context: ExchangeContext,
     ) {
         this.deadline = context.clock.now() + open.deadlineMilliseconds;
+        this.id = `${open.request}/${open.attempt}`;
     }
 
     /** True while the request may be at the endpoint. */
@@ -100,7 +102,7 @@
     cancel(): void {
         this.abandoned = true;
         this.wakeForCredit?.();
-        if (this.waiting !== undefined && this.context.scheduler.withdraw(this.waiting)) {
+        if (this.stage === Stage.Waiting && this.context.scheduler.withdraw(this.id)) {
             this.decline(DeclineReason.DeadlineExceeded);
         }
         else if (this.stage === Stage.Receiving) {
@@ -113,21 +115,29 @@
 
     private enqueue(): void {
         this.stage = Stage.Waiting;
-        this.waiting = {
-            account: this.open.account ?? "",
-            tokens: this.open.tokens,
+        this.awaitsCache = true;
+        this.context.cache.awaited(this.open.prefixBlocks);
+        const waiting: WaitingRequest = {
+            id: this.id,
+            account: this.open.account,
+            tokens: this.expectedTokens(),
             priority: this.open.priority,
             deadline: this.deadline,
             start: () => void this.run(),
-            expire: () => this.decline(DeclineReason.DeadlineExceeded),
+            refuse: (reason) => this.decline(reason),
         };
-        this.context.scheduler.submit(this.waiting).mapErr((reason) => this.decline(reason));
+        this.context.scheduler.submit(waiting).mapErr((reason) => this.decline(reason));
+    }
+
+    /** Tokens of work that the endpoint is expected to spend: what its cache holds costs nothing. */
+    private expectedTokens(): number {
+        const held = this.context.cache.hitBlocks(this.open.prefixBlocks) * this.context.blockTokens;
+        return Math.max(1, this.open.tokens - held);
     }
 
     private async run(): Promise<void> {
         this.stage = Stage.Running;
-        const hitBlocks = this.context.hitBlocks(this.open);
-        this.context.onDispatched(this.open);
+        const hitBlocks = this.context.cache.hitBlocks(this.open.prefixBlocks);
         const cancelDeadline = this.context.clock.schedule(
             this.deadline - this.context.clock.now(),
             () => this.open.idempotent && this.abort.abort(),
@@ -146,7 +156,7 @@
             await this.relay(answer.value, hitBlocks);
         }
         cancelDeadline();
-        this.context.scheduler.finished();
+        this.context.scheduler.finished(this.id);
     }
 
     private endWithoutAnswer(mayHaveRun: boolean, message: string): void {
@@ -159,6 +169,8 @@
 
     private async relay(answer: EndpointAnswer, hitBlocks: number): Promise<void> {
         const { exchange } = this.open;
+        this.context.scheduler.answered(this.id);
+        this.settleCache(true);
         this.connection.send({
             kind: MessageKind.Head,
             exchange,
@@ -199,6 +211,13 @@
         await this.connection.whenWritable();
     }
 
+    private settleCache(answered: boolean): void {
+        if (this.awaitsCache) {
+            this.awaitsCache = false;
+            this.context.cache.settled(this.open.prefixBlocks, answered);
+        }
+    }
+
     private fail(message: string): void {
         const { exchange } = this.open;
         const expired = this.context.clock.now() >= this.deadline;
@@ -218,6 +237,7 @@
             return;
         }
         this.stage = Stage.Ended;
+        this.settleCache(false);
         this.connection.send(message);
         this.context.onEnded(this);
     }
--- a/packages/placement/src/decision/endpointTable.ts
+++ b/packages/placement/src/decision/endpointTable.ts
@@ -22,6 +22,12 @@
     candidate: CandidateEndpoint;
     readonly seed: number;
     status: EndpointStatus | undefined;
+    /** When the status came. */
+    statusAt: Milliseconds;
+    /** When the endpoint was last seen to have restarted, and so to be empty. */
+    emptyAt: Milliseconds;
+    /** Names in the last status's summary; absent where it had none. */
+    held: ReadonlySet<number> | undefined;
     /** Tokens of work that this router placed and that have not begun to answer. */
     unanswered: number;
     /** Part of `unanswered` that was placed after the last status. */
@@ -69,7 +75,7 @@
     }
 
     /** Records a status. A new incarnation clears what was learnt from the old one. */
-    observeStatus(status: EndpointStatus): void {
+    observeStatus(status: EndpointStatus, now: Milliseconds): void {
         const known = this.byInstance.get(status.instance);
         if (known === undefined) {
             return;
@@ -80,8 +86,11 @@
             known.consecutiveFailures = 0;
             known.ejectedUntil = 0;
             known.ejections = 0;
+            known.emptyAt = now;
         }
         known.status = status;
+        known.statusAt = now;
+        known.held = status.heldPrefixes && new Set(status.heldPrefixes);
         known.placedSinceStatus = 0;
     }
 
@@ -96,6 +105,9 @@
         candidate,
         seed: seedOf(sha256Hex(candidate.instance)),
         status: undefined,
+        statusAt: 0,
+        emptyAt: Number.NEGATIVE_INFINITY,
+        held: undefined,
         unanswered: 0,
         placedSinceStatus: 0,
         slowness: 0,
--- a/packages/proofs/src/__tests__/siteFixture.ts
+++ b/packages/proofs/src/__tests__/siteFixture.ts
@@ -3,11 +3,12 @@
  *
  * @module
  */
+import { encodeRoster, rosterKey, rosterPositions } from "@redwingpin/admission";
 import { Agent, agentSettings } from "@redwingpin/agent";
 import { resolveSettings, sha256Hex, silentLogger, systemClock } from "@redwingpin/common";
 import { submitManifest } from "@redwingpin/configuration";
-import { EndpointKind, type Manifest, ManifestIndex, RouteKind, RoutePriority } from "@redwingpin/manifest";
-import { createEtcdStore, createVirtualMachineList } from "@redwingpin/platform";
+import { EndpointKind, type Manifest, RouteKind, RoutePriority } from "@redwingpin/manifest";
+import { createEtcdStore, createVirtualMachineList, type KeyValueStore } from "@redwingpin/platform";
 import { Router, routerSettings } from "@redwingpin/router";
 import {
     type Standin,
@@ -98,27 +99,27 @@
         ...engines.map((engine) => ({ address: engine.address, pool: "engines", kind: EndpointKind.Engine })),
         { address: service.address, pool: "registry", kind: EndpointKind.Service },
     ];
-    const index = new ManifestIndex(manifest);
-    const agents = endpoints.map((endpoint, position) => createAgent(`agent-${position}`, endpoint, index));
+    const agents = endpoints.map((endpoint, position) => createAgent(`agent-${position}`, endpoint));
     const ports = await Promise.all(agents.map((agent) => agent.start()));
     const list = await startVirtualMachineListStandin({
         port: 0,
-        virtualMachines: ports.map((port, position) => ({
-            targets: [`${host}:${port}`],
-            labels: {
-                instance: `agent-${position}`,
-                role: "agent",
-                data_centre: "hobart",
-                pool: endpoints[position].pool,
-                leaving: "false",
-            },
-        })),
     });
     const store = createEtcdStore({ address: storeStandin.address, clock: systemClock });
     (await submitManifest(store, manifest, "site fixture"))._unsafeUnwrap();
+    await giveOutRates(store);
     const virtualMachineList = createVirtualMachineList({ address: list.address, clock: systemClock });
     const router = createRouter(store, virtualMachineList);
-    const address = `http://${host}:${(await router.start()).listenPort}`;
+    const routerPorts = await router.start();
+    const address = `http://${host}:${routerPorts.listenPort}`;
+    await fetch(`${list.controlAddress}/control/virtualMachines`, {
+        method: "PUT",
+        body: JSON.stringify([
+            target("router-1", "router", routerPorts.innerPort),
+            ...ports.map((port, position) =>
+                target(`agent-${position}`, "agent", port, endpoints[position].pool)
+            ),
+        ]),
+    });
     await untilReady(address);
     return {
         address,
@@ -133,9 +134,22 @@
     };
 }
 
-/** Waits until the router says that it is ready. */
+/** Gives every rate slot to the router, as a site that has run for a while has it. */
+async function giveOutRates(store: KeyValueStore): Promise<void> {
+    const roster = { epoch: 1, holders: new Array<string>(rosterPositions).fill("router-1") };
+    await store.compareAndSwap(rosterKey, 0, new TextEncoder().encode(encodeRoster(roster)));
+}
+
+function target(instance: string, role: string, port: number, pool = "") {
+    const labels = { instance, role, data_centre: "hobart", pool, leaving: "false" };
+    return { targets: [`${host}:${port}`], labels };
+}
+
+/** Waits until the router admits requests of the workshop. */
 export async function untilReady(address: string): Promise<void> {
-    while ((await fetch(`${address}/ready`)).status !== 200) {
+    const body = JSON.stringify({ model: "draft", prompt: "ready?", max_tokens: 1 });
+    const headers = { authorization: `Bearer ${workshopKey}` };
+    while ((await fetch(`${address}/v1/completions`, { method: "POST", headers, body })).status !== 200) {
         await new Promise((resolve) => setTimeout(resolve, 20));
     }
 }
@@ -143,7 +157,6 @@
 function createAgent(
     instance: string,
     endpoint: { readonly address: string; readonly pool: string; readonly kind: EndpointKind; },
-    index: ManifestIndex,
 ): Agent {
     const config = resolveSettings(agentSettings, {
         instance,
@@ -154,7 +167,7 @@
         endpointKind: endpoint.kind,
         virtualMachineListAddress: "http://127.0.0.1:1",
     }, { REDWINGPIN_FLEET_KEY: fleetKey })._unsafeUnwrap();
-    return new Agent({ config, clock: systemClock, logger: silentLogger, manifest: () => index });
+    return new Agent({ config, clock: systemClock, logger: silentLogger });
 }
 
 function createRouter(
--- a/packages/router/src/constants.ts
+++ b/packages/router/src/constants.ts
@@ -22,8 +22,11 @@
 /** Milliseconds in which an agent must answer that it lives. */
 export const probeTimeoutMilliseconds = 2_000;
 
-/** Milliseconds between two readings of the VM list. */
-export const virtualMachineListIntervalMilliseconds = 1_000;
-
 /** Milliseconds for which a stopping router still takes requests, so that the balancer sees that it is not ready. */
 export const drainGraceMilliseconds = 1_000;
+
+/** Milliseconds after its start for which a router that finds no roster of rate slots says that it is not ready. */
+export const maxWaitForRosterMilliseconds = 800;
+
+/** The same where a roster is known that is not complete, as in the first seconds of a new site. */
+export const maxWaitForRatesMilliseconds = 10_000;
--- a/packages/scheduling/src/decision/endpointModel.ts
+++ b/packages/scheduling/src/decision/endpointModel.ts
@@ -5,9 +5,10 @@
  * @module
  */
 import type { Milliseconds } from "@redwingpin/common";
+import { PrefixSummary } from "./prefixSummary.js";
 
 /** Time after a gap in which an unconfirmed block still counts as held. */
-export const doubtLifetime: Milliseconds = 10_000;
+export const doubtLifetime: Milliseconds = 60_000;
 
 /** What happened to blocks of the endpoint's cache. */
 export enum CacheEventKind {
@@ -47,7 +48,11 @@
 
 /** Model of one endpoint. */
 export class EndpointModel {
+    /** Blocks in order of use, least recent first; the end of a prompt goes before its start. */
     private readonly blocks = new Map<string, ModelledBlock>();
+    /** Blocks of prompts that the endpoint was given and has not answered, with the number of such prompts. */
+    private readonly awaited = new Map<string, number>();
+    private readonly summary = new PrefixSummary();
     private currentIncarnation: string | undefined;
     private lastSequence: number | undefined;
     private lastLoad: LoadReport | undefined;
@@ -76,6 +81,7 @@
         }
         this.currentIncarnation = incarnation;
         this.blocks.clear();
+        this.summary.clear();
         this.lastSequence = undefined;
         this.lastLoad = undefined;
     }
@@ -109,6 +115,32 @@
         }
     }
 
+    /** A prompt of these blocks waits for the endpoint; call {@link onSettled} when it no longer does. */
+    onAwaited(prefixBlocks: readonly string[]): void {
+        this.summary.record(prefixBlocks);
+        for (const block of prefixBlocks) {
+            this.awaited.set(block, (this.awaited.get(block) ?? 0) + 1);
+        }
+    }
+
+    /** A prompt that was awaited has begun to be answered, or never will be. */
+    onSettled(prefixBlocks: readonly string[]): void {
+        for (const block of prefixBlocks) {
+            const left = (this.awaited.get(block) ?? 0) - 1;
+            if (left > 0) {
+                this.awaited.set(block, left);
+            }
+            else {
+                this.awaited.delete(block);
+            }
+        }
+    }
+
+    /** Summary of what the endpoint holds or is about to compute, for routers. */
+    heldPrefixes(now: Milliseconds): number[] {
+        return this.summary.names((block) => this.awaited.has(block) || this.holds(block, now));
+    }
+
     /** The endpoint has answered a prompt of these blocks, so it holds them now. */
     onAnswered(incarnation: string, prefixBlocks: readonly string[]): void {
         if (incarnation === this.currentIncarnation) {
@@ -119,6 +151,7 @@
     /** The endpoint reported how many of a prompt's blocks it really held. */
     onHit(incarnation: string, prefixBlocks: readonly string[], hitBlocks: number): void {
         if (incarnation === this.currentIncarnation) {
+            this.dropUnusedSince(prefixBlocks[hitBlocks]);
             prefixBlocks.slice(hitBlocks).forEach((block) => this.blocks.delete(block));
             this.hold(prefixBlocks.slice(0, hitBlocks));
         }
@@ -137,6 +170,21 @@
         return firstMissed < 0 ? prefixBlocks.length : firstMissed;
     }
 
+    /** A block believed held was not: what is in doubt and was used before it has been evicted too. */
+    private dropUnusedSince(missed: string | undefined): void {
+        if (missed === undefined || !this.blocks.has(missed)) {
+            return;
+        }
+        for (const [name, block] of this.blocks) {
+            if (name === missed) {
+                return;
+            }
+            if (block.doubtedSince !== undefined) {
+                this.blocks.delete(name);
+            }
+        }
+    }
+
     private holds(name: string, now: Milliseconds): boolean {
         const block = this.blocks.get(name);
         return block !== undefined
@@ -144,7 +192,7 @@
     }
 
     private hold(names: readonly string[]): void {
-        for (const name of names) {
+        for (const name of [...names].reverse()) {
             this.blocks.delete(name);
             this.blocks.set(name, { doubtedSince: undefined });
         }
--- a/packages/standins/src/node/engineOptions.ts
+++ b/packages/standins/src/node/engineOptions.ts
@@ -57,6 +57,11 @@
      * @default 0
      */
     readonly loseEventEvery?: number;
+    /**
+     * Adapters that are loaded at the start.
+     * @default []
+     */
+    readonly adapters?: readonly string[];
     /**
      * A prompt that contains this text crashes the engine.
      * @default no prompt does
@@ -102,6 +107,7 @@
         port: 0,
         controlPort: 0,
         weights: "weights-1",
+        adapters: [],
         blockTokens: 2_048,
         cacheBlocks: 64,
         prefillTokensPerSecond: 200_000,
--- a/packages/standins/src/node/engineStandin.ts
+++ b/packages/standins/src/node/engineStandin.ts
@@ -3,10 +3,11 @@
  *
  * Interface: `POST /v1/completions`, `POST /v1/chat/completions` (JSON or server-sent events, one token an event),
  * `GET /v1/models`, `GET /health`, `GET /load` (late), `GET /cache/events` (server-sent events, late, with gaps) and
- * `POST /orders`. A request with `"resume": {"after_tokens": N}` continues the same answer at token N.
+ * `POST /orders`. `GET /health` gives the incarnation and the names of the loaded weights and adapters. A request
+ * with `"resume": {"after_tokens": N}` continues the same answer at token N.
  *
  * Controls: `POST /control/delay {"firstToken", "betweenTokens"}` in milliseconds, `GET /control/seen`,
- * `GET /control/work`, `GET /control/orders` and `POST /control/crash`.
+ * `GET /control/work`, `GET /control/health`, `GET /control/orders` and `POST /control/crash`.
  *
  * @module
  */
@@ -194,6 +195,9 @@
             case "GET /control/work":
                 sendJson(response, 200, this.work.counts);
                 return;
+            case "GET /control/health":
+                sendJson(response, 200, this.health());
+                return;
             case "GET /control/orders":
                 sendJson(response, 200, this.orders.records);
                 return;
