fix(admission): a router that only starts again keeps its slots

Cause: a stop in order gave up the slots whether the VM left or not; the next process on that VM could find itself in an old roster at an agent while the store was down, beside the new holder. Change: slots are given up only where the VM list shows the VM as leaving.

--- a/packages/admission/src/__tests__/admissionController.spec.ts
+++ b/packages/admission/src/__tests__/admissionController.spec.ts
@@ -52,6 +52,16 @@
         expect(await outcomeOf(fleet, 0, 10)).to.equal("rate_exceeded");
     });
 
+    it("keeps its slots when its process stops and its VM stays", async () => {
+        const fleet = await startedFleet();
+        fleet.stop(0);
+        fleet.restart(0);
+        fleet.setStoreFault(StoreFault.Down);
+        await fleet.pass(fillTime);
+        cutOff(fleet, 0);
+        expect(await outcomeOf(fleet, 0, account.burstTokens / 3)).to.equal("admitted");
+    });
+
     it("serves after all routers restart while the store is down", async () => {
         const fleet = await startedFleet();
         fleet.setStoreFault(StoreFault.Down);
--- a/packages/admission/src/node/admissionController.ts
+++ b/packages/admission/src/node/admissionController.ts
@@ -126,6 +126,9 @@
     }
 
     async leave(): Promise<boolean> {
+        if (!this.keeper.vmLeaves) {
+            return false;
+        }
         this.holder.giveUp();
         return await this.keeper.release();
     }
--- a/packages/admission/src/node/admissionOptions.ts
+++ b/packages/admission/src/node/admissionOptions.ts
@@ -76,7 +76,10 @@
     rosterKnown(): boolean;
     /** True once every slot of the fleet has a holder; before, accounts can not spend their whole rate. */
     settled(): boolean;
-    /** Gives up this router's slots for good, because its VM leaves. True where the store shows it. */
+    /**
+     * Gives up this router's slots for good where the VM list shows that its VM leaves. A process that only starts
+     * again keeps them, since it may find itself in an old roster. True where the store shows them given up.
+     */
     leave(): Promise<boolean>;
     /** Ends the task. What waits is refused. */
     stop(): void;
--- a/packages/admission/src/node/rosterKeeper.ts
+++ b/packages/admission/src/node/rosterKeeper.ts
@@ -100,6 +100,11 @@
         }
     }
 
+    /** True where the VM list shows that this router's VM leaves. */
+    get vmLeaves(): boolean {
+        return this.members.some((member) => member.instance === this.options.instance && member.leaving);
+    }
+
     /** Gives up this router's positions for good; resolves once the store shows it or cannot be reached. */
     async release(): Promise<boolean> {
         this.released = true;
--- a/packages/admission/src/trial/rateFleet.ts
+++ b/packages/admission/src/trial/rateFleet.ts
@@ -186,15 +186,24 @@
         );
     }
 
-    /** Tells a router that its VM leaves: it gives up its slots for good, and goes on to serve. */
+    /** Shows a router's VM as leaving, and tells the router: it gives up its slots for good, and goes on to serve. */
     leave(router: number): void {
-        const leaving = this.routers[router];
-        leaving.process.run(() => void leaving.controller.leave());
+        const { process, controller, instance } = this.routers[router];
         this.removed.add(router);
-        const { instance } = leaving;
         this.changeMachines((machine) =>
             machine.instance === instance ? { instance, leaving: true } : machine
         );
+        const machines = this.currentList();
+        process.run(() => {
+            controller.membersChanged(machines);
+            void controller.leave();
+        });
+    }
+
+    /** Tells a router to leave whose VM stays. */
+    stop(router: number): void {
+        const { process, controller } = this.routers[router];
+        process.run(() => void controller.leave());
     }
 
     /** Shows a router the VM list with a lag. */
@@ -278,7 +287,7 @@
             process,
             handle: (message, from) => controller.handle(message, from),
         });
-        controller.membersChanged(this.lists[this.lists.length - 1].machines);
+        controller.membersChanged(this.currentList());
         return { instance, process, controller, inForce, alive: true };
     }
 
@@ -306,12 +315,15 @@
         return (shown[shown.length - 1] ?? this.lists[0]).machines;
     }
 
+    private currentList(): readonly RouterMember[] {
+        return this.lists[this.lists.length - 1].machines;
+    }
+
     private changeMachines(
         change: (machine: RouterMember) => RouterMember | undefined,
         added?: RouterMember,
     ): void {
-        const before = this.lists[this.lists.length - 1].machines;
-        const kept = before.map(change).filter((machine) => machine !== undefined);
+        const kept = this.currentList().map(change).filter((machine) => machine !== undefined);
         this.lists.push({ from: this.clock.now(), machines: added === undefined ? kept : [...kept, added] });
     }
 
--- a/packages/proofs/src/fuzz/ratesTarget.ts
+++ b/packages/proofs/src/fuzz/ratesTarget.ts
@@ -62,7 +62,7 @@
 
 /** Something that happens to one router. */
 interface RouterFault {
-    readonly kind: "kill" | "restart" | "remove" | "leave" | "freeze" | "thaw";
+    readonly kind: "kill" | "restart" | "stop" | "remove" | "leave" | "freeze" | "thaw";
     readonly router: number;
 }
 
@@ -129,7 +129,7 @@
 
 /** Kinds of faults; each history draws some of them, so that rare combinations come up. */
 const faults: fc.Arbitrary<Action>[] = [
-    routerFault("kill", "restart"),
+    routerFault("kill", "restart", "stop"),
     fc.constant({ kind: "restartAll" }),
     routerFault("freeze", "thaw", "thaw"),
     routerFault("remove", "restart"),
@@ -204,6 +204,7 @@
         case "pass":
             return await fleet.pass(action.duration);
         case "kill":
+        case "stop":
         case "restart":
         case "remove":
         case "leave":
