feat(bench): rates under each fault, against equal static shares and one holder, with slopes

Cause: overspend, wrongful refusals and control messages were not measured. Change: experiment on a fake clock at today's size and a scaled one; refusals are judged against one bucket that never fails. Just after a start requests wait up to 5 s for tokens in place of 2 s.

--- a/packages/admission/src/constants.ts
+++ b/packages/admission/src/constants.ts
@@ -22,6 +22,12 @@
 /** Longest time for which a request waits for tokens before it is refused. */
 export const maximumWaitMilliseconds = 2_000;
 
+/** The same in the first time after the start of a router, when its buckets are empty for no fault of the caller. */
+export const startingWaitMilliseconds = 5_000;
+
+/** Time after the start of a router in which requests wait for {@link startingWaitMilliseconds}. */
+export const startingMilliseconds = 10_000;
+
 /** Shortest pause before a waiting request asks again. */
 export const minimumPauseMilliseconds = 5;
 
--- a/packages/admission/src/node/admissionController.ts
+++ b/packages/admission/src/node/admissionController.ts
@@ -7,7 +7,12 @@
 import type { ClientAccount } from "@redwingpin/manifest";
 import { type RateAsk, type RateMessage, RateMessageKind, type RateReturn } from "@redwingpin/protocol";
 import { err, ok, type Result } from "neverthrow";
-import { grantUseMilliseconds, maximumWaitMilliseconds } from "../constants.js";
+import {
+    grantUseMilliseconds,
+    maximumWaitMilliseconds,
+    startingMilliseconds,
+    startingWaitMilliseconds,
+} from "../constants.js";
 import { HolderChoice } from "../decision/holderChoice.js";
 import {
     type AcquireEffect,
@@ -51,10 +56,12 @@
     private readonly queues = new Map<string, AccountQueue>();
     private knownAccounts: readonly ClientAccount[] | undefined;
     private accountsByName: ReadonlyMap<string, ClientAccount> = new Map();
+    private readonly startedAt: Milliseconds;
     private identifiers = 0;
     private stopped = false;
 
     constructor(private readonly options: AdmissionOptions) {
+        this.startedAt = options.clock.now();
         this.holder = new SlotHolder(options.instance, options.division);
         this.choice = new HolderChoice(options.instance, options.division);
         this.keeper = new RosterKeeper({
@@ -150,11 +157,17 @@
             id: this.nextIdentifier(),
             accountName: account.name,
             tokens,
-            deadline: this.now() + (this.options.maximumWait ?? maximumWaitMilliseconds),
+            deadline: this.now() + this.maximumWait(),
             tokensPerSecond: account.tokensPerSecond,
         };
     }
 
+    private maximumWait(): Milliseconds {
+        const starting = this.now() - this.startedAt < startingMilliseconds;
+        const usual = this.options.maximumWait ?? maximumWaitMilliseconds;
+        return starting ? Math.max(usual, startingWaitMilliseconds) : usual;
+    }
+
     private async acquire(request: PendingRequest, account: ClientAccount): Promise<AcquireOutcome> {
         const queue = this.queueOf(account.name);
         if (queue.isEmpty) {
--- a/packages/admission/src/node/admissionOptions.ts
+++ b/packages/admission/src/node/admissionOptions.ts
@@ -35,7 +35,7 @@
      */
     readonly rosterAgents?: () => readonly string[];
     /**
-     * Longest time for which a request waits for tokens before it is refused.
+     * Longest time for which a request waits for tokens before it is refused. Longer just after the start.
      * @default maximumWaitMilliseconds
      */
     readonly maximumWait?: Milliseconds;
--- a/packages/admission/src/trial/index.ts
+++ b/packages/admission/src/trial/index.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * from "./idealBucket.js";
 export * from "./rateFleet.js";
 export * from "./rateLedger.js";
 export * from "./rateNetwork.js";
--- a/packages/admission/src/trial/rateFleet.ts
+++ b/packages/admission/src/trial/rateFleet.ts
@@ -55,7 +55,11 @@
     readonly account: string;
     readonly at: Milliseconds;
     readonly router: number;
+    /** Tokens reserved, and those spent in the end. */
     readonly tokens: number;
+    readonly actual: number;
+    /** Time for which the request runs once it is admitted. */
+    readonly duration: Milliseconds;
     /** Absent while it waits, and for good where its router died. */
     outcome?: "admitted" | RefusalReason;
     /** Time at which the outcome was known. */
@@ -133,7 +137,7 @@
         if (!this.runs(router) || found === undefined) {
             return;
         }
-        const offer: OfferedRequest = { account, at: this.clock.now(), router, tokens };
+        const offer: OfferedRequest = { account, at: this.clock.now(), router, tokens, actual, duration };
         this.offered.push(offer);
         void serving.controller.admit(found, tokens).then((result) => {
             offer.decidedAt = this.clock.now();
--- a/packages/bench/src/node/main.ts
+++ b/packages/bench/src/node/main.ts
@@ -6,8 +6,9 @@
 import { Builtins, Cli, type CommandClass } from "clipanion";
 import { OverheadCommand } from "../overhead/overheadCommand.js";
 import { PolicyCommand } from "../policy/policyCommand.js";
+import { RatesCommand } from "../rates/ratesCommand.js";
 
-const experiments: readonly CommandClass[] = [OverheadCommand, PolicyCommand];
+const experiments: readonly CommandClass[] = [OverheadCommand, PolicyCommand, RatesCommand];
 
 const cli = new Cli({ binaryName: "redwingpin-bench", binaryLabel: "redwingpin bench" });
 cli.register(Builtins.HelpCommand);
--- /dev/null
+++ b/packages/bench/src/rates/ratesCommand.ts
@@ -0,0 +1,94 @@
+/**
+ * `npm run bench -- rates`: overspend, wrongful refusals and control messages under each fault, for the product and
+ * two baselines, and the slopes of its cost.
+ *
+ * @module
+ */
+import {
+    formatFindings,
+    parseInteger,
+    parseMember,
+    SettingsCommand,
+    type SettingTable,
+} from "@redwingpin/common";
+import { Option } from "clipanion";
+import { RatesPolicy, scaledDeployment, todayDeployment } from "./ratesDeployments.js";
+import { type RatesRow, runRates } from "./ratesExperiment.js";
+import { ratesFaults } from "./ratesFaults.js";
+import { measureSlopes } from "./ratesSlopes.js";
+import { renderRatesRows, renderRatesSlopes } from "./ratesTable.js";
+
+const maximumSeed = 1_000_000;
+
+/** Parts of the experiment. */
+enum RatesPart {
+    All = "all",
+    Today = "today",
+    Scaled = "scaled",
+    Slopes = "slopes",
+}
+
+interface RatesSettings {
+    readonly seed: number;
+    readonly part: RatesPart;
+}
+
+const settings: SettingTable<RatesSettings> = {
+    seed: {
+        variable: "REDWINGPIN_SEED",
+        description: "Seed of requests and faults",
+        defaultText: "1",
+        parse: parseInteger(0, maximumSeed),
+    },
+    part: {
+        variable: "REDWINGPIN_PART",
+        description: `Part to play: ${Object.values(RatesPart).join(", ")}`,
+        defaultText: RatesPart.All,
+        parse: parseMember(RatesPart),
+    },
+};
+
+/** Plays the rates experiment and prints its figures. */
+export class RatesCommand extends SettingsCommand<RatesSettings> {
+    static override paths = [["rates"]];
+
+    json = Option.Boolean("--json", false, { description: "Print JSON in place of tables" });
+
+    constructor() {
+        super(settings);
+    }
+
+    async execute(): Promise<number> {
+        return this.resolve(process.env).match(
+            (resolved) => this.run(resolved),
+            async (findings) => {
+                this.context.stderr.write(`${formatFindings(findings)}\n`);
+                return 2;
+            },
+        );
+    }
+
+    private async run({ seed, part }: RatesSettings): Promise<number> {
+        const deployments = [todayDeployment, scaledDeployment]
+            .filter((deployment) => part === RatesPart.All || part === (deployment.name as RatesPart));
+        const rows: RatesRow[] = [];
+        for (const deployment of deployments) {
+            for (const fault of ratesFaults) {
+                for (const policy of Object.values(RatesPolicy)) {
+                    rows.push(await runRates({ deployment, fault, policy, seed }));
+                }
+            }
+        }
+        const measured = part === RatesPart.All || part === RatesPart.Slopes;
+        const slopes = measured ? await measureSlopes(seed) : undefined;
+        const tables = [
+            rows.length > 0 ? renderRatesRows(rows) : "",
+            slopes === undefined ? "" : renderRatesSlopes(slopes),
+        ];
+        const text = this.json
+            ? JSON.stringify({ seed, rows, slopes }, undefined, 2)
+            : tables.filter((table) => table !== "").join("\n\n");
+        this.context.stdout.write(`${text}\n`);
+        return rows.every((row) => row.overspentTokens === 0) ? 0 : 1;
+    }
+}
--- /dev/null
+++ b/packages/bench/src/rates/ratesSlopes.ts
@@ -0,0 +1,139 @@
+/**
+ * Slopes of admission against routers and accounts: messages and bytes a request, state a slot, processor time an
+ * ask, and the size of the roster.
+ *
+ * @module
+ */
+import { emptyRoster, encodeRoster, repairRoster, type Roster, SlotHolder } from "@redwingpin/admission";
+import type { ClientAccount } from "@redwingpin/manifest";
+import { type RatesDeployment, RatesPolicy } from "./ratesDeployments.js";
+import { runRates } from "./ratesExperiment.js";
+import { ratesFaults } from "./ratesFaults.js";
+
+/** Control traffic of a fleet without faults. */
+export interface TrafficPoint {
+    readonly routers: number;
+    readonly accounts: number;
+    readonly requestsPerSecond: number;
+    readonly messagesPerRequest: number;
+    readonly bytesPerRequest: number;
+    readonly bytesPerSecondPerRouter: number;
+}
+
+/** State and processor time of one holder. */
+export interface HolderPoint {
+    readonly accounts: number;
+    readonly slots: number;
+    readonly heapBytesPerSlot: number;
+    readonly microsecondsPerAsk: number;
+    readonly microsecondsPerAdmission: number;
+    /** Time to take over a manifest. */
+    readonly millisecondsPerManifest: number;
+}
+
+/** Size of the roster. */
+export interface RosterPoint {
+    readonly routers: number;
+    readonly bytes: number;
+}
+
+/** All slopes. */
+export interface RatesSlopes {
+    readonly traffic: readonly TrafficPoint[];
+    readonly holder: readonly HolderPoint[];
+    readonly roster: readonly RosterPoint[];
+}
+
+const routerCounts = [3, 10, 30, 60];
+const accountCounts = [20, 80];
+const holderAccounts = [1_000, 4_200, 16_000];
+const rosterRouters = [3, 60, 570];
+const slopeRate = 6_000;
+const askCount = 50_000;
+const fullAfter = 100_000;
+
+/** Measures every slope. */
+export async function measureSlopes(seed: number): Promise<RatesSlopes> {
+    const traffic: TrafficPoint[] = [];
+    for (const routers of routerCounts) {
+        for (const accounts of accountCounts) {
+            traffic.push(await measureTraffic(routers, accounts, seed));
+        }
+    }
+    return {
+        traffic,
+        holder: holderAccounts.map(measureHolder),
+        roster: rosterRouters.map((routers) => ({ routers, bytes: encodeRoster(rosterOf(routers)).length })),
+    };
+}
+
+async function measureTraffic(routers: number, count: number, seed: number): Promise<TrafficPoint> {
+    const accounts = accountsOf(count);
+    const deployment: RatesDeployment = { name: "slope", routers, accounts, requestMilliseconds: 300 };
+    const row = await runRates({ deployment, fault: ratesFaults[0], policy: RatesPolicy.Shared, seed });
+    const requestsPerSecond = row.offered / (ratesFaults[0].duration / 1_000);
+    return {
+        routers,
+        accounts: count,
+        requestsPerSecond,
+        messagesPerRequest: row.messagesPerSecond / requestsPerSecond,
+        bytesPerRequest: row.bytesPerSecondPerRouter * routers / requestsPerSecond,
+        bytesPerSecondPerRouter: row.bytesPerSecondPerRouter,
+    };
+}
+
+function measureHolder(count: number): HolderPoint {
+    const accounts = accountsOf(count);
+    const roster = rosterOf(3);
+    global.gc?.();
+    const heapBefore = process.memoryUsage().heapUsed;
+    const holder = new SlotHolder("router-0");
+    holder.accountsChanged(accounts, 0);
+    holder.rosterChanged(roster, 0);
+    const heapBytes = process.memoryUsage().heapUsed - heapBefore;
+    const asks = timeEach((index) => {
+        const now = fullAfter + index;
+        holder.grant(`ask-${index}`, accounts[index % count], 1, now);
+    });
+    const admissions = timeEach((index) => {
+        const now = fullAfter + askCount + index;
+        holder.spend(`own-${index}`, accounts[index % count], 1, now);
+        holder.giveBack(`own-${index}`, accounts[index % count], 0, now);
+    });
+    const start = process.hrtime.bigint();
+    holder.accountsChanged(accounts, fullAfter + 3 * askCount);
+    return {
+        accounts: count,
+        slots: holder.slotsInMemory,
+        heapBytesPerSlot: heapBytes / holder.slotsInMemory,
+        microsecondsPerAsk: asks,
+        microsecondsPerAdmission: admissions,
+        millisecondsPerManifest: Number(process.hrtime.bigint() - start) / 1e6,
+    };
+}
+
+/** Microseconds of one call. */
+function timeEach(call: (index: number) => void): number {
+    const start = process.hrtime.bigint();
+    for (let index = 0; index < askCount; index++) {
+        call(index);
+    }
+    return Number(process.hrtime.bigint() - start) / 1e3 / askCount;
+}
+
+function accountsOf(count: number): ClientAccount[] {
+    return Array.from({ length: count }, (_, index) => ({
+        name: `account-${index}`,
+        tokensPerSecond: slopeRate,
+        burstTokens: 6 * slopeRate,
+        keys: [],
+    }));
+}
+
+function rosterOf(routers: number): Roster {
+    const members = Array.from(
+        { length: routers },
+        (_, index) => ({ instance: `router-${index}`, leaving: false }),
+    );
+    return repairRoster(emptyRoster, { members, gone: new Set(), leaveRoom: false })!;
+}
