--- /dev/null
+++ b/packages/agent/src/node/agent.ts
@@ -0,0 +1,295 @@
+/**
+ * The agent: the only way in to one endpoint. It owns the inner listener, the endpoint's client and monitor, and
+ * the exchanges.
+ *
+ * @module
+ */
+import { RosterCache } from "@redwingpin/admission";
+import { type Clock, type Logger, maxSeed, seededRandom } from "@redwingpin/common";
+import { type Configuration, createAgentPeers, createConfiguration } from "@redwingpin/configuration";
+import { EndpointKind } from "@redwingpin/manifest";
+import { MembershipResponder } from "@redwingpin/membership";
+import { defaultBlockTokens } from "@redwingpin/placement";
+import {
+    type Connection,
+    type EndpointStatus,
+    type ExchangeMessage,
+    InnerNode,
+    isRateMessage,
+    MessageKind,
+    type Open,
+    type OperatorStatus,
+    ProcessRole,
+    Topic,
+} from "@redwingpin/protocol";
+import { randomInt, randomUUID } from "node:crypto";
+import type { ResolvedAgentConfig } from "../config.js";
+import { maxBodyBytes } from "../constants.js";
+import { declineReason } from "../decision/acceptance.js";
+import { RecentRequests } from "../decision/recentRequests.js";
+import { servedWeights } from "../decision/servedWeights.js";
+import { EndpointCache } from "./endpointCache.js";
+import { EndpointClient } from "./endpointClient.js";
+import { type EndpointHealth, EndpointMonitor } from "./endpointMonitor.js";
+import { ExchangeTask } from "./exchangeTask.js";
+import { RequestScheduler } from "./requestScheduler.js";
+
+/** What an agent is made from. */
+export interface AgentOptions {
+    readonly config: ResolvedAgentConfig;
+    readonly clock: Clock;
+    readonly logger: Logger;
+}
+
+/** Serves one endpoint to the routers. */
+export class Agent {
+    readonly innerNode: InnerNode;
+    private readonly endpoint: EndpointClient;
+    private readonly monitor: EndpointMonitor;
+    private readonly scheduler: RequestScheduler;
+    private readonly exchanges = new Map<Connection, Map<number, ExchangeTask>>();
+    private readonly recent = new RecentRequests();
+    private readonly configuration: Configuration;
+    private readonly cache: EndpointCache;
+    private readonly rosterCache = new RosterCache();
+    private readonly membership: MembershipResponder;
+    private draining = false;
+    private wakeWhenIdle: (() => void) | undefined;
+
+    constructor(private readonly options: AgentOptions) {
+        const { config, clock, logger } = options;
+        this.endpoint = new EndpointClient(config.endpointAddress, config.concurrency);
+        this.scheduler = new RequestScheduler({
+            clock,
+            concurrency: config.concurrency,
+            maxUnanswered: config.endpointKind === EndpointKind.Engine
+                ? config.maxUnanswered
+                : config.concurrency,
+            maxQueuedRequests: config.maxQueuedRequests,
+            maxQueuedTokens: config.maxQueuedTokens,
+        });
+        this.cache = new EndpointCache({
+            address: config.endpointAddress,
+            clock,
+            logger: logger.scope("cache"),
+        });
+        this.monitor = new EndpointMonitor({
+            address: config.endpointAddress,
+            kind: config.endpointKind,
+            clock,
+            interval: config.healthIntervalMilliseconds,
+            onChange: (health, before) => this.onHealthChange(health, before),
+        });
+        this.innerNode = new InnerNode({
+            role: ProcessRole.Agent,
+            instance: config.instance,
+            incarnation: randomUUID(),
+            fleetKeys: config.fleetKeys,
+            clock,
+            logger: logger.scope("inner"),
+            revision: () => this.configuration?.revision() ?? 0,
+            onRevision: (peer, revision) => this.configuration.observeRevision(peer.instance, revision),
+            onMessage: (connection, message) => this.onMessage(connection, message),
+            onClosed: (connection) => this.onClosed(connection),
+            onConnected: (connection) => this.sendStatus(connection),
+        });
+        this.configuration = createConfiguration({
+            clock,
+            random: seededRandom(randomInt(maxSeed)),
+            logger: logger.scope("configuration"),
+            instance: config.instance,
+            dataCentre: config.dataCentre,
+            peers: createAgentPeers(this.innerNode),
+        });
+        this.configuration.onInstalled(() => this.broadcastStatus());
+        this.innerNode.handle(Topic.Configuration, (body, from) => {
+            this.configuration.handle(body, from.instance);
+            return Promise.resolve(undefined);
+        });
+        this.innerNode.handle(Topic.Rates, (body) => Promise.resolve(this.answerRates(body)));
+        this.membership = this.createMembership();
+        this.innerNode.handle(
+            Topic.Membership,
+            (body) => Promise.resolve(this.membership.handle(body) ?? { kind: "pong" }),
+        );
+        this.innerNode.handle(Topic.Operator, () => Promise.resolve(this.operatorStatus()));
+    }
+
+    /** Starts to listen; resolves with the port of the inner protocol. */
+    async start(): Promise<number> {
+        await this.monitor.start();
+        this.configuration.start();
+        const { config } = this.options;
+        const port = await this.innerNode.listen(config.listenHost, config.innerPort);
+        this.membership.listensOn(port);
+        return port;
+    }
+
+    /** Takes no new work, waits until what runs has ended, and closes everything. */
+    async drain(): Promise<void> {
+        this.draining = true;
+        this.membership.leave();
+        this.broadcastStatus();
+        if (this.exchangeCount() > 0) {
+            await new Promise<void>((resolve) => {
+                this.wakeWhenIdle = resolve;
+            });
+        }
+        this.stop();
+    }
+
+    /** Closes everything at once. */
+    stop(): void {
+        this.configuration.stop();
+        this.monitor.stop();
+        this.cache.stop();
+        this.innerNode.stop();
+        void this.endpoint.stop();
+    }
+
+    /** What this agent knows of its endpoint now. */
+    status(): EndpointStatus {
+        const { config } = this.options;
+        const health = this.monitor.current;
+        return {
+            instance: config.instance,
+            pool: config.pool,
+            incarnation: health.incarnation,
+            draining: this.draining,
+            weights: servedWeights(this.configuration.current()?.index, health),
+            queuedTokens: this.scheduler.pendingTokens,
+            running: this.scheduler.running,
+            tokensPerSecond: 0,
+            heldPrefixes: this.cache.heldPrefixes(),
+        };
+    }
+
+    private createMembership(): MembershipResponder {
+        const { clock, config } = this.options;
+        return new MembershipResponder({
+            instance: config.instance,
+            role: ProcessRole.Agent,
+            host: config.listenHost,
+            port: config.innerPort,
+            dataCentre: config.dataCentre,
+            pool: config.pool,
+            epoch: Math.max(1, Math.round(clock.wallTime())),
+        });
+    }
+
+    private operatorStatus(): OperatorStatus {
+        const { config } = this.options;
+        return {
+            instance: config.instance,
+            role: ProcessRole.Agent,
+            dataCentre: config.dataCentre,
+            revision: this.configuration.revision(),
+            ready: !this.draining,
+            refusals: [],
+            accounts: [],
+            endpoint: this.status(),
+        };
+    }
+
+    private onMessage(connection: Connection, message: ExchangeMessage): void {
+        switch (message.kind) {
+            case MessageKind.Open:
+                this.openExchange(connection, message);
+                return;
+            case MessageKind.Body:
+                this.find(connection, message.exchange)?.receive(message.data);
+                return;
+            case MessageKind.Cancel:
+                this.find(connection, message.exchange)?.cancel();
+                return;
+            case MessageKind.Credit:
+                this.find(connection, message.exchange)?.allow(message.bytes);
+                return;
+            default:
+                return;
+        }
+    }
+
+    private openExchange(connection: Connection, open: Open): void {
+        const exchange = new ExchangeTask(connection, open, {
+            clock: this.options.clock,
+            endpoint: this.endpoint,
+            scheduler: this.scheduler,
+            status: () => this.status(),
+            cache: this.cache,
+            blockTokens: defaultBlockTokens,
+            onEnded: (ended) => this.forget(connection, ended),
+        });
+        this.remember(connection, exchange);
+        const reason = declineReason(open, {
+            status: this.status(),
+            seenBefore: !open.idempotent && !this.recent.add(open.request),
+            maxBodyBytes,
+        });
+        if (reason !== undefined) {
+            exchange.decline(reason);
+        }
+        else if (open.bodyBytes === 0) {
+            exchange.receive(undefined);
+        }
+    }
+
+    private answerRates(body: unknown): unknown {
+        return isRateMessage(body) ? this.rosterCache.handle(body) : { error: "the body is no rate message" };
+    }
+
+    private onHealthChange(health: EndpointHealth, before: EndpointHealth): void {
+        if (this.options.config.endpointKind === EndpointKind.Engine) {
+            void this.cache.restarted(health.incarnation);
+        }
+        this.options.logger.info("the endpoint changed", {
+            incarnation: health.incarnation,
+            before: before.incarnation,
+            weights: health.weights,
+        });
+        this.broadcastStatus();
+    }
+
+    private broadcastStatus(): void {
+        for (const connection of this.innerNode.openConnections()) {
+            this.sendStatus(connection);
+        }
+    }
+
+    private sendStatus(connection: Connection): void {
+        connection.send({
+            kind: MessageKind.Status,
+            revision: this.configuration.revision(),
+            status: this.status(),
+        });
+    }
+
+    private onClosed(connection: Connection): void {
+        const exchanges = this.exchanges.get(connection);
+        this.exchanges.delete(connection);
+        for (const exchange of exchanges?.values() ?? []) {
+            exchange.cancel();
+        }
+    }
+
+    private find(connection: Connection, exchange: number): ExchangeTask | undefined {
+        return this.exchanges.get(connection)?.get(exchange);
+    }
+
+    private remember(connection: Connection, exchange: ExchangeTask): void {
+        const exchanges = this.exchanges.get(connection) ?? new Map<number, ExchangeTask>();
+        exchanges.set(exchange.open.exchange, exchange);
+        this.exchanges.set(connection, exchanges);
+    }
+
+    private forget(connection: Connection, exchange: ExchangeTask): void {
+        this.exchanges.get(connection)?.delete(exchange.open.exchange);
+        if (this.exchangeCount() === 0) {
+            this.wakeWhenIdle?.();
+        }
+    }
+
+    private exchangeCount(): number {
+        return [...this.exchanges.values()].reduce((sum, exchanges) => sum + exchanges.size, 0);
+    }
+}
--- /dev/null
+++ b/packages/router/src/node/router.ts
@@ -0,0 +1,333 @@
+/**
+ * The router: owns the callers' server, the inner node and every subsystem, and wires them together.
+ *
+ * @module
+ */
+import { type AdmissionController, createAdmission } from "@redwingpin/admission";
+import { type Claims, createClaims } from "@redwingpin/claims";
+import {
+    type Clock,
+    createReasonCounters,
+    listenOn,
+    type Logger,
+    maxSeed,
+    type Milliseconds,
+    type ReasonCounters,
+    seededRandom,
+    sleep,
+} from "@redwingpin/common";
+import { type Configuration, createConfiguration, createRouterPeers } from "@redwingpin/configuration";
+import { createInnerTransport, createMembership, type Membership } from "@redwingpin/membership";
+import { defaultBlockTokens, Placement, RetryBudget } from "@redwingpin/placement";
+import {
+    type KeyValueStore,
+    type VirtualMachine,
+    type VirtualMachineList,
+    VirtualMachineRole,
+} from "@redwingpin/platform";
+import {
+    type Connection,
+    type EndpointStatus,
+    type ExchangeMessage,
+    InnerNode,
+    MessageKind,
+    type OperatorStatus,
+    ProcessRole,
+} from "@redwingpin/protocol";
+import { randomInt, randomUUID } from "node:crypto";
+import type { Server } from "node:http";
+import type { Registry } from "prom-client";
+import type { ResolvedRouterConfig } from "../config.js";
+import {
+    drainGraceMilliseconds,
+    maxWaitForRatesMilliseconds,
+    maxWaitForRosterMilliseconds,
+} from "../constants.js";
+import { ExchangeTable } from "./agentExchange.js";
+import { createCallerServer } from "./callerServer.js";
+import { createOperatorStatus } from "./operatorStatus.js";
+import { createRatePeers } from "./ratePeers.js";
+import { RequestPipeline } from "./requestPipeline.js";
+import { RequestPlacement } from "./requestPlacement.js";
+import { handleConfiguration, handleMembership, handleOperators, handleRates } from "./routerTopics.js";
+import { SilenceProbe } from "./silenceProbe.js";
+
+/** What a router is made from. */
+export interface RouterOptions {
+    readonly config: ResolvedRouterConfig;
+    readonly clock: Clock;
+    readonly logger: Logger;
+    readonly registry: Registry;
+    readonly store: KeyValueStore;
+    readonly virtualMachineList: VirtualMachineList;
+}
+
+/** Ports on which a router listens. */
+export interface RouterPorts {
+    readonly listenPort: number;
+    readonly innerPort: number;
+}
+
+/** Serves callers. */
+export class Router {
+    private readonly counters: ReasonCounters;
+    private readonly innerNode: InnerNode;
+    private readonly exchanges = new ExchangeTable();
+    private readonly silenceProbe: SilenceProbe;
+    private readonly placement: RequestPlacement;
+    private readonly membership: Membership;
+    private readonly admission: AdmissionController;
+    private readonly claims: Claims;
+    private readonly pipeline: RequestPipeline;
+    private readonly callerServer: Server;
+    private readonly configuration: Configuration;
+    private readonly incarnation = randomUUID();
+    private readonly startedAt: Milliseconds;
+    private stopping = false;
+
+    constructor(private readonly options: RouterOptions) {
+        const { config, clock, registry } = options;
+        this.startedAt = clock.now();
+        this.counters = createReasonCounters(registry);
+        this.innerNode = this.createInnerNode();
+        this.membership = this.createMembership();
+        this.configuration = this.createConfiguration();
+        handleOperators(this.innerNode, () => this.operatorStatus());
+        this.silenceProbe = new SilenceProbe(clock, () => this.exchanges.busyConnections());
+        const { dataCentre } = config;
+        this.placement = new RequestPlacement(
+            new Placement({ clock, dataCentre, blockTokens: defaultBlockTokens }),
+        );
+        this.admission = this.createAdmission();
+        this.claims = this.createClaims();
+        this.pipeline = this.createPipeline();
+        this.callerServer = this.createCallerServer();
+    }
+
+    /** Starts to serve; resolves with the ports. */
+    async start(): Promise<RouterPorts> {
+        const { config } = this.options;
+        const innerPort = await this.innerNode.listen(config.listenHost, config.innerPort);
+        this.silenceProbe.start();
+        this.configuration.start();
+        this.membership.start(innerPort);
+        const listenPort = await listenOn(this.callerServer, config.listenHost, config.listenPort);
+        return { listenPort, innerPort };
+    }
+
+    /** Leaves without cutting a request: not ready, then no new connection, then what runs to its end. */
+    async drain(): Promise<void> {
+        this.stopping = true;
+        this.membership.leave();
+        await sleep(this.options.clock, drainGraceMilliseconds);
+        await new Promise<void>((resolve) => {
+            this.callerServer.close(() => resolve());
+            this.callerServer.closeIdleConnections();
+        });
+        await Promise.all([this.claims.stop(), this.admission.leave()]);
+        this.stop();
+    }
+
+    /** Closes everything at once. */
+    stop(): void {
+        this.configuration.stop();
+        this.admission.stop();
+        this.membership.stop();
+        this.silenceProbe.stop();
+        this.innerNode.stop();
+        this.callerServer.closeAllConnections();
+        this.callerServer.close();
+    }
+
+    private createInnerNode(): InnerNode {
+        const { config, clock, logger } = this.options;
+        return new InnerNode({
+            role: ProcessRole.Router,
+            instance: config.instance,
+            incarnation: this.incarnation,
+            fleetKeys: config.fleetKeys,
+            clock,
+            logger: logger.scope("inner"),
+            revision: () => this.revision(),
+            onRevision: (peer, revision) => this.configuration.observeRevision(peer.instance, revision),
+            onMessage: (connection, message) => this.onMessage(connection, message),
+            onClosed: (connection) => this.onClosed(connection),
+        });
+    }
+
+    private createPipeline(): RequestPipeline {
+        const { clock, logger } = this.options;
+        return new RequestPipeline({
+            clock,
+            logger: logger.scope("request"),
+            counters: this.counters,
+            placement: this.placement,
+            retryBudget: new RetryBudget(),
+            admission: this.admission,
+            claims: this.claims,
+            attempts: {
+                clock,
+                innerNode: this.innerNode,
+                exchanges: this.exchanges,
+                revision: () => this.revision(),
+                observeStatus: (status) => this.observeStatus(status),
+            },
+        });
+    }
+
+    private createMembership(): Membership {
+        const { clock, config, logger, virtualMachineList } = this.options;
+        const membership = createMembership({
+            clock,
+            random: seededRandom(randomInt(maxSeed)),
+            logger: logger.scope("membership"),
+            instance: config.instance,
+            dataCentre: config.dataCentre,
+            host: config.listenHost,
+            list: virtualMachineList,
+            transport: createInnerTransport(this.innerNode),
+            onListRead: (machines) => this.onListRead(machines),
+        });
+        membership.onChange(() => this.onMembersChanged());
+        handleMembership(this.innerNode, membership);
+        return membership;
+    }
+
+    private createConfiguration(): Configuration {
+        const { clock, config, logger, store } = this.options;
+        const configuration = createConfiguration({
+            clock,
+            random: seededRandom(randomInt(maxSeed)),
+            logger: logger.scope("configuration"),
+            instance: config.instance,
+            dataCentre: config.dataCentre,
+            store,
+            peers: createRouterPeers(this.innerNode, {
+                routers: () => this.membership.routers(),
+                agents: () => this.membership.homeAgents(),
+            }),
+        });
+        configuration.onInstalled(() => this.admission.accountsChanged());
+        handleConfiguration(this.innerNode, configuration);
+        return configuration;
+    }
+
+    private createAdmission(): AdmissionController {
+        const { clock, config, logger, store } = this.options;
+        const admission = createAdmission({
+            clock,
+            instance: config.instance,
+            incarnation: this.incarnation,
+            store,
+            rosterAgents: () => this.membership.homeAgents().map((agent) => agent.instance),
+            peers: createRatePeers(this.innerNode, (instance) => this.membership.find(instance)),
+            accounts: () => this.configuration.current()?.index.manifest.accounts ?? [],
+            logger: logger.scope("admission"),
+        });
+        handleRates(this.innerNode, admission);
+        return admission;
+    }
+
+    private createClaims(): Claims {
+        const { clock, config, logger, store } = this.options;
+        return createClaims({
+            clock,
+            instance: config.instance,
+            incarnation: this.incarnation,
+            store,
+            logger: logger.scope("claims"),
+        });
+    }
+
+    private createCallerServer(): Server {
+        const { config, clock, registry } = this.options;
+        return createCallerServer({
+            clock,
+            registry,
+            counters: this.counters,
+            requestTimeout: config.requestTimeoutMilliseconds,
+            maxConnections: config.maxConnections,
+            ready: () => this.isReady(),
+            manifest: () => this.configuration.current()?.index,
+            serve: (request, response) => this.pipeline.serve(request, response),
+            status: () => this.status(),
+        });
+    }
+
+    private onMessage(connection: Connection, message: ExchangeMessage): void {
+        this.silenceProbe.heard(connection);
+        if (message.kind === MessageKind.Status) {
+            this.observeStatus(message.status);
+            return;
+        }
+        this.exchanges.receive(connection, message);
+    }
+
+    private onClosed(connection: Connection): void {
+        this.silenceProbe.forget(connection);
+        this.exchanges.lose(connection);
+    }
+
+    private onMembersChanged(): void {
+        this.placement.retain(this.membership.machines());
+        this.configuration.peersChanged();
+        this.greetAgents();
+    }
+
+    /** Rates pass on only what the platform itself has dropped: a member that gives no answer may only be paused. */
+    private onListRead(machines: readonly VirtualMachine[]): void {
+        const routers = machines.filter((machine) => machine.role === VirtualMachineRole.Router);
+        this.admission.membersChanged(routers);
+        this.greetAgents();
+    }
+
+    /** Connects to agents, so that they and this router learn of each other's revision and status. */
+    private greetAgents(): void {
+        for (const agent of this.membership.keptAgents()) {
+            void this.innerNode.connect(agent);
+        }
+    }
+
+    private observeStatus(status: EndpointStatus): void {
+        this.placement.observeStatus(status);
+    }
+
+    private revision(): number {
+        return this.configuration?.revision() ?? 0;
+    }
+
+    private isReady(): boolean {
+        return !this.stopping && this.configuration.current() !== undefined && this.ratesAreReady();
+    }
+
+    /** Waits for a roster of rate slots, and longer where one is known that is not complete: the site is new. */
+    private ratesAreReady(): boolean {
+        const age = this.options.clock.now() - this.startedAt;
+        const limit = this.admission.rosterKnown()
+            ? maxWaitForRatesMilliseconds
+            : maxWaitForRosterMilliseconds;
+        return this.admission.settled() || age >= limit;
+    }
+
+    private operatorStatus(): Promise<OperatorStatus> {
+        const { config, registry } = this.options;
+        return createOperatorStatus({
+            instance: config.instance,
+            dataCentre: config.dataCentre,
+            revision: this.revision(),
+            ready: this.isReady(),
+            registry,
+        });
+    }
+
+    private status() {
+        return {
+            instance: this.options.config.instance,
+            dataCentre: this.options.config.dataCentre,
+            incarnation: this.incarnation,
+            revision: this.revision(),
+            ready: this.isReady(),
+            openExchanges: this.exchanges.size,
+        };
+    }
+}
