fix(admission): a router that starts asks its first members for the roster at once

Cause: routers that all restarted with the store down waited 0.8 s for a roster, since they asked before they knew any member and asked again a second later. Ruled out: the configuration, in force 0.15 s after the start of serving. Change: the first members are asked as soon as they are known. Measured (busy machine, three routers, store down): ready 0.8 s after serving before, 0.22 s after. The start of the process itself takes 1.4 s to 1.6 s on the busy machine.

--- a/packages/admission/src/node/rosterKeeper.ts
+++ b/packages/admission/src/node/rosterKeeper.ts
@@ -95,6 +95,10 @@
     membersRead(members: readonly RouterMember[]): void {
         this.members = members;
         this.gone = this.goneWatch.observe(this.roster ?? emptyRoster, members, this.options.clock.now());
+        if (this.roster === undefined) {
+            // The first members are the first sources: a router that starts while the store is down needs them at once.
+            void this.askSources();
+        }
         if (members.length > 0 && this.repaired(this.roster ?? emptyRoster) !== undefined) {
             this.scheduleRepair();
         }
--- a/packages/router/src/node/router.ts
+++ b/packages/router/src/node/router.ts
@@ -83,6 +83,7 @@
     private readonly configuration: Configuration;
     private readonly incarnation = randomUUID();
     private readonly startedAt: Milliseconds;
+    private listedRouters: readonly VirtualMachine[] = [];
     private stopping = false;
 
     constructor(private readonly options: RouterOptions) {
@@ -272,12 +273,15 @@
         this.placement.retain(this.membership.machines());
         this.configuration.peersChanged();
         this.greetAgents();
+        if (!this.admission.rosterKnown()) {
+            this.admission.membersChanged(this.listedRouters);
+        }
     }
 
     /** Rates pass on only what the platform itself has dropped: a member that gives no answer may only be paused. */
     private onListRead(machines: readonly VirtualMachine[]): void {
-        const routers = machines.filter((machine) => machine.role === VirtualMachineRole.Router);
-        this.admission.membersChanged(routers);
+        this.listedRouters = machines.filter((machine) => machine.role === VirtualMachineRole.Router);
+        this.admission.membersChanged(this.listedRouters);
         this.greetAgents();
     }
 
