fix(manifest): compile schemas at their first use

Cause: half of a router's time to start was spent compiling schemas it may never need. Change: a schema is compiled when a value is first checked against it.

--- a/packages/manifest/src/schemaCheck.ts
+++ b/packages/manifest/src/schemaCheck.ts
@@ -21,8 +21,9 @@
 
 /** Compiles a schema to a check that reports every mismatch at once. */
 export function createSchemaCheck(schema: JsonSchema): SchemaCheck {
-    const validate = compile(schema, true);
+    const compiled = compileOnFirstUse(schema, true);
     return (value) => {
+        const validate = compiled();
         if (validate(value)) {
             return [];
         }
@@ -32,8 +33,14 @@
 
 /** Compiles a schema to a type guard, for values from other processes and from the store. */
 export function createSchemaGuard<T>(schema: JsonSchema): (value: unknown) => value is T {
-    const validate = compile(schema, false);
-    return (value): value is T => validate(value);
+    const compiled = compileOnFirstUse(schema, false);
+    return (value): value is T => compiled()(value);
+}
+
+/** A process needs few of the schemas, and compiling them all would be most of its time to start. */
+function compileOnFirstUse(schema: JsonSchema, reportsAll: boolean): () => ValidateFunction {
+    let validate: ValidateFunction | undefined;
+    return () => validate ??= compile(schema, reportsAll);
 }
 
 function compile(schema: JsonSchema, reportsAll: boolean): ValidateFunction {
