fix(placement): every endpoint of a large pool can be reached, and a choice costs less at size

Cause: of a pool with more than 16 endpoints only the first 16 homes were ever considered, so that a service's calls, which have no prefix, reached 16 endpoints alone; a choice sorted the whole pool. Ruled out: homes by score threshold in place of sorting (the order among few homes matters today). Change: beside the homes, endpoints whose summary holds the innermost level and the four with the least work are considered; endpoints stand grouped by pool and data centre, and 32 usable ones near by are enough; slowness is compared after each eighth answer. New experiment: bench placement-state.

--- a/packages/bench/src/node/main.ts
+++ b/packages/bench/src/node/main.ts
@@ -5,10 +5,16 @@
  */
 import { Builtins, Cli, type CommandClass } from "clipanion";
 import { OverheadCommand } from "../overhead/overheadCommand.js";
+import { PlacementStateCommand } from "../placementState/placementStateCommand.js";
 import { PolicyCommand } from "../policy/policyCommand.js";
 import { RatesCommand } from "../rates/ratesCommand.js";
 
-const experiments: readonly CommandClass[] = [OverheadCommand, PolicyCommand, RatesCommand];
+const experiments: readonly CommandClass[] = [
+    OverheadCommand,
+    PlacementStateCommand,
+    PolicyCommand,
+    RatesCommand,
+];
 
 const cli = new Cli({ binaryName: "redwingpin-bench", binaryLabel: "redwingpin bench" });
 cli.register(Builtins.HelpCommand);
--- a/packages/placement/src/decision/__tests__/placement.spec.ts
+++ b/packages/placement/src/decision/__tests__/placement.spec.ts
@@ -4,7 +4,7 @@
 import { expect } from "chai";
 import { baseEjection, failuresBeforeEjection, maximumEjections } from "../ejection.js";
 import type { CandidateEndpoint } from "../endpointTable.js";
-import { Placement, PlacementOutcome, type PlacementRequest } from "../placement.js";
+import { maximumCandidates, Placement, PlacementOutcome, type PlacementRequest } from "../placement.js";
 import { initialRetries, RetryBudget } from "../retryBudget.js";
 
 const weights = { model: "drafting", version: "1" };
@@ -114,6 +114,22 @@
         expect(held.expectedHitBlocks).to.equal(2);
     });
 
+    it("reaches every endpoint of a pool larger than the number of candidates", () => {
+        const many = Array.from({ length: 3 * maximumCandidates }, (_, index) => `engine-${index}`);
+        const placement = placementOf();
+        placement.retain(many.map((instance) => candidateOf(instance)));
+        many.forEach((instance) => placement.observeStatus(statusOf(instance)));
+        const plain = requestOf({ prefixBlocks: [], sharedBlocks: 0, promptTokens: 1_000 });
+        const chosen = many.map(() => placement.choose(plain)!.instance);
+        expect(new Set(chosen).size).to.equal(many.length);
+        const holder = many.at(-1)!;
+        placement.observeStatus(statusOf(holder, { heldPrefixes: [0xaa000003] }));
+        many.slice(0, -1).forEach((instance) =>
+            placement.observeStatus(statusOf(instance, { heldPrefixes: [] }))
+        );
+        expect(placement.choose(requestOf())!.instance).to.equal(holder);
+    });
+
     it("ejects an endpoint that keeps failing, for a time", () => {
         const clock = new FakeClock();
         const placement = placementOf(clock);
--- a/packages/placement/src/decision/ejection.ts
+++ b/packages/placement/src/decision/ejection.ts
@@ -16,7 +16,7 @@
 /** An endpoint is slow where its answers begin this many times later than the median of its peers. */
 export const slownessRatio = 4;
 
-/** Answers before an endpoint's slowness counts. */
+/** Answers before an endpoint's slowness counts; it is looked at again after each further such number. */
 export const answersBeforeEjection = 8;
 
 /** First ejection; each further one lasts twice as long. */
@@ -61,7 +61,7 @@
 }
 
 function isSlow(endpoint: EndpointKnowledge, peers: readonly EndpointKnowledge[]): boolean {
-    if (endpoint.answers < answersBeforeEjection) {
+    if (endpoint.answers === 0 || endpoint.answers % answersBeforeEjection !== 0) {
         return false;
     }
     const others = peers
--- a/packages/placement/src/decision/endpointTable.ts
+++ b/packages/placement/src/decision/endpointTable.ts
@@ -46,6 +46,8 @@
 /** Knowledge by instance. */
 export class EndpointTable {
     private readonly byInstance = new Map<string, EndpointKnowledge>();
+    private readonly byPool = new Map<string, EndpointKnowledge[]>();
+    private readonly byPoolAndDataCentre = new Map<string, EndpointKnowledge[]>();
 
     /** Replaces the candidate list; what was known of endpoints not in it is forgotten. */
     replaceCandidates(candidates: readonly CandidateEndpoint[]): void {
@@ -64,14 +66,20 @@
                 known.candidate = candidate;
             }
         }
+        this.groupByPool();
     }
 
     get(instance: string): EndpointKnowledge | undefined {
         return this.byInstance.get(instance);
     }
 
-    ofPool(pool: string): EndpointKnowledge[] {
-        return [...this.byInstance.values()].filter((endpoint) => endpoint.candidate.pool === pool);
+    ofPool(pool: string): readonly EndpointKnowledge[] {
+        return this.byPool.get(pool) ?? [];
+    }
+
+    /** Endpoints of a pool that stand in a data centre. */
+    near(pool: string, dataCentre: string): readonly EndpointKnowledge[] {
+        return this.byPoolAndDataCentre.get(nearKey(pool, dataCentre)) ?? [];
     }
 
     /** Records a status. A new incarnation clears what was learnt from the old one. */
@@ -94,12 +102,36 @@
         known.placedSinceStatus = 0;
     }
 
+    private groupByPool(): void {
+        this.byPool.clear();
+        this.byPoolAndDataCentre.clear();
+        for (const endpoint of this.byInstance.values()) {
+            const { pool, dataCentre } = endpoint.candidate;
+            addToGroup(this.byPool, pool, endpoint);
+            addToGroup(this.byPoolAndDataCentre, nearKey(pool, dataCentre), endpoint);
+        }
+    }
+
     /** Endpoints in the candidate list. */
     get size(): number {
         return this.byInstance.size;
     }
 }
 
+function nearKey(pool: string, dataCentre: string): string {
+    return `${dataCentre}/${pool}`;
+}
+
+function addToGroup(
+    groups: Map<string, EndpointKnowledge[]>,
+    key: string,
+    endpoint: EndpointKnowledge,
+): void {
+    const group = groups.get(key) ?? [];
+    group.push(endpoint);
+    groups.set(key, group);
+}
+
 function unknownEndpoint(candidate: CandidateEndpoint): EndpointKnowledge {
     return {
         candidate,
--- a/packages/placement/src/decision/homes.ts
+++ b/packages/placement/src/decision/homes.ts
@@ -32,14 +32,13 @@
 }
 
 /**
- * All members, innermost homes first, at most `limit`. Each level ranks the homes of the level around it; members
+ * All members, innermost homes first. Each level ranks the homes of the level around it; members
  * that are home to none follow, in the order of the outermost level.
  */
 export function nestedHomes<T>(
     levels: readonly PrefixLevel[],
     members: readonly T[],
     seedOfMember: (member: T) => number,
-    limit: number,
 ): Home<T>[] {
     let ordered: readonly T[] = members;
     const depths = new Map<T, number>();
@@ -51,5 +50,5 @@
         width = Math.min(width, widthOf(level.share, members.length));
         ordered.slice(0, width).forEach((member) => depths.set(member, level.depth));
     }
-    return ordered.slice(0, limit).map((member) => ({ member, depth: depths.get(member) ?? 0 }));
+    return ordered.map((member) => ({ member, depth: depths.get(member) ?? 0 }));
 }
--- a/packages/placement/src/decision/placement.ts
+++ b/packages/placement/src/decision/placement.ts
@@ -14,7 +14,7 @@
     EndpointTable,
     pendingTokens,
 } from "./endpointTable.js";
-import { nestedHomes, type PrefixLevel } from "./homes.js";
+import { type Home, nestedHomes, type PrefixLevel } from "./homes.js";
 import { PrefixTable } from "./prefixTable.js";
 import { seedOf } from "./rendezvous.js";
 
@@ -36,9 +36,15 @@
 /** A level ends where the heat of the next block falls below this part of its own. */
 export const levelEndRatio = 0.75;
 
-/** Homes and other endpoints whose cost is worked out for one request. */
+/** Usable endpoints in the own data centre from which on no other one is considered. */
+export const enoughNearEndpoints = 32;
+
+/** Homes whose cost is worked out for one request, and as many other holders at most. */
 export const maximumCandidates = 16;
 
+/** Endpoints with little work before them that are considered beside a prompt's homes and holders. */
+export const spareCandidates = 4;
+
 /** Age after which a holder that was not confirmed counts for nothing. */
 export const holderLifetime: Milliseconds = 20_000;
 
@@ -133,7 +139,7 @@
         }
         const levels = this.levelsOf(request, now);
         const homeDepth = levels.at(-1)?.depth ?? 0;
-        const homes = nestedHomes(levels, usable, (endpoint) => endpoint.seed, maximumCandidates);
+        const homes = this.candidatesFor(levels, usable);
         let best:
             | { readonly endpoint: EndpointKnowledge; readonly cost: number; readonly hit: number; }
             | undefined;
@@ -189,12 +195,30 @@
         }
     }
 
+    /** Endpoints that can serve the request; those of the own data centre alone where they are many. */
     private usableEndpoints(
         request: PlacementRequest,
         exclude: readonly string[],
         now: Milliseconds,
-    ): EndpointKnowledge[] {
-        const able = this.endpoints.ofPool(request.pool).filter((endpoint) =>
+    ): readonly EndpointKnowledge[] {
+        const near = this.usableOf(
+            this.endpoints.near(request.pool, this.options.dataCentre),
+            request,
+            exclude,
+            now,
+        );
+        return near.length >= enoughNearEndpoints
+            ? near
+            : this.usableOf(this.endpoints.ofPool(request.pool), request, exclude, now);
+    }
+
+    private usableOf(
+        endpoints: readonly EndpointKnowledge[],
+        request: PlacementRequest,
+        exclude: readonly string[],
+        now: Milliseconds,
+    ): readonly EndpointKnowledge[] {
+        const able = endpoints.filter((endpoint) =>
             canServe(endpoint, request.weights) && !exclude.includes(endpoint.candidate.instance)
         );
         const reported = able.filter((endpoint) => endpoint.status !== undefined);
@@ -217,6 +241,30 @@
         });
     }
 
+    /**
+     * Endpoints whose cost is worked out: all of a small pool; of a large one the first homes, those whose summary
+     * holds the innermost level, and those with the least work before them.
+     */
+    private candidatesFor(
+        levels: readonly PrefixLevel[],
+        usable: readonly EndpointKnowledge[],
+    ): Home<EndpointKnowledge>[] {
+        const ordered = nestedHomes(levels, usable, (endpoint) => endpoint.seed);
+        if (ordered.length <= maximumCandidates) {
+            return ordered;
+        }
+        const homes = ordered.slice(0, maximumCandidates);
+        const others = ordered.slice(maximumCandidates);
+        const innermost = levels.at(-1);
+        const holders = innermost === undefined
+            ? []
+            : others.filter(({ member }) => member.held?.has(seedOf(innermost.name))).slice(
+                0,
+                maximumCandidates,
+            );
+        return [...homes, ...holders, ...leastPending(others, spareCandidates)];
+    }
+
     /** Depth of the innermost level that is shared: deeper than the prompt's form says where heat proves it. */
     private homeDepth(request: PlacementRequest, now: Milliseconds): number {
         const blocks = request.prefixBlocks;
@@ -320,3 +368,12 @@
 function shareOf(heat: number, total: number): number {
     return total === 0 ? 0 : Math.min(1, heat / total);
 }
+
+/** The `count` members with the least work before them. */
+function leastPending(others: readonly Home<EndpointKnowledge>[], count: number): Home<EndpointKnowledge>[] {
+    return others
+        .map((home) => ({ home, pending: pendingTokens(home.member) }))
+        .sort((left, right) => left.pending - right.pending)
+        .slice(0, count)
+        .map(({ home }) => home);
+}
