--- a/packages/agent/src/node/agent.ts
+++ b/packages/agent/src/node/agent.ts
@@ -23,11 +23,13 @@
     Topic,
 } from "@redwingpin/protocol";
 import { randomInt, randomUUID } from "node:crypto";
+import type { Registry } from "prom-client";
 import type { ResolvedAgentConfig } from "../config.js";
 import { maxBodyBytes } from "../constants.js";
 import { declineReason } from "../decision/acceptance.js";
 import { RecentRequests } from "../decision/recentRequests.js";
 import { servedWeights } from "../decision/servedWeights.js";
+import { createAgentMetrics, type DeclineCounter } from "./agentMetrics.js";
 import { EndpointCache } from "./endpointCache.js";
 import { EndpointClient } from "./endpointClient.js";
 import { type EndpointHealth, EndpointMonitor } from "./endpointMonitor.js";
@@ -39,6 +41,7 @@
     readonly config: ResolvedAgentConfig;
     readonly clock: Clock;
     readonly logger: Logger;
+    readonly registry: Registry;
 }
 
 /** Serves one endpoint to the routers. */
@@ -53,6 +56,7 @@
     private readonly cache: EndpointCache;
     private readonly rosterCache = new RosterCache();
     private readonly membership: MembershipResponder;
+    private readonly declines: DeclineCounter;
     private draining = false;
     private wakeWhenIdle: (() => void) | undefined;
 
@@ -102,17 +106,14 @@
             peers: createAgentPeers(this.innerNode),
         });
         this.configuration.onInstalled(() => this.broadcastStatus());
-        this.innerNode.handle(Topic.Configuration, (body, from) => {
-            this.configuration.handle(body, from.instance);
-            return Promise.resolve(undefined);
-        });
-        this.innerNode.handle(Topic.Rates, (body) => Promise.resolve(this.answerRates(body)));
         this.membership = this.createMembership();
-        this.innerNode.handle(
-            Topic.Membership,
-            (body) => Promise.resolve(this.membership.handle(body) ?? { kind: "pong" }),
-        );
-        this.innerNode.handle(Topic.Operator, () => Promise.resolve(this.operatorStatus()));
+        this.declines = createAgentMetrics(options.registry, {
+            revision: () => this.configuration.revision(),
+            pendingTokens: () => this.scheduler.pendingTokens,
+            running: () => this.scheduler.running,
+            endpointUp: () => this.monitor.current.incarnation !== undefined,
+        });
+        this.handleTopics();
     }
 
     /** Starts to listen; resolves with the port of the inner protocol. */
@@ -164,6 +165,19 @@
         };
     }
 
+    private handleTopics(): void {
+        this.innerNode.handle(Topic.Configuration, (body, from) => {
+            this.configuration.handle(body, from.instance);
+            return Promise.resolve(undefined);
+        });
+        this.innerNode.handle(Topic.Rates, (body) => Promise.resolve(this.answerRates(body)));
+        this.innerNode.handle(
+            Topic.Membership,
+            (body) => Promise.resolve(this.membership.handle(body) ?? { kind: "pong" }),
+        );
+        this.innerNode.handle(Topic.Operator, () => Promise.resolve(this.operatorStatus()));
+    }
+
     private createMembership(): MembershipResponder {
         const { clock, config } = this.options;
         return new MembershipResponder({
@@ -218,6 +232,7 @@
             status: () => this.status(),
             cache: this.cache,
             blockTokens: defaultBlockTokens,
+            onDeclined: (reason) => this.declines.declined(reason),
             onEnded: (ended) => this.forget(connection, ended),
         });
         this.remember(connection, exchange);
--- /dev/null
+++ b/packages/agent/src/node/agentMetrics.ts
@@ -0,0 +1,54 @@
+/**
+ * The agent's metrics: its queue, what it declined, and its endpoint.
+ *
+ * @module
+ */
+import { registerGauge } from "@redwingpin/common";
+import { DeclineReason } from "@redwingpin/protocol";
+import { Counter, type Registry } from "prom-client";
+
+/** Values that are read when metrics are collected. */
+export interface AgentGauges {
+    readonly revision: () => number;
+    readonly pendingTokens: () => number;
+    readonly running: () => number;
+    readonly endpointUp: () => boolean;
+}
+
+/** Counts what the agent declines. */
+export interface DeclineCounter {
+    declined(reason: DeclineReason): void;
+}
+
+/** Makes the agent's metrics in `registry`. */
+export function createAgentMetrics(registry: Registry, gauges: AgentGauges): DeclineCounter {
+    registerGauge(registry, "redwingpin_configuration_revision", "Revision in force", gauges.revision);
+    registerGauge(
+        registry,
+        "redwingpin_pending_tokens",
+        "Tokens that wait or have not begun to answer",
+        gauges.pendingTokens,
+    );
+    registerGauge(
+        registry,
+        "redwingpin_running_requests",
+        "Requests that run at the endpoint",
+        gauges.running,
+    );
+    registerGauge(
+        registry,
+        "redwingpin_endpoint_up",
+        "1 while the endpoint answers",
+        () => gauges.endpointUp() ? 1 : 0,
+    );
+    const declines = new Counter({
+        name: "redwingpin_declines_total",
+        help: "Requests that the agent declined, by reason",
+        labelNames: ["reason"],
+        registers: [registry],
+    });
+    for (const reason of Object.values(DeclineReason)) {
+        declines.inc({ reason }, 0);
+    }
+    return { declined: (reason) => declines.inc({ reason }) };
+}
--- a/packages/agent/src/node/exchangeTask.ts
+++ b/packages/agent/src/node/exchangeTask.ts
@@ -27,6 +27,7 @@
     readonly cache: EndpointCache;
     /** Tokens in one prefix block. */
     readonly blockTokens: number;
+    readonly onDeclined: (reason: DeclineReason) => void;
     /** Called once when nothing more follows. */
     readonly onEnded: (exchange: ExchangeTask) => void;
 }
@@ -84,6 +85,7 @@
 
     /** Ends the exchange without running it. */
     decline(reason: DeclineReason): void {
+        this.context.onDeclined(reason);
         this.end({
             kind: MessageKind.Decline,
             exchange: this.open.exchange,
--- a/packages/agent/src/node/main.ts
+++ b/packages/agent/src/node/main.ts
@@ -50,7 +50,7 @@
     });
     const registry = new Registry();
     createReasonCounters(registry);
-    const agent = new Agent({ config, clock: systemClock, logger });
+    const agent = new Agent({ config, clock: systemClock, logger, registry });
     let ready = false;
     const health = await startHealthServer(config.listenHost, config.metricsPort, {
         registry,
--- a/packages/common/src/metrics.ts
+++ b/packages/common/src/metrics.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { Counter, Registry } from "prom-client";
+import { Counter, Gauge, type Registry } from "prom-client";
 import { RefusalReason, RetryReason } from "./reasons.js";
 
 /** Name of the counter of refusals. */
@@ -54,3 +54,15 @@
     }
     return counter;
 }
+
+/** Adds a gauge to `registry` whose value is read when metrics are collected. */
+export function registerGauge(registry: Registry, name: string, help: string, read: () => number): void {
+    new Gauge({
+        name,
+        help,
+        registers: [registry],
+        collect() {
+            this.set(read());
+        },
+    });
+}
--- a/packages/proofs/src/__tests__/siteFixture.ts
+++ b/packages/proofs/src/__tests__/siteFixture.ts
@@ -167,7 +167,7 @@
         endpointKind: endpoint.kind,
         virtualMachineListAddress: "http://127.0.0.1:1",
     }, { REDWINGPIN_FLEET_KEY: fleetKey })._unsafeUnwrap();
-    return new Agent({ config, clock: systemClock, logger: silentLogger });
+    return new Agent({ config, clock: systemClock, logger: silentLogger, registry: new Registry() });
 }
 
 function createRouter(
--- a/packages/router/src/node/answerRelay.ts
+++ b/packages/router/src/node/answerRelay.ts
@@ -28,6 +28,14 @@
     Passing,
 }
 
+/** Options of {@link AnswerRelay}. */
+export interface AnswerRelayOptions {
+    /** True where the caller asked for a completion as a stream. */
+    readonly isCompletionStream: boolean;
+    /** Called once, when the first byte of the answer is sent. */
+    readonly onFirstByte: () => void;
+}
+
 /** Owns the caller's response for the time of one request. */
 export class AnswerRelay {
     private mode = Mode.Held;
@@ -40,7 +48,7 @@
     private sawEnd = false;
     private committed = false;
 
-    constructor(private readonly response: ServerResponse, private readonly isCompletionStream: boolean) {}
+    constructor(private readonly response: ServerResponse, private readonly options: AnswerRelayOptions) {}
 
     /** Tokens of a completion stream that the caller has been sent. */
     get deliveredTokens(): number {
@@ -73,7 +81,7 @@
         const streams = headers.some((header) =>
             header.name === "content-type" && header.value.startsWith("text/event-stream")
         );
-        this.mode = this.isCompletionStream && streams && status === 200 ? Mode.Events : Mode.Held;
+        this.mode = this.options.isCompletionStream && streams && status === 200 ? Mode.Events : Mode.Held;
     }
 
     /** Takes in part of the answer; resolves when the caller has taken enough for more to come. */
@@ -156,6 +164,7 @@
     private commit(): void {
         if (!this.committed && !this.response.destroyed) {
             this.committed = true;
+            this.options.onFirstByte();
             this.response.writeHead(this.status, flatHeaders(this.headers));
         }
     }
@@ -163,6 +172,7 @@
     private sendHeld(): void {
         const body = Buffer.concat(this.held);
         this.committed = true;
+        this.options.onFirstByte();
         this.response.writeHead(this.status, [
             ...flatHeaders(this.headers),
             "content-length",
--- a/packages/router/src/node/callerRequest.ts
+++ b/packages/router/src/node/callerRequest.ts
@@ -27,6 +27,8 @@
     /** Tokens that the request costs at most. */
     readonly tokens: number;
     readonly idempotencyKey: string | undefined;
+    /** Time of the router's clock at which the request's checks began. */
+    readonly arrival: Milliseconds;
     /** Time of the router's clock at which the request is given up. */
     readonly deadline: Milliseconds;
     /** Digest of account and body. */
--- a/packages/router/src/node/callerServer.ts
+++ b/packages/router/src/node/callerServer.ts
@@ -214,6 +214,7 @@
         method: request.method ?? "GET",
         headers: headersForEndpoint(headerFields(request), caller.key),
         idempotencyKey: singleHeader(request, "idempotency-key"),
+        arrival: context.clock.now(),
         deadline: context.clock.now() + context.requestTimeout,
         fingerprint: digestOf(account, body),
     };
--- a/packages/router/src/node/requestPipeline.ts
+++ b/packages/router/src/node/requestPipeline.ts
@@ -24,6 +24,7 @@
 import type { CallerRequest } from "./callerRequest.js";
 import { answerRefusal, answerReplay } from "./errorAnswer.js";
 import type { ChosenAgent, RequestPlacement } from "./requestPlacement.js";
+import { RequestEnd, type RequestMetrics } from "./routerMetrics.js";
 
 /** What the pipeline needs from its router. */
 export interface PipelineContext {
@@ -35,6 +36,7 @@
     readonly retryBudget: RetryBudget;
     readonly admission: AdmissionController;
     readonly claims: Claims;
+    readonly metrics: RequestMetrics;
 }
 
 /** A reservation for callers that no rate applies to: routes open to all, without a key. */
@@ -87,6 +89,7 @@
                 return this.run(request, response, reservation, decision.claim);
             case "replay":
                 reservation.settle(0);
+                this.context.metrics.ended(RequestEnd.Replayed);
                 answerReplay(response, decision.answer);
                 return;
             case "refuse": {
@@ -107,7 +110,10 @@
         reservation: Reservation,
         claim: Claim | undefined,
     ): Promise<void> {
-        const relay = new AnswerRelay(response, request.completion?.stream === true);
+        const relay = new AnswerRelay(response, {
+            isCompletionStream: request.completion?.stream === true,
+            onFirstByte: () => this.context.metrics.firstByte(this.context.clock.now() - request.arrival),
+        });
         const outcome = await this.attempt(request, relay, claim);
         reservation.settle(spentTokens(request, outcome, relay.deliveredTokens, relay.heldAnswer()?.body));
         if (claim !== undefined) {
@@ -123,7 +129,10 @@
     ): Promise<RequestOutcome> {
         const { placement, retryBudget, claims } = this.context;
         let chosen: ChosenAgent | undefined;
-        const onHead = (head: Head) => placement.observeHead(chosen!, head);
+        const onHead = (head: Head) => {
+            placement.observeHead(chosen!, head);
+            this.context.metrics.placed(request.prefix.blocks.length, head.hitBlocks);
+        };
         const runner = new AttemptRunner(this.context.attempts, request, relay, onHead);
         retryBudget.recordRequest();
         const perform = async (effect: AttemptEffect): Promise<AttemptEvent> => {
@@ -168,15 +177,18 @@
     ): void {
         switch (outcome.kind) {
             case "answered":
+                this.context.metrics.ended(RequestEnd.Answered);
                 this.context.logger.debug("answered", logFields(request));
                 return;
             case "abandoned":
+                this.context.metrics.ended(RequestEnd.Abandoned);
                 this.context.logger.debug("the caller has gone", logFields(request));
                 return;
             case "refused":
                 this.refuse(request, outcome.refusal, response);
                 return;
             case "cut":
+                this.context.metrics.ended(RequestEnd.Cut);
                 this.context.counters.refused(outcome.refusal.reason);
                 this.context.logger.warn("cut", { ...logFields(request), reason: outcome.refusal.reason });
                 relay.cut(outcome.refusal);
@@ -185,6 +197,7 @@
     }
 
     private refuse(request: CallerRequest, refusal: Refusal, response: ServerResponse): void {
+        this.context.metrics.ended(RequestEnd.Refused);
         this.context.counters.refused(refusal.reason);
         this.context.logger.info("refused", {
             ...logFields(request),
--- a/packages/router/src/node/router.ts
+++ b/packages/router/src/node/router.ts
@@ -49,6 +49,7 @@
 import { createRatePeers } from "./ratePeers.js";
 import { RequestPipeline } from "./requestPipeline.js";
 import { RequestPlacement } from "./requestPlacement.js";
+import { createRequestMetrics, registerRouterGauges } from "./routerMetrics.js";
 import { handleConfiguration, handleMembership, handleOperators, handleRates } from "./routerTopics.js";
 import { SilenceProbe } from "./silenceProbe.js";
 
@@ -103,6 +104,12 @@
         this.claims = this.createClaims();
         this.pipeline = this.createPipeline();
         this.callerServer = this.createCallerServer();
+        registerRouterGauges(registry, {
+            revision: () => this.revision(),
+            openExchanges: () => this.exchanges.size,
+            knownRouters: () => this.membership.routers().length,
+            knownAgents: () => this.membership.agents().length,
+        });
     }
 
     /** Starts to serve; resolves with the ports. */
@@ -166,6 +173,7 @@
             retryBudget: new RetryBudget(),
             admission: this.admission,
             claims: this.claims,
+            metrics: createRequestMetrics(this.options.registry),
             attempts: {
                 clock,
                 innerNode: this.innerNode,
--- /dev/null
+++ b/packages/router/src/node/routerMetrics.ts
@@ -0,0 +1,82 @@
+/**
+ * The router's own metrics, beside the counters of refusals and retries.
+ *
+ * @module
+ */
+import { type Milliseconds, registerGauge } from "@redwingpin/common";
+import { Counter, Histogram, type Registry } from "prom-client";
+
+/** How a request ended, as a label. */
+export enum RequestEnd {
+    Answered = "answered",
+    Replayed = "replayed",
+    Refused = "refused",
+    /** The caller got part of the answer and an explicit error. */
+    Cut = "cut",
+    /** The caller left. */
+    Abandoned = "abandoned",
+}
+
+/** Values that are read when metrics are collected. */
+export interface RouterGauges {
+    readonly revision: () => number;
+    readonly openExchanges: () => number;
+    readonly knownRouters: () => number;
+    readonly knownAgents: () => number;
+}
+
+/** Records what happens to requests. */
+export interface RequestMetrics {
+    /** Counts a request by its end. */
+    ended(end: RequestEnd): void;
+    /** Records the time from a request's arrival to the first byte of its answer. */
+    firstByte(duration: Milliseconds): void;
+    /** Records prompt blocks and those that the endpoint's cache held. */
+    placed(promptBlocks: number, hitBlocks: number): void;
+}
+
+const millisecondsPerSecond = 1_000;
+const firstByteBucketsSeconds = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.59, 1, 2.5, 5, 10, 30];
+
+/** Makes the router's metrics in `registry`. */
+export function createRequestMetrics(registry: Registry): RequestMetrics {
+    const registers = [registry];
+    const requests = new Counter({
+        name: "redwingpin_requests_total",
+        help: "Requests that passed their checks, by how they ended",
+        labelNames: ["end"],
+        registers,
+    });
+    const firstByte = new Histogram({
+        name: "redwingpin_first_byte_seconds",
+        help: "Time from a request's arrival to the first byte of its answer",
+        buckets: firstByteBucketsSeconds,
+        registers,
+    });
+    const promptBlocks = new Counter({
+        name: "redwingpin_prompt_blocks_total",
+        help: "Prefix blocks of the prompts that were placed",
+        registers,
+    });
+    const hitBlocks = new Counter({
+        name: "redwingpin_hit_blocks_total",
+        help: "Prefix blocks that the chosen endpoint's cache held",
+        registers,
+    });
+    return {
+        ended: (end) => requests.inc({ end }),
+        firstByte: (duration) => firstByte.observe(duration / millisecondsPerSecond),
+        placed(prompt, hit) {
+            promptBlocks.inc(prompt);
+            hitBlocks.inc(hit);
+        },
+    };
+}
+
+/** Adds the gauges of a router to `registry`. */
+export function registerRouterGauges(registry: Registry, gauges: RouterGauges): void {
+    registerGauge(registry, "redwingpin_configuration_revision", "Revision in force", gauges.revision);
+    registerGauge(registry, "redwingpin_open_exchanges", "Requests at agents", gauges.openExchanges);
+    registerGauge(registry, "redwingpin_known_routers", "Other live routers", gauges.knownRouters);
+    registerGauge(registry, "redwingpin_known_agents", "Agents that may be given work", gauges.knownAgents);
+}
