--- a/packages/proofs/src/scenarios/features/stamps.feature
+++ b/packages/proofs/src/scenarios/features/stamps.feature
@@ -9,11 +9,19 @@
     And a caller sends the stamp "two" with idempotency key "stamp-1" through router 2
     And "one" has ended
     And "two" has ended
-    And a caller sends the stamp "three" with idempotency key "stamp-1" through router 2
+    And a caller sends the stamp "three" with idempotency key "stamp-1" through router 2 until it is answered
     Then "three" is answered with a replay
     And every stamp was executed at most once
     And every answered stamp was executed exactly once
 
+  Scenario: the same stamp right after its answer is replayed by another router
+    Given a site with 2 routers, 1 engines and 2 services
+    When a caller sends the stamp "one" with idempotency key "stamp-1" through router 1
+    Then "one" is complete
+    When a caller sends the stamp "two" with idempotency key "stamp-1" through router 2
+    Then "two" is answered with a replay
+    And every stamp was executed at most once
+
   Scenario: the same stamp again after all routers have restarted is replayed
     Given a site with 2 routers, 1 engines and 2 services
     When a caller sends the stamp "one" with idempotency key "stamp-1" through router 1
--- a/packages/proofs/src/scenarios/steps/callerSteps.ts
+++ b/packages/proofs/src/scenarios/steps/callerSteps.ts
@@ -56,6 +56,12 @@
         action: (world, name, idempotencyKey, router) =>
             sendStamp(world, name!, Number(router), idempotencyKey!),
     },
+    {
+        pattern:
+            "a caller sends the stamp {text} with idempotency key {text} through router {number} until it is answered",
+        action: (world, name, idempotencyKey, router) =>
+            repeatStamp(world, name!, Number(router), idempotencyKey!),
+    },
     {
         pattern: "a caller asks for {text} that crashes its engine through router {number}",
         action: (world, name, router) => sendCrashing(world, name!, Number(router)),
@@ -180,6 +186,18 @@
     sendNamed(world, name, { kind: CallKind.Stamp, identity, idempotencyKey, router: world.router(router) });
 }
 
+async function repeatStamp(
+    world: World,
+    name: string,
+    router: number,
+    idempotencyKey: string,
+): Promise<void> {
+    await world.until(`the stamp "${name}" is answered`, async () => {
+        sendStamp(world, name, router, idempotencyKey);
+        return (await world.calls.get(name)!.ended).end === CallEnd.Complete;
+    });
+}
+
 function sendCrashing(world: World, name: string, router: number): void {
     const prompt = `${crashMarker} ${world.newIdentity()}`;
     sendNamed(world, name, { kind: CallKind.Completion, prompt, router: world.router(router) });
--- a/packages/proofs/src/scenarios/world.ts
+++ b/packages/proofs/src/scenarios/world.ts
@@ -74,7 +74,7 @@
         await Promise.all(this.loads.map((load) => load.stop()));
         await this.caller.close();
         await this.connected.destroy();
-        await this.running?.stop();
+        await this.running?.kill();
     }
 
     /** A text that no other call has. */
--- /dev/null
+++ b/playground/src/__tests__/playground.spec.ts
@@ -0,0 +1,72 @@
+import type { Manifest } from "@redwingpin/manifest";
+import { expect } from "chai";
+import { execFile } from "node:child_process";
+import { readFile, writeFile } from "node:fs/promises";
+import { promisify } from "node:util";
+import { request } from "undici";
+import { type Playground, startPlayground } from "../playground.js";
+
+interface Answer {
+    readonly status: number;
+    readonly text: string;
+}
+
+async function send(address: string, key: string, body?: object): Promise<Answer> {
+    const answer = await request(address, {
+        method: body === undefined ? "GET" : "POST",
+        headers: { "content-type": "application/json", authorization: `Bearer ${key}` },
+        body: body && JSON.stringify(body),
+    });
+    return { status: answer.statusCode, text: await answer.body.text() };
+}
+
+describe("playground", () => {
+    let playground: Playground;
+
+    before(async () => {
+        playground = await startPlayground({ routers: 2, engines: 2, services: 1 });
+    });
+
+    after(async () => {
+        await playground.kill();
+    });
+
+    it("answers a completion, a stream and service calls through every router", async () => {
+        const { routers, keys, models, nonIdempotent, idempotentService } = playground.state;
+        const { key } = keys[0]!;
+        const body = { model: models[0], prompt: "Does this pattern match?", max_tokens: 20 };
+        for (const router of routers) {
+            const whole = await send(`${router}/v1/completions`, key, body);
+            expect(whole.status).to.equal(200);
+            const stream = await send(`${router}/v1/completions`, key, { ...body, stream: true });
+            expect(stream.text.endsWith("data: [DONE]\n\n")).to.equal(true);
+            expect((await send(`${router}${nonIdempotent}`, key, { stamp: 1 })).status).to.equal(200);
+            expect((await send(`${router}${idempotentService}`, key, {})).status).to.equal(200);
+        }
+    });
+
+    it("starts a process again on the same address from its command and environment", async () => {
+        const child = playground.child("router-1");
+        await child.kill();
+        await playground.restart("router-1");
+        const { routers, keys } = playground.state;
+        expect((await send(`${routers[0]}/v1/models`, keys[0]!.key)).status).to.equal(200);
+    });
+
+    it("refuses a key that the operator has withdrawn", async () => {
+        const { routers, keys, manifest, operator } = playground.state;
+        const { account, key } = keys.find((candidate) => candidate.account === "inspectors")!;
+        const before = JSON.parse(await readFile(manifest, "utf8")) as Manifest;
+        const accounts = before.accounts.map((each) => each.name === account ? { ...each, keys: [] } : each);
+        const file = `${playground.folder}/withdrawn.json`;
+        await writeFile(file, JSON.stringify({ ...before, accounts }));
+        const [program, ...first] = operator;
+        await promisify(execFile)(program!, [...first, "manifest", "apply", file]);
+        for (const router of routers) {
+            while ((await send(`${router}/v1/models`, key)).status !== 401) {
+                await new Promise((resolve) => setTimeout(resolve, 20));
+            }
+        }
+        expect((await send(`${routers[0]}/v1/models`, keys[0]!.key)).status).to.equal(200);
+    });
+});
--- a/playground/src/childProcess.ts
+++ b/playground/src/childProcess.ts
@@ -77,6 +77,12 @@
         clearTimeout(timer);
     }
 
+    /** Kills the process and waits for its end. */
+    async kill(): Promise<void> {
+        this.signal("SIGKILL");
+        await this.ended;
+    }
+
     private watch(log: WriteStream): Promise<ProcessEnd> {
         return new Promise((resolve) => {
             const finish = (end: ProcessEnd) => {
--- a/playground/src/playground.ts
+++ b/playground/src/playground.ts
@@ -44,8 +44,10 @@
     child(name: string): PlaygroundChild;
     /** Starts a process that has ended again, on the same address, and waits until it is ready. */
     restart(name: string): Promise<PlaygroundChild>;
-    /** Stops every process. */
+    /** Asks every process to stop, the product first, and waits for them. */
     stop(): Promise<void>;
+    /** Kills every process. */
+    kill(): Promise<void>;
 }
 
 const productStopLimitMilliseconds = 10_000;
@@ -62,7 +64,7 @@
         return playground;
     }
     catch (error) {
-        await playground.stopProcesses();
+        await playground.killProcesses();
         throw error;
     }
 }
@@ -115,10 +117,7 @@
         });
         await this.launch(this.plan.standins);
         await this.publishVirtualMachines();
-        await this.launch(this.plan.agents);
-        this.plan.routers.forEach((plan) => this.spawn(plan));
-        await this.applyManifest();
-        await Promise.all(this.plan.routers.map((plan) => this.child(plan.name).untilReady()));
+        await Promise.all([this.launch([...this.plan.agents, ...this.plan.routers]), this.applyManifest()]);
         await this.untilServing();
     }
 
@@ -145,7 +144,16 @@
         await rm(this.folder, { recursive: true, force: true });
     }
 
-    async stopProcesses(): Promise<void> {
+    async kill(): Promise<void> {
+        await this.killProcesses();
+        await rm(this.folder, { recursive: true, force: true });
+    }
+
+    async killProcesses(): Promise<void> {
+        await Promise.all([...this.children.values()].map((child) => child.kill()));
+    }
+
+    private async stopProcesses(): Promise<void> {
         const product = [...this.plan?.routers ?? [], ...this.plan?.agents ?? []];
         await this.stopAll(product, productStopLimitMilliseconds);
         await this.stopAll(this.plan?.standins ?? [], standinStopLimitMilliseconds);
