--- a/packages/agent/src/node/agent.ts
+++ b/packages/agent/src/node/agent.ts
@@ -4,16 +4,21 @@
  *
  * @module
  */
+import { RosterCache } from "@redwingpin/admission";
 import { type Clock, type Logger, maxSeed, seededRandom } from "@redwingpin/common";
 import { type Configuration, createAgentPeers, createConfiguration } from "@redwingpin/configuration";
 import { EndpointKind } from "@redwingpin/manifest";
+import { MembershipResponder } from "@redwingpin/membership";
+import { defaultBlockTokens } from "@redwingpin/placement";
 import {
     type Connection,
     type EndpointStatus,
     type ExchangeMessage,
     InnerNode,
+    isRateMessage,
     MessageKind,
     type Open,
+    type OperatorStatus,
     ProcessRole,
     Topic,
 } from "@redwingpin/protocol";
@@ -23,6 +28,7 @@
 import { declineReason } from "../decision/acceptance.js";
 import { RecentRequests } from "../decision/recentRequests.js";
 import { servedWeights } from "../decision/servedWeights.js";
+import { EndpointCache } from "./endpointCache.js";
 import { EndpointClient } from "./endpointClient.js";
 import { type EndpointHealth, EndpointMonitor } from "./endpointMonitor.js";
 import { ExchangeTask } from "./exchangeTask.js";
@@ -44,6 +50,9 @@
     private readonly exchanges = new Map<Connection, Map<number, ExchangeTask>>();
     private readonly recent = new RecentRequests();
     private readonly configuration: Configuration;
+    private readonly cache: EndpointCache;
+    private readonly rosterCache = new RosterCache();
+    private readonly membership: MembershipResponder;
     private draining = false;
     private wakeWhenIdle: (() => void) | undefined;
 
@@ -59,6 +68,11 @@
             maxQueuedRequests: config.maxQueuedRequests,
             maxQueuedTokens: config.maxQueuedTokens,
         });
+        this.cache = new EndpointCache({
+            address: config.endpointAddress,
+            clock,
+            logger: logger.scope("cache"),
+        });
         this.monitor = new EndpointMonitor({
             address: config.endpointAddress,
             kind: config.endpointKind,
@@ -92,19 +106,29 @@
             this.configuration.handle(body, from.instance);
             return Promise.resolve(undefined);
         });
-        this.innerNode.handle(Topic.Membership, () => Promise.resolve({ kind: "pong" }));
+        this.innerNode.handle(Topic.Rates, (body) => Promise.resolve(this.answerRates(body)));
+        this.membership = this.createMembership();
+        this.innerNode.handle(
+            Topic.Membership,
+            (body) => Promise.resolve(this.membership.handle(body) ?? { kind: "pong" }),
+        );
+        this.innerNode.handle(Topic.Operator, () => Promise.resolve(this.operatorStatus()));
     }
 
     /** Starts to listen; resolves with the port of the inner protocol. */
     async start(): Promise<number> {
         await this.monitor.start();
         this.configuration.start();
-        return this.innerNode.listen(this.options.config.listenHost, this.options.config.innerPort);
+        const { config } = this.options;
+        const port = await this.innerNode.listen(config.listenHost, config.innerPort);
+        this.membership.listensOn(port);
+        return port;
     }
 
     /** Takes no new work, waits until what runs has ended, and closes everything. */
     async drain(): Promise<void> {
         this.draining = true;
+        this.membership.leave();
         this.broadcastStatus();
         if (this.exchangeCount() > 0) {
             await new Promise<void>((resolve) => {
@@ -118,6 +142,7 @@
     stop(): void {
         this.configuration.stop();
         this.monitor.stop();
+        this.cache.stop();
         this.innerNode.stop();
         void this.endpoint.stop();
     }
@@ -135,6 +160,34 @@
             queuedTokens: this.scheduler.pendingTokens,
             running: this.scheduler.running,
             tokensPerSecond: 0,
+            heldPrefixes: this.cache.heldPrefixes(),
+        };
+    }
+
+    private createMembership(): MembershipResponder {
+        const { clock, config } = this.options;
+        return new MembershipResponder({
+            instance: config.instance,
+            role: ProcessRole.Agent,
+            host: config.listenHost,
+            port: config.innerPort,
+            dataCentre: config.dataCentre,
+            pool: config.pool,
+            epoch: Math.max(1, Math.round(clock.wallTime())),
+        });
+    }
+
+    private operatorStatus(): OperatorStatus {
+        const { config } = this.options;
+        return {
+            instance: config.instance,
+            role: ProcessRole.Agent,
+            dataCentre: config.dataCentre,
+            revision: this.configuration.revision(),
+            ready: !this.draining,
+            refusals: [],
+            accounts: [],
+            endpoint: this.status(),
         };
     }
 
@@ -163,8 +216,8 @@
             endpoint: this.endpoint,
             scheduler: this.scheduler,
             status: () => this.status(),
-            hitBlocks: () => 0,
-            onDispatched: () => {},
+            cache: this.cache,
+            blockTokens: defaultBlockTokens,
             onEnded: (ended) => this.forget(connection, ended),
         });
         this.remember(connection, exchange);
@@ -181,7 +234,14 @@
         }
     }
 
+    private answerRates(body: unknown): unknown {
+        return isRateMessage(body) ? this.rosterCache.handle(body) : { error: "the body is no rate message" };
+    }
+
     private onHealthChange(health: EndpointHealth, before: EndpointHealth): void {
+        if (this.options.config.endpointKind === EndpointKind.Engine) {
+            void this.cache.restarted(health.incarnation);
+        }
         this.options.logger.info("the endpoint changed", {
             incarnation: health.incarnation,
             before: before.incarnation,
--- a/packages/claims/src/constants.ts
+++ b/packages/claims/src/constants.ts
@@ -49,3 +49,24 @@
 
 /** Outcomes that a shard's writer keeps for the store while it cannot be reached. */
 export const maximumPendingOutcomes = 10_000;
+
+/** Duration of the lease of the router that leads the orders. */
+export const leaderLeaseDuration: Milliseconds = 10_000;
+
+/** Time between two rounds of the router that leads the orders. */
+export const orderRoundInterval: Milliseconds = 1_000;
+
+/** Time after its last crash for which a request is suspect or quarantined. */
+export const quarantineDuration: Milliseconds = 600_000;
+
+/** Crashes after which a request is quarantined. */
+export const crashesBeforeQuarantine = 2;
+
+/** Suspects that are remembered at most; a record of that many stays below a megabyte. */
+export const maximumSuspects = 3_000;
+
+/** Time between two looks of a router at the suspects in the store. */
+export const quarantineReadInterval: Milliseconds = 60_000;
+
+/** Attempts to write suspects to the store. */
+export const quarantineWriteAttempts = 20;
--- a/packages/membership/src/decision/memberTable.ts
+++ b/packages/membership/src/decision/memberTable.ts
@@ -37,6 +37,7 @@
 export class MemberTable {
     private readonly members = new Map<string, Member>();
     private hasReadList = false;
+    private changes = 0;
     private self: MemberEntry;
 
     constructor(self: MemberEntry, private readonly onNews: (entry: MemberEntry) => void) {
@@ -48,6 +49,11 @@
         return this.self;
     }
 
+    /** Grows whenever a member comes, goes, moves, or begins to leave; suspicion alone does not count. */
+    get version(): number {
+        return this.changes;
+    }
+
     /** Every member but this process. */
     all(): Member[] {
         return [...this.members.values()];
@@ -57,6 +63,11 @@
         return this.members.get(instance);
     }
 
+    /** States the port on which this process listens. */
+    listensOn(port: number): void {
+        this.self = { ...this.self, port };
+    }
+
     /** States that this process leaves. */
     leave(): void {
         this.self = { ...this.self, state: MemberState.Leaving };
@@ -122,6 +133,7 @@
             if (diedAt !== undefined) {
                 if (!member.isListed && now - diedAt >= tombstoneTime) {
                     this.members.delete(entry.instance);
+                    this.changes++;
                 }
             }
             else if (silentSince !== undefined && now - silentSince >= patience) {
@@ -135,9 +147,11 @@
         const listed = new Set(machines.map((machine) => machine.instance));
         for (const machine of machines) {
             if (machine.instance === this.self.instance) {
-                continue;
+                this.readOwnMachine(machine);
+            }
+            else {
+                this.readMachine(machine, now);
             }
-            this.readMachine(machine, now);
         }
         for (const member of this.all()) {
             const isListed = listed.has(member.entry.instance);
@@ -153,6 +167,13 @@
         return this.hasReadList;
     }
 
+    /** A process that listens on all addresses learns from the list by which one others reach it. */
+    private readOwnMachine(machine: VirtualMachine): void {
+        if (isUnspecifiedHost(this.self.host)) {
+            this.self = { ...this.self, host: machine.host };
+        }
+    }
+
     private readMachine(machine: VirtualMachine, now: Milliseconds): void {
         const known = this.members.get(machine.instance);
         if (known === undefined) {
@@ -167,6 +188,7 @@
             const { host, port, dataCentre, pool } = machine;
             const moved = { ...known.entry, host, port, dataCentre, pool };
             this.members.set(machine.instance, { ...known, entry: moved });
+            this.changes++;
         }
         if (machine.leaving) {
             this.merge({ ...known.entry, state: MemberState.Leaving }, now);
@@ -175,6 +197,7 @@
 
     private put(known: Member | undefined, entry: MemberEntry, now: Milliseconds): void {
         const isSilent = entry.state === MemberState.Suspect;
+        this.changes += known !== undefined && isUsedAlike(known.entry, entry) ? 0 : 1;
         const keepsSilence = entry.state === MemberState.Leaving && known?.entry.epoch === entry.epoch;
         this.members.set(entry.instance, {
             entry,
@@ -194,6 +217,20 @@
     }
 }
 
+/** Whether a host stands for every address of its VM. */
+export function isUnspecifiedHost(host: string): boolean {
+    return host === "0.0.0.0" || host === "::";
+}
+
+/** Whether two entries of one member lead to the same use of it. */
+function isUsedAlike(left: MemberEntry, right: MemberEntry): boolean {
+    return left.host === right.host && left.port === right.port && useOf(left.state) === useOf(right.state);
+}
+
+function useOf(state: MemberState): MemberState {
+    return state === MemberState.Suspect ? MemberState.Alive : state;
+}
+
 /** Time after an answer within which the address that answered is preferred to the list's. */
 const provenTime: Milliseconds = 5_000;
 
--- a/packages/membership/src/decision/membershipDecision.ts
+++ b/packages/membership/src/decision/membershipDecision.ts
@@ -23,7 +23,7 @@
     listPeriod,
     probePeriod,
 } from "../constants.js";
-import { HomeAgents } from "./homeAgents.js";
+import { type ChosenAgents, HomeAgents } from "./homeAgents.js";
 import { type Member, MemberTable } from "./memberTable.js";
 import { NewsQueue } from "./newsQueue.js";
 import { ProbeOrder } from "./probeOrder.js";
@@ -102,8 +102,8 @@
     private nextProbe: Milliseconds = 0;
     private nextDeadProbe: Milliseconds = 0;
     private nextList: Milliseconds = 0;
-    private lastShown = "";
-    private homeList: readonly MemberEntry[] = [];
+    private lastVersion = 0;
+    private chosen: ChosenAgents = { home: [], kept: [] };
 
     constructor(self: MemberEntry, private readonly random: RandomSource) {
         this.table = new MemberTable(self, (entry) => this.news.add(entry));
@@ -128,8 +128,13 @@
     }
 
     /** Agents that this router looks after. */
-    homeAgents(): readonly MemberEntry[] {
-        return this.homeList;
+    get chosenAgents(): ChosenAgents {
+        return this.chosen;
+    }
+
+    /** States the port on which this process listens. */
+    listensOn(port: number): void {
+        this.table.listensOn(port);
     }
 
     /** Everything that is known, for operators and tests. */
@@ -137,6 +142,11 @@
         return this.table.all();
     }
 
+    /** What is known of one member. */
+    member(instance: string): Member | undefined {
+        return this.table.get(instance);
+    }
+
     /** Takes in one event. */
     *receive(event: MembershipEvent, now: Milliseconds): MembershipEffects {
         yield* this.handle(event, now);
@@ -188,7 +198,7 @@
         if (now >= this.nextProbe) {
             this.nextProbe = now + probePeriod;
             yield* this.ping(this.routerOrder.next(this.present(ProcessRole.Router)));
-            yield* this.ping(this.agentOrder.next(this.homeList));
+            yield* this.ping(this.agentOrder.next(this.agentsToPing()));
         }
         if (now >= this.nextDeadProbe) {
             this.nextDeadProbe = now + deadProbePeriod;
@@ -197,6 +207,16 @@
         }
     }
 
+    /** Agents that the list does not show are pinged by every router that knows them: the home may not know them. */
+    private agentsToPing(): MemberEntry[] {
+        const unlisted = this.table.all().filter((member) =>
+            !member.isListed && member.diedAt === undefined && member.entry.role === ProcessRole.Agent
+        );
+        const names = new Set(this.chosen.home.map((entry) => entry.instance));
+        const others = unlisted.map((member) => member.entry).filter((entry) => !names.has(entry.instance));
+        return [...this.chosen.home, ...others];
+    }
+
     /** Grows with the list, and differs between routers so that some router reads it soon. */
     private listInterval(): Milliseconds {
         const entries = this.table.all().length;
@@ -268,14 +288,12 @@
     }
 
     private *showChange(): MembershipEffects {
-        const usable = [...this.routers(), ...this.agents()];
-        const shown = usable.map((entry) => `${entry.instance}@${entry.host}:${entry.port}`).sort().join(" ");
-        if (shown === this.lastShown) {
+        if (this.table.version === this.lastVersion) {
             return;
         }
-        this.lastShown = shown;
+        this.lastVersion = this.table.version;
         const agents = this.present(ProcessRole.Agent);
-        this.homeList = this.home.choose(this.own, [this.own, ...this.routers()], agents);
+        this.chosen = this.home.choose(this.own, [this.own, ...this.routers()], agents);
         yield { kind: MembershipEffectKind.Changed };
     }
 }
--- a/packages/placement/src/decision/placement.ts
+++ b/packages/placement/src/decision/placement.ts
@@ -19,10 +19,10 @@
 import { seedOf } from "./rendezvous.js";
 
 /** Tokens that a placement in another data centre must save to be worth the way. */
-export const otherDataCentreTokens = 2_000;
+export const otherDataCentreTokens = 50;
 
 /** A missed token costs more than a waiting one: it also evicts what others share. */
-export const missedTokenWeight = 1.5;
+export const missedTokenWeight = 3;
 
 /** Part of the missed tokens' cost charged to a known holder that is not the prefix's home. */
 export const strayHolderWeight = 0.1;
@@ -39,6 +39,9 @@
 /** Age after which a holder that was not confirmed counts for nothing. */
 export const holderLifetime: Milliseconds = 20_000;
 
+/** Time after a restart in which an endpoint is not presumed to hold what it is a home to. */
+export const refillTime: Milliseconds = 10_000;
+
 /** Part of the newest answer in an endpoint's smoothed slowness. */
 const slownessSmoothing = 0.2;
 
@@ -229,7 +232,8 @@
         homeDepth: number,
         now: Milliseconds,
     ): number {
-        const presumed = endpoint.held === undefined ? homeDepth : 0;
+        const isPresumed = endpoint.held === undefined && now - endpoint.emptyAt >= refillTime;
+        const presumed = isPresumed ? homeDepth : 0;
         for (let depth = request.prefixBlocks.length; depth > presumed; depth--) {
             const name = request.prefixBlocks[depth - 1]!;
             if (endpoint.held?.has(seedOf(name)) || this.isRecentHolder(name, endpoint, now)) {
