feat(admission): the fullest holder is asked first, and longer waits after a start

Change: grants say what is left, and a router asks a holder that is clearly fuller than itself; requests wait up to 8 s in the first 10 s after a start; a manifest touches only the accounts that changed. Refusals are judged by whether the offered traffic was inside rate and burst, and against an ideal bucket. Ruled out: a deposit of tokens in the store that a restart finds again: it withholds a part of the burst for as long as the store is down.

--- a/packages/admission/src/constants.ts
+++ b/packages/admission/src/constants.ts
@@ -23,11 +23,17 @@
 export const maximumWaitMilliseconds = 2_000;
 
 /** The same in the first time after the start of a router, when its buckets are empty for no fault of the caller. */
-export const startingWaitMilliseconds = 5_000;
+export const startingWaitMilliseconds = 8_000;
 
 /** Time after the start of a router in which requests wait for {@link startingWaitMilliseconds}. */
 export const startingMilliseconds = 10_000;
 
+/**
+ * How much fuller than the own slots another holder may be, as a part of its burst, before it is asked for a request
+ * that the own slots could serve.
+ */
+export const toleratedImbalance = 0.25;
+
 /** Shortest pause before a waiting request asks again. */
 export const minimumPauseMilliseconds = 5;
 
--- a/packages/admission/src/decision/holderChoice.ts
+++ b/packages/admission/src/decision/holderChoice.ts
@@ -1,9 +1,11 @@
 /**
  * Which other holders a router asks for tokens of an account, and which it leaves alone for a while.
  *
+ * The fullest holder is asked first: a bucket that stands full loses its refill.
+ *
  * @module
  */
-import { type Milliseconds, rendezvousOrder } from "@redwingpin/common";
+import type { Milliseconds } from "@redwingpin/common";
 import type { ClientAccount } from "@redwingpin/manifest";
 import {
     maximumShortPauseMilliseconds,
@@ -11,34 +13,51 @@
     minimumPauseMilliseconds,
     silencePauseMilliseconds,
 } from "../constants.js";
-import { holdersOf, type Roster } from "./roster.js";
-import { defaultDivision, slotCount, type SlotDivision } from "./tokenShare.js";
+import { type AccountHolder, holdersOf, type Roster } from "./roster.js";
+import { defaultDivision, slotCount, type SlotDivision, type SlotLimits, slotLimits } from "./tokenShare.js";
 
 interface Silence {
     readonly until: Milliseconds;
     readonly pause: Milliseconds;
 }
 
+/** What a holder said of an account. */
+interface Statement {
+    readonly leftTokens: number;
+    readonly at: Milliseconds;
+    /** Time until which the holder is short. */
+    readonly shortUntil: Milliseconds;
+}
+
+/** A holder that may be asked. */
+export interface Candidate {
+    readonly holder: string;
+    /** Tokens that it is thought to have, as a part of the burst of its slots. */
+    readonly fullness: number;
+}
+
 /** Remembers how holders answered. */
 export class HolderChoice {
     private readonly silences = new Map<string, Silence>();
-    /** For each account, the time until which each holder is short of its tokens. */
-    private readonly shortUntil = new Map<string, Map<string, Milliseconds>>();
+    /** Last statement of each holder, by account. */
+    private readonly statements = new Map<string, Map<string, Statement>>();
 
     constructor(
         private readonly instance: string,
         private readonly division: SlotDivision = defaultDivision,
     ) {}
 
-    /** Other holders of the account that are worth asking, in the order of asking. */
-    candidates(roster: Roster | undefined, account: ClientAccount, now: Milliseconds): string[] {
+    /** Other holders of the account that are worth asking, the fullest first. */
+    candidates(roster: Roster | undefined, account: ClientAccount, now: Milliseconds): Candidate[] {
         if (roster === undefined) {
             return [];
         }
-        const holders = holdersOf(roster, account.name, slotCount(account, this.division))
-            .map((holder) => holder.instance)
-            .filter((holder) => holder !== this.instance && this.worthAsking(holder, account.name, now));
-        return rendezvousOrder(`${this.instance}/${account.name}`, holders, (holder) => holder);
+        return holdersOf(roster, account.name, slotCount(account, this.division))
+            .filter(({ instance }) =>
+                instance !== this.instance && this.worthAsking(instance, account.name, now)
+            )
+            .map((holder) => ({ holder: holder.instance, fullness: this.fullnessOf(holder, account, now) }))
+            .sort((left, right) => right.fullness - left.fullness);
     }
 
     /** The holder did not answer in time. */
@@ -54,30 +73,43 @@
     }
 
     /** The holder answered; `retryAfter` is set where it gave fewer tokens than were asked for. */
-    answered(holder: string, account: string, now: Milliseconds, retryAfter?: Milliseconds): void {
+    answered(
+        holder: string,
+        account: string,
+        answer: { readonly leftTokens: number; readonly retryAfter?: Milliseconds; },
+        now: Milliseconds,
+    ): void {
         this.silences.delete(holder);
-        const shortages = this.shortUntil.get(account) ?? new Map<string, Milliseconds>();
-        if (retryAfter === undefined) {
-            shortages.delete(holder);
-        }
-        else {
-            const pause = Math.min(
-                maximumShortPauseMilliseconds,
-                Math.max(minimumPauseMilliseconds, retryAfter),
-            );
-            shortages.set(holder, now + pause);
-        }
-        if (shortages.size === 0) {
-            this.shortUntil.delete(account);
-        }
-        else {
-            this.shortUntil.set(account, shortages);
-        }
+        const { leftTokens, retryAfter } = answer;
+        const pause = retryAfter === undefined
+            ? 0
+            : Math.min(maximumShortPauseMilliseconds, Math.max(minimumPauseMilliseconds, retryAfter));
+        const statements = this.statements.get(account) ?? new Map<string, Statement>();
+        this.statements.set(account, statements);
+        statements.set(holder, { leftTokens, at: now, shortUntil: now + pause });
     }
 
     private worthAsking(holder: string, account: string, now: Milliseconds): boolean {
         const silentUntil = this.silences.get(holder)?.until ?? -Infinity;
-        const shortUntil = this.shortUntil.get(account)?.get(holder) ?? -Infinity;
+        const shortUntil = this.statements.get(account)?.get(holder)?.shortUntil ?? -Infinity;
         return silentUntil <= now && shortUntil <= now;
     }
+
+    /** A holder that has said nothing yet is thought to be full. */
+    private fullnessOf(holder: AccountHolder, account: ClientAccount, now: Milliseconds): number {
+        const limits = sumOf(holder.slots.map((index) => slotLimits(account, index, this.division)));
+        const statement = this.statements.get(account.name)?.get(holder.instance);
+        if (statement === undefined || limits.burstTokens === 0) {
+            return 1;
+        }
+        const refill = (now - statement.at) * limits.tokensPerSecond / 1000;
+        return Math.min(1, (statement.leftTokens + refill) / limits.burstTokens);
+    }
+}
+
+function sumOf(all: readonly SlotLimits[]): SlotLimits {
+    return {
+        tokensPerSecond: all.reduce((sum, limits) => sum + limits.tokensPerSecond, 0),
+        burstTokens: all.reduce((sum, limits) => sum + limits.burstTokens, 0),
+    };
 }
--- a/packages/admission/src/decision/requester.ts
+++ b/packages/admission/src/decision/requester.ts
@@ -7,7 +7,8 @@
  * @module
  */
 import type { Decision, Milliseconds } from "@redwingpin/common";
-import { maximumAsksPerRound, minimumPauseMilliseconds } from "../constants.js";
+import { maximumAsksPerRound, minimumPauseMilliseconds, toleratedImbalance } from "../constants.js";
+import type { Candidate } from "./holderChoice.js";
 
 /** Tokens that another holder has debited for a request. */
 export interface HeldGrant {
@@ -46,8 +47,10 @@
         readonly kind: "view";
         readonly now: Milliseconds;
         readonly ownTokens: number;
+        /** Tokens that the own slots can hold. */
+        readonly ownBurst: number;
         /** Holders that may have tokens, in the order in which they should be asked. */
-        readonly holders: readonly string[];
+        readonly holders: readonly Candidate[];
     }
     | { readonly kind: "answer"; readonly grant: HeldGrant | undefined; }
     | { readonly kind: "committed"; readonly admitted: boolean; readonly missing: number; }
@@ -64,7 +67,8 @@
 /** One round: looks, asks others for what is missing, and admits or gives everything back. */
 export function* acquireOnce(request: TokenRequest): Acquire<AcquireOutcome> {
     const view = expectKind(yield { kind: "look" }, "view");
-    const grants = yield* gather(request.tokens - view.ownTokens, view.holders);
+    const wanted = othersAreFuller(request, view) ? request.tokens : request.tokens - view.ownTokens;
+    const grants = yield* gather(wanted, view.holders);
     const outcome = expectKind(yield { kind: "commit", grants }, "committed");
     if (outcome.admitted) {
         return { admitted: true, grants };
@@ -87,10 +91,19 @@
     }
 }
 
-function* gather(missing: number, holders: readonly string[]): Acquire<HeldGrant[]> {
+/** True where the own slots would be left so much emptier than others that the others lose refill. */
+function othersAreFuller(request: TokenRequest, view: Extract<AcquireEvent, { kind: "view"; }>): boolean {
+    if (view.holders.length === 0 || view.ownBurst === 0) {
+        return false;
+    }
+    const ownFullness = (view.ownTokens - request.tokens) / view.ownBurst;
+    return view.holders[0].fullness - ownFullness > toleratedImbalance;
+}
+
+function* gather(missing: number, holders: readonly Candidate[]): Acquire<HeldGrant[]> {
     const grants: HeldGrant[] = [];
     let left = missing;
-    for (const holder of holders.slice(0, maximumAsksPerRound)) {
+    for (const { holder } of holders.slice(0, maximumAsksPerRound)) {
         if (left <= 0) {
             break;
         }
--- a/packages/admission/src/decision/slotHolder.ts
+++ b/packages/admission/src/decision/slotHolder.ts
@@ -19,6 +19,8 @@
 /** What a holder could give. */
 export interface HolderGrant {
     readonly tokens: number;
+    /** Tokens that the holder has left. */
+    readonly leftTokens: number;
     /** Time until the holder has the tokens that it could not give; `undefined` where it never will. */
     readonly retryAfter: Milliseconds | undefined;
 }
@@ -27,7 +29,7 @@
 export class SlotHolder {
     private roster: Roster | undefined;
     private givenUp = false;
-    private accounts: readonly ClientAccount[] = [];
+    private accounts: ReadonlyMap<string, ClientAccount> = new Map();
     /** Time from which each held position fills. */
     private readonly startOf = new Map<number, Milliseconds>();
     private readonly buckets = new Map<string, Map<number, TokenBucket>>();
@@ -50,13 +52,14 @@
             }
         }
         this.dropLostSlots();
-        this.synchronize(now);
+        this.synchronize([...this.accounts.values()], now);
     }
 
     /** Takes over the accounts of a manifest. An account that was absent before starts empty. */
     accountsChanged(accounts: readonly ClientAccount[], now: Milliseconds): void {
-        this.accounts = accounts;
-        this.synchronize(now);
+        const before = this.accounts;
+        this.accounts = new Map(accounts.map((account) => [account.name, account]));
+        this.synchronize(accounts.filter((account) => hasChanged(account, before.get(account.name))), now);
     }
 
     /** Gives up every slot for good. */
@@ -68,13 +71,19 @@
 
     /** Tokens that the holder's slots of an account have now. */
     tokens(account: ClientAccount, now: Milliseconds): number {
-        return this.advance(account, now).reduce((sum, bucket) => sum + bucket.tokens, 0);
+        return sumOfTokens(this.advance(account, now));
+    }
+
+    /** Tokens that the holder's slots of an account can hold. */
+    burstTokens(account: ClientAccount): number {
+        const buckets = [...this.buckets.get(account.name)?.values() ?? []];
+        return buckets.reduce((sum, bucket) => sum + bucket.burstTokens, 0);
     }
 
     /** Spends exactly `tokens` from the slots, or nothing. */
     spend(id: string, account: ClientAccount, tokens: number, now: Milliseconds): boolean {
         const buckets = this.advance(account, now);
-        if (buckets.reduce((sum, bucket) => sum + bucket.tokens, 0) < tokens) {
+        if (sumOfTokens(buckets) < tokens) {
             return false;
         }
         takeFrom(buckets, id, tokens, now, now);
@@ -85,7 +94,11 @@
     grant(id: string, account: ClientAccount, tokens: number, now: Milliseconds): HolderGrant {
         const buckets = this.advance(account, now);
         const taken = takeFrom(buckets, id, tokens, now + this.hold, now);
-        return { tokens: taken, retryAfter: timeUntil(buckets, tokens - taken, now) };
+        return {
+            tokens: taken,
+            leftTokens: sumOfTokens(buckets),
+            retryAfter: timeUntil(buckets, tokens - taken, now),
+        };
     }
 
     /** Takes back up to `tokens` of what was spent or granted under `id`; a second time gives nothing. */
@@ -115,14 +128,13 @@
         return advanced;
     }
 
-    private synchronize(now: Milliseconds): void {
-        const named = new Set(this.accounts.map((account) => account.name));
-        for (const account of this.accounts) {
+    private synchronize(changed: readonly ClientAccount[], now: Milliseconds): void {
+        for (const account of changed) {
             this.addSlots(account, now);
             this.advance(account, now);
         }
         for (const [name, slots] of this.buckets) {
-            if (!named.has(name)) {
+            if (!this.accounts.has(name)) {
                 this.retire(name, slots, now);
             }
         }
@@ -173,6 +185,14 @@
     }
 }
 
+function hasChanged(account: ClientAccount, before: ClientAccount | undefined): boolean {
+    return account.tokensPerSecond !== before?.tokensPerSecond || account.burstTokens !== before.burstTokens;
+}
+
+function sumOfTokens(buckets: readonly TokenBucket[]): number {
+    return buckets.reduce((sum, bucket) => sum + bucket.tokens, 0);
+}
+
 function takeFrom(
     buckets: readonly TokenBucket[],
     id: string,
@@ -193,7 +213,7 @@
     now: Milliseconds,
 ): Milliseconds | undefined {
     const rate = buckets.reduce((sum, bucket) => sum + bucket.tokensPerSecond, 0);
-    const level = buckets.reduce((sum, bucket) => sum + bucket.tokens, 0);
+    const level = sumOfTokens(buckets);
     const burst = buckets.reduce((sum, bucket) => sum + bucket.burstTokens, 0);
     if (rate === 0 || tokens > burst) {
         return undefined;
--- a/packages/admission/src/node/admissionController.ts
+++ b/packages/admission/src/node/admissionController.ts
@@ -214,6 +214,7 @@
             kind: "view",
             now,
             ownTokens: account === undefined ? 0 : this.holder.tokens(account, now),
+            ownBurst: account === undefined ? 0 : this.holder.burstTokens(account),
             holders: account === undefined ? [] : this.choice.candidates(this.keeper.current, account, now),
         };
     }
@@ -278,12 +279,8 @@
         }
         void this.keeper.catchUp(holder, answer.epoch);
         const short = answer.tokens < ask.tokens;
-        this.choice.answered(
-            holder,
-            ask.account,
-            this.now(),
-            short ? answer.retryAfterMilliseconds ?? Infinity : undefined,
-        );
+        const retryAfter = short ? answer.retryAfterMilliseconds ?? Infinity : undefined;
+        this.choice.answered(holder, ask.account, { leftTokens: answer.leftTokens, retryAfter }, this.now());
         return {
             holder,
             id: ask.id,
@@ -297,12 +294,13 @@
     private grant(ask: RateAsk): RateMessage {
         const account = this.accountOf(ask.account);
         const given = account === undefined || this.stopped
-            ? { tokens: 0, retryAfter: undefined }
+            ? { tokens: 0, leftTokens: 0, retryAfter: undefined }
             : this.holder.grant(ask.id, account, ask.tokens, this.now());
         return {
             kind: RateMessageKind.Grant,
             id: ask.id,
             tokens: given.tokens,
+            leftTokens: given.leftTokens,
             retryAfterMilliseconds: given.retryAfter,
             tokensPerSecond: account?.tokensPerSecond ?? 0,
             burstTokens: account?.burstTokens ?? 0,
--- a/packages/admission/src/trial/idealBucket.ts
+++ b/packages/admission/src/trial/idealBucket.ts
@@ -1,5 +1,7 @@
 /**
- * The yardstick for refusals: one bucket for the whole account that knows everything at once and never fails.
+ * Two yardsticks for refusals. One is a bucket for the whole account that knows everything at once and never fails.
+ * The other asks whether the offered traffic was inside the account's rate and burst: every offer counts, whether it
+ * was refused or not, so that an account which has offered too much is outside until it has made up for it.
  *
  * @module
  */
@@ -47,3 +49,34 @@
     }
     return admitted;
 }
+
+interface LevelChange {
+    readonly at: Milliseconds;
+    readonly tokens: number;
+    readonly offer?: OfferedRequest;
+}
+
+/** The offers, of one account, that were inside its rate and burst together with all that was offered before. */
+export function offersWithinRate(
+    offers: readonly OfferedRequest[],
+    limits: IdealLimits,
+): ReadonlySet<OfferedRequest> {
+    const changes: LevelChange[] = offers.flatMap((offer) => [
+        { at: offer.at, tokens: -offer.tokens, offer },
+        { at: offer.at + offer.duration, tokens: offer.tokens - offer.actual },
+    ]);
+    changes.sort((left, right) => left.at - right.at);
+    const within = new Set<OfferedRequest>();
+    let level = limits.burstTokens;
+    let last = -Infinity;
+    for (const change of changes) {
+        const refill = last === -Infinity ? 0 : (change.at - last) * limits.tokensPerSecond / 1000;
+        level = Math.min(limits.burstTokens, level + refill);
+        level = Math.min(limits.burstTokens, level + change.tokens);
+        last = change.at;
+        if (change.offer !== undefined && level >= 0) {
+            within.add(change.offer);
+        }
+    }
+    return within;
+}
--- a/packages/bench/src/rates/ratesSlopes.ts
+++ b/packages/bench/src/rates/ratesSlopes.ts
@@ -27,7 +27,7 @@
     readonly heapBytesPerSlot: number;
     readonly microsecondsPerAsk: number;
     readonly microsecondsPerAdmission: number;
-    /** Time to take over a manifest. */
+    /** Time to take over a manifest in which one account has changed. */
     readonly millisecondsPerManifest: number;
 }
 
@@ -100,8 +100,9 @@
         holder.spend(`own-${index}`, accounts[index % count], 1, now);
         holder.giveBack(`own-${index}`, accounts[index % count], 0, now);
     });
+    const changed = accounts.map((account, index) => index > 0 ? account : { ...account, burstTokens: 1 });
     const start = process.hrtime.bigint();
-    holder.accountsChanged(accounts, fullAfter + 3 * askCount);
+    holder.accountsChanged(changed, fullAfter + 3 * askCount);
     return {
         accounts: count,
         slots: holder.slotsInMemory,
--- a/packages/protocol/src/rateMessages.ts
+++ b/packages/protocol/src/rateMessages.ts
@@ -32,6 +32,8 @@
     readonly id: string;
     /** Tokens granted, from 0 up to those asked for. */
     readonly tokens: number;
+    /** Tokens that the holder has left. */
+    readonly leftTokens: number;
     /** Milliseconds until the holder expects to have what is missing; absent where it never will. */
     readonly retryAfterMilliseconds?: number;
     /** Rate and burst of the account in the manifest that the holder decided by. */
@@ -80,8 +82,8 @@
         case RateMessageKind.Ask:
             return isText(message, "id") && isText(message, "account") && isCount(message, "tokens");
         case RateMessageKind.Grant:
-            return isText(message, "id") && isCount(message, "tokens") && isCount(message, "tokensPerSecond")
-                && isCount(message, "burstTokens");
+            return isText(message, "id") && isCount(message, "tokens") && isCount(message, "leftTokens")
+                && isCount(message, "tokensPerSecond") && isCount(message, "burstTokens");
         case RateMessageKind.Return:
             return isText(message, "id") && isText(message, "account") && isCount(message, "tokens");
         case RateMessageKind.Roster:
