--- a/packages/configuration/src/__tests__/networkFixture.ts
+++ b/packages/configuration/src/__tests__/networkFixture.ts
@@ -68,7 +68,7 @@
             store,
             peers: {
                 routers: () => this.routers.filter((router) => router !== instance).map(spreadPeer),
-                agents: () => isRouter ? this.agents : [],
+                agents: () => isRouter ? this.agents.map((agent) => ({ instance: agent, isHome: true })) : [],
                 send: (to, message) => this.send(instance, to, message),
             },
         });
--- a/packages/configuration/src/decision/configurationReplica.ts
+++ b/packages/configuration/src/decision/configurationReplica.ts
@@ -14,6 +14,7 @@
     type ConfigurationUpdate,
 } from "@redwingpin/protocol";
 import type { RootRecord } from "../records.js";
+import { AgentPush } from "./agentPush.js";
 import { ChangeHistory } from "./changeHistory.js";
 import { ConfigurationFetch, type Request } from "./configurationFetch.js";
 import { ConfigurationStart, sample } from "./configurationStart.js";
@@ -42,11 +43,11 @@
     readonly probeInterval?: Milliseconds;
 }
 
-/** Time between two announcements of a process to a random router, as anti-entropy. */
-export const defaultProbeInterval: Milliseconds = 500;
+/** Time between two announcements of a router to a random other, as anti-entropy. */
+export const defaultProbeInterval: Milliseconds = 1_000;
 
 /** Routers to which a newly installed revision is announced at once. */
-export const pushFanOut = 3;
+export const pushFanOut = 2;
 
 /** Time before a peer that is behind is told so again. */
 const tellInterval: Milliseconds = 250;
@@ -57,6 +58,7 @@
     private readonly history = new ChangeHistory();
     private readonly fetch: ConfigurationFetch;
     private readonly starting: ConfigurationStart;
+    private readonly agentPush = new AgentPush();
     private readonly giving = new GivingLimit();
     private readonly store: StorePoll;
     private routers: readonly string[] = [];
@@ -92,7 +94,8 @@
                 return yield* this.observe(event.from, event.revision, now);
             case ReplicaEventKind.PeersChanged:
                 this.routers = event.routers.map((router) => router.instance);
-                this.agents = event.agents;
+                this.agents = event.agents.map((agent) => agent.instance);
+                this.agentPush.setAgents(event.agents);
                 yield* this.store.peersChanged(event.routers);
                 return yield* this.askAtStart(now);
             case ReplicaEventKind.RootRead:
@@ -115,10 +118,14 @@
         yield* this.takeOffer(now);
         yield* this.request(this.fetch.tick(this.revision, now));
         yield* this.store.tick(now, this.installed === undefined, now - this.lastContact);
-        if (now >= this.nextProbe) {
+        if (this.options.readsStore && now >= this.nextProbe) {
             this.nextProbe = now + (this.options.probeInterval ?? defaultProbeInterval);
             yield* this.announce(sample(this.options.random, this.routers, 1));
         }
+        const target = this.agentPush.due(this.revision, now);
+        if (target !== undefined) {
+            yield* this.sendNews(target.agent, target.revision);
+        }
     }
 
     private *receiveMessage(from: string, message: ConfigurationMessage, now: Milliseconds): ReplicaEffects {
@@ -161,6 +168,7 @@
 
     /** Compares revisions after any contact. */
     private *observe(from: string, revision: number, now: Milliseconds): ReplicaEffects {
+        this.agentPush.observe(from, Math.min(revision, this.revision));
         if (revision < this.revision) {
             return yield* this.tell(from, revision, now);
         }
@@ -201,12 +209,11 @@
         if (this.installed === undefined || changes === undefined) {
             return undefined;
         }
-        const { submission, manifest } = this.installed;
+        const { manifest } = this.installed;
         return {
             kind: ConfigurationMessageKind.Update,
             from: revision,
             revision: this.revision,
-            submission,
             changes,
             shardCount: manifest.shards.length,
             digest: manifest.digest,
@@ -228,11 +235,10 @@
     }
 
     private outline(installed: ReplicaConfiguration): ConfigurationOutline {
-        const { revision, submission, manifest } = installed;
+        const { revision, manifest } = installed;
         return {
             kind: ConfigurationMessageKind.Outline,
             revision,
-            submission,
             shardDigests: manifest.digests,
         };
     }
@@ -276,7 +282,7 @@
     private applyUpdate(
         update: Pick<
             ConfigurationUpdate,
-            "from" | "revision" | "submission" | "changes" | "shardCount" | "digest"
+            "from" | "revision" | "changes" | "shardCount" | "digest"
         >,
     ): ReplicaConfiguration | undefined {
         if (
@@ -289,8 +295,7 @@
         const manifest = changed.shards.length === update.shardCount
             ? changed
             : ShardedManifest.from(changed.toManifest(), update.shardCount);
-        const { revision, submission } = update;
-        return manifest.digest === update.digest ? { revision, submission, manifest } : undefined;
+        return manifest.digest === update.digest ? { revision: update.revision, manifest } : undefined;
     }
 
     private *receiveOutline(from: string, outline: ConfigurationOutline, now: Milliseconds): ReplicaEffects {
@@ -357,10 +362,9 @@
         this.installed = next;
         this.fetch.installed(next.revision);
         yield { kind: ReplicaEffectKind.Install, configuration: next };
-        const others = this.routers.filter((router) => router !== source);
-        yield* this.announce(sample(this.options.random, others, pushFanOut));
-        for (const agent of this.agents.filter((name) => name !== source)) {
-            yield* this.sendNews(agent, before?.revision ?? 0);
+        if (this.options.readsStore) {
+            const others = this.routers.filter((router) => router !== source);
+            yield* this.announce(sample(this.options.random, others, pushFanOut));
         }
         yield* this.request(this.fetch.tick(next.revision, now));
     }
--- a/packages/configuration/src/decision/replicaEvents.ts
+++ b/packages/configuration/src/decision/replicaEvents.ts
@@ -10,8 +10,6 @@
 /** A configuration that a replica may install. */
 export interface ReplicaConfiguration {
     readonly revision: number;
-    /** Identifier of the submission that made the revision. */
-    readonly submission: string;
     readonly manifest: ShardedManifest;
 }
 
@@ -21,6 +19,13 @@
     readonly dataCentre: string;
 }
 
+/** An agent as the spread of configurations sees it. */
+export interface SpreadAgent {
+    readonly instance: string;
+    /** True where this router alone keeps the agent up to date; others only compare revisions with it now and then. */
+    readonly isHome: boolean;
+}
+
 /** Kinds of events. */
 export enum ReplicaEventKind {
     Message = "message",
@@ -45,8 +50,8 @@
         readonly kind: ReplicaEventKind.PeersChanged;
         /** Live routers without this process. */
         readonly routers: readonly SpreadPeer[];
-        /** Agents that this router keeps up to date, or, at a start, may ask; empty at agents. */
-        readonly agents: readonly string[];
+        /** Agents that this router is in touch with; empty at agents. */
+        readonly agents: readonly SpreadAgent[];
     }
     | { readonly kind: ReplicaEventKind.RootRead; readonly root: RootRecord; }
     | { readonly kind: ReplicaEventKind.ContentLoaded; readonly configuration: ReplicaConfiguration; }
--- a/packages/configuration/src/decision/snapshotAssembly.ts
+++ b/packages/configuration/src/decision/snapshotAssembly.ts
@@ -47,9 +47,9 @@
 
     /** The configuration, once nothing is missing. */
     assemble(): ReplicaConfiguration {
-        const { revision, submission, shardDigests } = this.outline;
+        const { revision, shardDigests } = this.outline;
         const shards = shardDigests.map((digest) => this.shards.get(digest)!);
-        return { revision, submission, manifest: new ShardedManifest(shards) };
+        return { revision, manifest: new ShardedManifest(shards) };
     }
 }
 
--- a/packages/configuration/src/node/configurationTask.ts
+++ b/packages/configuration/src/node/configurationTask.ts
@@ -28,6 +28,7 @@
     ReplicaEffectKind,
     type ReplicaEvent,
     ReplicaEventKind,
+    type SpreadAgent,
     type SpreadPeer,
 } from "../decision/replicaEvents.js";
 import { runStoreDecision } from "../decision/storeDecision.js";
@@ -42,8 +43,6 @@
 /** A configuration in force, indexed for look-up. */
 export interface InstalledConfiguration {
     readonly revision: number;
-    /** Identifier of the submission that made the revision. */
-    readonly submission: string;
     readonly index: ManifestIndex;
 }
 
@@ -51,8 +50,8 @@
 export interface ConfigurationPeers {
     /** Live routers without this process; at an agent, those that are connected. */
     routers(): readonly SpreadPeer[];
-    /** Agents that this router keeps up to date; none at an agent. */
-    agents(): readonly string[];
+    /** Agents that this router is in touch with; none at an agent. */
+    agents(): readonly SpreadAgent[];
     /** Sends a message on the configuration topic; it may be lost. */
     send(to: string, message: ConfigurationMessage): void;
 }
@@ -150,7 +149,8 @@
     peersChanged(): void {
         const routers = this.options.peers.routers();
         const agents = this.options.peers.agents();
-        const names = [...routers.map((router) => router.instance), "", ...agents].join(" ");
+        const agentNames = agents.map((agent) => `${agent.instance}${agent.isHome ? "!" : ""}`);
+        const names = [...routers.map((router) => router.instance), "", ...agentNames].join(" ");
         this.peersReadAt = this.options.clock.now();
         if (names !== this.knownPeers) {
             this.knownPeers = names;
@@ -285,10 +285,10 @@
     }
 
     private install(configuration: ReplicaConfiguration): void {
-        const { revision, submission, manifest } = configuration;
+        const { revision, manifest } = configuration;
         const index = new ManifestIndex(manifest.toManifest());
-        this.installed = { revision, submission, index };
-        this.options.logger.info("a configuration is in force", { revision, submission });
+        this.installed = { revision, index };
+        this.options.logger.info("a configuration is in force", { revision });
         for (const listener of this.listeners) {
             listener(this.installed);
         }
@@ -300,6 +300,6 @@
         return { kind: ReplicaEventKind.LoadFailed };
     }
     const { root, manifest } = loaded;
-    const { revision, submission } = root;
-    return { kind: ReplicaEventKind.ContentLoaded, configuration: { revision, submission, manifest } };
+    const configuration = { revision: root.revision, manifest };
+    return { kind: ReplicaEventKind.ContentLoaded, configuration };
 }
--- a/packages/configuration/src/node/innerPeers.ts
+++ b/packages/configuration/src/node/innerPeers.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { type InnerAddress, type InnerNode, ProcessRole, Topic } from "@redwingpin/protocol";
-import type { SpreadPeer } from "../decision/replicaEvents.js";
+import type { SpreadAgent, SpreadPeer } from "../decision/replicaEvents.js";
 import type { ConfigurationPeers } from "./configurationTask.js";
 
 /** A peer with its address on the inner network. */
@@ -14,20 +14,22 @@
 export interface RouterDirectory {
     /** Live routers without this process. */
     routers(): readonly AddressedPeer[];
-    /** Agents that this router keeps up to date. */
-    agents(): readonly AddressedPeer[];
+    /** Agents that this router alone keeps up to date. */
+    homeAgents(): readonly AddressedPeer[];
+    /** Agents that this router is in touch with, the home ones included. */
+    keptAgents(): readonly AddressedPeer[];
 }
 
 /** Peers of a router: dialled by their addresses. */
 export function createRouterPeers(node: InnerNode, directory: RouterDirectory): ConfigurationPeers {
     return {
         routers: () => directory.routers(),
-        agents: () => directory.agents().map((agent) => agent.instance),
+        agents: () => spreadAgents(directory),
         send(to, message) {
             if (sendOnOpenConnection(node, to, message)) {
                 return;
             }
-            const peer = [...directory.routers(), ...directory.agents()].find((candidate) =>
+            const peer = [...directory.routers(), ...directory.keptAgents()].find((candidate) =>
                 candidate.instance === to
             );
             if (peer !== undefined) {
@@ -37,6 +39,11 @@
     };
 }
 
+function spreadAgents(directory: RouterDirectory): SpreadAgent[] {
+    const home = new Set(directory.homeAgents().map((agent) => agent.instance));
+    return directory.keptAgents().map(({ instance }) => ({ instance, isHome: home.has(instance) }));
+}
+
 /** Peers of an agent: the routers that have connected to it. */
 export function createAgentPeers(node: InnerNode): ConfigurationPeers {
     return {
--- a/packages/configuration/src/simulation/replicaNetwork.ts
+++ b/packages/configuration/src/simulation/replicaNetwork.ts
@@ -15,6 +15,7 @@
     ReplicaEffectKind,
     type ReplicaEvent,
     ReplicaEventKind,
+    type SpreadAgent,
     type SpreadPeer,
 } from "../decision/replicaEvents.js";
 import { type StoreDecision, StoreEffectKind } from "../decision/storeDecision.js";
@@ -32,8 +33,8 @@
 export interface SimulatedReplica {
     readonly self: SpreadPeer;
     readonly isRouter: boolean;
-    /** Routers only: the router that keeps the agent up to date, for agents. */
-    readonly home: string | undefined;
+    /** At agents, the routers that are in touch with it; the first keeps it up to date. */
+    readonly keepers: readonly string[];
     replica: ConfigurationReplica;
     /** Differs at each start. */
     start: number;
@@ -73,14 +74,14 @@
         this.store = new SimulatedStore((entry) => this.stored(entry));
     }
 
-    /** Adds a process; it starts with {@link ReplicaNetwork.tellPeers}. `home` names an agent's router. */
-    add(instance: string, dataCentre: string, home?: string): void {
+    /** Adds a process; it starts with {@link ReplicaNetwork.tellPeers}. An agent has keepers, a router has none. */
+    add(instance: string, dataCentre: string, keepers: readonly string[] = []): void {
         const self = { instance, dataCentre };
-        const isRouter = home === undefined;
+        const isRouter = keepers.length === 0;
         this.nodes.set(instance, {
             self,
             isRouter,
-            home,
+            keepers,
             replica: this.createReplica(self, isRouter),
             start: 0,
             isFrozen: false,
@@ -93,11 +94,12 @@
     /** Tells every process its peers. */
     tellPeers(): void {
         const routers = [...this.nodes.values()].filter((node) => node.isRouter).map((node) => node.self);
-        const agents = new Map<string, string[]>();
-        for (const { self, home } of this.nodes.values()) {
-            if (home !== undefined) {
-                agents.set(home, [...agents.get(home) ?? [], self.instance]);
-            }
+        const agents = new Map<string, SpreadAgent[]>();
+        for (const { self, keepers } of this.nodes.values()) {
+            keepers.forEach((keeper, index) => {
+                const agent = { instance: self.instance, isHome: index === 0 };
+                agents.set(keeper, [...agents.get(keeper) ?? [], agent]);
+            });
         }
         for (const node of this.nodes.values()) {
             this.tell(node, routers, agents.get(node.self.instance) ?? []);
@@ -106,11 +108,18 @@
 
     /** Ends a process and starts it anew, without memory. */
     restart(instance: string): void {
-        const node = this.nodes.get(instance)!;
-        node.replica = this.createReplica(node.self, node.isRouter);
-        node.start++;
-        node.isFrozen = false;
-        node.isWatching = false;
+        this.restartAll([instance]);
+    }
+
+    /** Ends processes at once and starts them anew, without memory. */
+    restartAll(instances: readonly string[]): void {
+        for (const instance of instances) {
+            const node = this.nodes.get(instance)!;
+            node.replica = this.createReplica(node.self, node.isRouter);
+            node.start++;
+            node.isFrozen = false;
+            node.isWatching = false;
+        }
         this.tellPeers();
     }
 
@@ -194,8 +203,14 @@
         return new ConfigurationReplica({ self, random: this.options.random, readsStore });
     }
 
-    private tell(node: SimulatedReplica, routers: readonly SpreadPeer[], agents: readonly string[]): void {
-        const known = node.isRouter ? routers : routers.filter((router) => router.instance === node.home);
+    private tell(
+        node: SimulatedReplica,
+        routers: readonly SpreadPeer[],
+        agents: readonly SpreadAgent[],
+    ): void {
+        const known = node.isRouter
+            ? routers
+            : routers.filter((router) => node.keepers.includes(router.instance));
         const others = known.filter((router) => router.instance !== node.self.instance);
         this.dispatch(node, { kind: ReplicaEventKind.PeersChanged, routers: others, agents });
     }
@@ -295,15 +310,14 @@
     private loaded(
         node: SimulatedReplica,
         loaded: {
-            root: { revision: number; submission: string; };
+            root: { revision: number; };
             manifest: ReplicaConfiguration["manifest"];
         } | undefined,
     ): void {
         if (loaded === undefined) {
             return this.dispatch(node, { kind: ReplicaEventKind.LoadFailed });
         }
-        const { revision, submission } = loaded.root;
-        const configuration = { revision, submission, manifest: loaded.manifest };
+        const configuration = { revision: loaded.root.revision, manifest: loaded.manifest };
         this.dispatch(node, { kind: ReplicaEventKind.ContentLoaded, configuration });
     }
 
--- a/packages/manifest/src/shardedManifest.ts
+++ b/packages/manifest/src/shardedManifest.ts
@@ -24,6 +24,7 @@
 export const maximumShardCount = 512;
 
 const hashDigits = 8;
+const manifestDigestDigits = 32;
 const hexadecimal = 16;
 
 /** Items of one shard, sorted by identity, with the digest of their canonical JSON. */
@@ -77,9 +78,9 @@
         return this.shards.map((shard) => shard.digest);
     }
 
-    /** Digest of the whole manifest. */
+    /** Digest of the whole manifest, 32 hex digits: it travels with every change. */
     get digest(): string {
-        return digestOf(...this.digests);
+        return digestOf(...this.digests).slice(0, manifestDigestDigits);
     }
 
     /** Applies changes in order and makes only the touched shards anew. */
--- a/packages/membership/src/decision/memberTable.ts
+++ b/packages/membership/src/decision/memberTable.ts
@@ -74,7 +74,7 @@
         this.onNews(this.self);
     }
 
-    /** Takes in news. What is said of this process itself is contradicted where it is wrong. */
+    /** Takes in news; a higher epoch alone is none for others. What is said of this process itself is contradicted where it is wrong. */
     merge(entry: MemberEntry, now: Milliseconds): void {
         if (entry.instance === this.self.instance) {
             return this.contradict(entry);
@@ -86,8 +86,15 @@
         if (known === undefined && entry.state === MemberState.Dead) {
             return;
         }
-        this.put(known, entry, now);
-        this.onNews(entry);
+        const reached = known !== undefined && isUnspecifiedHost(entry.host)
+            ? { ...entry, host: known.entry.host }
+            : entry;
+        this.put(known, reached, now);
+        if (
+            known === undefined || !isUsedAlike(known.entry, reached) || reached.state !== known.entry.state
+        ) {
+            this.onNews(reached);
+        }
     }
 
     /** The member answered this process: its own entry is the newest there is. */
--- a/packages/membership/src/decision/membershipDecision.ts
+++ b/packages/membership/src/decision/membershipDecision.ts
@@ -160,10 +160,12 @@
 
     /** A ping to a member. */
     pingTo(target: MemberEntry): MembershipPing {
+        const known = this.table.get(target.instance)?.entry;
+        const about = known?.state === MemberState.Alive ? undefined : known;
         return {
             kind: MembershipMessageKind.Ping,
             sender: this.own,
-            about: this.table.get(target.instance)?.entry ?? target,
+            ...about && { about },
             news: this.takeNews(),
         };
     }
@@ -232,7 +234,7 @@
 
     private receiveCall(call: MembershipCall, now: Milliseconds): void {
         this.table.answered(call.sender, now);
-        if (call.kind === MembershipMessageKind.Ping) {
+        if (call.kind === MembershipMessageKind.Ping && call.about !== undefined) {
             this.table.merge(call.about, now);
         }
         this.mergeAll(call.news, now);
--- a/packages/membership/src/node/membershipResponder.ts
+++ b/packages/membership/src/node/membershipResponder.ts
@@ -10,7 +10,7 @@
     MembershipMessageKind,
     MemberState,
 } from "@redwingpin/protocol";
-import { isUnspecifiedHost, supersedes } from "../decision/memberTable.js";
+import { supersedes } from "../decision/memberTable.js";
 
 /** Answers pings at an agent. */
 export class MembershipResponder {
@@ -36,10 +36,9 @@
             return undefined;
         }
         const { about } = body;
-        if (about.instance === this.own.instance && supersedes(about, this.own)) {
+        if (about?.instance === this.own.instance && supersedes(about, this.own)) {
             this.own = { ...this.own, epoch: about.epoch + 1 };
         }
-        const member = isUnspecifiedHost(this.own.host) ? { ...this.own, host: about.host } : this.own;
-        return { kind: MembershipMessageKind.Acknowledgement, member, news: [] };
+        return { kind: MembershipMessageKind.Acknowledgement, member: this.own, news: [] };
     }
 }
--- a/packages/proofs/src/fuzz/configurationSite.ts
+++ b/packages/proofs/src/fuzz/configurationSite.ts
@@ -24,7 +24,7 @@
 
 /** Names of the site's processes. */
 export const routerNames = ["r0", "r1", "r2", "r3", "r4", "r5"] as const;
-export const agentNames = ["a0", "a1", "a2", "a3"] as const;
+export const agentNames = ["a0", "a1", "a2", "a3", "a4", "a5"] as const;
 
 /** Bound within which all that can be reached is at the highest revision, from the project's target for today. */
 export const convergenceBound = 3_000;
@@ -33,6 +33,7 @@
 export const startBound = 1_000;
 
 const latency = 2;
+const submissionTime = 100;
 const operatorPatience = 15_000;
 
 /** One accepted submission, as the store itself holds it. */
@@ -78,7 +79,10 @@
             onStored: (entry) => this.stored(entry),
         });
         routerNames.forEach((name, index) => this.network.add(name, index % 2 === 0 ? "hobart" : "burnie"));
-        agentNames.forEach((name, index) => this.network.add(name, "hobart", routerNames[index]));
+        agentNames.forEach((name, index) => {
+            const keepers = [routerNames[index], routerNames[(index + 1) % routerNames.length]];
+            this.network.add(name, "hobart", keepers);
+        });
         this.network.tellPeers();
     }
 
@@ -107,6 +111,26 @@
         }
     }
 
+    /**
+     * Cuts one router from the store and from every other router, but not from agents, and checks that a submission
+     * still comes into force there in time.
+     */
+    checkCutRouter(instance: string, identifier: string, order: SubmissionOrder): void {
+        this.network.heal();
+        this.network.store.fault = StoreFault.None;
+        this.network.pass(convergenceBound);
+        this.network.cutFromStore(instance);
+        routerNames.filter((name) => name !== instance).forEach((name) => this.network.cut(instance, name));
+        this.submit(identifier, { ...order, pause: 0 });
+        this.network.pass(submissionTime);
+        const target = this.accepted.at(-1)?.revision ?? 0;
+        this.network.pass(convergenceBound);
+        const { revision } = this.network.nodes.get(instance)!.replica;
+        if (revision < target) {
+            this.violate(`${instance}, in touch with agents alone, is at ${revision}, not at ${target}`);
+        }
+    }
+
     /** Restarts one router with the store down and checks that it serves in time if another process can tell it how. */
     checkStart(instance: string): void {
         this.network.heal();
--- a/packages/proofs/src/fuzz/configurationTarget.ts
+++ b/packages/proofs/src/fuzz/configurationTarget.ts
@@ -17,6 +17,12 @@
 
 type Step =
     | { readonly kind: "submit"; readonly name: number; readonly order: SubmissionOrder; }
+    | {
+        readonly kind: "checkCutRouter";
+        readonly router: string;
+        readonly name: number;
+        readonly order: SubmissionOrder;
+    }
     | { readonly kind: "store"; readonly fault: StoreFault; }
     | { readonly kind: "cut"; readonly one: string; readonly other: string; }
     | { readonly kind: "cutFromStore" | "restart" | "checkStart"; readonly router: string; }
@@ -57,6 +63,15 @@
             router,
         }),
     },
+    {
+        weight: 1,
+        arbitrary: fc.record({
+            kind: fc.constant("checkCutRouter" as const),
+            router,
+            name: fc.nat(maximumSubmissions),
+            order,
+        }),
+    },
     { weight: 1, arbitrary: fc.record({ kind: fc.constant("freeze" as const), node }) },
     {
         weight: 3,
@@ -78,15 +93,18 @@
     },
 );
 
+/** The same identifier given twice stands for an operator who settles an unknown outcome. */
+function identifierOf(next: { readonly name: number; readonly order: SubmissionOrder; }): string {
+    return `submission-${next.name}-${next.order.hasKey}-${next.order.isLarge}`;
+}
+
 function perform(site: ConfigurationSite, next: Step): void {
     const { network } = site;
     switch (next.kind) {
         case "submit":
-            // The same identifier given twice stands for an operator who settles an unknown outcome.
-            return site.submit(
-                `submission-${next.name}-${next.order.hasKey}-${next.order.isLarge}`,
-                next.order,
-            );
+            return site.submit(identifierOf(next), next.order);
+        case "checkCutRouter":
+            return site.checkCutRouter(next.router, identifierOf(next), next.order);
         case "store":
             network.store.fault = next.fault;
             return;
--- a/packages/protocol/src/configurationMessages.ts
+++ b/packages/protocol/src/configurationMessages.ts
@@ -43,8 +43,6 @@
     readonly from: number;
     /** Revision that they make. */
     readonly revision: number;
-    /** Identifier of the submission that made `revision`. */
-    readonly submission: string;
     readonly changes: readonly ManifestChange[];
     readonly shardCount: number;
     /** Digest of the manifest at `revision`. */
@@ -55,7 +53,6 @@
 export interface ConfigurationOutline {
     readonly kind: ConfigurationMessageKind.Outline;
     readonly revision: number;
-    readonly submission: string;
     readonly shardDigests: readonly string[];
 }
 
@@ -110,13 +107,11 @@
         messageSchema(ConfigurationMessageKind.Ask, {}),
         messageSchema(ConfigurationMessageKind.Update, {
             from: revision,
-            submission: text,
             changes: { type: "array", items: manifestChangeSchema },
             shardCount: { type: "integer", minimum: 1, maximum: maximumShards },
             digest: text,
         }),
         messageSchema(ConfigurationMessageKind.Outline, {
-            submission: text,
             shardDigests: { ...digests, minItems: 1 },
         }),
         messageSchema(ConfigurationMessageKind.AskShards, { digests }),
--- a/packages/protocol/src/membershipMessages.ts
+++ b/packages/protocol/src/membershipMessages.ts
@@ -44,8 +44,8 @@
 export interface MembershipPing {
     readonly kind: MembershipMessageKind.Ping;
     readonly sender: MemberEntry;
-    /** What the sender believes of the receiver, which contradicts it where it is wrong. */
-    readonly about: MemberEntry;
+    /** What the sender believes of the receiver, which contradicts it where it is wrong; absent for a live member. */
+    readonly about?: MemberEntry;
     readonly news: readonly MemberEntry[];
 }
 
@@ -111,7 +111,15 @@
 /** Tells whether the body of a topic call is a call of this topic. */
 export const isMembershipCall = createSchemaGuard<MembershipCall>({
     oneOf: [
-        messageSchema(MembershipMessageKind.Ping, { sender: entry, about: entry, news }),
+        {
+            ...messageSchema(MembershipMessageKind.Ping, { sender: entry, news }),
+            properties: {
+                kind: { const: MembershipMessageKind.Ping },
+                sender: entry,
+                about: entry,
+                news,
+            },
+        },
         messageSchema(MembershipMessageKind.PingRequest, { sender: entry, target: entry, news }),
     ],
 });
--- a/packages/router/src/node/router.ts
+++ b/packages/router/src/node/router.ts
@@ -202,10 +202,7 @@
             instance: config.instance,
             dataCentre: config.dataCentre,
             store,
-            peers: createRouterPeers(this.innerNode, {
-                routers: () => this.membership.routers(),
-                agents: () => this.membership.homeAgents(),
-            }),
+            peers: createRouterPeers(this.innerNode, this.membership),
         });
         configuration.onInstalled(() => this.admission.accountsChanged());
         handleConfiguration(this.innerNode, configuration);
