--- a/packages/admission/src/node/rosterKeeper.ts
+++ b/packages/admission/src/node/rosterKeeper.ts
@@ -95,11 +95,20 @@
     membersRead(members: readonly RouterMember[]): void {
         this.members = members;
         this.gone = this.goneWatch.observe(this.roster ?? emptyRoster, members, this.options.clock.now());
+        if (this.roster === undefined) {
+            // The first members are the first sources: a router that starts while the store is down needs them at once.
+            void this.askSources();
+        }
         if (members.length > 0 && this.repaired(this.roster ?? emptyRoster) !== undefined) {
             this.scheduleRepair();
         }
     }
 
+    /** True where the VM list shows that this router's VM leaves. */
+    get vmLeaves(): boolean {
+        return this.members.some((member) => member.instance === this.options.instance && member.leaving);
+    }
+
     /** Gives up this router's positions for good; resolves once the store shows it or cannot be reached. */
     async release(): Promise<boolean> {
         this.released = true;
