--- a/packages/bench/src/node/main.ts
+++ b/packages/bench/src/node/main.ts
@@ -4,12 +4,14 @@
  * @module
  */
 import { Builtins, Cli, type CommandClass } from "clipanion";
+import { ConfigurationCommand } from "../configuration/configurationCommand.js";
 import { OverheadCommand } from "../overhead/overheadCommand.js";
 import { PlacementStateCommand } from "../placementState/placementStateCommand.js";
 import { PolicyCommand } from "../policy/policyCommand.js";
 import { RatesCommand } from "../rates/ratesCommand.js";
 
 const experiments: readonly CommandClass[] = [
+    ConfigurationCommand,
     OverheadCommand,
     PlacementStateCommand,
     PolicyCommand,
