fix(placement): a late status does not hide work placed before it came

Cause: with statuses a second late, each one wiped out what the router had placed in that second, and the next requests followed it to the same endpoint. Change: a status is taken not to count 0.8 of what was placed before it.

--- a/packages/placement/src/decision/__tests__/placement.spec.ts
+++ b/packages/placement/src/decision/__tests__/placement.spec.ts
@@ -130,6 +130,15 @@
         expect(placement.choose(requestOf())!.instance).to.equal(holder);
     });
 
+    it("does not let a late status hide work that it has just placed", () => {
+        const placement = placementOf();
+        const plain = requestOf({ prefixBlocks: [], sharedBlocks: 0, promptTokens: 10_000 });
+        const first = placement.choose(plain)!;
+        placement.observeHead(first, 0);
+        placement.observeStatus(statusOf(first.instance));
+        expect(placement.choose(plain)!.instance).to.not.equal(first.instance);
+    });
+
     it("ejects an endpoint that keeps failing, for a time", () => {
         const clock = new FakeClock();
         const placement = placementOf(clock);
--- a/packages/placement/src/decision/endpointTable.ts
+++ b/packages/placement/src/decision/endpointTable.ts
@@ -8,6 +8,9 @@
 import type { EndpointStatus, WeightsReference } from "@redwingpin/protocol";
 import { seedOf } from "./rendezvous.js";
 
+/** Part of the work placed before a status that the status, which comes late, is taken not to count yet. */
+const keptByStatus = 0.8;
+
 /** An endpoint that requests may be placed on, from the VM list. */
 export interface CandidateEndpoint {
     readonly instance: string;
@@ -99,7 +102,7 @@
         known.status = status;
         known.statusAt = now;
         known.held = status.heldPrefixes && new Set(status.heldPrefixes);
-        known.placedSinceStatus = 0;
+        known.placedSinceStatus *= keptByStatus;
     }
 
     private groupByPool(): void {
