feat(bench): slopes of state, processor time, messages and store calls; reference pages

Cause: capacity at the size to design for had no measured slopes. Change: an experiment over module state, requests under load and idle fleets of real processes; inner bytes are counted; pages of reference, architecture, security, glossary; the page of settings is made from the tables and checked.

--- a/packages/agent/src/node/agent.ts
+++ b/packages/agent/src/node/agent.ts
@@ -109,6 +109,7 @@
         this.membership = this.createMembership();
         this.declines = createAgentMetrics(options.registry, {
             revision: () => this.configuration.revision(),
+            traffic: this.innerNode.traffic,
             pendingTokens: () => this.scheduler.pendingTokens,
             running: () => this.scheduler.running,
             endpointUp: () => this.monitor.current.incarnation !== undefined,
--- a/packages/agent/src/node/main.ts
+++ b/packages/agent/src/node/main.ts
@@ -15,7 +15,7 @@
     untilToldToStop,
 } from "@redwingpin/common";
 import { Command, runExit } from "clipanion";
-import { Registry } from "prom-client";
+import { collectDefaultMetrics, Registry } from "prom-client";
 import { agentSettings, type ResolvedAgentConfig } from "../config.js";
 import { Agent } from "./agent.js";
 
@@ -49,6 +49,7 @@
         fields: { instance: config.instance, dataCentre: config.dataCentre },
     });
     const registry = new Registry();
+    collectDefaultMetrics({ register: registry });
     createReasonCounters(registry);
     const agent = new Agent({ config, clock: systemClock, logger, registry });
     let ready = false;
--- a/packages/bench/src/node/main.ts
+++ b/packages/bench/src/node/main.ts
@@ -8,12 +8,14 @@
 import { OverheadCommand } from "../overhead/overheadCommand.js";
 import { PolicyCommand } from "../policy/policyCommand.js";
 import { RatesCommand } from "../rates/ratesCommand.js";
+import { SlopesCommand } from "../slopes/slopesCommand.js";
 
 const experiments: readonly CommandClass[] = [
     ConfigurationCommand,
     OverheadCommand,
     PolicyCommand,
     RatesCommand,
+    SlopesCommand,
 ];
 
 const cli = new Cli({ binaryName: "redwingpin-bench", binaryLabel: "redwingpin bench" });
--- a/packages/common/src/metrics.ts
+++ b/packages/common/src/metrics.ts
@@ -66,3 +66,16 @@
         },
     });
 }
+
+/** Adds a counter to `registry` whose value is read when metrics are collected; it must never fall. */
+export function registerCounter(registry: Registry, name: string, help: string, read: () => number): void {
+    new Counter({
+        name,
+        help,
+        registers: [registry],
+        collect() {
+            this.reset();
+            this.inc(read());
+        },
+    });
+}
--- a/packages/protocol/src/node/connection.ts
+++ b/packages/protocol/src/node/connection.ts
@@ -38,12 +38,20 @@
     onClosed(connection: Connection): void;
 }
 
+/** Bytes of frames that a process's connections have carried, without what TLS and TCP add. */
+export interface Traffic {
+    sentBytes: number;
+    receivedBytes: number;
+}
+
 /** What a connection needs from its process. */
 export interface ConnectionContext {
     readonly clock: Clock;
     /** This process's Hello, with the revision in force now. */
     readonly hello: () => Hello;
     readonly handler: ConnectionHandler;
+    /** Counts what the process's connections carry. */
+    readonly traffic: Traffic;
 }
 
 interface PendingCall {
@@ -87,7 +95,9 @@
     /** Sends a message; it is dropped once the connection is closed. */
     send(message: Message): void {
         if (!this.closed) {
-            this.socket.write(encodeFrame(message));
+            const frame = encodeFrame(message);
+            this.context.traffic.sentBytes += frame.length;
+            this.socket.write(frame);
         }
     }
 
@@ -172,6 +182,7 @@
     }
 
     private receive(received: Buffer): void {
+        this.context.traffic.receivedBytes += received.length;
         const messages = this.reader.read(received);
         if (messages.isErr()) {
             this.close();
--- a/packages/protocol/src/node/innerNode.ts
+++ b/packages/protocol/src/node/innerNode.ts
@@ -17,7 +17,7 @@
     type TopicMessage,
 } from "../messages.js";
 import { type ProtocolError, protocolError, ProtocolErrorKind } from "../protocolError.js";
-import { Connection, type ConnectionContext, type ExchangeMessage } from "./connection.js";
+import { Connection, type ConnectionContext, type ExchangeMessage, type Traffic } from "./connection.js";
 import type { FleetKeys } from "./fleetKey.js";
 import { connectSecurely, createSecureServer, type InnerAddress } from "./secureChannel.js";
 
@@ -54,12 +54,15 @@
     private readonly connections = new Set<Connection>();
     private readonly topics = new Map<Topic, TopicHandler>();
     private readonly context: ConnectionContext;
+    /** Bytes carried since the start. */
+    readonly traffic: Traffic = { sentBytes: 0, receivedBytes: 0 };
     private server: Server | undefined;
 
     constructor(private readonly options: InnerNodeOptions) {
         this.context = {
             clock: options.clock,
             hello: () => this.hello(),
+            traffic: this.traffic,
             handler: {
                 onMessage: options.onMessage,
                 onTopic: (connection, message) => this.answerTopic(connection, message),
--- a/packages/router/src/node/router.ts
+++ b/packages/router/src/node/router.ts
@@ -106,6 +106,7 @@
         this.callerServer = this.createCallerServer();
         registerRouterGauges(registry, {
             revision: () => this.revision(),
+            traffic: this.innerNode.traffic,
             openExchanges: () => this.exchanges.size,
             knownRouters: () => this.membership.routers().length,
             knownAgents: () => this.membership.agents().length,
--- /dev/null
+++ b/scripts/settingsReference.mjs
@@ -0,0 +1,41 @@
+/**
+ * Writes docs/reference/settings.md from the programs' tables of settings. Run after a build.
+ *
+ * Usage: node scripts/settingsReference.mjs [--check]
+ * With --check nothing is written; the exit code is 1 where the page is out of date.
+ */
+import { flagOf } from "@redwingpin/common";
+import { readFileSync, writeFileSync } from "node:fs";
+import { agentSettings } from "../packages/agent/dist/config.js";
+import { fleetSettings, storeSettings } from "../packages/command/dist/commandSettings.js";
+import { routerSettings } from "../packages/router/dist/config.js";
+
+const file = "docs/reference/settings.md";
+
+function row(setting) {
+    const flag = setting.secret ? "none: secrets are no flags" : `\`${flagOf(setting.variable)}\``;
+    const fallback = setting.defaultText === undefined ? "required" : `\`${setting.defaultText}\``;
+    return `| \`${setting.variable}\` | ${flag} | ${setting.description} | ${fallback} |`;
+}
+
+function section(program, table) {
+    const head = "| variable | flag | meaning | default |\n| --- | --- | --- | --- |";
+    return `## ${program}\n\n${head}\n${Object.values(table).map(row).join("\n")}\n`;
+}
+
+const text = [
+    "# Settings\n",
+    "Flags go before environment variables, and those before defaults. All findings are reported together. A secret is",
+    "read from its variable or from the file that `<variable>_FILE` names.\n",
+    section("redwingpin-router", routerSettings),
+    section("redwingpin-agent", agentSettings),
+    section("redwingpin", { ...storeSettings, ...fleetSettings }),
+].join("\n");
+
+if (!process.argv.includes("--check")) {
+    writeFileSync(file, text);
+}
+else if (readFileSync(file, "utf8") !== text) {
+    console.error(`${file} is out of date: run npm run docs:settings`);
+    process.exitCode = 1;
+}
