--- a/packages/platform/src/prometheusVirtualMachineList.ts
+++ b/packages/platform/src/prometheusVirtualMachineList.ts
@@ -12,7 +12,8 @@
     type Milliseconds,
     silentLogger,
 } from "@redwingpin/common";
-import { either, readonlyArray } from "fp-ts";
+import * as either from "fp-ts/lib/Either.js";
+import * as readonlyArray from "fp-ts/lib/ReadonlyArray.js";
 import { err, ok, Result, type ResultAsync } from "neverthrow";
 import { defaultRequestTimeoutMilliseconds } from "./constants.js";
 import { asObject, type JsonObject } from "./etcdWire.js";
--- a/packages/proofs/src/scenarios/runScenario.ts
+++ b/packages/proofs/src/scenarios/runScenario.ts
@@ -5,7 +5,7 @@
  */
 import type { Scenario } from "./featureFile.js";
 import { type MatchedStep, StepRegistry } from "./stepRegistry.js";
-import { callerSteps } from "./steps/callerSteps.js";
+import { callerSteps, describe } from "./steps/callerSteps.js";
 import { checkSteps } from "./steps/checkSteps.js";
 import { operatorSteps } from "./steps/operatorSteps.js";
 import { siteSteps } from "./steps/siteSteps.js";
@@ -53,6 +53,9 @@
         return undefined;
     }
     catch (error) {
+        for (const [name, { record }] of world.calls) {
+            world.measures.push(`"${name}": ${describe(record)}`);
+        }
         return `${current}: ${error instanceof Error ? error.message : String(error)}`;
     }
 }
--- a/playground/src/__tests__/playground.spec.ts
+++ b/playground/src/__tests__/playground.spec.ts
@@ -5,6 +5,7 @@
 import { promisify } from "node:util";
 import { request } from "undici";
 import { type Playground, startPlayground } from "../playground.js";
+import { PlaygroundRole } from "../state.js";
 
 interface Answer {
     readonly status: number;
@@ -45,6 +46,32 @@
         }
     });
 
+    it("cancels the work of a caller that goes away", async () => {
+        const { routers, keys, models, processes } = playground.state;
+        const answer = await request(`${routers[0]}/v1/completions`, {
+            method: "POST",
+            headers: { "content-type": "application/json", authorization: `Bearer ${keys[0]!.key}` },
+            body: JSON.stringify({
+                model: models[0],
+                prompt: "A long reply",
+                max_tokens: 100_000,
+                stream: true,
+            }),
+        });
+        answer.body.on("error", () => {});
+        await answer.body[Symbol.asyncIterator]().next();
+        answer.body.destroy();
+        const engines = processes.filter((child) => child.role === PlaygroundRole.Engine);
+        let cancelled = 0;
+        while (cancelled === 0) {
+            for (const engine of engines) {
+                const work = await (await request(`${engine.control}/control/work`)).body.json();
+                cancelled += (work as { cancelled: number; }).cancelled;
+            }
+        }
+        expect(cancelled).to.equal(1);
+    });
+
     it("starts a process again on the same address from its command and environment", async () => {
         const child = playground.child("router-1");
         await child.kill();
