--- a/packages/router/src/node/router.ts
+++ b/packages/router/src/node/router.ts
@@ -49,6 +49,7 @@
 import { createRatePeers } from "./ratePeers.js";
 import { RequestPipeline } from "./requestPipeline.js";
 import { RequestPlacement } from "./requestPlacement.js";
+import { createRequestMetrics, registerRouterGauges } from "./routerMetrics.js";
 import { handleConfiguration, handleMembership, handleOperators, handleRates } from "./routerTopics.js";
 import { SilenceProbe } from "./silenceProbe.js";
 
@@ -83,6 +84,7 @@
     private readonly configuration: Configuration;
     private readonly incarnation = randomUUID();
     private readonly startedAt: Milliseconds;
+    private listedRouters: readonly VirtualMachine[] = [];
     private stopping = false;
 
     constructor(private readonly options: RouterOptions) {
@@ -102,6 +104,12 @@
         this.claims = this.createClaims();
         this.pipeline = this.createPipeline();
         this.callerServer = this.createCallerServer();
+        registerRouterGauges(registry, {
+            revision: () => this.revision(),
+            openExchanges: () => this.exchanges.size,
+            knownRouters: () => this.membership.routers().length,
+            knownAgents: () => this.membership.agents().length,
+        });
     }
 
     /** Starts to serve; resolves with the ports. */
@@ -165,6 +173,7 @@
             retryBudget: new RetryBudget(),
             admission: this.admission,
             claims: this.claims,
+            metrics: createRequestMetrics(this.options.registry),
             attempts: {
                 clock,
                 innerNode: this.innerNode,
@@ -202,10 +211,7 @@
             instance: config.instance,
             dataCentre: config.dataCentre,
             store,
-            peers: createRouterPeers(this.innerNode, {
-                routers: () => this.membership.routers(),
-                agents: () => this.membership.homeAgents(),
-            }),
+            peers: createRouterPeers(this.innerNode, this.membership),
         });
         configuration.onInstalled(() => this.admission.accountsChanged());
         handleConfiguration(this.innerNode, configuration);
@@ -272,12 +278,15 @@
         this.placement.retain(this.membership.machines());
         this.configuration.peersChanged();
         this.greetAgents();
+        if (!this.admission.rosterKnown()) {
+            this.admission.membersChanged(this.listedRouters);
+        }
     }
 
     /** Rates pass on only what the platform itself has dropped: a member that gives no answer may only be paused. */
     private onListRead(machines: readonly VirtualMachine[]): void {
-        const routers = machines.filter((machine) => machine.role === VirtualMachineRole.Router);
-        this.admission.membersChanged(routers);
+        this.listedRouters = machines.filter((machine) => machine.role === VirtualMachineRole.Router);
+        this.admission.membersChanged(this.listedRouters);
         this.greetAgents();
     }
 
