--- a/packages/bench/src/node/main.ts
+++ b/packages/bench/src/node/main.ts
@@ -6,6 +6,7 @@
 import { Builtins, Cli, type CommandClass } from "clipanion";
 import { ConfigurationCommand } from "../configuration/configurationCommand.js";
 import { OverheadCommand } from "../overhead/overheadCommand.js";
+import { PlacementStateCommand } from "../placementState/placementStateCommand.js";
 import { PolicyCommand } from "../policy/policyCommand.js";
 import { RatesCommand } from "../rates/ratesCommand.js";
 import { SlopesCommand } from "../slopes/slopesCommand.js";
@@ -16,6 +17,7 @@
     PolicyCommand,
     RatesCommand,
     SlopesCommand,
+    PlacementStateCommand,
 ];
 
 const cli = new Cli({ binaryName: "redwingpin-bench", binaryLabel: "redwingpin bench" });
