feat(proofs): network cuts in scenarios, in one or both directions

No scenario could take one router from the store, or processes from each other, while others stayed connected. With the option of a network that can be cut, the playground gives each pair of processes a relay, and the VM list gives each reader the addresses of its own relays. A cut holds back what is sent until it is healed, as TCP over a network that loses packets. Ruled out: closing connections, which tells both ends at once what a cut does not.

--- a/packages/proofs/src/scenarios/runScenario.ts
+++ b/packages/proofs/src/scenarios/runScenario.ts
@@ -7,6 +7,7 @@
 import { type MatchedStep, StepRegistry } from "./stepRegistry.js";
 import { callerSteps, describe } from "./steps/callerSteps.js";
 import { checkSteps } from "./steps/checkSteps.js";
+import { networkSteps } from "./steps/networkSteps.js";
 import { operatorSteps } from "./steps/operatorSteps.js";
 import { siteSteps } from "./steps/siteSteps.js";
 import { World } from "./world.js";
@@ -30,6 +31,7 @@
     ...callerSteps,
     ...checkSteps,
     ...operatorSteps,
+    ...networkSteps,
 ]);
 
 /** Runs one scenario. A step without a definition fails it before anything is started. */
--- a/packages/proofs/src/scenarios/world.ts
+++ b/packages/proofs/src/scenarios/world.ts
@@ -65,8 +65,8 @@
         return JSON.parse(readFileSync(this.playground.state.manifest, "utf8")) as Manifest;
     }
 
-    async start(routers: number, engines: number, services: number): Promise<void> {
-        this.running = await startPlayground({ routers, engines, services });
+    async start(routers: number, engines: number, services: number, cuttableNetwork = false): Promise<void> {
+        this.running = await startPlayground({ routers, engines, services, cuttableNetwork });
     }
 
     async stop(): Promise<void> {
--- /dev/null
+++ b/packages/standins/src/__tests__/networkStandin.spec.ts
@@ -0,0 +1,36 @@
+import { expect } from "chai";
+import { request } from "undici";
+import { CutDirection, startNetworkStandin } from "../node/networkStandin.js";
+import { startServiceStandin } from "../node/serviceStandin.js";
+
+describe("standins: network", () => {
+    for (const direction of Object.values(CutDirection)) {
+        it(`holds back what is sent while it is cut (${direction}), and delivers it when healed`, async () => {
+            const service = await startServiceStandin();
+            const targetPort = Number(new URL(service.address).port);
+            const port = targetPort + 1;
+            const network = await startNetworkStandin({ links: [{ from: "a", to: "b", port, targetPort }] });
+            const executions = async () =>
+                await (await request(`${service.controlAddress}/control/executions`)).body.json() as object[];
+            const cut = JSON.stringify({ from: "a", to: "b", direction });
+            await request(`${network.controlAddress}/control/cut`, { method: "POST", body: cut });
+            let answered = false;
+            const call = request(`http://127.0.0.1:${port}/stamps`, { method: "POST", body: "x" })
+                .then(() => answered = true);
+            if (direction === CutDirection.Backward) {
+                while ((await executions()).length === 0) {
+                    await new Promise((resolve) => setTimeout(resolve, 5));
+                }
+            }
+            else {
+                expect(await executions()).to.deep.equal([]);
+            }
+            expect(answered).to.equal(false);
+            await request(`${network.controlAddress}/control/heal`, { method: "POST" });
+            await call;
+            expect(await executions()).to.have.length(1);
+            await network.stop();
+            await service.stop();
+        });
+    }
+});
--- a/packages/standins/src/node/main.ts
+++ b/packages/standins/src/node/main.ts
@@ -1,6 +1,6 @@
 #!/usr/bin/env node
 /**
- * `redwingpin-standin <store|vmList|engine|service> --port N [--control-port N] ...`: runs one stand-in until SIGTERM.
+ * `redwingpin-standin <store|vmList|engine|service|network> --port N [--control-port N] ...`: runs one stand-in until SIGTERM.
  *
  * @module
  */
@@ -8,6 +8,7 @@
 import { readFileSync } from "node:fs";
 import { startEngineStandin } from "./engineStandin.js";
 import type { Standin, StandinOptions } from "./httpListener.js";
+import { type NetworkLink, startNetworkStandin } from "./networkStandin.js";
 import { startServiceStandin } from "./serviceStandin.js";
 import { startStoreStandin } from "./storeStandin.js";
 import { startVirtualMachineListStandin, type TargetGroup } from "./virtualMachineListStandin.js";
@@ -128,10 +129,24 @@
     }
 }
 
+class NetworkCommand extends StandinCommand {
+    static override paths = [["network"]];
+    static override usage = Command.Usage({ description: "Network whose links can be cut" });
+
+    links = Option.String("--links", { description: "JSON file with the links", required: true });
+
+    protected async start(options: StandinOptions): Promise<Standin> {
+        const links = JSON.parse(readFileSync(this.links, "utf8")) as NetworkLink[];
+        const network = await startNetworkStandin({ links, controlPort: options.controlPort });
+        return { address: network.controlAddress, ...network };
+    }
+}
+
 const cli = new Cli({ binaryLabel: "Stand-ins", binaryName: "redwingpin-standin" });
 cli.register(Builtins.HelpCommand);
 cli.register(StoreCommand);
 cli.register(VirtualMachineListCommand);
 cli.register(ServiceCommand);
 cli.register(EngineCommand);
+cli.register(NetworkCommand);
 process.exitCode = await cli.run(process.argv.slice(2));
--- a/packages/standins/src/node/virtualMachineListStandin.ts
+++ b/packages/standins/src/node/virtualMachineListStandin.ts
@@ -3,7 +3,8 @@
  *
  * The list is at `GET /virtualMachines`. Controls: `PUT /control/virtualMachines` replaces it, `GET` of the same
  * shows what was put, `POST /control/lag {"milliseconds": N}` delays when later changes become visible, and
- * `POST /control/outage {"mode": "down" | "up"}`. The same process stands in for the weight store: `GET
+ * `POST /control/outage {"mode": "down" | "up"}`. `GET /virtualMachines?reader=NAME` gives the targets by which that
+ * reader reaches them, set by `PUT /control/views {READER: {TARGET: TARGET}}`. The same process stands in for the weight store: `GET
  * /weights/NAME` answers once the weights are transferred, and `GET /control/weights` shows the transfers.
  *
  * @module
@@ -35,6 +36,9 @@
     readonly labels: Readonly<Record<string, string>>;
 }
 
+/** For each reader, the target by which it reaches each target of the list. */
+export type VirtualMachineViews = Readonly<Record<string, Readonly<Record<string, string>>>>;
+
 /** Options of {@link startVirtualMachineListStandin}. */
 export interface VirtualMachineListStandinOptions extends StandinOptions {
     /** @default [] */
@@ -62,6 +66,7 @@
     private readonly weights: WeightStore;
     private visible: unknown;
     private latest: unknown;
+    private views: VirtualMachineViews = {};
     private lagMilliseconds = 0;
 
     constructor(options: VirtualMachineListStandinOptions) {
@@ -100,7 +105,8 @@
     private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
         const path = pathOf(request);
         if (path === virtualMachinesPath) {
-            sendJson(response, 200, this.visible);
+            const reader = new URL(request.url!, this.listener.address).searchParams.get("reader");
+            sendJson(response, 200, this.viewOf(reader ?? ""));
             return;
         }
         if (path.startsWith(`${weightsPath}/`)) {
@@ -115,6 +121,9 @@
         switch (`${request.method} ${pathOf(request)}`) {
             case "GET /control/virtualMachines":
                 break;
+            case "PUT /control/views":
+                this.views = await readJson<VirtualMachineViews>(request) as VirtualMachineViews;
+                break;
             case "GET /control/weights":
                 sendJson(response, 200, this.weights.report());
                 return;
@@ -136,6 +145,18 @@
         sendJson(response, 200, this.latest);
     }
 
+    /** The list with the targets by which a reader reaches them, where it has a view of its own. */
+    private viewOf(reader: string): unknown {
+        const view = this.views[reader];
+        if (view === undefined) {
+            return this.visible;
+        }
+        return (this.visible as readonly TargetGroup[]).map((group) => ({
+            ...group,
+            targets: group.targets.map((target) => view[target] ?? target),
+        }));
+    }
+
     private replace(list: unknown): void {
         this.latest = list;
         if (this.lagMilliseconds === 0) {
--- a/playground/src/playground.ts
+++ b/playground/src/playground.ts
@@ -18,6 +18,7 @@
     DeploymentName,
     type DeploymentSize,
 } from "./deployment.js";
+import { viewsOf } from "./networkPlan.js";
 import { PortAllocator } from "./ports.js";
 import {
     planPlayground,
@@ -33,6 +34,11 @@
 export interface PlaygroundOptions extends Partial<DeploymentSize> {
     /** @default DeploymentName.Sample */
     readonly deployment?: DeploymentName;
+    /**
+     * True puts a network between the processes whose links can be cut.
+     * @default false
+     */
+    readonly cuttableNetwork?: boolean;
 }
 
 /** A running playground. */
@@ -75,7 +81,7 @@
     private readonly size: DeploymentSize;
     private plan!: PlaygroundPlan;
 
-    constructor(readonly folder: string, options: PlaygroundOptions) {
+    constructor(readonly folder: string, private readonly options: PlaygroundOptions) {
         const name = options.deployment ?? DeploymentName.Sample;
         const { routers, engines, services } = defaultSize(name);
         this.size = {
@@ -114,7 +120,9 @@
             size: this.size,
             ports,
             fleetKeyFile,
+            linksFile: this.options.cuttableNetwork ? this.linksFile : undefined,
         });
+        await writeFile(this.linksFile, JSON.stringify(this.plan.links));
         await this.launch(this.plan.standins);
         await this.publishVirtualMachines();
         await Promise.all([this.launch([...this.plan.agents, ...this.plan.routers]), this.applyManifest()]);
@@ -172,6 +180,10 @@
         return join(this.folder, "manifest.json");
     }
 
+    private get linksFile(): string {
+        return join(this.folder, "links.json");
+    }
+
     private get operator(): string[] {
         const variables = Object.entries(this.plan.operatorEnvironment).map(([name, value]) =>
             `${name}=${value}`
@@ -190,10 +202,13 @@
     }
 
     private async publishVirtualMachines(): Promise<void> {
-        const answer = await request(`${this.plan.virtualMachineListControl}/control/virtualMachines`, {
-            method: "PUT",
-            body: JSON.stringify(this.plan.virtualMachines),
-        });
+        await this.putToVirtualMachineList("views", viewsOf(this.plan.links, playgroundHost));
+        await this.putToVirtualMachineList("virtualMachines", this.plan.virtualMachines);
+    }
+
+    private async putToVirtualMachineList(control: string, body: object): Promise<void> {
+        const address = `${this.plan.virtualMachineListControl}/control/${control}`;
+        const answer = await request(address, { method: "PUT", body: JSON.stringify(body) });
         await answer.body.dump();
     }
 
--- a/playground/src/processPlans.ts
+++ b/playground/src/processPlans.ts
@@ -4,9 +4,11 @@
  * @module
  */
 import { EndpointKind } from "@redwingpin/manifest";
+import type { NetworkLink } from "@redwingpin/standins";
 import { createRequire } from "node:module";
 import { dirname, join } from "node:path";
 import type { Deployment, DeploymentSize } from "./deployment.js";
+import { type NetworkMember, planLinks, storeName } from "./networkPlan.js";
 import type { PortAllocator } from "./ports.js";
 import { PlaygroundRole, type ProcessEnvironment } from "./state.js";
 
@@ -43,6 +45,8 @@
     readonly routers: readonly ProcessPlan[];
     readonly virtualMachines: readonly ListedMachine[];
     readonly virtualMachineListControl: string;
+    /** Links of the network; empty where processes connect directly. */
+    readonly links: readonly NetworkLink[];
     /** Settings of the operator's command. */
     readonly operatorEnvironment: ProcessEnvironment;
 }
@@ -54,6 +58,8 @@
     readonly ports: PortAllocator;
     /** File that holds the fleet key. */
     readonly fleetKeyFile: string;
+    /** File for the links of a network that can be cut; without it processes connect directly. */
+    readonly linksFile?: string;
 }
 
 const resolver = createRequire(import.meta.url);
@@ -79,6 +85,9 @@
 
 class Planner {
     private readonly machines: ListedMachine[] = [];
+    private readonly members: NetworkMember[] = [];
+    private readonly storeLinks: NetworkLink[] = [];
+    private storePort = 0;
     private storeAddress = "";
     private virtualMachineListAddress = "";
     private weightStoreAddress = "";
@@ -92,8 +101,12 @@
         const agents = await this.each(endpoints, (endpoint, index) => this.agent(endpoint, index));
         const routerNumbers = Array.from({ length: this.input.size.routers }, (_, index) => index);
         const routers = await this.each(routerNumbers, (index) => this.router(index));
+        const isCuttable = this.input.linksFile !== undefined;
+        const memberLinks = isCuttable ? await planLinks(this.members, this.input.ports) : [];
+        const network = isCuttable ? [await this.network(this.input.linksFile!)] : [];
         return {
-            standins: [store, virtualMachineList, ...endpoints.map((endpoint) => endpoint.plan)],
+            links: [...this.storeLinks, ...memberLinks],
+            standins: [store, virtualMachineList, ...network, ...endpoints.map((endpoint) => endpoint.plan)],
             agents,
             routers,
             virtualMachines: this.machines,
@@ -121,9 +134,30 @@
             "/control/counts",
         );
         this.storeAddress = address;
+        this.storePort = Number(new URL(address).port);
         return plan;
     }
 
+    private async network(linksFile: string): Promise<ProcessPlan> {
+        const command = ["network", "--links", linksFile];
+        return (await this.standin("network", PlaygroundRole.Network, command, "/control/links")).plan;
+    }
+
+    /** Address by which a router reaches the store. */
+    private async storeAddressFor(router: string): Promise<string> {
+        if (this.input.linksFile === undefined) {
+            return this.storeAddress;
+        }
+        const port = await this.input.ports.allocate();
+        this.storeLinks.push({ from: router, to: storeName, port, targetPort: this.storePort });
+        return addressOf(port);
+    }
+
+    private virtualMachineListFor(reader: string): string {
+        const query = this.input.linksFile === undefined ? "" : `?reader=${reader}`;
+        return `${this.virtualMachineListAddress}${query}`;
+    }
+
     private async virtualMachineList(): Promise<ProcessPlan> {
         const role = PlaygroundRole.VirtualMachineList;
         const { plan, address } = await this.standin("vmList", role, ["vmList"], "/control/virtualMachines");
@@ -187,6 +221,7 @@
         const innerPort = await this.input.ports.allocate();
         const metricsPort = await this.input.ports.allocate();
         const instance = `agent-${index + 1}`;
+        this.members.push({ name: instance, port: innerPort });
         const dataCentre = this.dataCentre(index);
         this.machines.push({
             targets: [`${playgroundHost}:${innerPort}`],
@@ -205,7 +240,7 @@
                 REDWINGPIN_METRICS_PORT: String(metricsPort),
                 REDWINGPIN_ENDPOINT_ADDRESS: endpoint.address,
                 REDWINGPIN_ENDPOINT_KIND: endpoint.kind,
-                REDWINGPIN_VM_LIST_ADDRESS: this.virtualMachineListAddress,
+                REDWINGPIN_VM_LIST_ADDRESS: this.virtualMachineListFor(instance),
                 REDWINGPIN_FLEET_KEY_FILE: this.input.fleetKeyFile,
             },
             readyAddress: `${addressOf(metricsPort)}/ready`,
@@ -216,6 +251,7 @@
         const listenPort = await this.input.ports.allocate();
         const innerPort = await this.input.ports.allocate();
         const instance = `router-${index + 1}`;
+        this.members.push({ name: instance, port: innerPort });
         const dataCentre = this.dataCentre(index);
         this.machines.push({
             targets: [`${playgroundHost}:${innerPort}`],
@@ -232,6 +268,8 @@
                 REDWINGPIN_LISTEN_PORT: String(listenPort),
                 REDWINGPIN_INNER_PORT: String(innerPort),
                 ...this.platformEnvironment(),
+                REDWINGPIN_STORE_ADDRESS: await this.storeAddressFor(instance),
+                REDWINGPIN_VM_LIST_ADDRESS: this.virtualMachineListFor(instance),
             },
             readyAddress: `${addressOf(listenPort)}/ready`,
             address: addressOf(listenPort),
--- a/playground/src/state.ts
+++ b/playground/src/state.ts
@@ -12,6 +12,8 @@
     Service = "service",
     Store = "store",
     VirtualMachineList = "vmList",
+    /** Only where the playground was started with a network that can be cut. */
+    Network = "network",
 }
 
 /** Environment variables that a process is started with. */
