fix(router): a stream whose last message is lost ends once

Cause: when the end event had reached the caller but the agent's end message was lost, the stream was resumed and ended twice.

--- /dev/null
+++ b/packages/proofs/src/fuzz/streamsTarget.ts
@@ -0,0 +1,243 @@
+/**
+ * Fuzz of streams: the router's exchanges and relay against a caller that must get every token once and in order, or
+ * an incomplete answer that shows that it is, whatever is lost, repeated, swapped or cut on the way.
+ *
+ * @module
+ */
+import { RoutePriority } from "@redwingpin/manifest";
+import { type EndpointStatus, type ExchangeMessage, MessageKind } from "@redwingpin/protocol";
+import {
+    AnswerRelay,
+    type Exchange,
+    type ExchangeConnection,
+    ExchangeTable,
+    type OpenFields,
+} from "@redwingpin/router";
+import fc from "fast-check";
+import type { ServerResponse } from "node:http";
+import type { FuzzTarget } from "./fuzzTarget.js";
+
+/** What happens to one message of the agent on its way. */
+enum Fault {
+    None = "none",
+    Lost = "lost",
+    Repeated = "repeated",
+    SwappedWithNext = "swappedWithNext",
+    /** The connection closes in place of the message. */
+    Cut = "cut",
+    /** The message comes on another exchange's number. */
+    Crossed = "crossed",
+}
+
+/** One attempt at the stream: how its chunks are cut, and what happens to its messages. */
+interface AttemptScript {
+    readonly chunkBytes: number;
+    readonly faults: readonly Fault[];
+}
+
+interface StreamScript {
+    readonly tokens: number;
+    readonly attempts: readonly AttemptScript[];
+}
+
+const maxTokens = 12;
+const maxAttempts = 4;
+const endEvent = "data: [DONE]\n\n";
+
+const scripts: fc.Arbitrary<StreamScript> = fc.record({
+    tokens: fc.integer({ min: 0, max: maxTokens }),
+    attempts: fc.array(
+        fc.record({
+            chunkBytes: fc.integer({ min: 1, max: 120 }),
+            faults: fc.array(
+                fc.oneof(
+                    { weight: 6, arbitrary: fc.constant(Fault.None) },
+                    { weight: 1, arbitrary: fc.constantFrom(...Object.values(Fault)) },
+                ),
+                { maxLength: 60 },
+            ),
+        }),
+        { minLength: 1, maxLength: maxAttempts },
+    ),
+});
+
+/** The fuzz of streams. */
+export const streamsTarget: FuzzTarget = {
+    name: "streams",
+    boundedRuns: 300,
+    property: () =>
+        fc.asyncProperty(scripts, async (script) => {
+            const caller = new RecordingCaller();
+            const complete = await runStream(script, caller);
+            judge(script, caller, complete);
+        }),
+};
+
+/** The oracle: what the caller has is a prefix of the true stream, and all of it exactly where it looks complete. */
+function judge(script: StreamScript, caller: RecordingCaller, complete: boolean): void {
+    const whole = streamText(0, script.tokens);
+    if (!whole.startsWith(caller.text)) {
+        throw new Error(
+            `the caller got ${JSON.stringify(caller.text)}, which does not begin the true stream`,
+        );
+    }
+    if (caller.ended !== complete || (complete && caller.text !== whole)) {
+        throw new Error(
+            `the answer looks ${caller.ended ? "complete" : "cut"} with ${JSON.stringify(caller.text)}`,
+        );
+    }
+}
+
+async function runStream(script: StreamScript, caller: RecordingCaller): Promise<boolean> {
+    const relay = new AnswerRelay(caller.response, { isCompletionStream: true, onFirstByte: () => {} });
+    for (const attempt of script.attempts) {
+        const table = new ExchangeTable<ExchangeConnection>();
+        const exchange = table.open(silentConnection, openFields(), Buffer.alloc(0));
+        const messages = withFaults(
+            answerMessages(relay.deliveredTokens, script.tokens, attempt.chunkBytes),
+            attempt.faults,
+        );
+        for (const message of messages) {
+            if (message === Fault.Cut) {
+                break;
+            }
+            table.receive(silentConnection, message);
+        }
+        // Whatever was not delivered is lost with the connection.
+        table.lose(silentConnection);
+        if (await relayAnswer(exchange, relay)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+async function relayAnswer(exchange: Exchange, relay: AnswerRelay): Promise<boolean> {
+    for (let event = await exchange.next(); event !== undefined; event = await exchange.next()) {
+        switch (event.kind) {
+            case "head":
+                relay.begin(event.head.status, event.head.headers);
+                break;
+            case "data":
+                await relay.write(event.data);
+                break;
+            case "ended":
+                return relay.finish();
+            default:
+                return relay.isWholeStream && relay.finish();
+        }
+    }
+    return false;
+}
+
+function answerMessages(firstToken: number, tokens: number, chunkBytes: number): ExchangeMessage[] {
+    const bytes = Buffer.from(streamText(firstToken, tokens));
+    const chunks: ExchangeMessage[] = [];
+    for (let start = 0; start < bytes.length; start += chunkBytes) {
+        const data = bytes.subarray(start, start + chunkBytes);
+        chunks.push({ kind: MessageKind.Chunk, exchange: 1, sequence: chunks.length, data });
+    }
+    const headers = [{ name: "content-type", value: "text/event-stream" }];
+    return [
+        { kind: MessageKind.Head, exchange: 1, status: 200, headers, hitBlocks: 0 },
+        ...chunks,
+        { kind: MessageKind.End, exchange: 1, chunks: chunks.length, status },
+    ];
+}
+
+function withFaults(
+    messages: readonly ExchangeMessage[],
+    faults: readonly Fault[],
+): (ExchangeMessage | Fault.Cut)[] {
+    const sent: (ExchangeMessage | Fault.Cut)[] = [];
+    const waiting = [...messages];
+    for (let index = 0; waiting.length > 0; index++) {
+        const message = waiting.shift()!;
+        switch (faults[index] ?? Fault.None) {
+            case Fault.None:
+                sent.push(message);
+                break;
+            case Fault.Lost:
+                break;
+            case Fault.Repeated:
+                sent.push(message, message);
+                break;
+            case Fault.SwappedWithNext:
+                sent.push(...waiting.splice(0, 1), message);
+                break;
+            case Fault.Cut:
+                return [...sent, Fault.Cut];
+            case Fault.Crossed:
+                sent.push({ ...message, exchange: 2 } as ExchangeMessage, message);
+                break;
+        }
+    }
+    return sent;
+}
+
+function streamText(firstToken: number, tokens: number): string {
+    const events = [];
+    for (let token = firstToken; token < tokens; token++) {
+        events.push(`data: ${JSON.stringify({ choices: [{ text: `τ${token} ` }] })}\n\n`);
+    }
+    return events.join("") + endEvent;
+}
+
+/** Records what a caller receives. */
+class RecordingCaller {
+    text = "";
+    ended = false;
+
+    /** The part of a response that the relay uses. */
+    readonly response = {
+        destroyed: false,
+        writableFinished: false,
+        writeHead: () => {},
+        write: (data: string | Uint8Array) => this.receive(data),
+        end: (data?: string | Uint8Array) => {
+            this.receive(data ?? "");
+            this.ended = true;
+        },
+        destroy: () => {},
+    } as unknown as ServerResponse;
+
+    private receive(data: string | Uint8Array): boolean {
+        this.text += typeof data === "string" ? data : Buffer.from(data).toString("utf8");
+        return true;
+    }
+}
+
+const silentConnection: ExchangeConnection = {
+    isClosed: false,
+    send: () => {},
+    whenWritable: () => Promise.resolve(),
+};
+
+const status: EndpointStatus = {
+    instance: "agent",
+    pool: "engines",
+    draining: false,
+    weights: [],
+    queuedTokens: 0,
+    running: 0,
+    tokensPerSecond: 0,
+};
+
+function openFields(): OpenFields {
+    return {
+        request: "request",
+        attempt: 1,
+        revision: 1,
+        route: "draft",
+        priority: RoutePriority.Normal,
+        tokens: 1,
+        deadlineMilliseconds: 1_000,
+        idempotent: true,
+        method: "POST",
+        path: "/v1/completions",
+        headers: [],
+        prefixBlocks: [],
+        fingerprint: "fingerprint",
+        traceparent: "",
+    };
+}
--- a/packages/proofs/src/fuzz/targets.ts
+++ b/packages/proofs/src/fuzz/targets.ts
@@ -12,6 +12,7 @@
 import { placementTarget } from "./placementTarget.js";
 import { quarantineTarget } from "./quarantineTarget.js";
 import { ratesTarget } from "./ratesTarget.js";
+import { streamsTarget } from "./streamsTarget.js";
 
 export const fuzzTargets: readonly FuzzTarget[] = [
     claimsTarget,
@@ -22,4 +23,5 @@
     placementTarget,
     quarantineTarget,
     ratesTarget,
+    streamsTarget,
 ];
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -5,4 +5,13 @@
  */
 export * from "./config.js";
 export * from "./constants.js";
+export { AnswerProgress } from "./decision/attemptLoop.js";
+export {
+    type Exchange,
+    type ExchangeConnection,
+    type ExchangeEvent,
+    ExchangeTable,
+    type OpenFields,
+} from "./node/agentExchange.js";
+export { AnswerRelay } from "./node/answerRelay.js";
 export * from "./node/router.js";
--- a/packages/router/src/node/agentExchange.ts
+++ b/packages/router/src/node/agentExchange.ts
@@ -7,7 +7,6 @@
 import {
     answerWindowBytes,
     bodyPartBytes,
-    type Connection,
     type Decline,
     type End,
     type ExchangeMessage,
@@ -18,6 +17,14 @@
     type Open,
 } from "@redwingpin/protocol";
 
+/** The part of a connection that exchanges need. */
+export interface ExchangeConnection {
+    readonly isClosed: boolean;
+    send(message: Message): void;
+    /** Resolves when more can be sent without filling memory. */
+    whenWritable(): Promise<void>;
+}
+
 /** What arrives on an exchange, in order. Nothing follows `declined`, `ended`, `failed` and `lost`. */
 export type ExchangeEvent =
     | { readonly kind: "head"; readonly head: Head; }
@@ -49,12 +56,12 @@
 }
 
 /** Every open exchange of a router, by connection and number. */
-export class ExchangeTable {
-    private readonly exchanges = new Map<Connection, Map<number, ExchangeState>>();
+export class ExchangeTable<Carrier extends ExchangeConnection> {
+    private readonly exchanges = new Map<Carrier, Map<number, ExchangeState>>();
     private nextExchange = 1;
 
     /** Opens an exchange and sends the whole body, as fast as the connection takes it. */
-    open(connection: Connection, fields: OpenFields, body: Buffer): Exchange {
+    open(connection: Carrier, fields: OpenFields, body: Buffer): Exchange {
         const exchange = this.nextExchange++;
         const state: ExchangeState = { events: [], wake: undefined, nextSequence: 0, done: false };
         const onConnection = this.exchanges.get(connection) ?? new Map<number, ExchangeState>();
@@ -75,7 +82,7 @@
     }
 
     /** Hands a message to its exchange; messages of ended or unknown exchanges are dropped. */
-    receive(connection: Connection, message: ExchangeMessage): void {
+    receive(connection: Carrier, message: ExchangeMessage): void {
         if (!("exchange" in message)) {
             return;
         }
@@ -86,7 +93,7 @@
     }
 
     /** Ends every exchange of a connection that has closed. */
-    lose(connection: Connection): void {
+    lose(connection: Carrier): void {
         const onConnection = this.exchanges.get(connection);
         this.exchanges.delete(connection);
         for (const [exchange, state] of onConnection ?? []) {
@@ -98,7 +105,7 @@
     }
 
     /** Connections with open exchanges. */
-    busyConnections(): readonly Connection[] {
+    busyConnections(): readonly Carrier[] {
         return [...this.exchanges.keys()];
     }
 
@@ -108,7 +115,7 @@
     }
 
     private deliver(
-        connection: Connection,
+        connection: Carrier,
         exchange: number,
         state: ExchangeState,
         event: ExchangeEvent | undefined,
@@ -132,7 +139,7 @@
         return state.events.shift();
     }
 
-    private cancel(connection: Connection, exchange: number, state: ExchangeState): void {
+    private cancel(connection: Carrier, exchange: number, state: ExchangeState): void {
         if (!state.done) {
             connection.send({ kind: MessageKind.Cancel, exchange });
             this.close(connection, exchange, state);
@@ -140,7 +147,7 @@
         }
     }
 
-    private close(connection: Connection, exchange: number, state: ExchangeState): void {
+    private close(connection: Carrier, exchange: number, state: ExchangeState): void {
         state.done = true;
         const onConnection = this.exchanges.get(connection);
         onConnection?.delete(exchange);
@@ -154,7 +161,7 @@
 export const creditStepBytes = answerWindowBytes / 4;
 
 async function sendBody(
-    connection: Connection,
+    connection: ExchangeConnection,
     exchange: number,
     body: Buffer,
     state: ExchangeState,
--- a/packages/router/src/node/answerRelay.ts
+++ b/packages/router/src/node/answerRelay.ts
@@ -63,6 +63,11 @@
         return this.mode === Mode.Events ? AnswerProgress.Resumable : AnswerProgress.Partial;
     }
 
+    /** True once the caller has a whole stream, also where the message that says so was lost. */
+    get isWholeStream(): boolean {
+        return this.mode === Mode.Events && this.sawEnd;
+    }
+
     /** True once the caller has closed its connection. */
     get callerGone(): boolean {
         return this.response.destroyed && !this.response.writableFinished;
@@ -132,7 +137,7 @@
 
     private async writeEvents(data: Uint8Array): Promise<void> {
         const events = this.events.read(data);
-        if (events.length === 0) {
+        if (events.length === 0 || this.sawEnd) {
             return;
         }
         this.commit();
--- a/packages/router/src/node/attemptRunner.ts
+++ b/packages/router/src/node/attemptRunner.ts
@@ -33,7 +33,7 @@
 export interface AttemptContext {
     readonly clock: Clock;
     readonly innerNode: InnerNode;
-    readonly exchanges: ExchangeTable;
+    readonly exchanges: ExchangeTable<Connection>;
     readonly revision: () => number;
     readonly observeStatus: (status: EndpointStatus) => void;
 }
@@ -156,6 +156,10 @@
     }
 
     private broken(retry: RetryReason, reason: RefusalReason, message: string): AttemptEnd {
+        if (this.relay.isWholeStream) {
+            this.relay.finish();
+            return { kind: "complete" };
+        }
         return {
             kind: "broken",
             retry,
--- a/packages/router/src/node/router.ts
+++ b/packages/router/src/node/router.ts
@@ -73,7 +73,7 @@
 export class Router {
     private readonly counters: ReasonCounters;
     private readonly innerNode: InnerNode;
-    private readonly exchanges = new ExchangeTable();
+    private readonly exchanges = new ExchangeTable<Connection>();
     private readonly silenceProbe: SilenceProbe;
     private readonly placement: RequestPlacement;
     private readonly membership: Membership;
