fix(router): an answer out of order is lost, not assembled

Cause: a chunk ahead of its answer's head was taken in as a held answer, and its bytes went missing from the stream. Change: a chunk or end before the head, and a second head, lose the exchange.

--- a/packages/router/src/node/agentExchange.ts
+++ b/packages/router/src/node/agentExchange.ts
@@ -51,6 +51,7 @@
 interface ExchangeState {
     readonly events: ExchangeEvent[];
     wake: (() => void) | undefined;
+    headSeen: boolean;
     nextSequence: number;
     done: boolean;
 }
@@ -63,7 +64,13 @@
     /** Opens an exchange and sends the whole body, as fast as the connection takes it. */
     open(connection: Carrier, fields: OpenFields, body: Buffer): Exchange {
         const exchange = this.nextExchange++;
-        const state: ExchangeState = { events: [], wake: undefined, nextSequence: 0, done: false };
+        const state: ExchangeState = {
+            events: [],
+            wake: undefined,
+            headSeen: false,
+            nextSequence: 0,
+            done: false,
+        };
         const onConnection = this.exchanges.get(connection) ?? new Map<number, ExchangeState>();
         onConnection.set(exchange, state);
         this.exchanges.set(connection, onConnection);
@@ -179,8 +186,15 @@
 function toEvent(message: Message, state: ExchangeState): ExchangeEvent | undefined {
     switch (message.kind) {
         case MessageKind.Head:
+            if (state.headSeen) {
+                return { kind: "lost", message: "the answer began twice" };
+            }
+            state.headSeen = true;
             return { kind: "head", head: message };
         case MessageKind.Chunk:
+            if (!state.headSeen) {
+                return { kind: "lost", message: `chunk ${message.sequence} came before the answer's head` };
+            }
             if (message.sequence !== state.nextSequence) {
                 return {
                     kind: "lost",
@@ -192,7 +206,7 @@
         case MessageKind.Decline:
             return { kind: "declined", decline: message };
         case MessageKind.End:
-            return message.chunks === state.nextSequence
+            return state.headSeen && message.chunks === state.nextSequence
                 ? { kind: "ended", end: message }
                 : {
                     kind: "lost",
