feat(bench): store writes, bytes and waits of claims against calls a second

Change: `npm run bench -- claims` compares one record a call (baseline), group commit by each router, and group commit by one writer a shard, on a simulated clock with 5 ms store latency. A writer no longer decodes the segment it has just written, and the timer of a call handed to another router is cancelled; segments close at 32 KB.

--- a/packages/bench/src/node/main.ts
+++ b/packages/bench/src/node/main.ts
@@ -4,10 +4,11 @@
  * @module
  */
 import { Builtins, Cli, type CommandClass } from "clipanion";
+import { ClaimsCommand } from "../claims/claimsCommand.js";
 import { OverheadCommand } from "../overhead/overheadCommand.js";
 import { PolicyCommand } from "../policy/policyCommand.js";
 
-const experiments: readonly CommandClass[] = [OverheadCommand, PolicyCommand];
+const experiments: readonly CommandClass[] = [ClaimsCommand, OverheadCommand, PolicyCommand];
 
 const cli = new Cli({ binaryName: "redwingpin-bench", binaryLabel: "redwingpin bench" });
 cli.register(Builtins.HelpCommand);
--- a/packages/claims/src/constants.ts
+++ b/packages/claims/src/constants.ts
@@ -12,10 +12,10 @@
 export const claimShardCount = 16;
 
 /** Slots of each shard's ring, at least three; a constant for the same reason. */
-export const claimRingSlots = 64;
+export const claimRingSlots = 512;
 
 /** Size in bytes from which a segment is closed. */
-export const segmentCloseBytes = 256 * 1024;
+export const segmentCloseBytes = 32 * 1024;
 
 /** Bytes of records that one write adds at most; with the size above a value stays below a megabyte. */
 export const maximumBatchBytes = 512 * 1024;
--- a/packages/claims/src/decision/batch.ts
+++ b/packages/claims/src/decision/batch.ts
@@ -47,8 +47,10 @@
     readonly granted: readonly SettledBegin[];
     /** Outcomes that the records contain or that need no record. */
     readonly outcomes: readonly PendingOutcome[];
-    /** Records to add, encoded, in order. */
-    readonly records: readonly Uint8Array[];
+    /** Records to add, in order. */
+    readonly records: readonly ClaimRecord[];
+    /** The same records, encoded. */
+    readonly encodedRecords: readonly Uint8Array[];
 }
 
 /** Plans a batch from what waits and what the shard remembers. What does not fit is left for the next batch. */
@@ -68,7 +70,8 @@
     readonly settled: SettledBegin[] = [];
     readonly granted: SettledBegin[] = [];
     readonly outcomes: PendingOutcome[] = [];
-    readonly records: Uint8Array[] = [];
+    readonly records: ClaimRecord[] = [];
+    readonly encodedRecords: Uint8Array[] = [];
     private readonly added = new Map<string, ClaimRecord>();
     private bytes = 0;
 
@@ -150,7 +153,8 @@
             return false;
         }
         this.bytes += encoded.length;
-        this.records.push(encoded);
+        this.records.push(record);
+        this.encodedRecords.push(encoded);
         const known = this.find(record.key);
         if (known === undefined || supersedes(record, known)) {
             this.added.set(record.key, record);
--- a/packages/claims/src/decision/segment.ts
+++ b/packages/claims/src/decision/segment.ts
@@ -88,8 +88,8 @@
 }
 
 /** Joins a header and encoded records into a segment's value. */
-export function encodeSegment(header: SegmentHeader, encodedRecords: readonly Uint8Array[]): Uint8Array {
-    const segment: WireSegment = { ...header, records: Buffer.concat(encodedRecords) };
+export function encodeSegment(header: SegmentHeader, encodedRecords: Uint8Array): Uint8Array {
+    const segment: WireSegment = { ...header, records: encodedRecords };
     return encode(segment);
 }
 
--- a/packages/claims/src/decision/shardState.ts
+++ b/packages/claims/src/decision/shardState.ts
@@ -5,7 +5,13 @@
  */
 import type { StoreEntry } from "@redwingpin/platform";
 import { err, ok, type Result } from "neverthrow";
-import { type ClaimRecord, ClaimRecordKind, decodeSegment, type Segment } from "./segment.js";
+import {
+    type ClaimRecord,
+    ClaimRecordKind,
+    decodeSegment,
+    type Segment,
+    type SegmentHeader,
+} from "./segment.js";
 
 /** Where a shard's segments are kept. */
 export interface ShardPlace {
@@ -20,6 +26,15 @@
     readonly writtenAt: number;
 }
 
+/** A segment as it stands in the store. */
+export interface WrittenSegment {
+    readonly key: string;
+    readonly modRevision: number;
+    readonly header: SegmentHeader;
+    /** All records of the segment, encoded. */
+    readonly encodedRecords: Uint8Array;
+}
+
 interface RememberedClaim {
     readonly record: ClaimRecord;
     /** Sequence of the segment that holds the record. */
@@ -118,17 +133,27 @@
         });
     }
 
-    /** Takes in a segment that this process has written or read. */
+    /** Takes in a segment that was read. */
     adopt(entry: StoreEntry, segment: Segment): void {
-        const { sequence, closed, writtenAt } = segment.header;
-        const seen = sequence === this.newest.sequence ? this.newest.recordCount : 0;
-        this.forgetSlot(entry.key, sequence);
-        this.slotsByKey.set(entry.key, { sequence, modRevision: entry.modRevision, writtenAt });
-        for (const record of segment.records.slice(seen)) {
+        const { header, records, encodedRecords } = segment;
+        const seen = header.sequence === this.newest.sequence ? this.newest.recordCount : 0;
+        this.append(
+            { key: entry.key, modRevision: entry.modRevision, header, encodedRecords },
+            records.slice(seen),
+        );
+    }
+
+    /** Takes in records that were added to the newest segment or begin the next one. */
+    append(written: WrittenSegment, added: readonly ClaimRecord[]): void {
+        const { sequence, closed, writtenAt } = written.header;
+        const before = sequence === this.newest.sequence ? this.newest.recordCount : 0;
+        this.forgetSlot(written.key, sequence);
+        this.slotsByKey.set(written.key, { sequence, modRevision: written.modRevision, writtenAt });
+        for (const record of added) {
             this.fold(record, sequence);
         }
-        const { records, encodedRecords } = segment;
-        this.newest = { sequence, closed, recordCount: records.length, encodedRecords };
+        const recordCount = before + added.length;
+        this.newest = { sequence, closed, recordCount, encodedRecords: written.encodedRecords };
     }
 
     private continuesWith(segment: Segment): boolean {
--- a/packages/claims/src/decision/shardWriter.ts
+++ b/packages/claims/src/decision/shardWriter.ts
@@ -9,7 +9,7 @@
 import type { StoreEntry, StoreError, SwapOutcome } from "@redwingpin/platform";
 import { type BatchPlan, type PendingBegin, type PendingOutcome, planBatch } from "./batch.js";
 import { CallOutcome, type ClaimDecision } from "./claimCall.js";
-import { decodeSegment, encodeSegment, type SegmentHeader } from "./segment.js";
+import { encodeSegment, type SegmentHeader } from "./segment.js";
 import { type ShardPlace, ShardState, slotKey } from "./shardState.js";
 
 /** Bounds and times of a writer. */
@@ -170,7 +170,9 @@
             return;
         }
         const sequence = state.tail.closed ? state.tail.sequence + 1 : state.tail.sequence;
-        const value = this.nextValue(state, sequence, plan.records);
+        const encodedRecords = joinRecords(state, sequence, plan.encodedRecords);
+        const header = this.nextHeader(sequence, encodedRecords.length);
+        const value = encodeSegment(header, encodedRecords);
         const key = slotKey(this.options.place, sequence);
         const expected = state.expectedRevision(sequence);
         const event = yield { kind: "write", key, expected, value, recordCount: plan.records.length };
@@ -187,19 +189,14 @@
             yield* this.catchUp(state, event.outcome.current);
             return;
         }
-        adoptValue(state, { key, value, modRevision: event.outcome.modRevision });
+        state.append({ key, modRevision: event.outcome.modRevision, header, encodedRecords }, plan.records);
         this.outcomes = without(this.outcomes, plan.outcomes);
         yield* this.settleAll(plan.granted);
         yield { kind: "pause", duration: this.options.minimumCommitInterval };
     }
 
-    private nextValue(state: ShardState, sequence: number, records: readonly Uint8Array[]): Uint8Array {
-        const grows = sequence === state.tail.sequence;
-        const all = grows ? [state.tail.encodedRecords, ...records] : records;
-        const bytes = all.reduce((sum, part) => sum + part.length, 0);
-        const closed = bytes >= this.options.segmentCloseBytes;
-        const header: SegmentHeader = { sequence, closed, writtenAt: this.wallTime };
-        return encodeSegment(header, all);
+    private nextHeader(sequence: number, bytes: number): SegmentHeader {
+        return { sequence, closed: bytes >= this.options.segmentCloseBytes, writtenAt: this.wallTime };
     }
 
     private *noteFailedWrite(plan: BatchPlan, error: StoreError): Step<void> {
@@ -254,12 +251,10 @@
     return state.tail.closed ? 1 : 0;
 }
 
-function adoptValue(state: ShardState, entry: StoreEntry): void {
-    const segment = decodeSegment(entry.value);
-    if (segment.isErr()) {
-        throw new Error(`store key "${entry.key}": ${segment.error}`);
-    }
-    state.adopt(entry, segment.value);
+/** Records of the segment with this sequence after a write that adds some. */
+function joinRecords(state: ShardState, sequence: number, added: readonly Uint8Array[]): Uint8Array {
+    const grows = sequence === state.tail.sequence;
+    return Buffer.concat(grows ? [state.tail.encodedRecords, ...added] : added);
 }
 
 function without<T>(all: readonly T[], removed: readonly T[]): T[] {
--- a/packages/claims/src/node/claims.ts
+++ b/packages/claims/src/node/claims.ts
@@ -190,8 +190,14 @@
         if (writer === undefined) {
             return this.shard(shard).begin(begin);
         }
-        const overdue = sleep(this.options.clock, begin.deadline - this.options.clock.now());
-        return Promise.race([this.askWriter(writer, begin), overdue.then(() => storeUnavailable)]);
+        return new Promise((resolve) => {
+            const remaining = begin.deadline - this.options.clock.now();
+            const cancelTimer = this.options.clock.schedule(remaining, () => resolve(storeUnavailable));
+            void this.askWriter(writer, begin).then((decision) => {
+                cancelTimer();
+                resolve(decision);
+            });
+        });
     }
 
     /** Asks the shard's writer; where it gives no answer, this process writes the same claim itself. */
