--- a/packages/admission/src/node/admissionController.ts
+++ b/packages/admission/src/node/admissionController.ts
@@ -7,7 +7,12 @@
 import type { ClientAccount } from "@redwingpin/manifest";
 import { type RateAsk, type RateMessage, RateMessageKind, type RateReturn } from "@redwingpin/protocol";
 import { err, ok, type Result } from "neverthrow";
-import { grantUseMilliseconds, maximumWaitMilliseconds } from "../constants.js";
+import {
+    grantUseMilliseconds,
+    maximumWaitMilliseconds,
+    startingMilliseconds,
+    startingWaitMilliseconds,
+} from "../constants.js";
 import { HolderChoice } from "../decision/holderChoice.js";
 import {
     type AcquireEffect,
@@ -51,10 +56,12 @@
     private readonly queues = new Map<string, AccountQueue>();
     private knownAccounts: readonly ClientAccount[] | undefined;
     private accountsByName: ReadonlyMap<string, ClientAccount> = new Map();
+    private readonly startedAt: Milliseconds;
     private identifiers = 0;
     private stopped = false;
 
     constructor(private readonly options: AdmissionOptions) {
+        this.startedAt = options.clock.now();
         this.holder = new SlotHolder(options.instance, options.division);
         this.choice = new HolderChoice(options.instance, options.division);
         this.keeper = new RosterKeeper({
@@ -126,6 +133,9 @@
     }
 
     async leave(): Promise<boolean> {
+        if (!this.keeper.vmLeaves) {
+            return false;
+        }
         this.holder.giveUp();
         return await this.keeper.release();
     }
@@ -147,11 +157,17 @@
             id: this.nextIdentifier(),
             accountName: account.name,
             tokens,
-            deadline: this.now() + (this.options.maximumWait ?? maximumWaitMilliseconds),
+            deadline: this.now() + this.maximumWait(),
             tokensPerSecond: account.tokensPerSecond,
         };
     }
 
+    private maximumWait(): Milliseconds {
+        const starting = this.now() - this.startedAt < startingMilliseconds;
+        const usual = this.options.maximumWait ?? maximumWaitMilliseconds;
+        return starting ? Math.max(usual, startingWaitMilliseconds) : usual;
+    }
+
     private async acquire(request: PendingRequest, account: ClientAccount): Promise<AcquireOutcome> {
         const queue = this.queueOf(account.name);
         if (queue.isEmpty) {
@@ -198,6 +214,7 @@
             kind: "view",
             now,
             ownTokens: account === undefined ? 0 : this.holder.tokens(account, now),
+            ownBurst: account === undefined ? 0 : this.holder.burstTokens(account),
             holders: account === undefined ? [] : this.choice.candidates(this.keeper.current, account, now),
         };
     }
@@ -262,12 +279,8 @@
         }
         void this.keeper.catchUp(holder, answer.epoch);
         const short = answer.tokens < ask.tokens;
-        this.choice.answered(
-            holder,
-            ask.account,
-            this.now(),
-            short ? answer.retryAfterMilliseconds ?? Infinity : undefined,
-        );
+        const retryAfter = short ? answer.retryAfterMilliseconds ?? Infinity : undefined;
+        this.choice.answered(holder, ask.account, { leftTokens: answer.leftTokens, retryAfter }, this.now());
         return {
             holder,
             id: ask.id,
@@ -281,12 +294,13 @@
     private grant(ask: RateAsk): RateMessage {
         const account = this.accountOf(ask.account);
         const given = account === undefined || this.stopped
-            ? { tokens: 0, retryAfter: undefined }
+            ? { tokens: 0, leftTokens: 0, retryAfter: undefined }
             : this.holder.grant(ask.id, account, ask.tokens, this.now());
         return {
             kind: RateMessageKind.Grant,
             id: ask.id,
             tokens: given.tokens,
+            leftTokens: given.leftTokens,
             retryAfterMilliseconds: given.retryAfter,
             tokensPerSecond: account?.tokensPerSecond ?? 0,
             burstTokens: account?.burstTokens ?? 0,
--- a/packages/bench/src/node/main.ts
+++ b/packages/bench/src/node/main.ts
@@ -5,10 +5,20 @@
  */
 import { Builtins, Cli, type CommandClass } from "clipanion";
 import { ClaimsCommand } from "../claims/claimsCommand.js";
+import { ConfigurationCommand } from "../configuration/configurationCommand.js";
 import { OverheadCommand } from "../overhead/overheadCommand.js";
 import { PolicyCommand } from "../policy/policyCommand.js";
+import { RatesCommand } from "../rates/ratesCommand.js";
+import { SlopesCommand } from "../slopes/slopesCommand.js";
 
-const experiments: readonly CommandClass[] = [ClaimsCommand, OverheadCommand, PolicyCommand];
+const experiments: readonly CommandClass[] = [
+    ClaimsCommand,
+    ConfigurationCommand,
+    OverheadCommand,
+    PolicyCommand,
+    RatesCommand,
+    SlopesCommand,
+];
 
 const cli = new Cli({ binaryName: "redwingpin-bench", binaryLabel: "redwingpin bench" });
 cli.register(Builtins.HelpCommand);
--- a/packages/membership/src/decision/memberTable.ts
+++ b/packages/membership/src/decision/memberTable.ts
@@ -37,6 +37,7 @@
 export class MemberTable {
     private readonly members = new Map<string, Member>();
     private hasReadList = false;
+    private changes = 0;
     private self: MemberEntry;
 
     constructor(self: MemberEntry, private readonly onNews: (entry: MemberEntry) => void) {
@@ -48,6 +49,11 @@
         return this.self;
     }
 
+    /** Grows whenever a member comes, goes, moves, or begins to leave; suspicion alone does not count. */
+    get version(): number {
+        return this.changes;
+    }
+
     /** Every member but this process. */
     all(): Member[] {
         return [...this.members.values()];
@@ -68,7 +74,7 @@
         this.onNews(this.self);
     }
 
-    /** Takes in news. What is said of this process itself is contradicted where it is wrong. */
+    /** Takes in news; a higher epoch alone is none for others. What is said of this process itself is contradicted where it is wrong. */
     merge(entry: MemberEntry, now: Milliseconds): void {
         if (entry.instance === this.self.instance) {
             return this.contradict(entry);
@@ -80,8 +86,15 @@
         if (known === undefined && entry.state === MemberState.Dead) {
             return;
         }
-        this.put(known, entry, now);
-        this.onNews(entry);
+        const reached = known !== undefined && isUnspecifiedHost(entry.host)
+            ? { ...entry, host: known.entry.host }
+            : entry;
+        this.put(known, reached, now);
+        if (
+            known === undefined || !isUsedAlike(known.entry, reached) || reached.state !== known.entry.state
+        ) {
+            this.onNews(reached);
+        }
     }
 
     /** The member answered this process: its own entry is the newest there is. */
@@ -127,6 +140,7 @@
             if (diedAt !== undefined) {
                 if (!member.isListed && now - diedAt >= tombstoneTime) {
                     this.members.delete(entry.instance);
+                    this.changes++;
                 }
             }
             else if (silentSince !== undefined && now - silentSince >= patience) {
@@ -181,6 +195,7 @@
             const { host, port, dataCentre, pool } = machine;
             const moved = { ...known.entry, host, port, dataCentre, pool };
             this.members.set(machine.instance, { ...known, entry: moved });
+            this.changes++;
         }
         if (machine.leaving) {
             this.merge({ ...known.entry, state: MemberState.Leaving }, now);
@@ -189,6 +204,7 @@
 
     private put(known: Member | undefined, entry: MemberEntry, now: Milliseconds): void {
         const isSilent = entry.state === MemberState.Suspect;
+        this.changes += known !== undefined && isUsedAlike(known.entry, entry) ? 0 : 1;
         const keepsSilence = entry.state === MemberState.Leaving && known?.entry.epoch === entry.epoch;
         this.members.set(entry.instance, {
             entry,
@@ -213,6 +229,15 @@
     return host === "0.0.0.0" || host === "::";
 }
 
+/** Whether two entries of one member lead to the same use of it. */
+function isUsedAlike(left: MemberEntry, right: MemberEntry): boolean {
+    return left.host === right.host && left.port === right.port && useOf(left.state) === useOf(right.state);
+}
+
+function useOf(state: MemberState): MemberState {
+    return state === MemberState.Suspect ? MemberState.Alive : state;
+}
+
 /** Time after an answer within which the address that answered is preferred to the list's. */
 const provenTime: Milliseconds = 5_000;
 
