--- a/packages/router/src/node/router.ts
+++ b/packages/router/src/node/router.ts
@@ -45,12 +45,19 @@
 } from "../constants.js";
 import { ExchangeTable } from "./agentExchange.js";
 import { createCallerServer } from "./callerServer.js";
+import { RouterClaimPeers } from "./claimPeers.js";
 import { createOperatorStatus } from "./operatorStatus.js";
 import { createRatePeers } from "./ratePeers.js";
 import { RequestPipeline } from "./requestPipeline.js";
 import { RequestPlacement } from "./requestPlacement.js";
 import { createRequestMetrics, registerRouterGauges } from "./routerMetrics.js";
-import { handleConfiguration, handleMembership, handleOperators, handleRates } from "./routerTopics.js";
+import {
+    handleClaims,
+    handleConfiguration,
+    handleMembership,
+    handleOperators,
+    handleRates,
+} from "./routerTopics.js";
 import { SilenceProbe } from "./silenceProbe.js";
 
 /** What a router is made from. */
@@ -78,6 +85,7 @@
     private readonly placement: RequestPlacement;
     private readonly membership: Membership;
     private readonly admission: AdmissionController;
+    private readonly claimPeers: RouterClaimPeers;
     private readonly claims: Claims;
     private readonly pipeline: RequestPipeline;
     private readonly callerServer: Server;
@@ -101,6 +109,11 @@
             new Placement({ clock, dataCentre, blockTokens: defaultBlockTokens }),
         );
         this.admission = this.createAdmission();
+        this.claimPeers = new RouterClaimPeers({
+            instance: config.instance,
+            innerNode: this.innerNode,
+            find: (instance) => this.membership.find(instance),
+        });
         this.claims = this.createClaims();
         this.pipeline = this.createPipeline();
         this.callerServer = this.createCallerServer();
@@ -237,13 +250,16 @@
 
     private createClaims(): Claims {
         const { clock, config, logger, store } = this.options;
-        return createClaims({
+        const claims = createClaims({
             clock,
             instance: config.instance,
             incarnation: this.incarnation,
             store,
             logger: logger.scope("claims"),
+            peers: this.claimPeers,
         });
+        handleClaims(this.innerNode, claims);
+        return claims;
     }
 
     private createCallerServer(): Server {
@@ -278,6 +294,7 @@
     private onMembersChanged(): void {
         this.placement.retain(this.membership.machines());
         this.configuration.peersChanged();
+        this.claimPeers.update(this.membership.routers().map((router) => router.instance));
         this.greetAgents();
         if (!this.admission.rosterKnown()) {
             this.admission.membersChanged(this.listedRouters);
--- a/packages/router/src/node/routerTopics.ts
+++ b/packages/router/src/node/routerTopics.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { AdmissionController } from "@redwingpin/admission";
+import type { Claims } from "@redwingpin/claims";
 import type { Configuration } from "@redwingpin/configuration";
 import type { Membership } from "@redwingpin/membership";
 import {
@@ -36,6 +37,13 @@
     });
 }
 
+/** Hands claim messages to the claims; a malformed one is answered with an error. */
+export function handleClaims(innerNode: InnerNode, claims: Claims): void {
+    innerNode.handle(Topic.Claims, async (body) => {
+        return await claims.handle(body) ?? { error: "the body is no claim message" };
+    });
+}
+
 /** Hands configuration messages to the configuration. */
 export function handleConfiguration(innerNode: InnerNode, configuration: Configuration): void {
     innerNode.handle(Topic.Configuration, (body, from) => {
