--- a/packages/bench/src/node/main.ts
+++ b/packages/bench/src/node/main.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { Builtins, Cli, type CommandClass } from "clipanion";
+import { ClaimsCommand } from "../claims/claimsCommand.js";
 import { ConfigurationCommand } from "../configuration/configurationCommand.js";
 import { OverheadCommand } from "../overhead/overheadCommand.js";
 import { PlacementStateCommand } from "../placementState/placementStateCommand.js";
@@ -12,6 +13,7 @@
 import { SlopesCommand } from "../slopes/slopesCommand.js";
 
 const experiments: readonly CommandClass[] = [
+    ClaimsCommand,
     ConfigurationCommand,
     OverheadCommand,
     PolicyCommand,
