fix(admission): equal division over three slots, and shares kept for what waits at the holder

Cause: slots beyond the third could have burst without rate, so a large account lost half its burst. After a herd two requests of 197 waited 8 s in vain, overtaken again and again by smaller ones from other routers. Routers without knowledge all asked the same holder first. Change: three equal slots for every account (still monotone); a holder keeps what its own first waiting request needs; each router asks equals in an order of its own.

--- a/packages/admission/src/__tests__/tokenShare.spec.ts
+++ b/packages/admission/src/__tests__/tokenShare.spec.ts
@@ -1,20 +1,16 @@
 import { expect } from "chai";
 import fc from "fast-check";
-import { defaultDivision, partOf } from "../decision/tokenShare.js";
+import { partOf } from "../decision/tokenShare.js";
 
-const quantum = 1_000;
-const total = fc.nat({ max: 3 * defaultDivision.maximumSlots * quantum });
-const indices = [...Array(defaultDivision.maximumSlots).keys()];
+const total = fc.nat({ max: 1_000_000 });
+const slots = fc.integer({ min: 1, max: 9 });
 
 describe("admission: division of an account over its slots", () => {
     it("gives parts that add up to the total", () => {
         fc.assert(
-            fc.property(total, (tokens) => {
-                const sum = indices.reduce(
-                    (sum, index) => sum + partOf(tokens, index, quantum, defaultDivision),
-                    0,
-                );
-                expect(sum).to.equal(tokens);
+            fc.property(total, slots, (tokens, count) => {
+                const parts = [...Array(count).keys()].map((index) => partOf(tokens, index, count));
+                expect(parts.reduce((sum, part) => sum + part, 0)).to.equal(tokens);
             }),
             { seed: 1 },
         );
@@ -24,12 +20,11 @@
         fc.assert(
             fc.property(
                 total,
-                fc.nat({ max: quantum }),
-                fc.constantFrom(...indices),
-                (tokens, more, index) => {
-                    expect(partOf(tokens + more, index, quantum, defaultDivision)).to.be.at.least(
-                        partOf(tokens, index, quantum, defaultDivision),
-                    );
+                fc.nat({ max: 1_000 }),
+                slots,
+                fc.nat({ max: 8 }),
+                (tokens, more, count, index) => {
+                    expect(partOf(tokens + more, index, count)).to.be.at.least(partOf(tokens, index, count));
                 },
             ),
             { seed: 1 },
--- a/packages/admission/src/constants.ts
+++ b/packages/admission/src/constants.ts
@@ -7,6 +7,9 @@
 /** Positions of the roster. Fixed for the life of a fleet; each router holds some of them. */
 export const rosterPositions = 1024;
 
+/** Slots of every account. The same in the whole fleet, and never changed while any of its routers runs. */
+export const slotsPerAccount = 3;
+
 /** Neighbouring positions that stand with different routers where there are that many. */
 export const rosterSpread = 3;
 
--- a/packages/admission/src/decision/holderChoice.ts
+++ b/packages/admission/src/decision/holderChoice.ts
@@ -1,20 +1,22 @@
 /**
  * Which other holders a router asks for tokens of an account, and which it leaves alone for a while.
  *
- * The fullest holder is asked first: a bucket that stands full loses its refill.
+ * The fullest holder is asked first: a bucket that stands full loses its refill. Among equals each router has an order
+ * of its own, so that routers that know nothing yet spread their asks.
  *
  * @module
  */
-import type { Milliseconds } from "@redwingpin/common";
+import { type Milliseconds, rendezvousOrder } from "@redwingpin/common";
 import type { ClientAccount } from "@redwingpin/manifest";
 import {
     maximumShortPauseMilliseconds,
     maximumSilencePauseMilliseconds,
     minimumPauseMilliseconds,
     silencePauseMilliseconds,
+    slotsPerAccount,
 } from "../constants.js";
 import { type AccountHolder, holdersOf, type Roster } from "./roster.js";
-import { defaultDivision, slotCount, type SlotDivision, type SlotLimits, slotLimits } from "./tokenShare.js";
+import { type SlotLimits, slotLimits } from "./tokenShare.js";
 
 interface Silence {
     readonly until: Milliseconds;
@@ -44,7 +46,7 @@
 
     constructor(
         private readonly instance: string,
-        private readonly division: SlotDivision = defaultDivision,
+        private readonly slots: number = slotsPerAccount,
     ) {}
 
     /** Other holders of the account that are worth asking, the fullest first. */
@@ -52,10 +54,11 @@
         if (roster === undefined) {
             return [];
         }
-        return holdersOf(roster, account.name, slotCount(account, this.division))
+        const others = holdersOf(roster, account.name, this.slots)
             .filter(({ instance }) =>
                 instance !== this.instance && this.worthAsking(instance, account.name, now)
-            )
+            );
+        return rendezvousOrder(`${this.instance}/${account.name}`, others, (holder) => holder.instance)
             .map((holder) => ({ holder: holder.instance, fullness: this.fullnessOf(holder, account, now) }))
             .sort((left, right) => right.fullness - left.fullness);
     }
@@ -97,7 +100,7 @@
 
     /** A holder that has said nothing yet is thought to be full. */
     private fullnessOf(holder: AccountHolder, account: ClientAccount, now: Milliseconds): number {
-        const limits = sumOf(holder.slots.map((index) => slotLimits(account, index, this.division)));
+        const limits = sumOf(holder.slots.map((index) => slotLimits(account, index, this.slots)));
         const statement = this.statements.get(account.name)?.get(holder.instance);
         if (statement === undefined || limits.burstTokens === 0) {
             return 1;
--- a/packages/admission/src/decision/slotHolder.ts
+++ b/packages/admission/src/decision/slotHolder.ts
@@ -9,10 +9,10 @@
  */
 import type { Milliseconds } from "@redwingpin/common";
 import type { ClientAccount } from "@redwingpin/manifest";
-import { grantHoldMilliseconds } from "../constants.js";
+import { grantHoldMilliseconds, slotsPerAccount } from "../constants.js";
 import { holdersOf, positionOf, type Roster } from "./roster.js";
 import { TokenBucket } from "./tokenBucket.js";
-import { defaultDivision, noLimits, slotCount, type SlotDivision, slotLimits } from "./tokenShare.js";
+import { noLimits, slotLimits } from "./tokenShare.js";
 
 const millisecondsPerSecond = 1000;
 
@@ -36,7 +36,7 @@
 
     constructor(
         private readonly instance: string,
-        private readonly division: SlotDivision = defaultDivision,
+        private readonly slots: number = slotsPerAccount,
         private readonly hold: Milliseconds = grantHoldMilliseconds,
     ) {}
 
@@ -90,14 +90,18 @@
         return true;
     }
 
-    /** Debits up to `tokens` for another router, which may spend them for a while. */
-    grant(id: string, account: ClientAccount, tokens: number, now: Milliseconds): HolderGrant {
+    /**
+     * Debits up to `tokens` for another router, which may spend them for a while; `kept` tokens stay here, so that
+     * what waits at this router is not overtaken for ever by what waits at others.
+     */
+    grant(id: string, account: ClientAccount, tokens: number, now: Milliseconds, kept = 0): HolderGrant {
         const buckets = this.advance(account, now);
-        const taken = takeFrom(buckets, id, tokens, now + this.hold, now);
+        const spare = Math.max(0, sumOfTokens(buckets) - kept);
+        const taken = takeFrom(buckets, id, Math.min(tokens, spare), now + this.hold, now);
         return {
             tokens: taken,
             leftTokens: sumOfTokens(buckets),
-            retryAfter: timeUntil(buckets, tokens - taken, now),
+            retryAfter: timeUntil(buckets, tokens - taken + kept, now),
         };
     }
 
@@ -122,7 +126,7 @@
     private advance(account: ClientAccount, now: Milliseconds): TokenBucket[] {
         const advanced: TokenBucket[] = [];
         for (const [index, bucket] of this.buckets.get(account.name) ?? []) {
-            bucket.advance(now, slotLimits(account, index, this.division));
+            bucket.advance(now, slotLimits(account, index, this.slots));
             advanced.push(bucket);
         }
         return advanced;
@@ -148,7 +152,7 @@
                 const start = this.startOf.get(positionOf(account.name, index)) ?? now + this.hold;
                 slots.set(
                     index,
-                    new TokenBucket(Math.max(start, now), slotLimits(account, index, this.division)),
+                    new TokenBucket(Math.max(start, now), slotLimits(account, index, this.slots)),
                 );
             }
         }
@@ -158,7 +162,7 @@
         if (this.roster === undefined || this.givenUp) {
             return [];
         }
-        const holders = holdersOf(this.roster, account.name, slotCount(account, this.division));
+        const holders = holdersOf(this.roster, account.name, this.slots);
         return holders.find((holder) => holder.instance === this.instance)?.slots ?? [];
     }
 
--- a/packages/admission/src/node/accountQueue.ts
+++ b/packages/admission/src/node/accountQueue.ts
@@ -21,6 +21,11 @@
         return this.waiters.length === 0;
     }
 
+    /** Tokens that the first waiting request needs; 0 where none waits. */
+    get firstTokens(): number {
+        return this.waiters[0]?.tokens ?? 0;
+    }
+
     /** Tokens that the waiting requests need. */
     get tokens(): number {
         return this.waitingTokens;
--- a/packages/admission/src/node/admissionController.ts
+++ b/packages/admission/src/node/admissionController.ts
@@ -62,8 +62,8 @@
 
     constructor(private readonly options: AdmissionOptions) {
         this.startedAt = options.clock.now();
-        this.holder = new SlotHolder(options.instance, options.division);
-        this.choice = new HolderChoice(options.instance, options.division);
+        this.holder = new SlotHolder(options.instance, options.slots);
+        this.choice = new HolderChoice(options.instance, options.slots);
         this.keeper = new RosterKeeper({
             ...options,
             agents: options.rosterAgents ?? (() => []),
@@ -295,7 +295,13 @@
         const account = this.accountOf(ask.account);
         const given = account === undefined || this.stopped
             ? { tokens: 0, leftTokens: 0, retryAfter: undefined }
-            : this.holder.grant(ask.id, account, ask.tokens, this.now());
+            : this.holder.grant(
+                ask.id,
+                account,
+                ask.tokens,
+                this.now(),
+                this.queueOf(account.name).firstTokens,
+            );
         return {
             kind: RateMessageKind.Grant,
             id: ask.id,
--- a/packages/admission/src/node/admissionOptions.ts
+++ b/packages/admission/src/node/admissionOptions.ts
@@ -9,7 +9,6 @@
 import type { RateMessage } from "@redwingpin/protocol";
 import type { Result, ResultAsync } from "neverthrow";
 import type { RouterMember } from "../decision/roster.js";
-import type { SlotDivision } from "../decision/tokenShare.js";
 
 /** Sends messages on the rates topic to other processes. */
 export interface RatePeers {
@@ -40,10 +39,10 @@
      */
     readonly maximumWait?: Milliseconds;
     /**
-     * Into how many slots accounts are divided.
-     * @default defaultDivision
+     * Into how many slots accounts are divided; the same in the whole fleet.
+     * @default slotsPerAccount
      */
-    readonly division?: SlotDivision;
+    readonly slots?: number;
 }
 
 /** Tokens debited for one request. */
--- a/packages/admission/src/trial/rateFleet.ts
+++ b/packages/admission/src/trial/rateFleet.ts
@@ -16,7 +16,6 @@
 import { type RateMessage, RateMessageKind } from "@redwingpin/protocol";
 import { errAsync } from "neverthrow";
 import type { RouterMember } from "../decision/roster.js";
-import type { SlotDivision } from "../decision/tokenShare.js";
 import { createAdmission } from "../node/admissionController.js";
 import type { AdmissionController, RatePeers } from "../node/admissionOptions.js";
 import { RosterCache } from "../node/rosterCache.js";
@@ -40,9 +39,9 @@
     readonly step?: Milliseconds;
     /**
      * Into how many slots accounts are divided.
-     * @default defaultDivision
+     * @default slotsPerAccount
      */
-    readonly division?: SlotDivision;
+    readonly slots?: number;
     /**
      * False for routers that never ask each other for tokens.
      * @default true
@@ -285,7 +284,7 @@
             accounts: () => inForce.accounts,
             logger: silentLogger,
             rosterAgents: () => agentInstances,
-            division: this.options.division,
+            slots: this.options.slots,
         });
         this.network.attach(instance, {
             process,
--- a/packages/bench/src/rates/ratesDeployments.ts
+++ b/packages/bench/src/rates/ratesDeployments.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import type { SlotDivision } from "@redwingpin/admission";
 import type { ClientAccount } from "@redwingpin/manifest";
 
 /** A fleet of routers with its accounts. */
@@ -59,23 +58,14 @@
     requestMilliseconds: 300,
 };
 
-/** Division of accounts under a policy; `undefined` for the product's own. */
-export function divisionOf(policy: RatesPolicy, routers: number): SlotDivision | undefined {
+/** Slots of an account under a policy; `undefined` for the product's own number. */
+export function slotsOf(policy: RatesPolicy, routers: number): number | undefined {
     switch (policy) {
         case RatesPolicy.Shared:
             return undefined;
         case RatesPolicy.EqualStatic:
-            return fixedDivision(routers);
+            return routers;
         case RatesPolicy.OneHolder:
-            return fixedDivision(1);
+            return 1;
     }
 }
-
-function fixedDivision(slots: number): SlotDivision {
-    return {
-        baseSlots: slots,
-        maximumSlots: slots,
-        slotTokensPerSecond: Number.MAX_SAFE_INTEGER,
-        slotBurstTokens: Number.MAX_SAFE_INTEGER,
-    };
-}
--- a/packages/bench/src/rates/ratesExperiment.ts
+++ b/packages/bench/src/rates/ratesExperiment.ts
@@ -11,7 +11,7 @@
 } from "@redwingpin/admission/trial";
 import { type Milliseconds, type RandomSource, seededRandom } from "@redwingpin/common";
 import { quantilesOf } from "../quantiles.js";
-import { divisionOf, type RatesDeployment, RatesPolicy } from "./ratesDeployments.js";
+import { type RatesDeployment, RatesPolicy, slotsOf } from "./ratesDeployments.js";
 import { type FaultContext, offeredLoad, type RatesFault } from "./ratesFaults.js";
 
 /** Figures of one case under one policy. */
@@ -67,7 +67,7 @@
         accounts: deployment.accounts,
         random,
         step,
-        division: divisionOf(policy, deployment.routers),
+        slots: slotsOf(policy, deployment.routers),
         asksOthers: policy !== RatesPolicy.EqualStatic,
     });
     const load = new RatesLoad(fleet, run, random);
