--- a/packages/bench/src/node/main.ts
+++ b/packages/bench/src/node/main.ts
@@ -4,11 +4,19 @@
  * @module
  */
 import { Builtins, Cli, type CommandClass } from "clipanion";
+import { ConfigurationCommand } from "../configuration/configurationCommand.js";
 import { OverheadCommand } from "../overhead/overheadCommand.js";
 import { PolicyCommand } from "../policy/policyCommand.js";
 import { RatesCommand } from "../rates/ratesCommand.js";
+import { SlopesCommand } from "../slopes/slopesCommand.js";
 
-const experiments: readonly CommandClass[] = [OverheadCommand, PolicyCommand, RatesCommand];
+const experiments: readonly CommandClass[] = [
+    ConfigurationCommand,
+    OverheadCommand,
+    PolicyCommand,
+    RatesCommand,
+    SlopesCommand,
+];
 
 const cli = new Cli({ binaryName: "redwingpin-bench", binaryLabel: "redwingpin bench" });
 cli.register(Builtins.HelpCommand);
