--- a/packages/proofs/src/scenarios/runScenario.ts
+++ b/packages/proofs/src/scenarios/runScenario.ts
@@ -5,8 +5,9 @@
  */
 import type { Scenario } from "./featureFile.js";
 import { type MatchedStep, StepRegistry } from "./stepRegistry.js";
-import { callerSteps } from "./steps/callerSteps.js";
+import { callerSteps, describe } from "./steps/callerSteps.js";
 import { checkSteps } from "./steps/checkSteps.js";
+import { networkSteps } from "./steps/networkSteps.js";
 import { operatorSteps } from "./steps/operatorSteps.js";
 import { siteSteps } from "./steps/siteSteps.js";
 import { World } from "./world.js";
@@ -30,6 +31,7 @@
     ...callerSteps,
     ...checkSteps,
     ...operatorSteps,
+    ...networkSteps,
 ]);
 
 /** Runs one scenario. A step without a definition fails it before anything is started. */
@@ -53,6 +55,9 @@
         return undefined;
     }
     catch (error) {
+        for (const [name, { record }] of world.calls) {
+            world.measures.push(`"${name}": ${describe(record)}`);
+        }
         return `${current}: ${error instanceof Error ? error.message : String(error)}`;
     }
 }
