feat(agent): the engine's own count of cached tokens corrects the cache model

Cause: the model mirrored evictions only; lost events let it drift. Change: the count in an answer's usage, in one piece or as a stream's event, is taken in.

--- /dev/null
+++ b/packages/agent/src/decision/cachedTokens.ts
@@ -0,0 +1,18 @@
+/**
+ * Finds the engine's own count of cached prompt tokens in its answer, in one piece or as the usage event of a stream.
+ *
+ * @module
+ */
+
+const field = '"cached_tokens"';
+const pattern = /"cached_tokens"\s*:\s*(\d{1,9})/;
+
+/** The count of cached tokens that a part of an answer states; `undefined` where it states none. */
+export function findCachedTokens(part: Buffer): number | undefined {
+    const at = part.lastIndexOf(field);
+    if (at < 0) {
+        return undefined;
+    }
+    const match = pattern.exec(part.subarray(at).toString("utf8"));
+    return match ? Number(match[1]) : undefined;
+}
--- a/packages/agent/src/node/endpointCache.ts
+++ b/packages/agent/src/node/endpointCache.ts
@@ -76,6 +76,17 @@
         }
     }
 
+    /**
+     * The engine has answered a prompt and said how many of its blocks it held. It holds all of them by now: the blocks
+     * that missed are known to have been evicted before, which corrects the model's view of what else is gone.
+     */
+    hit(prefixBlocks: readonly string[], hitBlocks: number): void {
+        if (this.incarnation !== undefined) {
+            this.model.onHit(this.incarnation, prefixBlocks, hitBlocks);
+            this.model.onAnswered(this.incarnation, prefixBlocks);
+        }
+    }
+
     /** Summary of the held prefixes for routers. */
     heldPrefixes(): number[] {
         return this.model.heldPrefixes(this.options.clock.now());
--- a/packages/agent/src/node/exchangeTask.ts
+++ b/packages/agent/src/node/exchangeTask.ts
@@ -14,6 +14,7 @@
     MessageKind,
     type Open,
 } from "@redwingpin/protocol";
+import { findCachedTokens } from "../decision/cachedTokens.js";
 import type { EndpointCache } from "./endpointCache.js";
 import type { EndpointAnswer, EndpointClient } from "./endpointClient.js";
 import type { RequestScheduler, WaitingRequest } from "./requestScheduler.js";
@@ -183,6 +184,7 @@
         let chunks = 0;
         try {
             for await (const data of answer.body) {
+                this.learnFromUsage(data);
                 for (const part of partsOf(data)) {
                     await this.waitForRoom(part.length);
                     if (!this.abandoned) {
@@ -213,6 +215,17 @@
         await this.connection.whenWritable();
     }
 
+    /** The engine's own count of what its cache held corrects the model. */
+    private learnFromUsage(data: Buffer): void {
+        const cachedTokens = this.open.prefixBlocks.length > 0 ? findCachedTokens(data) : undefined;
+        if (cachedTokens !== undefined) {
+            this.context.cache.hit(
+                this.open.prefixBlocks,
+                Math.floor(cachedTokens / this.context.blockTokens),
+            );
+        }
+    }
+
     private settleCache(answered: boolean): void {
         if (this.awaitsCache) {
             this.awaitsCache = false;
