--- a/packages/admission/src/node/rosterKeeper.ts
+++ b/packages/admission/src/node/rosterKeeper.ts
@@ -200,7 +200,9 @@
         const turn = Math.max(0, names.indexOf(this.options.instance));
         void this.pause(turn * rosterTurnMilliseconds).then(async () => {
             this.repairScheduled = false;
-            await this.repair();
+            if (this.repaired(this.roster ?? emptyRoster) !== undefined) {
+                await this.repair();
+            }
         });
     }
 
