--- a/packages/router/src/decision/attemptLoop.ts
+++ b/packages/router/src/decision/attemptLoop.ts
@@ -101,7 +101,8 @@
         if (!mayTryAgain(plan, history, end)) {
             break;
         }
-        if (attempt < plan.maxAttempts && !expectRetry(yield { kind: "spendRetry", reason: end.retry })) {
+        const reason = history.progress === AnswerProgress.Resumable ? RetryReason.StreamResumed : end.retry;
+        if (attempt < plan.maxAttempts && !expectRetry(yield { kind: "spendRetry", reason })) {
             history.refusal = { ...history.refusal, reason: RefusalReason.RetryBudgetSpent };
             break;
         }
--- a/packages/router/src/node/requestPipeline.ts
+++ b/packages/router/src/node/requestPipeline.ts
@@ -5,7 +5,14 @@
  */
 import type { AdmissionController, Reservation } from "@redwingpin/admission";
 import { CallOutcome as ClaimOutcome, type Claim, type Claims } from "@redwingpin/claims";
-import { type Clock, type Logger, type ReasonCounters, RefusalReason, runDecision } from "@redwingpin/common";
+import {
+    type Clock,
+    type Logger,
+    type ReasonCounters,
+    RefusalReason,
+    RetryReason,
+    runDecision,
+} from "@redwingpin/common";
 import type { RetryBudget } from "@redwingpin/placement";
 import type { Head } from "@redwingpin/protocol";
 import { ok, type Result } from "neverthrow";
@@ -141,7 +148,8 @@
                     chosen = placement.choose(request, effect.excluded);
                     return { kind: "chosen", instance: chosen?.machine.instance };
                 case "spendRetry": {
-                    const allowed = retryBudget.trySpend();
+                    // A stream that goes on repeats no work that its caller already has, so it needs no budget.
+                    const allowed = effect.reason === RetryReason.StreamResumed || retryBudget.trySpend();
                     if (allowed) {
                         this.context.counters.retried(effect.reason);
                     }
