--- a/packages/bench/src/node/main.ts
+++ b/packages/bench/src/node/main.ts
@@ -4,18 +4,22 @@
  * @module
  */
 import { Builtins, Cli, type CommandClass } from "clipanion";
+import { ClaimsCommand } from "../claims/claimsCommand.js";
 import { ConfigurationCommand } from "../configuration/configurationCommand.js";
 import { OverheadCommand } from "../overhead/overheadCommand.js";
+import { PlacementStateCommand } from "../placementState/placementStateCommand.js";
 import { PolicyCommand } from "../policy/policyCommand.js";
 import { RatesCommand } from "../rates/ratesCommand.js";
 import { SlopesCommand } from "../slopes/slopesCommand.js";
 
 const experiments: readonly CommandClass[] = [
+    ClaimsCommand,
     ConfigurationCommand,
     OverheadCommand,
     PolicyCommand,
     RatesCommand,
     SlopesCommand,
+    PlacementStateCommand,
 ];
 
 const cli = new Cli({ binaryName: "redwingpin-bench", binaryLabel: "redwingpin bench" });
