feat(router,agent): run suspects apart and quarantine requests that crash endpoints

Cause: a request that crashes each engine that runs it was retried among others and taken from its caller again. Change: the agent's gate stands between its queue and the endpoint, and reports the requests that ran when the endpoint crashed on the connections that carry them, before it fails them. Routers ask how a request is to be run before each attempt, send suspects to the agent that its fingerprint chooses, and tell each other.

--- a/packages/agent/src/node/agent.ts
+++ b/packages/agent/src/node/agent.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import { RosterCache } from "@redwingpin/admission";
+import type { CrashReport } from "@redwingpin/claims";
 import { type Clock, type Logger, maxSeed, seededRandom } from "@redwingpin/common";
 import { type Configuration, createAgentPeers, createConfiguration } from "@redwingpin/configuration";
 import { EndpointKind } from "@redwingpin/manifest";
@@ -35,6 +36,7 @@
 import { type EndpointHealth, EndpointMonitor } from "./endpointMonitor.js";
 import { ExchangeTask } from "./exchangeTask.js";
 import { RequestScheduler } from "./requestScheduler.js";
+import { SuspectGate } from "./suspectGate.js";
 
 /** What an agent is made from. */
 export interface AgentOptions {
@@ -44,12 +46,15 @@
     readonly registry: Registry;
 }
 
+const crashReportTimeoutMilliseconds = 1_000;
+
 /** Serves one endpoint to the routers. */
 export class Agent {
     readonly innerNode: InnerNode;
     private readonly endpoint: EndpointClient;
     private readonly monitor: EndpointMonitor;
     private readonly scheduler: RequestScheduler;
+    private readonly gate: SuspectGate;
     private readonly exchanges = new Map<Connection, Map<number, ExchangeTask>>();
     private readonly recent = new RecentRequests();
     private readonly configuration: Configuration;
@@ -84,6 +89,7 @@
             interval: config.healthIntervalMilliseconds,
             onChange: (health, before) => this.onHealthChange(health, before),
         });
+        this.gate = this.createGate();
         this.innerNode = new InnerNode({
             role: ProcessRole.Agent,
             instance: config.instance,
@@ -179,6 +185,16 @@
         this.innerNode.handle(Topic.Operator, () => Promise.resolve(this.operatorStatus()));
     }
 
+    private createGate(): SuspectGate {
+        return new SuspectGate({
+            clock: this.options.clock,
+            instance: this.options.config.instance,
+            incarnation: () => this.monitor.current.incarnation,
+            look: () => this.monitor.look(),
+            report: (report) => this.reportCrash(report),
+        });
+    }
+
     private createMembership(): MembershipResponder {
         const { clock, config } = this.options;
         return new MembershipResponder({
@@ -230,6 +246,7 @@
             clock: this.options.clock,
             endpoint: this.endpoint,
             scheduler: this.scheduler,
+            gate: this.gate,
             status: () => this.status(),
             cache: this.cache,
             blockTokens: defaultBlockTokens,
@@ -266,6 +283,17 @@
         this.broadcastStatus();
     }
 
+    /** Sent on the connections that carry the exchanges, so that it arrives before they fail. */
+    private reportCrash(report: CrashReport): void {
+        this.options.logger.warn("the endpoint crashed", {
+            crash: report.crash.id,
+            running: report.fingerprints.length,
+        });
+        for (const connection of this.innerNode.openConnections()) {
+            void connection.call(Topic.Quarantine, report, crashReportTimeoutMilliseconds);
+        }
+    }
+
     private broadcastStatus(): void {
         for (const connection of this.innerNode.openConnections()) {
             this.sendStatus(connection);
--- a/packages/agent/src/node/exchangeTask.ts
+++ b/packages/agent/src/node/exchangeTask.ts
@@ -17,12 +17,14 @@
 import type { EndpointCache } from "./endpointCache.js";
 import type { EndpointAnswer, EndpointClient } from "./endpointClient.js";
 import type { RequestScheduler, WaitingRequest } from "./requestScheduler.js";
+import type { SuspectGate } from "./suspectGate.js";
 
 /** What an exchange needs from its agent. */
 export interface ExchangeContext {
     readonly clock: Clock;
     readonly endpoint: EndpointClient;
     readonly scheduler: RequestScheduler;
+    readonly gate: SuspectGate;
     readonly status: () => EndpointStatus;
     readonly cache: EndpointCache;
     /** Tokens in one prefix block. */
@@ -50,6 +52,8 @@
     private credit = answerWindowBytes;
     private wakeForCredit: (() => void) | undefined;
     private abandoned = false;
+    private complete = false;
+    private incarnation: string | undefined;
     private awaitsCache = false;
 
     constructor(
@@ -125,12 +129,25 @@
             tokens: this.expectedTokens(),
             priority: this.open.priority,
             deadline: this.deadline,
-            start: () => void this.run(),
+            start: () => this.enterGate(),
             refuse: (reason) => this.decline(reason),
         };
         this.context.scheduler.submit(waiting).mapErr((reason) => this.decline(reason));
     }
 
+    private enterGate(): void {
+        this.context.gate.enter({
+            id: this.id,
+            fingerprint: this.open.fingerprint,
+            apart: this.open.apart === true,
+            start: () => void this.run(),
+            refuse: () => {
+                this.decline(DeclineReason.Quarantined);
+                this.context.scheduler.finished(this.id);
+            },
+        });
+    }
+
     /** Tokens of work that the endpoint is expected to spend: what its cache holds costs nothing. */
     private expectedTokens(): number {
         const held = this.context.cache.hitBlocks(this.open.prefixBlocks) * this.context.blockTokens;
@@ -139,6 +156,7 @@
 
     private async run(): Promise<void> {
         this.stage = Stage.Running;
+        this.incarnation = this.context.gate.incarnation;
         const hitBlocks = this.context.cache.hitBlocks(this.open.prefixBlocks);
         const cancelDeadline = this.context.clock.schedule(
             this.deadline - this.context.clock.now(),
@@ -152,20 +170,29 @@
             signal: this.abort.signal,
         });
         if (answer.isErr()) {
-            this.endWithoutAnswer(answer.error.mayHaveRun, answer.error.message);
+            await this.endWithoutAnswer(answer.error.mayHaveRun, answer.error.message);
         }
         else {
             await this.relay(answer.value, hitBlocks);
         }
         cancelDeadline();
         this.context.scheduler.finished(this.id);
+        this.context.gate.leave(this.id, this.complete);
     }
 
-    private endWithoutAnswer(mayHaveRun: boolean, message: string): void {
+    private async endWithoutAnswer(mayHaveRun: boolean, message: string): Promise<void> {
         if (!mayHaveRun) {
             this.decline(DeclineReason.EndpointDown);
             return;
         }
+        await this.breakOff(message);
+    }
+
+    /** Fails the exchange, after the routers have been told of a crash that ended it. */
+    private async breakOff(message: string): Promise<void> {
+        if (!this.abort.signal.aborted) {
+            await this.context.gate.brokeOff(this.incarnation);
+        }
         this.fail(message);
     }
 
@@ -197,9 +224,10 @@
             }
         }
         catch (error) {
-            this.fail(`the endpoint's answer broke off: ${String(error)}`);
+            await this.breakOff(`the endpoint's answer broke off: ${String(error)}`);
             return;
         }
+        this.complete = true;
         this.end({ kind: MessageKind.End, exchange, chunks, status: this.context.status() });
     }
 
--- a/packages/proofs/src/__tests__/siteFixture.ts
+++ b/packages/proofs/src/__tests__/siteFixture.ts
@@ -91,9 +91,12 @@
 }
 
 /** Starts a site with two engines, one service and one router, and waits until it serves. */
-export async function startSite(manifest: Manifest = siteManifest()): Promise<Site> {
+export async function startSite(
+    manifest: Manifest = siteManifest(),
+    startEngine: () => Promise<Standin> = () => startEngineStandin({ port: 0 }),
+): Promise<Site> {
     const storeStandin = await startStoreStandin({ port: 0 });
-    const engines = [await startEngineStandin({ port: 0 }), await startEngineStandin({ port: 0 })];
+    const engines = [await startEngine(), await startEngine()];
     const service = await startServiceStandin({ port: 0 });
     const endpoints = [
         ...engines.map((engine) => ({ address: engine.address, pool: "engines", kind: EndpointKind.Engine })),
--- a/packages/protocol/src/messageShape.ts
+++ b/packages/protocol/src/messageShape.ts
@@ -62,6 +62,7 @@
         weights: optional(weightsReference),
         prefixBlocks: listOf(text),
         fingerprint: text,
+        apart: optional(flag),
         traceparent: text,
     },
     [MessageKind.Body]: { exchange: count, data: bytes },
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -82,6 +82,8 @@
     readonly prefixBlocks: readonly string[];
     /** Digest of account and body, by which a request that crashes endpoints is known. */
     readonly fingerprint: string;
+    /** True where the request is suspected of crashing endpoints and must run alone. */
+    readonly apart?: boolean;
     /** W3C trace context of the attempt. */
     readonly traceparent: string;
 }
--- a/packages/router/src/node/attemptRunner.ts
+++ b/packages/router/src/node/attemptRunner.ts
@@ -47,8 +47,13 @@
         private readonly onHead: (head: Head) => void,
     ) {}
 
-    /** Makes an attempt and resolves with how it ended. `mayDispatch` is asked right before anything is sent. */
-    async run(machine: VirtualMachine, attempt: number, mayDispatch: () => boolean): Promise<AttemptEnd> {
+    /** Makes an attempt, with `apart` alone at its endpoint, and resolves with how it ended. `mayDispatch` is asked right before anything is sent. */
+    async run(
+        machine: VirtualMachine,
+        attempt: number,
+        mayDispatch: () => boolean,
+        apart: boolean,
+    ): Promise<AttemptEnd> {
         const connection = await this.context.innerNode.connect(machine);
         if (connection.isErr()) {
             const refusal = notRun(
@@ -68,13 +73,13 @@
             const message = "the call could not be dispatched in the time that its claim allows";
             return { kind: "final", refusal: notRun(RefusalReason.DeadlineExceeded, message) };
         }
-        return this.exchange(connection.value, attempt);
+        return this.exchange(connection.value, attempt, apart);
     }
 
-    private async exchange(connection: Connection, attempt: number): Promise<AttemptEnd> {
+    private async exchange(connection: Connection, attempt: number, apart: boolean): Promise<AttemptEnd> {
         const exchange = this.context.exchanges.open(
             connection,
-            this.openFields(attempt),
+            this.openFields(attempt, apart),
             this.bodyForAttempt(),
         );
         let unacknowledged = 0;
@@ -164,7 +169,7 @@
         };
     }
 
-    private openFields(attempt: number): OpenFields {
+    private openFields(attempt: number, apart: boolean): OpenFields {
         const { request, context } = this;
         return {
             request: request.identifier,
@@ -182,6 +187,7 @@
             weights: weightsOf(request),
             prefixBlocks: request.prefix.blocks,
             fingerprint: request.fingerprint,
+            apart: apart ? true : undefined,
             traceparent: request.traceparent,
         };
     }
--- a/packages/router/src/node/requestPipeline.ts
+++ b/packages/router/src/node/requestPipeline.ts
@@ -4,7 +4,13 @@
  * @module
  */
 import type { AdmissionController, Reservation } from "@redwingpin/admission";
-import { CallOutcome as ClaimOutcome, type Claim, type Claims } from "@redwingpin/claims";
+import {
+    CallOutcome as ClaimOutcome,
+    type Claim,
+    type Claims,
+    type Quarantine,
+    Treatment,
+} from "@redwingpin/claims";
 import { type Clock, type Logger, type ReasonCounters, RefusalReason, runDecision } from "@redwingpin/common";
 import type { RetryBudget } from "@redwingpin/placement";
 import type { Head } from "@redwingpin/protocol";
@@ -13,6 +19,7 @@
 import { maxAttempts } from "../constants.js";
 import {
     type AttemptEffect,
+    type AttemptEnd,
     type AttemptEvent,
     attemptLoop,
     type RequestOutcome,
@@ -36,9 +43,12 @@
     readonly retryBudget: RetryBudget;
     readonly admission: AdmissionController;
     readonly claims: Claims;
+    readonly quarantine: Quarantine;
     readonly metrics: RequestMetrics;
 }
 
+const quarantinedMessage = "requests with this body have crashed endpoints; it is not run for a time";
+
 /** A reservation for callers that no rate applies to: routes open to all, without a key. */
 const freeReservation: Reservation = { tokens: 0, settle: () => {} };
 
@@ -138,10 +148,13 @@
         const perform = async (effect: AttemptEffect): Promise<AttemptEvent> => {
             switch (effect.kind) {
                 case "choose":
-                    chosen = placement.choose(request, effect.excluded);
+                    chosen = this.isApart(request)
+                        ? placement.chooseApart(request, effect.excluded)
+                        : placement.choose(request, effect.excluded);
                     return { kind: "chosen", instance: chosen?.machine.instance };
                 case "spendRetry": {
-                    const allowed = retryBudget.trySpend();
+                    // A crash gives each request that ran there one attempt apart, which can not multiply load.
+                    const allowed = this.isApart(request) || retryBudget.trySpend();
                     if (allowed) {
                         this.context.counters.retried(effect.reason);
                     }
@@ -149,7 +162,7 @@
                 }
                 case "attempt": {
                     const mayDispatch = () => claim === undefined || claims.mayDispatch(claim);
-                    const end = await runner.run(chosen!.machine, effect.attempt, mayDispatch);
+                    const end = await this.attemptOnce(runner, request, chosen!, effect.attempt, mayDispatch);
                     placement.observeEnd(chosen!, end);
                     return { kind: "ended", end };
                 }
@@ -159,6 +172,30 @@
         return runDecision(attemptLoop(plan), perform);
     }
 
+    private isApart(request: CallerRequest): boolean {
+        return this.context.quarantine.treatment(request.fingerprint) === Treatment.Apart;
+    }
+
+    private async attemptOnce(
+        runner: AttemptRunner,
+        request: CallerRequest,
+        chosen: ChosenAgent,
+        attempt: number,
+        mayDispatch: () => boolean,
+    ): Promise<AttemptEnd> {
+        const { quarantine } = this.context;
+        const treatment = quarantine.treatment(request.fingerprint);
+        if (treatment === Treatment.Quarantined) {
+            return { kind: "final", refusal: notRun(RefusalReason.Quarantined, quarantinedMessage) };
+        }
+        const apart = treatment === Treatment.Apart;
+        const end = await runner.run(chosen.machine, attempt, mayDispatch, apart);
+        if (apart && end.kind === "complete") {
+            quarantine.completedApart(request.fingerprint);
+        }
+        return end;
+    }
+
     private concludeClaim(claim: Claim, outcome: RequestOutcome, relay: AnswerRelay): void {
         const answer = outcome.kind === "answered" ? relay.heldAnswer() : undefined;
         if (answer !== undefined) {
--- a/packages/router/src/node/requestPlacement.ts
+++ b/packages/router/src/node/requestPlacement.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import { rendezvousOrder } from "@redwingpin/common";
 import { type Placed, Placement, PlacementOutcome, type PlacementRequest } from "@redwingpin/placement";
 import { type VirtualMachine, VirtualMachineRole } from "@redwingpin/platform";
 import type { EndpointStatus, Head } from "@redwingpin/protocol";
@@ -52,6 +53,19 @@
         return placed && machine && { placed, machine };
     }
 
+    /** Chooses the agent for a request that runs apart: the same one at every router, as far as it can take it. */
+    chooseApart(request: CallerRequest, excluded: readonly string[]): ChosenAgent | undefined {
+        const inPool = [...this.agents.values()].filter((agent) => agent.pool === request.route.pool);
+        for (const agent of rendezvousOrder(request.fingerprint, inPool, (candidate) => candidate.instance)) {
+            const others = inPool.filter((other) => other !== agent).map((other) => other.instance);
+            const chosen = excluded.includes(agent.instance) ? undefined : this.choose(request, others);
+            if (chosen !== undefined) {
+                return chosen;
+            }
+        }
+        return undefined;
+    }
+
     observeHead(chosen: ChosenAgent, head: Head): void {
         this.placement.observeHead(chosen.placed, head.hitBlocks);
     }
--- a/packages/router/src/node/router.ts
+++ b/packages/router/src/node/router.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { type AdmissionController, createAdmission } from "@redwingpin/admission";
-import { type Claims, createClaims } from "@redwingpin/claims";
+import { type Claims, createClaims, createQuarantine, type Quarantine } from "@redwingpin/claims";
 import {
     type Clock,
     createReasonCounters,
@@ -47,6 +47,7 @@
 import { createCallerServer } from "./callerServer.js";
 import { RouterClaimPeers } from "./claimPeers.js";
 import { createOperatorStatus } from "./operatorStatus.js";
+import { createQuarantineBroadcast } from "./quarantinePeers.js";
 import { createRatePeers } from "./ratePeers.js";
 import { RequestPipeline } from "./requestPipeline.js";
 import { RequestPlacement } from "./requestPlacement.js";
@@ -56,6 +57,7 @@
     handleConfiguration,
     handleMembership,
     handleOperators,
+    handleQuarantine,
     handleRates,
 } from "./routerTopics.js";
 import { SilenceProbe } from "./silenceProbe.js";
@@ -87,6 +89,7 @@
     private readonly admission: AdmissionController;
     private readonly claimPeers: RouterClaimPeers;
     private readonly claims: Claims;
+    private readonly quarantine: Quarantine;
     private readonly pipeline: RequestPipeline;
     private readonly callerServer: Server;
     private readonly configuration: Configuration;
@@ -115,6 +118,7 @@
             find: (instance) => this.membership.find(instance),
         });
         this.claims = this.createClaims();
+        this.quarantine = this.createQuarantine();
         this.pipeline = this.createPipeline();
         this.callerServer = this.createCallerServer();
         registerRouterGauges(registry, {
@@ -133,6 +137,7 @@
         this.silenceProbe.start();
         this.configuration.start();
         this.membership.start(innerPort);
+        void this.quarantine.start();
         const listenPort = await listenOn(this.callerServer, config.listenHost, config.listenPort);
         return { listenPort, innerPort };
     }
@@ -153,6 +158,7 @@
     /** Closes everything at once. */
     stop(): void {
         this.configuration.stop();
+        this.quarantine.stop();
         this.admission.stop();
         this.membership.stop();
         this.silenceProbe.stop();
@@ -187,6 +193,7 @@
             retryBudget: new RetryBudget(),
             admission: this.admission,
             claims: this.claims,
+            quarantine: this.quarantine,
             metrics: createRequestMetrics(this.options.registry),
             attempts: {
                 clock,
@@ -262,6 +269,18 @@
         return claims;
     }
 
+    private createQuarantine(): Quarantine {
+        const { clock, logger, store } = this.options;
+        const quarantine = createQuarantine({
+            clock,
+            store,
+            logger: logger.scope("quarantine"),
+            broadcast: createQuarantineBroadcast(this.innerNode, () => this.membership.routers()),
+        });
+        handleQuarantine(this.innerNode, quarantine);
+        return quarantine;
+    }
+
     private createCallerServer(): Server {
         const { config, clock, registry } = this.options;
         return createCallerServer({
--- a/packages/router/src/node/routerTopics.ts
+++ b/packages/router/src/node/routerTopics.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { AdmissionController } from "@redwingpin/admission";
-import type { Claims } from "@redwingpin/claims";
+import type { Claims, Quarantine } from "@redwingpin/claims";
 import type { Configuration } from "@redwingpin/configuration";
 import type { Membership } from "@redwingpin/membership";
 import {
@@ -44,6 +44,11 @@
     });
 }
 
+/** Hands quarantine messages to the quarantine. */
+export function handleQuarantine(innerNode: InnerNode, quarantine: Quarantine): void {
+    innerNode.handle(Topic.Quarantine, (body) => Promise.resolve(quarantine.handle(body)));
+}
+
 /** Hands configuration messages to the configuration. */
 export function handleConfiguration(innerNode: InnerNode, configuration: Configuration): void {
     innerNode.handle(Topic.Configuration, (body, from) => {
