fix(claims,router,agent): fresh decisions on running calls, stops that end and cut nothing

Cause: (1) a shard's writer answered call_in_progress from the state it last read, for good; (2) a router that stopped never ended while callers kept sending on open connections; (3) an agent closed its connections as soon as it was idle, so a call on its way at that moment ended unknown; each frame was a write of its own.

--- a/packages/agent/src/node/agent.ts
+++ b/packages/agent/src/node/agent.ts
@@ -6,7 +6,7 @@
  */
 import { RosterCache } from "@redwingpin/admission";
 import type { CrashReport } from "@redwingpin/claims";
-import { type Clock, type Logger, maxSeed, seededRandom } from "@redwingpin/common";
+import { type Clock, type Logger, maxSeed, seededRandom, sleep } from "@redwingpin/common";
 import { type Configuration, createAgentPeers, createConfiguration } from "@redwingpin/configuration";
 import { EndpointKind } from "@redwingpin/manifest";
 import { MembershipResponder } from "@redwingpin/membership";
@@ -26,7 +26,7 @@
 import { randomInt, randomUUID } from "node:crypto";
 import type { Registry } from "prom-client";
 import type { ResolvedAgentConfig } from "../config.js";
-import { maxBodyBytes } from "../constants.js";
+import { drainLingerMilliseconds, maxBodyBytes } from "../constants.js";
 import { declineReason } from "../decision/acceptance.js";
 import { RecentRequests } from "../decision/recentRequests.js";
 import { servedWeights } from "../decision/servedWeights.js";
@@ -138,12 +138,19 @@
         this.draining = true;
         this.membership.leave();
         this.broadcastStatus();
+        await this.untilIdle();
+        // Requests that were on their way when the routers learnt of the drain are declined, not cut off.
+        await sleep(this.options.clock, drainLingerMilliseconds);
+        await this.untilIdle();
+        this.stop();
+    }
+
+    private async untilIdle(): Promise<void> {
         if (this.exchangeCount() > 0) {
             await new Promise<void>((resolve) => {
                 this.wakeWhenIdle = resolve;
             });
         }
-        this.stop();
     }
 
     /** Closes everything at once. */
--- a/packages/claims/src/decision/shardWriter.ts
+++ b/packages/claims/src/decision/shardWriter.ts
@@ -7,7 +7,13 @@
  */
 import { type Decision, type Milliseconds, RefusalReason } from "@redwingpin/common";
 import type { StoreEntry, StoreError, SwapOutcome } from "@redwingpin/platform";
-import { type BatchPlan, type PendingBegin, type PendingOutcome, planBatch } from "./batch.js";
+import {
+    type BatchPlan,
+    type PendingBegin,
+    type PendingOutcome,
+    planBatch,
+    type SettledBegin,
+} from "./batch.js";
 import { CallOutcome, type ClaimDecision } from "./claimCall.js";
 import { encodeSegment, type SegmentHeader } from "./segment.js";
 import { type ShardPlace, ShardState, slotKey } from "./shardState.js";
@@ -78,6 +84,8 @@
     private begins: PendingBegin[] = [];
     private outcomes: PendingOutcome[] = [];
     private doubtful = new Set<string>();
+    /** Calls that waited when the state was last seen to be the store's. */
+    private confirmed: ReadonlySet<string> = new Set();
     private failures = 0;
     private now: Milliseconds = 0;
     private wallTime: Milliseconds = 0;
@@ -94,13 +102,28 @@
         }
         const state = this.state;
         const plan = this.plan(state);
-        yield* this.settleAll(plan.settled);
+        const stale = plan.settled.filter((settled) => this.mayBeStale(settled));
+        yield* this.settleAll(without(plan.settled, stale));
         this.outcomes = plan.records.length === 0 ? without(this.outcomes, plan.outcomes) : this.outcomes;
-        if (plan.records.length > 0) {
+        if (plan.records.length > 0 || stale.length > 0) {
             yield* this.commit(state, plan);
         }
     }
 
+    /**
+     * A call that seems to run may have ended since: another process may have written its outcome. It is refused only
+     * after a write to the tail, if need be one without records, has shown that nothing was missed.
+     */
+    private mayBeStale({ begin, decision }: SettledBegin): boolean {
+        const seemsToRun = decision.kind === "refuse" && decision.reason === RefusalReason.CallInProgress;
+        return seemsToRun && !this.confirmed.has(begin.token);
+    }
+
+    /** The state is that of the store, as of now: what waits may be decided from it. */
+    private confirm(): void {
+        this.confirmed = new Set(this.begins.map((begin) => begin.token));
+    }
+
     private *receive(): Step<void> {
         const idle = this.begins.length === 0 && this.outcomes.length === 0;
         const event = yield { kind: "receive", wait: idle };
@@ -136,6 +159,7 @@
         }
         this.failures = 0;
         this.state = loaded.value;
+        this.confirm();
     }
 
     private plan(state: ShardState): BatchPlan {
@@ -185,6 +209,7 @@
         }
         this.failures = 0;
         this.doubtful.clear();
+        this.confirm();
         if (!event.outcome.swapped) {
             yield* this.catchUp(state, event.outcome.current);
             return;
--- a/packages/protocol/src/node/connection.ts
+++ b/packages/protocol/src/node/connection.ts
@@ -66,6 +66,7 @@
     private peerHello: Hello | undefined;
     private nextCall = 1;
     private closed = false;
+    private corked = false;
     private onReady: ((result: Result<Connection, ProtocolError>) => void) | undefined;
     private writableWaiters: (() => void)[] = [];
 
@@ -92,13 +93,22 @@
         return this.closed;
     }
 
-    /** Sends a message; it is dropped once the connection is closed. */
+    /** Sends a message; it is dropped once the connection is closed. Messages of one turn leave in one write. */
     send(message: Message): void {
-        if (!this.closed) {
-            const frame = encodeFrame(message);
-            this.context.traffic.sentBytes += frame.length;
-            this.socket.write(frame);
+        if (this.closed) {
+            return;
+        }
+        const frame = encodeFrame(message);
+        this.context.traffic.sentBytes += frame.length;
+        if (!this.corked) {
+            this.corked = true;
+            this.socket.cork();
+            process.nextTick(() => {
+                this.corked = false;
+                this.socket.uncork();
+            });
         }
+        this.socket.write(frame);
     }
 
     /** Resolves when the socket's buffer has room again, or the connection is closed. */
--- a/packages/router/src/node/callerServer.ts
+++ b/packages/router/src/node/callerServer.ts
@@ -39,6 +39,8 @@
     readonly clock: Clock;
     readonly counters: ReasonCounters;
     readonly requestTimeout: Milliseconds;
+    /** True while the router leaves: each connection closes after its answer. */
+    readonly stopping: () => boolean;
     readonly maxConnections: number;
     /** The manifest in force; absent before the first was found. */
     readonly manifest: () => ManifestIndex | undefined;
@@ -79,6 +81,10 @@
     response: ServerResponse,
 ): Promise<void> {
     const url = request.url ?? "/";
+    if (context.stopping()) {
+        // The caller opens its next connection through the balancer, to another router.
+        response.setHeader("connection", "close");
+    }
     if (answerHealthRequest(url, response, context)) {
         return;
     }
--- a/packages/router/src/node/router.ts
+++ b/packages/router/src/node/router.ts
@@ -290,6 +290,7 @@
             requestTimeout: config.requestTimeoutMilliseconds,
             maxConnections: config.maxConnections,
             ready: () => this.isReady(),
+            stopping: () => this.stopping,
             manifest: () => this.configuration.current()?.index,
             serve: (request, response) => this.pipeline.serve(request, response),
             status: () => this.status(),
