feat(router,agent): orders to engines from an elected leader, fenced by the table in the store

Cause: the decisions and tasks of orders had no caller, so an upgrade loaded nothing. Ruled out: the planner, when only one of two engines was upgraded: the leader had never heard of the other, which another router keeps. Change: a few routers are candidates, the leader learns every agent's status; the agent holds back requests, waits until it is idle, looks into the table and sends the order with its fencing number. Agents take the store's address in place of the VM list's, which they never used. Keys in the store all begin with redwingpin/.

--- a/packages/admission/src/constants.ts
+++ b/packages/admission/src/constants.ts
@@ -53,7 +53,7 @@
 export const rosterTurnMilliseconds = 200;
 
 /** Key of the roster in the platform's store. */
-export const rosterKey = "/redwingpin/rates/roster";
+export const rosterKey = "redwingpin/rates/roster";
 
 /**
  * Time for which a router must be missing from the VM list before its VM counts as gone. At least the time by which
--- a/packages/agent/src/config.ts
+++ b/packages/agent/src/config.ts
@@ -34,7 +34,8 @@
     /** HTTP address of the endpoint, without a trailing slash. */
     readonly endpointAddress: string;
     readonly endpointKind: EndpointKind;
-    readonly virtualMachineListAddress: string;
+    /** HTTP address of the platform's key-value store; the agent reads it only when it is given an order. */
+    readonly storeAddress: string;
     readonly fleetKeys: FleetKeys;
     /** Requests that run at the endpoint at once. */
     readonly concurrency: number;
@@ -85,9 +86,9 @@
         description: "Kind of the endpoint: engine, service or cacheStore",
         parse: parseMember(EndpointKind),
     },
-    virtualMachineListAddress: {
-        variable: "REDWINGPIN_VM_LIST_ADDRESS",
-        description: "HTTP address of the list of VMs",
+    storeAddress: {
+        variable: "REDWINGPIN_STORE_ADDRESS",
+        description: "HTTP address of the platform's key-value store, read only when an order is given",
         parse: parseHttpAddress,
     },
     fleetKeys: {
--- a/packages/agent/src/node/agent.ts
+++ b/packages/agent/src/node/agent.ts
@@ -5,12 +5,14 @@
  * @module
  */
 import { RosterCache } from "@redwingpin/admission";
+import { createOrderTaker, OrderProgress, type OrderTaker } from "@redwingpin/claims";
 import type { CrashReport } from "@redwingpin/claims";
 import { type Clock, type Logger, maxSeed, seededRandom, sleep } from "@redwingpin/common";
 import { type Configuration, createAgentPeers, createConfiguration } from "@redwingpin/configuration";
 import { EndpointKind } from "@redwingpin/manifest";
 import { MembershipResponder } from "@redwingpin/membership";
 import { defaultBlockTokens } from "@redwingpin/placement";
+import type { KeyValueStore } from "@redwingpin/platform";
 import {
     type Connection,
     type EndpointStatus,
@@ -35,6 +37,7 @@
 import { EndpointClient } from "./endpointClient.js";
 import { type EndpointHealth, EndpointMonitor } from "./endpointMonitor.js";
 import { ExchangeTask } from "./exchangeTask.js";
+import { createOrderedEngine } from "./orderedEngine.js";
 import { RequestScheduler } from "./requestScheduler.js";
 import { SuspectGate } from "./suspectGate.js";
 
@@ -44,6 +47,7 @@
     readonly clock: Clock;
     readonly logger: Logger;
     readonly registry: Registry;
+    readonly store: KeyValueStore;
 }
 
 const crashReportTimeoutMilliseconds = 1_000;
@@ -63,6 +67,8 @@
     private readonly membership: MembershipResponder;
     private readonly declines: DeclineCounter;
     private draining = false;
+    /** True while an order waits or is carried out. */
+    private held = false;
     private wakeWhenIdle: (() => void) | undefined;
 
     constructor(private readonly options: AgentOptions) {
@@ -170,7 +176,7 @@
             instance: config.instance,
             pool: config.pool,
             incarnation: health.incarnation,
-            draining: this.draining,
+            draining: this.draining || this.held,
             weights: servedWeights(this.configuration.current()?.index, health),
             queuedTokens: this.scheduler.pendingTokens,
             running: this.scheduler.running,
@@ -190,6 +196,14 @@
             (body) => Promise.resolve(this.membership.handle(body) ?? { kind: "pong" }),
         );
         this.innerNode.handle(Topic.Operator, () => Promise.resolve(this.operatorStatus()));
+        const orders = this.createOrderTaker();
+        this.innerNode.handle(
+            Topic.Orders,
+            (body, from) =>
+                Promise.resolve(
+                    from.role === ProcessRole.Router ? orders.handle(body) : OrderProgress.Refused,
+                ),
+        );
     }
 
     private createGate(): SuspectGate {
@@ -202,6 +216,27 @@
         });
     }
 
+    private createOrderTaker(): OrderTaker {
+        const { config, logger, store } = this.options;
+        return createOrderTaker({
+            instance: config.instance,
+            store,
+            logger: logger.scope("orders"),
+            endpoint: createOrderedEngine({
+                address: config.endpointAddress,
+                monitor: this.monitor,
+                logger: logger.scope("orders"),
+                setHeld: (held) => this.setHeld(held),
+                untilIdle: () => this.untilIdle(),
+            }),
+        });
+    }
+
+    private setHeld(held: boolean): void {
+        this.held = held;
+        this.broadcastStatus();
+    }
+
     private createMembership(): MembershipResponder {
         const { clock, config } = this.options;
         return new MembershipResponder({
--- a/packages/agent/src/node/main.ts
+++ b/packages/agent/src/node/main.ts
@@ -14,6 +14,7 @@
     systemClock,
     untilToldToStop,
 } from "@redwingpin/common";
+import { createEtcdStore } from "@redwingpin/platform";
 import { Command, runExit } from "clipanion";
 import { collectDefaultMetrics, Registry } from "prom-client";
 import { agentSettings, type ResolvedAgentConfig } from "../config.js";
@@ -51,7 +52,12 @@
     const registry = new Registry();
     collectDefaultMetrics({ register: registry });
     createReasonCounters(registry);
-    const agent = new Agent({ config, clock: systemClock, logger, registry });
+    const store = createEtcdStore({
+        address: config.storeAddress,
+        clock: systemClock,
+        logger: logger.scope("store"),
+    });
+    const agent = new Agent({ config, clock: systemClock, logger, registry, store });
     let ready = false;
     const health = await startHealthServer(config.listenHost, config.metricsPort, {
         registry,
@@ -64,6 +70,7 @@
     ready = false;
     await agent.drain();
     health.close();
+    await store.close();
     logger.info("stopped");
 }
 
--- a/packages/claims/src/decision/orders/order.ts
+++ b/packages/claims/src/decision/orders/order.ts
@@ -44,10 +44,10 @@
 }
 
 /** Key of the table in the store. */
-export const orderTableKey = "orders/table";
+export const orderTableKey = "redwingpin/orders/table";
 
 /** Key of the record that names the leader; it vanishes with the leader's lease. */
-export const orderLeaderKey = "orders/leader";
+export const orderLeaderKey = "redwingpin/orders/leader";
 
 /** The table before the first order. */
 export const emptyOrderTable: OrderTable = { lastNumber: 0, orders: [] };
--- a/packages/claims/src/decision/shardState.ts
+++ b/packages/claims/src/decision/shardState.ts
@@ -53,7 +53,7 @@
 
 /** Prefix of the keys of a shard's segments. */
 export function shardPrefix(shard: number): string {
-    return `claims/${String(shard).padStart(numberDigits, "0")}/`;
+    return `redwingpin/claims/${String(shard).padStart(numberDigits, "0")}/`;
 }
 
 /** Key of the slot that holds the segment with this sequence. */
--- a/packages/claims/src/node/quarantine.ts
+++ b/packages/claims/src/node/quarantine.ts
@@ -43,7 +43,7 @@
 }
 
 /** Key of the suspects in the store. */
-export const quarantineKey = "quarantine/suspects";
+export const quarantineKey = "redwingpin/quarantine/suspects";
 
 /** Makes the quarantine of a router. */
 export function createQuarantine(options: QuarantineOptions): Quarantine {
--- a/packages/proofs/src/__tests__/siteFixture.ts
+++ b/packages/proofs/src/__tests__/siteFixture.ts
@@ -8,7 +8,12 @@
 import { resolveSettings, sha256Hex, silentLogger, systemClock } from "@redwingpin/common";
 import { submitManifest } from "@redwingpin/configuration";
 import { EndpointKind, type Manifest, RouteKind, RoutePriority } from "@redwingpin/manifest";
-import { createEtcdStore, createVirtualMachineList, type KeyValueStore } from "@redwingpin/platform";
+import {
+    createEtcdStore,
+    createVirtualMachineList,
+    type KeyValueStore,
+    MemoryStore,
+} from "@redwingpin/platform";
 import { Router, routerSettings } from "@redwingpin/router";
 import {
     type Standin,
@@ -168,9 +173,15 @@
         innerPort: "0",
         endpointAddress: endpoint.address,
         endpointKind: endpoint.kind,
-        virtualMachineListAddress: "http://127.0.0.1:1",
+        storeAddress: "http://127.0.0.1:1",
     }, { REDWINGPIN_FLEET_KEY: fleetKey })._unsafeUnwrap();
-    return new Agent({ config, clock: systemClock, logger: silentLogger, registry: new Registry() });
+    return new Agent({
+        config,
+        clock: systemClock,
+        logger: silentLogger,
+        registry: new Registry(),
+        store: new MemoryStore(systemClock, 0).client(),
+    });
 }
 
 function createRouter(
--- a/packages/router/src/node/router.ts
+++ b/packages/router/src/node/router.ts
@@ -4,7 +4,13 @@
  * @module
  */
 import { type AdmissionController, createAdmission } from "@redwingpin/admission";
-import { type Claims, createClaims, createQuarantine, type Quarantine } from "@redwingpin/claims";
+import {
+    type Claims,
+    createClaims,
+    createQuarantine,
+    type OrderLeader,
+    type Quarantine,
+} from "@redwingpin/claims";
 import {
     type Clock,
     createReasonCounters,
@@ -47,6 +53,7 @@
 import { createCallerServer } from "./callerServer.js";
 import { RouterClaimPeers } from "./claimPeers.js";
 import { createOperatorStatus } from "./operatorStatus.js";
+import { createOrderLeading } from "./orderLeading.js";
 import { createQuarantineBroadcast } from "./quarantinePeers.js";
 import { createRatePeers } from "./ratePeers.js";
 import { RequestPipeline } from "./requestPipeline.js";
@@ -90,11 +97,14 @@
     private readonly claimPeers: RouterClaimPeers;
     private readonly claims: Claims;
     private readonly quarantine: Quarantine;
+    private readonly orderLeader: OrderLeader;
+    private readonly statuses = new Map<string, EndpointStatus>();
     private readonly pipeline: RequestPipeline;
     private readonly callerServer: Server;
     private readonly configuration: Configuration;
     private readonly incarnation = randomUUID();
     private readonly startedAt: Milliseconds;
+    private listedMachines: readonly VirtualMachine[] = [];
     private listedRouters: readonly VirtualMachine[] = [];
     private stopping = false;
 
@@ -119,6 +129,7 @@
         });
         this.claims = this.createClaims();
         this.quarantine = this.createQuarantine();
+        this.orderLeader = this.createOrderLeader();
         this.pipeline = this.createPipeline();
         this.callerServer = this.createCallerServer();
         registerRouterGauges(registry, {
@@ -136,6 +147,7 @@
         const innerPort = await this.innerNode.listen(config.listenHost, config.innerPort);
         this.silenceProbe.start();
         this.configuration.start();
+        this.orderLeader.start();
         this.membership.start(innerPort);
         void this.quarantine.start();
         const listenPort = await listenOn(this.callerServer, config.listenHost, config.listenPort);
@@ -158,6 +170,7 @@
     /** Closes everything at once. */
     stop(): void {
         this.configuration.stop();
+        this.orderLeader.stop();
         this.quarantine.stop();
         this.admission.stop();
         this.membership.stop();
@@ -255,6 +268,21 @@
         return admission;
     }
 
+    private createOrderLeader(): OrderLeader {
+        const { clock, config, logger, store } = this.options;
+        return createOrderLeading({
+            clock,
+            instance: config.instance,
+            store,
+            logger: logger.scope("orders"),
+            innerNode: this.innerNode,
+            configuration: this.configuration,
+            machines: () => this.listedMachines,
+            routers: () => [config.instance, ...this.membership.routers().map((router) => router.instance)],
+            statuses: () => [...this.statuses.values()],
+        });
+    }
+
     private createClaims(): Claims {
         const { clock, config, logger, store } = this.options;
         const claims = createClaims({
@@ -323,6 +351,8 @@
 
     /** Rates pass on only what the platform itself has dropped: a member that gives no answer may only be paused. */
     private onListRead(machines: readonly VirtualMachine[]): void {
+        this.listedMachines = machines;
+        this.forgetUnlisted();
         this.listedRouters = machines.filter((machine) => machine.role === VirtualMachineRole.Router);
         this.admission.membersChanged(this.listedRouters);
         this.greetAgents();
@@ -335,7 +365,17 @@
         }
     }
 
+    private forgetUnlisted(): void {
+        const listed = new Set(this.listedMachines.map((machine) => machine.instance));
+        for (const instance of this.statuses.keys()) {
+            if (!listed.has(instance)) {
+                this.statuses.delete(instance);
+            }
+        }
+    }
+
     private observeStatus(status: EndpointStatus): void {
+        this.statuses.set(status.instance, status);
         this.placement.observeStatus(status);
     }
 
--- a/playground/src/processPlans.ts
+++ b/playground/src/processPlans.ts
@@ -240,7 +240,7 @@
                 REDWINGPIN_METRICS_PORT: String(metricsPort),
                 REDWINGPIN_ENDPOINT_ADDRESS: endpoint.address,
                 REDWINGPIN_ENDPOINT_KIND: endpoint.kind,
-                REDWINGPIN_VM_LIST_ADDRESS: this.virtualMachineListFor(instance),
+                REDWINGPIN_STORE_ADDRESS: this.storeAddress,
                 REDWINGPIN_FLEET_KEY_FILE: this.input.fleetKeyFile,
             },
             readyAddress: `${addressOf(metricsPort)}/ready`,
