feat(command): status names accounts near their rate

Cause: the list was always empty, since no router said what its accounts had spent. Change: a router sums the tokens of each account over ten seconds; the command adds up all routers (it took the largest, which is no figure of the fleet).

--- a/packages/command/src/fleetSummary.ts
+++ b/packages/command/src/fleetSummary.ts
@@ -65,7 +65,7 @@
 function accountsNearRate(statuses: readonly OperatorStatus[]): AccountUse[] {
     const shares = new Map<string, number>();
     for (const use of statuses.flatMap((status) => status.accounts)) {
-        shares.set(use.account, Math.max(shares.get(use.account) ?? 0, use.usedShare));
+        shares.set(use.account, (shares.get(use.account) ?? 0) + use.usedShare);
     }
     return [...shares].map(([account, usedShare]) => ({ account, usedShare }))
         .filter((use) => use.usedShare >= nearRateShare)
--- a/packages/protocol/src/operatorMessages.ts
+++ b/packages/protocol/src/operatorMessages.ts
@@ -32,7 +32,7 @@
     readonly count: number;
 }
 
-/** How much of an account's rate is in use, as the process sees it. */
+/** How much of an account's rate was lately spent at one router; the sum over all routers is that of the fleet. */
 export interface AccountUse {
     readonly account: string;
     /** From 0 to 1 or more: tokens lately spent over tokens that the rate allows. */
--- a/packages/router/src/node/operatorStatus.ts
+++ b/packages/router/src/node/operatorStatus.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { refusalsMetricName } from "@redwingpin/common";
-import { type OperatorStatus, ProcessRole, type RefusalCount } from "@redwingpin/protocol";
+import { type AccountUse, type OperatorStatus, ProcessRole, type RefusalCount } from "@redwingpin/protocol";
 import type { Registry } from "prom-client";
 
 /** What the status is made from. */
@@ -14,11 +14,13 @@
     readonly revision: number;
     readonly ready: boolean;
     readonly registry: Registry;
+    /** What the accounts have lately spent at this router. */
+    readonly accounts: readonly AccountUse[];
 }
 
 /** Makes the status. */
 export async function createOperatorStatus(source: OperatorStatusSource): Promise<OperatorStatus> {
-    const { instance, dataCentre, revision, ready, registry } = source;
+    const { instance, dataCentre, revision, ready, registry, accounts } = source;
     return {
         instance,
         role: ProcessRole.Router,
@@ -26,7 +28,7 @@
         revision,
         ready,
         refusals: await readRefusals(registry),
-        accounts: [],
+        accounts,
     };
 }
 
--- a/packages/router/src/node/requestPipeline.ts
+++ b/packages/router/src/node/requestPipeline.ts
@@ -24,6 +24,7 @@
 import { ok, type Result } from "neverthrow";
 import type { ServerResponse } from "node:http";
 import { maxAttempts } from "../constants.js";
+import type { AccountUsage } from "../decision/accountUsage.js";
 import {
     type AttemptEffect,
     type AttemptEnd,
@@ -52,6 +53,7 @@
     readonly claims: Claims;
     readonly quarantine: Quarantine;
     readonly metrics: RequestMetrics;
+    readonly accountUsage: AccountUsage;
 }
 
 const quarantinedMessage = "requests with this body have crashed endpoints; it is not run for a time";
@@ -132,7 +134,11 @@
             onFirstByte: () => this.context.metrics.firstByte(this.context.clock.now() - request.arrival),
         });
         const outcome = await this.attempt(request, relay, claim);
-        reservation.settle(spentTokens(request, outcome, relay.deliveredTokens, relay.heldAnswer()?.body));
+        const spent = spentTokens(request, outcome, relay.deliveredTokens, relay.heldAnswer()?.body);
+        reservation.settle(spent);
+        if (request.account !== undefined) {
+            this.context.accountUsage.record(request.account.name, spent, this.context.clock.now());
+        }
         if (claim !== undefined) {
             this.concludeClaim(claim, outcome, relay);
         }
--- a/packages/router/src/node/router.ts
+++ b/packages/router/src/node/router.ts
@@ -49,6 +49,7 @@
     maxWaitForRatesMilliseconds,
     maxWaitForRosterMilliseconds,
 } from "../constants.js";
+import { AccountUsage } from "../decision/accountUsage.js";
 import { ExchangeTable } from "./agentExchange.js";
 import { createCallerServer } from "./callerServer.js";
 import { RouterClaimPeers } from "./claimPeers.js";
@@ -98,6 +99,7 @@
     private readonly claims: Claims;
     private readonly quarantine: Quarantine;
     private readonly orderLeader: OrderLeader;
+    private readonly accountUsage = new AccountUsage();
     private readonly statuses = new Map<string, EndpointStatus>();
     private readonly pipeline: RequestPipeline;
     private readonly callerServer: Server;
@@ -208,6 +210,7 @@
             claims: this.claims,
             quarantine: this.quarantine,
             metrics: createRequestMetrics(this.options.registry),
+            accountUsage: this.accountUsage,
             attempts: {
                 clock,
                 innerNode: this.innerNode,
@@ -404,6 +407,7 @@
             revision: this.revision(),
             ready: this.isReady(),
             registry,
+            accounts: this.accountUsage.shares(this.configuration.current()?.index, this.options.clock.now()),
         });
     }
 
