refactor(common): one enumeration of call outcomes; fp-ts pipes where lists are folded and ordered

Cause: claims and router each had an enumeration of outcomes and a translation between them; fp-ts, the base that the users asked for, was used in one place. Change: one enumeration in common; pipes and orders of fp-ts in rendezvous order, fleet summary and served weights.

--- a/packages/agent/src/decision/servedWeights.ts
+++ b/packages/agent/src/decision/servedWeights.ts
@@ -3,8 +3,10 @@
  *
  * @module
  */
-import type { ManifestIndex } from "@redwingpin/manifest";
+import type { ManifestIndex, Model } from "@redwingpin/manifest";
 import type { WeightsReference } from "@redwingpin/protocol";
+import { pipe } from "fp-ts/lib/function.js";
+import { chain, filter, map, prepend } from "fp-ts/lib/ReadonlyArray.js";
 
 /** What an engine has loaded, by the names of the weight store. */
 export interface LoadedWeights {
@@ -13,17 +15,31 @@
 }
 
 /** Every version, with and without adapters, that an engine can serve under this manifest. */
-export function servedWeights(index: ManifestIndex | undefined, loaded: LoadedWeights): WeightsReference[] {
+export function servedWeights(
+    index: ManifestIndex | undefined,
+    loaded: LoadedWeights,
+): readonly WeightsReference[] {
     if (index === undefined || loaded.weights === undefined) {
         return [];
     }
-    return index.manifest.models.flatMap((model) =>
-        model.versions
-            .filter((version) => version.weights === loaded.weights)
-            .flatMap((version) => {
-                const bare = { model: model.name, version: version.name };
-                const adapters = loaded.adapters.filter((adapter) => model.adapters.includes(adapter));
-                return [bare, ...adapters.map((adapter) => ({ ...bare, adapter }))];
-            })
+    return pipe(
+        index.manifest.models,
+        chain((model) =>
+            pipe(
+                model.versions,
+                filter((version) => version.weights === loaded.weights),
+                chain((version) => withAdapters(model, version.name, loaded.adapters)),
+            )
+        ),
+    );
+}
+
+function withAdapters(model: Model, version: string, loaded: readonly string[]): readonly WeightsReference[] {
+    const bare: WeightsReference = { model: model.name, version };
+    return pipe(
+        loaded,
+        filter((adapter) => model.adapters.includes(adapter)),
+        map((adapter): WeightsReference => ({ ...bare, adapter })),
+        prepend(bare),
     );
 }
--- a/packages/claims/src/__tests__/claims.spec.ts
+++ b/packages/claims/src/__tests__/claims.spec.ts
@@ -1,7 +1,7 @@
-import { FakeClock, RefusalReason } from "@redwingpin/common";
+import { CallOutcome, FakeClock, type RefusalOutcome, RefusalReason } from "@redwingpin/common";
 import { MemoryStore, StoreFault } from "@redwingpin/platform";
 import { expect } from "chai";
-import { CallOutcome, type Claim, type ClaimDecision } from "../decision/claimCall.js";
+import { type Claim, type ClaimDecision } from "../decision/claimCall.js";
 import type { Claims } from "../node/claims.js";
 import { after, makeAnswer, makeCall, makeClaims, pass } from "./fixtures.js";
 
@@ -22,7 +22,7 @@
     return decision.claim;
 }
 
-function refusal(reason: RefusalReason, outcome: CallOutcome): ClaimDecision {
+function refusal(reason: RefusalReason, outcome: RefusalOutcome): ClaimDecision {
     return { kind: "refuse", reason, outcome };
 }
 
--- a/packages/claims/src/decision/batch.ts
+++ b/packages/claims/src/decision/batch.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
-import { type Milliseconds, RefusalReason } from "@redwingpin/common";
-import { type CallIdentity, CallOutcome, type Claim, type ClaimDecision } from "./claimCall.js";
+import { CallOutcome, type Milliseconds, type RefusalOutcome, RefusalReason } from "@redwingpin/common";
+import { type CallIdentity, type Claim, type ClaimDecision } from "./claimCall.js";
 import { type ClaimRecord, ClaimRecordKind, encodeRecord } from "./segment.js";
 import { type ShardState, supersedes } from "./shardState.js";
 
@@ -165,6 +165,6 @@
 
 const refuseUnclaimed = refuse(RefusalReason.ClaimStoreUnavailable, CallOutcome.NotRun);
 
-function refuse(reason: RefusalReason, outcome: CallOutcome): ClaimDecision {
+function refuse(reason: RefusalReason, outcome: RefusalOutcome): ClaimDecision {
     return { kind: "refuse", reason, outcome };
 }
--- a/packages/claims/src/decision/claimCall.ts
+++ b/packages/claims/src/decision/claimCall.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { digestOf, type RefusalReason } from "@redwingpin/common";
+import { digestOf, type RefusalOutcome, type RefusalReason } from "@redwingpin/common";
 import type { HeaderField } from "@redwingpin/protocol";
 
 /** Hex digits of a claim's digests: 128 bits. */
@@ -25,14 +25,6 @@
     readonly body: Uint8Array;
 }
 
-/** What is known of a call's outcome when it is refused. */
-export enum CallOutcome {
-    /** The call certainly did not run and will not run. */
-    NotRun = "not-run",
-    /** The call may have run, may be running or may yet run. */
-    Unknown = "unknown",
-}
-
 /** The complete answer to a call. */
 export interface CallAnswer {
     readonly status: number;
@@ -59,7 +51,7 @@
     | { readonly kind: "run"; readonly claim: Claim; }
     /** It ran before; give the caller the same answer. */
     | { readonly kind: "replay"; readonly answer: CallAnswer; }
-    | { readonly kind: "refuse"; readonly reason: RefusalReason; readonly outcome: CallOutcome; };
+    | { readonly kind: "refuse"; readonly reason: RefusalReason; readonly outcome: RefusalOutcome; };
 
 /** Digests of a call. */
 export interface CallIdentity {
--- a/packages/claims/src/decision/shardWriter.ts
+++ b/packages/claims/src/decision/shardWriter.ts
@@ -5,7 +5,7 @@
  *
  * @module
  */
-import { type Decision, type Milliseconds, RefusalReason } from "@redwingpin/common";
+import { CallOutcome, type Decision, type Milliseconds, RefusalReason } from "@redwingpin/common";
 import type { StoreEntry, StoreError, SwapOutcome } from "@redwingpin/platform";
 import {
     type BatchPlan,
@@ -14,7 +14,7 @@
     planBatch,
     type SettledBegin,
 } from "./batch.js";
-import { CallOutcome, type ClaimDecision } from "./claimCall.js";
+import { type ClaimDecision } from "./claimCall.js";
 import { encodeSegment, type SegmentHeader } from "./segment.js";
 import { type ShardPlace, ShardState, slotKey } from "./shardState.js";
 
--- a/packages/claims/src/node/claims.ts
+++ b/packages/claims/src/node/claims.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import {
+    CallOutcome,
     type Clock,
     digestOf,
     type Logger,
@@ -17,7 +18,6 @@
 import type { PendingBegin, PendingOutcome } from "../decision/batch.js";
 import {
     type CallAnswer,
-    CallOutcome,
     type Claim,
     type ClaimCall,
     type ClaimDecision,
--- a/packages/command/src/fleetSummary.ts
+++ b/packages/command/src/fleetSummary.ts
@@ -5,6 +5,10 @@
  */
 import type { VirtualMachine } from "@redwingpin/platform";
 import type { AccountUse, EndpointStatus, OperatorStatus, RefusalCount } from "@redwingpin/protocol";
+import { pipe } from "fp-ts/lib/function.js";
+import { Ord as numberOrd } from "fp-ts/lib/number.js";
+import { contramap, reverse } from "fp-ts/lib/Ord.js";
+import { filter, sort } from "fp-ts/lib/ReadonlyArray.js";
 
 /** What one process of the VM list answered. */
 export interface ProcessReport {
@@ -51,33 +55,54 @@
     };
 }
 
-function countRevisions(reports: readonly ProcessReport[]): RevisionCount[] {
-    const counts = new Map<number, number>();
-    for (const { revision } of reports) {
-        if (revision !== undefined) {
-            counts.set(revision, (counts.get(revision) ?? 0) + 1);
-        }
-    }
-    return [...counts].map(([revision, processes]) => ({ revision, processes }))
-        .sort((left, right) => right.revision - left.revision);
+const byFallingRevision = pipe(numberOrd, reverse, contramap((count: RevisionCount) => count.revision));
+const byFallingUse = pipe(numberOrd, reverse, contramap((use: AccountUse) => use.usedShare));
+const byFallingCount = pipe(numberOrd, reverse, contramap((refusal: RefusalCount) => refusal.count));
+
+function countRevisions(reports: readonly ProcessReport[]): readonly RevisionCount[] {
+    const found = reports.flatMap(({ revision }) => revision === undefined ? [] : [revision]);
+    return pipe(
+        sumBy(found, String, () => 1),
+        collect((revision, processes): RevisionCount => ({ revision: Number(revision), processes })),
+        sort(byFallingRevision),
+    );
 }
 
-function accountsNearRate(statuses: readonly OperatorStatus[]): AccountUse[] {
-    const shares = new Map<string, number>();
-    for (const use of statuses.flatMap((status) => status.accounts)) {
-        shares.set(use.account, (shares.get(use.account) ?? 0) + use.usedShare);
-    }
-    return [...shares].map(([account, usedShare]) => ({ account, usedShare }))
-        .filter((use) => use.usedShare >= nearRateShare)
-        .sort((left, right) => right.usedShare - left.usedShare);
+function accountsNearRate(statuses: readonly OperatorStatus[]): readonly AccountUse[] {
+    const uses = statuses.flatMap((status) => status.accounts);
+    return pipe(
+        sumBy(uses, (use) => use.account, (use) => use.usedShare),
+        collect((account, usedShare): AccountUse => ({ account, usedShare })),
+        filter((use) => use.usedShare >= nearRateShare),
+        sort(byFallingUse),
+    );
 }
 
-function sumRefusals(statuses: readonly OperatorStatus[]): RefusalCount[] {
-    const counts = new Map<string, number>();
-    for (const refusal of statuses.flatMap((status) => status.refusals)) {
-        counts.set(refusal.reason, (counts.get(refusal.reason) ?? 0) + refusal.count);
+function sumRefusals(statuses: readonly OperatorStatus[]): readonly RefusalCount[] {
+    const refusals = statuses.flatMap((status) => status.refusals);
+    return pipe(
+        sumBy(refusals, (refusal) => refusal.reason, (refusal) => refusal.count),
+        collect((reason, count): RefusalCount => ({ reason, count })),
+        filter((refusal) => refusal.count > 0),
+        sort(byFallingCount),
+    );
+}
+
+/** Sums the values of items that share a key. */
+function sumBy<T>(
+    items: readonly T[],
+    keyOf: (item: T) => string,
+    valueOf: (item: T) => number,
+): ReadonlyMap<string, number> {
+    const sums = new Map<string, number>();
+    for (const item of items) {
+        sums.set(keyOf(item), (sums.get(keyOf(item)) ?? 0) + valueOf(item));
     }
-    return [...counts].map(([reason, count]) => ({ reason, count }))
-        .filter((refusal) => refusal.count > 0)
-        .sort((left, right) => right.count - left.count);
+    return sums;
+}
+
+function collect<T>(
+    make: (key: string, sum: number) => T,
+): (sums: ReadonlyMap<string, number>) => readonly T[] {
+    return (sums) => [...sums].map(([key, sum]) => make(key, sum));
 }
--- a/packages/common/src/digest.ts
+++ b/packages/common/src/digest.ts
@@ -3,6 +3,10 @@
  *
  * @module
  */
+import { pipe } from "fp-ts/lib/function.js";
+import { Ord as numberOrd } from "fp-ts/lib/number.js";
+import { contramap, reverse } from "fp-ts/lib/Ord.js";
+import { map, sort, toArray } from "fp-ts/lib/ReadonlyArray.js";
 import { createHash } from "node:crypto";
 
 /** SHA-256 of the parts, each preceded by its length so that no two part lists share a digest; 64 hex digits. */
@@ -27,10 +31,24 @@
     return createHash("sha256").update(key).update("\0").update(member).digest().readUIntBE(0, scoreBytes);
 }
 
+interface ScoredMember<T> {
+    readonly member: T;
+    readonly score: number;
+}
+
+const byFallingScore = pipe(
+    numberOrd,
+    reverse,
+    contramap((scored: ScoredMember<unknown>) => scored.score),
+);
+
 /** Members in order of falling score for `key`; a member that joins or leaves moves only its own keys. */
 export function rendezvousOrder<T>(key: string, members: readonly T[], nameOf: (member: T) => string): T[] {
-    return members
-        .map((member) => ({ member, score: rendezvousScore(key, nameOf(member)) }))
-        .sort((left, right) => right.score - left.score)
-        .map((scored) => scored.member);
+    return pipe(
+        members,
+        map((member): ScoredMember<T> => ({ member, score: rendezvousScore(key, nameOf(member)) })),
+        sort(byFallingScore),
+        map((scored) => scored.member),
+        toArray,
+    );
 }
--- a/packages/common/src/reasons.ts
+++ b/packages/common/src/reasons.ts
@@ -40,3 +40,16 @@
     EndpointError = "endpoint_error",
     StreamResumed = "stream_resumed",
 }
+
+/** What is certain about a call's execution. The value goes into the answer's header `redwingpin-outcome`. */
+export enum CallOutcome {
+    /** No endpoint ran the request or will run it. */
+    NotRun = "not-run",
+    /** An endpoint may have run the request, may be running it or may yet run it. */
+    Unknown = "unknown",
+    /** The answer is that of an earlier execution of the same call. */
+    Replayed = "replayed",
+}
+
+/** What a refusal may say of the call's execution. */
+export type RefusalOutcome = CallOutcome.NotRun | CallOutcome.Unknown;
--- a/packages/proofs/src/__tests__/frozenClaimant.spec.ts
+++ b/packages/proofs/src/__tests__/frozenClaimant.spec.ts
@@ -1,4 +1,4 @@
-import { CallOutcome } from "@redwingpin/claims";
+import { CallOutcome } from "@redwingpin/common";
 import { passTime } from "@redwingpin/platform";
 import { expect } from "chai";
 import { ClaimsSite, siteLimits } from "../fuzz/claimsSite.js";
--- a/packages/proofs/src/fuzz/claimsSite.ts
+++ b/packages/proofs/src/fuzz/claimsSite.ts
@@ -5,13 +5,12 @@
  */
 import {
     type CallAnswer,
-    CallOutcome,
     type Claim,
     type ClaimRequest,
     type Claims,
     createClaims,
 } from "@redwingpin/claims";
-import { FakeClock, silentLogger } from "@redwingpin/common";
+import { CallOutcome, FakeClock, silentLogger } from "@redwingpin/common";
 import { MemoryStore, SimulatedProcess } from "@redwingpin/platform";
 import { err, ok, type Result, ResultAsync } from "neverthrow";
 
--- a/packages/proofs/src/fuzz/claimsTarget.ts
+++ b/packages/proofs/src/fuzz/claimsTarget.ts
@@ -4,8 +4,7 @@
  *
  * @module
  */
-import { CallOutcome } from "@redwingpin/claims";
-import { assertNever } from "@redwingpin/common";
+import { assertNever, CallOutcome } from "@redwingpin/common";
 import { passTime, StoreFault } from "@redwingpin/platform";
 import fc from "fast-check";
 import { answerText, ClaimsSite, ServiceMode, siteLimits } from "./claimsSite.js";
--- a/packages/router/src/__tests__/attemptLoop.spec.ts
+++ b/packages/router/src/__tests__/attemptLoop.spec.ts
@@ -1,4 +1,4 @@
-import { RefusalReason, RetryReason } from "@redwingpin/common";
+import { CallOutcome, RefusalReason, RetryReason } from "@redwingpin/common";
 import { expect } from "chai";
 import fc from "fast-check";
 import {
@@ -8,7 +8,7 @@
     attemptLoop,
     type RequestOutcome,
 } from "../decision/attemptLoop.js";
-import { CallOutcome, notRun, outcomeUnknown } from "../decision/refusal.js";
+import { notRun, outcomeUnknown } from "../decision/refusal.js";
 
 const declined: AttemptEnd = {
     kind: "notRun",
--- a/packages/router/src/decision/refusal.ts
+++ b/packages/router/src/decision/refusal.ts
@@ -3,22 +3,12 @@
  *
  * @module
  */
-import { type Milliseconds, RefusalReason } from "@redwingpin/common";
-
-/** What is certain about the request's execution. The value goes into the header `redwingpin-outcome`. */
-export enum CallOutcome {
-    /** No endpoint ran the request or will run it. */
-    NotRun = "not-run",
-    /** An endpoint may have run the request, or may still run it. */
-    Unknown = "unknown",
-    /** The answer is that of an earlier execution of the same call. */
-    Replayed = "replayed",
-}
+import { CallOutcome, type Milliseconds, type RefusalOutcome, RefusalReason } from "@redwingpin/common";
 
 /** A refusal with everything that its answer states. */
 export interface Refusal {
     readonly reason: RefusalReason;
-    readonly outcome: CallOutcome.NotRun | CallOutcome.Unknown;
+    readonly outcome: RefusalOutcome;
     readonly message: string;
     /** Time after which the same request may succeed. */
     readonly retryAfter?: Milliseconds;
--- a/packages/router/src/decision/spentTokens.ts
+++ b/packages/router/src/decision/spentTokens.ts
@@ -3,9 +3,9 @@
  *
  * @module
  */
+import { CallOutcome } from "@redwingpin/common";
 import type { PrefixChain } from "@redwingpin/placement";
 import type { RequestOutcome } from "./attemptLoop.js";
-import { CallOutcome } from "./refusal.js";
 
 /** The part of a request that its cost depends on. */
 export interface CostedRequest {
--- a/packages/router/src/node/errorAnswer.ts
+++ b/packages/router/src/node/errorAnswer.ts
@@ -4,8 +4,9 @@
  * @module
  */
 import type { CallAnswer } from "@redwingpin/claims";
+import { CallOutcome } from "@redwingpin/common";
 import type { ServerResponse } from "node:http";
-import { CallOutcome, type Refusal, statusOf } from "../decision/refusal.js";
+import { type Refusal, statusOf } from "../decision/refusal.js";
 
 const millisecondsPerSecond = 1_000;
 
--- a/packages/router/src/node/requestPipeline.ts
+++ b/packages/router/src/node/requestPipeline.ts
@@ -4,14 +4,9 @@
  * @module
  */
 import type { AdmissionController, Reservation } from "@redwingpin/admission";
+import { type Claim, type Claims, type Quarantine, Treatment } from "@redwingpin/claims";
 import {
-    CallOutcome as ClaimOutcome,
-    type Claim,
-    type Claims,
-    type Quarantine,
-    Treatment,
-} from "@redwingpin/claims";
-import {
+    CallOutcome,
     type Clock,
     type Logger,
     type ReasonCounters,
@@ -32,7 +27,7 @@
     attemptLoop,
     type RequestOutcome,
 } from "../decision/attemptLoop.js";
-import { CallOutcome, notRun, type Refusal } from "../decision/refusal.js";
+import { notRun, type Refusal } from "../decision/refusal.js";
 import { spentTokens } from "../decision/spentTokens.js";
 import { AnswerRelay } from "./answerRelay.js";
 import { type AttemptContext, AttemptRunner } from "./attemptRunner.js";
@@ -113,7 +108,7 @@
                 return;
             case "refuse": {
                 reservation.settle(0);
-                const outcome = toCallOutcome(decision.outcome);
+                const { outcome } = decision;
                 this.refuse(
                     request,
                     { reason: decision.reason, outcome, message: claimRefusalMessage(decision.reason) },
@@ -266,10 +261,6 @@
     }
 }
 
-function toCallOutcome(outcome: ClaimOutcome): Refusal["outcome"] {
-    return outcome === ClaimOutcome.NotRun ? CallOutcome.NotRun : CallOutcome.Unknown;
-}
-
 function claimRefusalMessage(reason: RefusalReason): string {
     switch (reason) {
         case RefusalReason.ClaimStoreUnavailable:
