--- a/packages/agent/src/node/agentMetrics.ts
+++ b/packages/agent/src/node/agentMetrics.ts
@@ -3,15 +3,12 @@
  *
  * @module
  */
-import { registerCounter, registerGauge } from "@redwingpin/common";
-import { DeclineReason, type Traffic } from "@redwingpin/protocol";
+import { type ProcessGauges, registerGauge, registerProcessMetrics } from "@redwingpin/common";
+import { DeclineReason } from "@redwingpin/protocol";
 import { Counter, type Registry } from "prom-client";
 
 /** Values that are read when metrics are collected. */
-export interface AgentGauges {
-    readonly revision: () => number;
-    /** Bytes that the inner connections have carried. */
-    readonly traffic: Traffic;
+export interface AgentGauges extends ProcessGauges {
     readonly pendingTokens: () => number;
     readonly running: () => number;
     readonly endpointUp: () => boolean;
@@ -24,20 +21,7 @@
 
 /** Makes the agent's metrics in `registry`. */
 export function createAgentMetrics(registry: Registry, gauges: AgentGauges): DeclineCounter {
-    const { traffic } = gauges;
-    registerCounter(
-        registry,
-        "redwingpin_inner_sent_bytes_total",
-        "Bytes of frames sent",
-        () => traffic.sentBytes,
-    );
-    registerCounter(
-        registry,
-        "redwingpin_inner_received_bytes_total",
-        "Bytes received",
-        () => traffic.receivedBytes,
-    );
-    registerGauge(registry, "redwingpin_configuration_revision", "Revision in force", gauges.revision);
+    registerProcessMetrics(registry, gauges);
     registerGauge(
         registry,
         "redwingpin_pending_tokens",
--- a/packages/common/src/metrics.ts
+++ b/packages/common/src/metrics.ts
@@ -79,3 +79,29 @@
         },
     });
 }
+
+/** What routers and agents alike report beside reasons. */
+export interface ProcessGauges {
+    /** Revision of the configuration in force. */
+    readonly revision: () => number;
+    /** Bytes that the inner connections have carried. */
+    readonly traffic: { readonly sentBytes: number; readonly receivedBytes: number; };
+}
+
+/** Adds the metrics that routers and agents share to `registry`. */
+export function registerProcessMetrics(registry: Registry, gauges: ProcessGauges): void {
+    const { revision, traffic } = gauges;
+    registerCounter(
+        registry,
+        "redwingpin_inner_sent_bytes_total",
+        "Bytes of frames sent on inner connections",
+        () => traffic.sentBytes,
+    );
+    registerCounter(
+        registry,
+        "redwingpin_inner_received_bytes_total",
+        "Bytes received on inner connections",
+        () => traffic.receivedBytes,
+    );
+    registerGauge(registry, "redwingpin_configuration_revision", "Revision in force", revision);
+}
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -12,6 +12,7 @@
 export * from "./node/connection.js";
 export * from "./node/fleetKey.js";
 export * from "./node/innerNode.js";
+export * from "./node/processSettings.js";
 export * from "./node/secureChannel.js";
 export * from "./operatorMessages.js";
 export * from "./protocolError.js";
--- /dev/null
+++ b/packages/protocol/src/node/processSettings.ts
@@ -0,0 +1,72 @@
+/**
+ * Settings that routers and agents share.
+ *
+ * @module
+ */
+import {
+    LogLevel,
+    parseHttpAddress,
+    parseInteger,
+    parseMember,
+    parseText,
+    type SettingTable,
+} from "@redwingpin/common";
+import { type FleetKeys, parseFleetKeys } from "./fleetKey.js";
+
+/** Largest port of TCP. */
+export const maxPort = 65_535;
+
+/** What every process of the inner network is told at its start. */
+export interface ResolvedProcessConfig {
+    /** Name of this instance, unique in the fleet. */
+    readonly instance: string;
+    /** Data centre of the VM. */
+    readonly dataCentre: string;
+    readonly listenHost: string;
+    /** Port of the inner protocol. */
+    readonly innerPort: number;
+    /** HTTP address of the platform's key-value store. */
+    readonly storeAddress: string;
+    readonly fleetKeys: FleetKeys;
+    readonly logLevel: LogLevel;
+}
+
+/** The shared settings. */
+export const processSettings: SettingTable<ResolvedProcessConfig> = {
+    instance: { variable: "REDWINGPIN_INSTANCE", description: "Name of this instance", parse: parseText },
+    dataCentre: {
+        variable: "REDWINGPIN_DATA_CENTRE",
+        description: "Data centre of this VM",
+        parse: parseText,
+    },
+    listenHost: {
+        variable: "REDWINGPIN_LISTEN_HOST",
+        description: "Address to listen on",
+        defaultText: "127.0.0.1",
+        parse: parseText,
+    },
+    innerPort: {
+        variable: "REDWINGPIN_INNER_PORT",
+        description: "Port of the inner protocol",
+        parse: parseInteger(0, maxPort),
+    },
+    storeAddress: {
+        variable: "REDWINGPIN_STORE_ADDRESS",
+        description:
+            "HTTP address of the platform's key-value store; an agent reads it only when it is given an order",
+        parse: parseHttpAddress,
+    },
+    fleetKeys: {
+        variable: "REDWINGPIN_FLEET_KEY",
+        description:
+            "Key that all processes of the fleet share; two, separated by a comma, while it is changed",
+        secret: true,
+        parse: parseFleetKeys,
+    },
+    logLevel: {
+        variable: "REDWINGPIN_LOG_LEVEL",
+        description: "Least severe level that is logged: error, warn, info or debug",
+        defaultText: LogLevel.Info,
+        parse: parseMember(LogLevel),
+    },
+};
--- a/packages/router/src/node/routerMetrics.ts
+++ b/packages/router/src/node/routerMetrics.ts
@@ -3,8 +3,12 @@
  *
  * @module
  */
-import { type Milliseconds, registerCounter, registerGauge } from "@redwingpin/common";
-import type { Traffic } from "@redwingpin/protocol";
+import {
+    type Milliseconds,
+    type ProcessGauges,
+    registerGauge,
+    registerProcessMetrics,
+} from "@redwingpin/common";
 import { Counter, Histogram, type Registry } from "prom-client";
 
 /** How a request ended, as a label. */
@@ -19,10 +23,7 @@
 }
 
 /** Values that are read when metrics are collected. */
-export interface RouterGauges {
-    readonly revision: () => number;
-    /** Bytes that the inner connections have carried. */
-    readonly traffic: Traffic;
+export interface RouterGauges extends ProcessGauges {
     readonly openExchanges: () => number;
     readonly knownRouters: () => number;
     readonly knownAgents: () => number;
@@ -78,20 +79,7 @@
 
 /** Adds the gauges of a router to `registry`. */
 export function registerRouterGauges(registry: Registry, gauges: RouterGauges): void {
-    const { traffic } = gauges;
-    registerCounter(
-        registry,
-        "redwingpin_inner_sent_bytes_total",
-        "Bytes of frames sent",
-        () => traffic.sentBytes,
-    );
-    registerCounter(
-        registry,
-        "redwingpin_inner_received_bytes_total",
-        "Bytes received",
-        () => traffic.receivedBytes,
-    );
-    registerGauge(registry, "redwingpin_configuration_revision", "Revision in force", gauges.revision);
+    registerProcessMetrics(registry, gauges);
     registerGauge(registry, "redwingpin_open_exchanges", "Requests at agents", gauges.openExchanges);
     registerGauge(registry, "redwingpin_known_routers", "Other live routers", gauges.knownRouters);
     registerGauge(registry, "redwingpin_known_agents", "Agents that may be given work", gauges.knownAgents);
