fix(membership): a VM that the list shows as leaving stays out of use

Cause: the agent of a leaving VM, which does not know of it, contradicted the news like a suspicion, and routers gave it work again until their next reading of the list. Change: the list's word is kept beside what members say, and either is enough. Where a router reads the list rarely, at the largest size, it still hears of leaving by news that the process contradicts: not mended.

--- a/packages/membership/src/__tests__/membership.spec.ts
+++ b/packages/membership/src/__tests__/membership.spec.ts
@@ -68,6 +68,22 @@
         expect(namesOf(first.routers())).to.deep.equal(["r2"]);
     });
 
+    it("keeps a VM that the list shows as leaving out of use, though its process does not know that it leaves", async () => {
+        const fixture = siteFixture();
+        const routers = ["r1", "r2", "r3"].map((name) => fixture.addRouter(name));
+        fixture.addAgent("a1");
+        fixture.addAgent("a2");
+        await fixture.pass(withinBound);
+        fixture.machines = fixture.machines.map((machine) =>
+            machine.instance === "a1" ? { ...machine, leaving: true } : machine
+        );
+        await fixture.pass(withinBound);
+        for (let waited = 0; waited < untilDead; waited += 50) {
+            await fixture.pass(50);
+            expect(routers.map((router) => namesOf(router.agents()))).to.deep.equal([["a2"], ["a2"], ["a2"]]);
+        }
+    });
+
     it("learns of a router that the list does not show yet", async () => {
         const fixture = siteFixture();
         fixture.machines = fixture.machines.filter((machine) => machine.instance !== "r3");
--- a/packages/membership/src/decision/memberTable.ts
+++ b/packages/membership/src/decision/memberTable.ts
@@ -20,6 +20,8 @@
     readonly entry: MemberEntry;
     /** True while the last reading of the VM list shows it. */
     readonly isListed: boolean;
+    /** True while the last reading shows its VM as leaving; the process itself may not know and say otherwise. */
+    readonly isListedLeaving: boolean;
     /** Time since which it has been suspected or found silent; `undefined` while it is not. */
     readonly silentSince: Milliseconds | undefined;
     /** Time of its last answer to this process; `undefined` before the first. */
@@ -33,6 +35,11 @@
         || (next.epoch === known.epoch && stateOrder[next.state] > stateOrder[known.state]);
 }
 
+/** Whether a member leaves, by its own word or by that of the VM list. */
+export function isLeaving(member: Member): boolean {
+    return member.isListedLeaving || member.entry.state === MemberState.Leaving;
+}
+
 /** The table of one process. Each change that others should hear of is handed to `onNews`. */
 export class MemberTable {
     private readonly members = new Map<string, Member>();
@@ -160,10 +167,15 @@
                 this.readMachine(machine, now);
             }
         }
+        const leaving = new Set(
+            machines.filter((machine) => machine.leaving).map((machine) => machine.instance),
+        );
         for (const member of this.all()) {
             const isListed = listed.has(member.entry.instance);
-            if (isListed !== member.isListed) {
-                this.members.set(member.entry.instance, { ...member, isListed });
+            const isListedLeaving = leaving.has(member.entry.instance);
+            if (isListed !== member.isListed || isListedLeaving !== member.isListedLeaving) {
+                this.changes += isListedLeaving === member.isListedLeaving ? 0 : 1;
+                this.members.set(member.entry.instance, { ...member, isListed, isListedLeaving });
             }
         }
         this.hasReadList = true;
@@ -209,6 +221,7 @@
         this.members.set(entry.instance, {
             entry,
             isListed: known?.isListed ?? false,
+            isListedLeaving: known?.isListedLeaving ?? false,
             silentSince: isSilent ? now : keepsSilence ? known?.silentSince : undefined,
             answeredAt: known?.answeredAt,
             diedAt: entry.state === MemberState.Dead ? now : undefined,
--- a/packages/membership/src/decision/membershipDecision.ts
+++ b/packages/membership/src/decision/membershipDecision.ts
@@ -24,7 +24,7 @@
     probePeriod,
 } from "../constants.js";
 import { type ChosenAgents, HomeAgents } from "./homeAgents.js";
-import { type Member, MemberTable } from "./memberTable.js";
+import { isLeaving, type Member, MemberTable } from "./memberTable.js";
 import { NewsQueue } from "./newsQueue.js";
 import { ProbeOrder } from "./probeOrder.js";
 
@@ -119,12 +119,12 @@
 
     /** Other routers that live, suspects included: a suspicion is often wrong. */
     routers(): MemberEntry[] {
-        return this.present(ProcessRole.Router).filter((entry) => entry.state !== MemberState.Leaving);
+        return this.staying(ProcessRole.Router);
     }
 
     /** Agents that may be given new work, suspects included. */
     agents(): MemberEntry[] {
-        return this.present(ProcessRole.Agent).filter((entry) => entry.state !== MemberState.Leaving);
+        return this.staying(ProcessRole.Agent);
     }
 
     /** Agents that this router looks after. */
@@ -284,9 +284,15 @@
     }
 
     private present(role: ProcessRole): MemberEntry[] {
-        return this.table.all()
-            .filter((member) => member.diedAt === undefined && member.entry.role === role)
-            .map((member) => member.entry);
+        return this.living(role).map((member) => member.entry);
+    }
+
+    private staying(role: ProcessRole): MemberEntry[] {
+        return this.living(role).filter((member) => !isLeaving(member)).map((member) => member.entry);
+    }
+
+    private living(role: ProcessRole): Member[] {
+        return this.table.all().filter((member) => member.diedAt === undefined && member.entry.role === role);
     }
 
     private *showChange(): MembershipEffects {
--- a/packages/membership/src/node/membershipTask.ts
+++ b/packages/membership/src/node/membershipTask.ts
@@ -32,7 +32,7 @@
     type MembershipEvent,
     MembershipEventKind,
 } from "../decision/membershipDecision.js";
-import type { Member } from "../decision/memberTable.js";
+import { isLeaving, type Member } from "../decision/memberTable.js";
 
 const tickInterval: Milliseconds = 100;
 
@@ -138,7 +138,7 @@
     machines(): readonly VirtualMachine[] {
         return this.decision.members()
             .filter((member) => member.diedAt === undefined)
-            .map((member) => machineOf(member.entry));
+            .map(machineOf);
     }
 
     find(instance: string): MemberEntry | undefined {
@@ -287,8 +287,9 @@
     }
 }
 
-function machineOf(entry: MemberEntry): VirtualMachine {
-    const { instance, host, port, dataCentre, pool, state } = entry;
+function machineOf(member: Member): VirtualMachine {
+    const { entry } = member;
+    const { instance, host, port, dataCentre, pool } = entry;
     return {
         instance,
         role: entry.role === ProcessRole.Router ? VirtualMachineRole.Router : VirtualMachineRole.Agent,
@@ -296,6 +297,6 @@
         port,
         dataCentre,
         pool,
-        leaving: state === MemberState.Leaving,
+        leaving: isLeaving(member),
     };
 }
