refactor(bench,common): one base for experiments with settings; no unused mailbox

Cause: two experiments resolved their settings and reported findings in the same lines; the mailbox had no user. Ruled out: the configuration experiment, whose report of findings reads differently and stays as it is. Measured: findings and exit codes of both experiments read as before; their specs pass.

--- a/packages/bench/src/policy/policyCommand.ts
+++ b/packages/bench/src/policy/policyCommand.ts
@@ -4,17 +4,11 @@
  *
  * @module
  */
-import {
-    formatFindings,
-    parseInteger,
-    parseMember,
-    parseText,
-    SettingsCommand,
-    type SettingTable,
-} from "@redwingpin/common";
+import { parseInteger, parseMember, parseText, type SettingTable } from "@redwingpin/common";
 import { Option } from "clipanion";
 import { ok, type Result } from "neverthrow";
 import { writeFileSync } from "node:fs";
+import { ExperimentCommand } from "../experimentCommand.js";
 import { CaseName } from "./cases.js";
 import { DeploymentName, deployments } from "./deployments.js";
 import { runExperiment } from "./experiment.js";
@@ -64,7 +58,7 @@
 };
 
 /** Plays the policy experiment and prints its figures. */
-export class PolicyCommand extends SettingsCommand<PolicySettings> {
+export class PolicyCommand extends ExperimentCommand<PolicySettings> {
     static override paths = [["policy"]];
 
     json = Option.Boolean("--json", false, { description: "Print JSON in place of a table" });
@@ -73,17 +67,7 @@
         super(settings);
     }
 
-    async execute(): Promise<number> {
-        return this.resolve(process.env).match(
-            (resolved) => this.run(resolved),
-            async (findings) => {
-                this.context.stderr.write(`${formatFindings(findings)}\n`);
-                return 2;
-            },
-        );
-    }
-
-    private async run(resolved: PolicySettings): Promise<number> {
+    protected override async run(resolved: PolicySettings): Promise<number> {
         const names = resolved.deployment === undefined
             ? Object.values(DeploymentName)
             : [resolved.deployment];
--- a/packages/bench/src/rates/ratesCommand.ts
+++ b/packages/bench/src/rates/ratesCommand.ts
@@ -4,14 +4,9 @@
  *
  * @module
  */
-import {
-    formatFindings,
-    parseInteger,
-    parseMember,
-    SettingsCommand,
-    type SettingTable,
-} from "@redwingpin/common";
+import { parseInteger, parseMember, type SettingTable } from "@redwingpin/common";
 import { Option } from "clipanion";
+import { ExperimentCommand } from "../experimentCommand.js";
 import { RatesPolicy, scaledDeployment, todayDeployment } from "./ratesDeployments.js";
 import { type RatesRow, runRates } from "./ratesExperiment.js";
 import { ratesFaults } from "./ratesFaults.js";
@@ -49,7 +44,7 @@
 };
 
 /** Plays the rates experiment and prints its figures. */
-export class RatesCommand extends SettingsCommand<RatesSettings> {
+export class RatesCommand extends ExperimentCommand<RatesSettings> {
     static override paths = [["rates"]];
 
     json = Option.Boolean("--json", false, { description: "Print JSON in place of tables" });
@@ -58,17 +53,7 @@
         super(settings);
     }
 
-    async execute(): Promise<number> {
-        return this.resolve(process.env).match(
-            (resolved) => this.run(resolved),
-            async (findings) => {
-                this.context.stderr.write(`${formatFindings(findings)}\n`);
-                return 2;
-            },
-        );
-    }
-
-    private async run({ seed, part }: RatesSettings): Promise<number> {
+    protected override async run({ seed, part }: RatesSettings): Promise<number> {
         const deployments = [todayDeployment, scaledDeployment]
             .filter((deployment) => part === RatesPart.All || part === (deployment.name as RatesPart));
         const rows: RatesRow[] = [];
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,5 +1,5 @@
 /**
- * Clock, settings, findings, logs, metrics, digests and tasks that every other package builds on.
+ * Clock, settings, findings, logs, metrics, digests and random numbers that every other package builds on.
  *
  * @module
  */
@@ -9,7 +9,6 @@
 export * from "./finding.js";
 export * from "./httpService.js";
 export * from "./logger.js";
-export * from "./mailbox.js";
 export * from "./metrics.js";
 export * from "./processLife.js";
 export * from "./random.js";
