--- a/packages/admission/src/__tests__/admissionController.spec.ts
+++ b/packages/admission/src/__tests__/admissionController.spec.ts
@@ -1,6 +1,6 @@
 import { seededRandom } from "@redwingpin/common";
 import type { ClientAccount } from "@redwingpin/manifest";
-import { StoreFault } from "@redwingpin/platform";
+import { StoreFault } from "@redwingpin/outside";
 import { expect } from "chai";
 import { RateFleet } from "../trial/rateFleet.js";
 
--- a/packages/admission/src/node/admissionOptions.ts
+++ b/packages/admission/src/node/admissionOptions.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock, Logger, Milliseconds, RefusalReason } from "@redwingpin/common";
 import type { ClientAccount } from "@redwingpin/manifest";
-import type { KeyValueStore } from "@redwingpin/platform";
+import type { KeyValueStore } from "@redwingpin/outside";
 import type { RateMessage } from "@redwingpin/protocol";
 import type { Result, ResultAsync } from "neverthrow";
 import type { RouterMember } from "../decision/roster.js";
--- a/packages/admission/src/node/rosterKeeper.ts
+++ b/packages/admission/src/node/rosterKeeper.ts
@@ -6,7 +6,7 @@
  * @module
  */
 import { type CancelTimer, type Clock, type Logger, rendezvousOrder } from "@redwingpin/common";
-import type { KeyValueStore, StoreEntry } from "@redwingpin/platform";
+import type { KeyValueStore, StoreEntry } from "@redwingpin/outside";
 import { type RateMessage, RateMessageKind, type RateRoster } from "@redwingpin/protocol";
 import {
     rosterCacheCheckMilliseconds,
--- a/packages/admission/src/trial/rateFleet.ts
+++ b/packages/admission/src/trial/rateFleet.ts
@@ -12,7 +12,7 @@
     silentLogger,
 } from "@redwingpin/common";
 import type { ClientAccount } from "@redwingpin/manifest";
-import { MemoryStore, SimulatedProcess, type StoreFault } from "@redwingpin/platform";
+import { MemoryStore, SimulatedProcess, type StoreFault } from "@redwingpin/outside";
 import { type RateMessage, RateMessageKind } from "@redwingpin/protocol";
 import { errAsync } from "neverthrow";
 import type { RouterMember } from "../decision/roster.js";
--- a/packages/admission/src/trial/rateNetwork.ts
+++ b/packages/admission/src/trial/rateNetwork.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { type FakeClock, type Milliseconds, pick, type RandomSource, sleep } from "@redwingpin/common";
-import type { SimulatedProcess } from "@redwingpin/platform";
+import type { SimulatedProcess } from "@redwingpin/outside";
 import { encodeFrame, MessageKind, type RateMessage, Topic } from "@redwingpin/protocol";
 import { err, ok, type Result, ResultAsync } from "neverthrow";
 import type { RatePeers } from "../node/admissionOptions.js";
--- a/packages/agent/src/node/agent.ts
+++ b/packages/agent/src/node/agent.ts
@@ -12,7 +12,7 @@
 import { EndpointKind } from "@redwingpin/manifest";
 import { MembershipResponder } from "@redwingpin/membership";
 import { defaultBlockTokens } from "@redwingpin/placement";
-import type { KeyValueStore } from "@redwingpin/platform";
+import type { KeyValueStore } from "@redwingpin/outside";
 import {
     type Connection,
     type EndpointStatus,
--- a/packages/agent/src/node/main.ts
+++ b/packages/agent/src/node/main.ts
@@ -14,7 +14,7 @@
     systemClock,
     untilToldToStop,
 } from "@redwingpin/common";
-import { createEtcdStore } from "@redwingpin/platform";
+import { createEtcdStore } from "@redwingpin/outside";
 import { Command, runExit } from "clipanion";
 import { collectDefaultMetrics, Registry } from "prom-client";
 import { agentSettings, type ResolvedAgentConfig } from "../config.js";
--- a/packages/bench/src/claims/claimMode.ts
+++ b/packages/bench/src/claims/claimMode.ts
@@ -6,7 +6,7 @@
  */
 import { type Claims, claimShardCount, createClaims } from "@redwingpin/claims";
 import { type Clock, rendezvousOrder, silentLogger, sleep } from "@redwingpin/common";
-import type { KeyValueStore, MemoryStore } from "@redwingpin/platform";
+import type { KeyValueStore, MemoryStore } from "@redwingpin/outside";
 import { errAsync, ResultAsync } from "neverthrow";
 
 /** A way to remember calls. */
--- a/packages/bench/src/claims/claimsExperiment.ts
+++ b/packages/bench/src/claims/claimsExperiment.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { FakeClock, type RandomSource, seededRandom } from "@redwingpin/common";
-import { MemoryStore } from "@redwingpin/platform";
+import { MemoryStore } from "@redwingpin/outside";
 import { type Quantiles, quantilesOf } from "../quantiles.js";
 import { type CallRecorder, type ClaimMode, makeRecorders } from "./claimMode.js";
 
--- a/packages/bench/src/configuration/spreadRun.ts
+++ b/packages/bench/src/configuration/spreadRun.ts
@@ -12,7 +12,7 @@
     submission,
 } from "@redwingpin/configuration";
 import type { ClientAccount, Manifest } from "@redwingpin/manifest";
-import { StoreFault } from "@redwingpin/platform";
+import { StoreFault } from "@redwingpin/outside";
 import { Topic } from "@redwingpin/protocol";
 import { quantilesOf } from "../quantiles.js";
 import { wireBytes } from "./wireBytes.js";
--- a/packages/bench/src/rates/ratesFaults.ts
+++ b/packages/bench/src/rates/ratesFaults.ts
@@ -6,7 +6,7 @@
 import type { RateFleet } from "@redwingpin/admission/trial";
 import type { Milliseconds } from "@redwingpin/common";
 import type { ClientAccount } from "@redwingpin/manifest";
-import { StoreFault } from "@redwingpin/platform";
+import { StoreFault } from "@redwingpin/outside";
 
 /** A fault, by what it does at the start of the measured time and later in it. */
 export interface RatesFault {
--- a/packages/claims/src/__tests__/claims.spec.ts
+++ b/packages/claims/src/__tests__/claims.spec.ts
@@ -1,5 +1,5 @@
 import { CallOutcome, FakeClock, type RefusalOutcome, RefusalReason } from "@redwingpin/common";
-import { MemoryStore, StoreFault } from "@redwingpin/platform";
+import { MemoryStore, StoreFault } from "@redwingpin/outside";
 import { expect } from "chai";
 import { type Claim, type ClaimDecision } from "../decision/claimCall.js";
 import type { Claims } from "../node/claims.js";
--- a/packages/claims/src/__tests__/fixtures.ts
+++ b/packages/claims/src/__tests__/fixtures.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { type FakeClock, silentLogger } from "@redwingpin/common";
-import type { MemoryStore } from "@redwingpin/platform";
+import type { MemoryStore } from "@redwingpin/outside";
 import type { CallAnswer, ClaimCall } from "../decision/claimCall.js";
 import { type Claims, type ClaimsOptions, createClaims } from "../node/claims.js";
 
--- a/packages/claims/src/decision/orders/orderRound.ts
+++ b/packages/claims/src/decision/orders/orderRound.ts
@@ -7,7 +7,7 @@
  */
 import type { Decision } from "@redwingpin/common";
 import type { Manifest } from "@redwingpin/manifest";
-import type { StoreEntry, StoreError, SwapOutcome } from "@redwingpin/platform";
+import type { StoreEntry, StoreError, SwapOutcome } from "@redwingpin/outside";
 import type { EndpointStatus } from "@redwingpin/protocol";
 import { decodeOrderTable, emptyOrderTable, encodeOrderTable, type Order, type OrderTable } from "./order.js";
 import { planOrders } from "./planOrders.js";
--- a/packages/claims/src/decision/orders/takeOrder.ts
+++ b/packages/claims/src/decision/orders/takeOrder.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import type { Decision } from "@redwingpin/common";
-import type { StoreEntry, StoreError } from "@redwingpin/platform";
+import type { StoreEntry, StoreError } from "@redwingpin/outside";
 import { decodeOrderTable, type Order } from "./order.js";
 import { OrderProgress } from "./orderRound.js";
 
--- a/packages/claims/src/decision/shardState.ts
+++ b/packages/claims/src/decision/shardState.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { StoreEntry } from "@redwingpin/platform";
+import type { StoreEntry } from "@redwingpin/outside";
 import { err, ok, type Result } from "neverthrow";
 import {
     type ClaimRecord,
--- a/packages/claims/src/decision/shardWriter.ts
+++ b/packages/claims/src/decision/shardWriter.ts
@@ -6,7 +6,7 @@
  * @module
  */
 import { CallOutcome, type Decision, type Milliseconds, RefusalReason } from "@redwingpin/common";
-import type { StoreEntry, StoreError, SwapOutcome } from "@redwingpin/platform";
+import type { StoreEntry, StoreError, SwapOutcome } from "@redwingpin/outside";
 import {
     type BatchPlan,
     type PendingBegin,
--- a/packages/claims/src/node/claims.ts
+++ b/packages/claims/src/node/claims.ts
@@ -12,7 +12,7 @@
     RefusalReason,
     sleep,
 } from "@redwingpin/common";
-import type { KeyValueStore } from "@redwingpin/platform";
+import type { KeyValueStore } from "@redwingpin/outside";
 import type { ResultAsync } from "neverthrow";
 import * as constants from "../constants.js";
 import type { PendingBegin, PendingOutcome } from "../decision/batch.js";
--- a/packages/claims/src/node/orderLeader.ts
+++ b/packages/claims/src/node/orderLeader.ts
@@ -11,7 +11,7 @@
     runDecision,
     sleep,
 } from "@redwingpin/common";
-import type { KeyValueStore } from "@redwingpin/platform";
+import type { KeyValueStore } from "@redwingpin/outside";
 import type { ResultAsync } from "neverthrow";
 import { leaderLeaseDuration, orderRoundInterval } from "../constants.js";
 import { type Order, orderLeaderKey, orderTableKey } from "../decision/orders/order.js";
--- a/packages/claims/src/node/orderTaker.ts
+++ b/packages/claims/src/node/orderTaker.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { assertNever, type Logger, runDecision } from "@redwingpin/common";
-import type { KeyValueStore } from "@redwingpin/platform";
+import type { KeyValueStore } from "@redwingpin/outside";
 import { isOrder, type Order, orderTableKey } from "../decision/orders/order.js";
 import { OrderProgress } from "../decision/orders/orderRound.js";
 import { takeOrder, type TakeOrderEffect, type TakeOrderEvent } from "../decision/orders/takeOrder.js";
--- a/packages/claims/src/node/quarantine.ts
+++ b/packages/claims/src/node/quarantine.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { type Clock, type Logger, sleep } from "@redwingpin/common";
-import type { KeyValueStore } from "@redwingpin/platform";
+import type { KeyValueStore } from "@redwingpin/outside";
 import { decode, encode } from "cbor-x";
 import * as constants from "../constants.js";
 import {
--- a/packages/claims/src/node/shardTask.ts
+++ b/packages/claims/src/node/shardTask.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { assertNever, type Clock, type Logger, runDecision, sleep } from "@redwingpin/common";
-import type { KeyValueStore } from "@redwingpin/platform";
+import type { KeyValueStore } from "@redwingpin/outside";
 import type { PendingBegin, PendingOutcome } from "../decision/batch.js";
 import type { ClaimDecision } from "../decision/claimCall.js";
 import { shardPrefix } from "../decision/shardState.js";
--- a/packages/command/src/fleetSummary.ts
+++ b/packages/command/src/fleetSummary.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { VirtualMachine } from "@redwingpin/platform";
+import type { VirtualMachine } from "@redwingpin/outside";
 import type { AccountUse, EndpointStatus, OperatorStatus, RefusalCount } from "@redwingpin/protocol";
 import { pipe } from "fp-ts/lib/function.js";
 import { Ord as numberOrd } from "fp-ts/lib/number.js";
--- a/packages/command/src/node/fleetInquiry.ts
+++ b/packages/command/src/node/fleetInquiry.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { type Milliseconds, silentLogger, systemClock } from "@redwingpin/common";
-import { createVirtualMachineList, type VirtualMachine } from "@redwingpin/platform";
+import { createVirtualMachineList, type VirtualMachine } from "@redwingpin/outside";
 import {
     InnerNode,
     isOperatorStatus,
--- a/packages/command/src/node/operatorCommand.ts
+++ b/packages/command/src/node/operatorCommand.ts
@@ -12,7 +12,7 @@
     systemClock,
 } from "@redwingpin/common";
 import { type Manifest, parseManifest } from "@redwingpin/manifest";
-import { createEtcdStore, type EtcdStore } from "@redwingpin/platform";
+import { createEtcdStore, type EtcdStore } from "@redwingpin/outside";
 import { Option } from "clipanion";
 import { err, type Result } from "neverthrow";
 import { readFileSync } from "node:fs";
--- a/packages/configuration/src/__tests__/innerPeers.spec.ts
+++ b/packages/configuration/src/__tests__/innerPeers.spec.ts
@@ -1,5 +1,5 @@
 import { seededRandom, silentLogger, systemClock } from "@redwingpin/common";
-import type { KeyValueStore } from "@redwingpin/platform";
+import type { KeyValueStore } from "@redwingpin/outside";
 import { type InnerAddress, InnerNode, parseFleetKeys, ProcessRole, Topic } from "@redwingpin/protocol";
 import { expect } from "chai";
 import {
--- a/packages/configuration/src/__tests__/memoryStoreFixture.ts
+++ b/packages/configuration/src/__tests__/memoryStoreFixture.ts
@@ -1,4 +1,4 @@
-import type { KeyValueStore, StoreChange, StoreEntry, StoreError, SwapOutcome } from "@redwingpin/platform";
+import type { KeyValueStore, StoreChange, StoreEntry, StoreError, SwapOutcome } from "@redwingpin/outside";
 import { err, ok, type Result, ResultAsync } from "neverthrow";
 
 /** What the store does with its next calls. */
--- a/packages/configuration/src/__tests__/networkFixture.ts
+++ b/packages/configuration/src/__tests__/networkFixture.ts
@@ -1,5 +1,5 @@
 import { FakeClock, type RandomSource, seededRandom, silentLogger } from "@redwingpin/common";
-import type { KeyValueStore } from "@redwingpin/platform";
+import type { KeyValueStore } from "@redwingpin/outside";
 import type { ConfigurationMessage } from "@redwingpin/protocol";
 import type { SpreadPeer } from "../decision/replicaEvents.js";
 import { type Configuration, createConfiguration } from "../node/configurationTask.js";
--- a/packages/configuration/src/decision/loadConfiguration.ts
+++ b/packages/configuration/src/decision/loadConfiguration.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { createShard, type ManifestShard, ShardedManifest } from "@redwingpin/manifest";
-import type { StoreEntry, StoreError } from "@redwingpin/platform";
+import type { StoreEntry, StoreError } from "@redwingpin/outside";
 import { err, ok, type Result } from "neverthrow";
 import {
     decodeOutline,
--- a/packages/configuration/src/decision/storeDecision.ts
+++ b/packages/configuration/src/decision/storeDecision.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { assertNever, type Clock, type Decision, runDecision, sleep } from "@redwingpin/common";
-import type { KeyValueStore, StoreEntry, StoreError, SwapOutcome } from "@redwingpin/platform";
+import type { KeyValueStore, StoreEntry, StoreError, SwapOutcome } from "@redwingpin/outside";
 import { err, ok, type Result } from "neverthrow";
 
 /** Kinds of effects on the store. */
--- a/packages/configuration/src/node/configurationTask.ts
+++ b/packages/configuration/src/node/configurationTask.ts
@@ -13,7 +13,7 @@
     type RandomSource,
 } from "@redwingpin/common";
 import { ManifestIndex, type ManifestShard } from "@redwingpin/manifest";
-import type { KeyValueStore } from "@redwingpin/platform";
+import type { KeyValueStore } from "@redwingpin/outside";
 import { type ConfigurationMessage, isConfigurationMessage } from "@redwingpin/protocol";
 import { ConfigurationReplica } from "../decision/configurationReplica.js";
 import {
--- a/packages/configuration/src/simulation/replicaNetwork.ts
+++ b/packages/configuration/src/simulation/replicaNetwork.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { assertNever, type Milliseconds, type RandomSource } from "@redwingpin/common";
-import { type StoreEntry, StoreFault } from "@redwingpin/platform";
+import { type StoreEntry, StoreFault } from "@redwingpin/outside";
 import type { ConfigurationMessage } from "@redwingpin/protocol";
 import { ConfigurationReplica } from "../decision/configurationReplica.js";
 import { loadConfiguration, loadContent, rootOf } from "../decision/loadConfiguration.js";
--- a/packages/configuration/src/simulation/simulatedStore.ts
+++ b/packages/configuration/src/simulation/simulatedStore.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { assertNever } from "@redwingpin/common";
-import { type StoreEntry, StoreFault } from "@redwingpin/platform";
+import { type StoreEntry, StoreFault } from "@redwingpin/outside";
 import {
     type StoreEffect,
     StoreEffectKind,
--- a/packages/configuration/src/submitManifest.ts
+++ b/packages/configuration/src/submitManifest.ts
@@ -5,7 +5,7 @@
  */
 import { type Clock, systemClock } from "@redwingpin/common";
 import type { Manifest } from "@redwingpin/manifest";
-import type { KeyValueStore } from "@redwingpin/platform";
+import type { KeyValueStore } from "@redwingpin/outside";
 import { ResultAsync } from "neverthrow";
 import { loadConfiguration, type LoadedConfiguration, type LoadError } from "./decision/loadConfiguration.js";
 import { runStoreDecision } from "./decision/storeDecision.js";
--- a/packages/membership/src/__tests__/innerTransport.spec.ts
+++ b/packages/membership/src/__tests__/innerTransport.spec.ts
@@ -1,5 +1,5 @@
 import { seededRandom, silentLogger, systemClock } from "@redwingpin/common";
-import { type VirtualMachine, VirtualMachineRole } from "@redwingpin/platform";
+import { type VirtualMachine, VirtualMachineRole } from "@redwingpin/outside";
 import { InnerNode, parseFleetKeys, ProcessRole, Topic } from "@redwingpin/protocol";
 import { expect } from "chai";
 import { okAsync } from "neverthrow";
--- a/packages/membership/src/__tests__/membership.spec.ts
+++ b/packages/membership/src/__tests__/membership.spec.ts
@@ -1,4 +1,4 @@
-import { VirtualMachineRole } from "@redwingpin/platform";
+import { VirtualMachineRole } from "@redwingpin/outside";
 import { MembershipMessageKind, MemberState } from "@redwingpin/protocol";
 import { expect } from "chai";
 import { machineFixture, MembershipFixture, namesOf } from "./membershipFixture.js";
--- a/packages/membership/src/__tests__/membershipFixture.ts
+++ b/packages/membership/src/__tests__/membershipFixture.ts
@@ -1,5 +1,5 @@
 import { FakeClock, seededRandom, silentLogger } from "@redwingpin/common";
-import { type VirtualMachine, type VirtualMachineList, VirtualMachineRole } from "@redwingpin/platform";
+import { type VirtualMachine, type VirtualMachineList, VirtualMachineRole } from "@redwingpin/outside";
 import { type MemberEntry, type MembershipCall, ProcessRole } from "@redwingpin/protocol";
 import { okAsync } from "neverthrow";
 import { MembershipResponder } from "../node/membershipResponder.js";
--- a/packages/membership/src/decision/memberTable.ts
+++ b/packages/membership/src/decision/memberTable.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Milliseconds } from "@redwingpin/common";
-import { type VirtualMachine, VirtualMachineRole } from "@redwingpin/platform";
+import { type VirtualMachine, VirtualMachineRole } from "@redwingpin/outside";
 import { type MemberEntry, MemberState, ProcessRole } from "@redwingpin/protocol";
 import { suspicionTime, tombstoneTime } from "../constants.js";
 
--- a/packages/membership/src/decision/membershipDecision.ts
+++ b/packages/membership/src/decision/membershipDecision.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { assertNever, type Milliseconds, type RandomSource } from "@redwingpin/common";
-import type { VirtualMachine } from "@redwingpin/platform";
+import type { VirtualMachine } from "@redwingpin/outside";
 import {
     type MemberEntry,
     type MembershipAcknowledgement,
--- a/packages/membership/src/node/membershipTask.ts
+++ b/packages/membership/src/node/membershipTask.ts
@@ -12,7 +12,7 @@
     type Milliseconds,
     type RandomSource,
 } from "@redwingpin/common";
-import { type VirtualMachine, type VirtualMachineList, VirtualMachineRole } from "@redwingpin/platform";
+import { type VirtualMachine, type VirtualMachineList, VirtualMachineRole } from "@redwingpin/outside";
 import {
     isMembershipAnswer,
     isMembershipCall,
--- a/packages/membership/src/simulation/memberNetwork.ts
+++ b/packages/membership/src/simulation/memberNetwork.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { assertNever, type Milliseconds, type RandomSource } from "@redwingpin/common";
-import { type VirtualMachine, VirtualMachineRole } from "@redwingpin/platform";
+import { type VirtualMachine, VirtualMachineRole } from "@redwingpin/outside";
 import {
     type MemberEntry,
     type MembershipAnswer,
--- a/packages/proofs/src/__tests__/frozenClaimant.spec.ts
+++ b/packages/proofs/src/__tests__/frozenClaimant.spec.ts
@@ -1,5 +1,5 @@
 import { CallOutcome } from "@redwingpin/common";
-import { passTime } from "@redwingpin/platform";
+import { passTime } from "@redwingpin/outside";
 import { expect } from "chai";
 import { ClaimsSite, siteLimits } from "../fuzz/claimsSite.js";
 
--- a/packages/proofs/src/__tests__/siteFixture.ts
+++ b/packages/proofs/src/__tests__/siteFixture.ts
@@ -13,7 +13,7 @@
     createVirtualMachineList,
     type KeyValueStore,
     MemoryStore,
-} from "@redwingpin/platform";
+} from "@redwingpin/outside";
 import { Router, routerSettings } from "@redwingpin/router";
 import {
     type Standin,
--- a/packages/proofs/src/fuzz/claimsSite.ts
+++ b/packages/proofs/src/fuzz/claimsSite.ts
@@ -11,7 +11,7 @@
     createClaims,
 } from "@redwingpin/claims";
 import { CallOutcome, FakeClock, silentLogger } from "@redwingpin/common";
-import { MemoryStore, SimulatedProcess } from "@redwingpin/platform";
+import { MemoryStore, SimulatedProcess } from "@redwingpin/outside";
 import { err, ok, type Result, ResultAsync } from "neverthrow";
 
 /** How the service behaves. */
--- a/packages/proofs/src/fuzz/claimsTarget.ts
+++ b/packages/proofs/src/fuzz/claimsTarget.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { assertNever, CallOutcome } from "@redwingpin/common";
-import { passTime, StoreFault } from "@redwingpin/platform";
+import { passTime, StoreFault } from "@redwingpin/outside";
 import fc from "fast-check";
 import { answerText, ClaimsSite, ServiceMode, siteLimits } from "./claimsSite.js";
 import type { FuzzTarget } from "./fuzzTarget.js";
--- a/packages/proofs/src/fuzz/configurationSite.ts
+++ b/packages/proofs/src/fuzz/configurationSite.ts
@@ -19,7 +19,7 @@
     type SubmissionOutcome,
 } from "@redwingpin/configuration";
 import { type Manifest, ManifestIndex } from "@redwingpin/manifest";
-import { type StoreEntry, StoreFault } from "@redwingpin/platform";
+import { type StoreEntry, StoreFault } from "@redwingpin/outside";
 import type { Result } from "neverthrow";
 
 /** Names of the site's processes. */
--- a/packages/proofs/src/fuzz/configurationTarget.ts
+++ b/packages/proofs/src/fuzz/configurationTarget.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { assertNever } from "@redwingpin/common";
-import { StoreFault } from "@redwingpin/platform";
+import { StoreFault } from "@redwingpin/outside";
 import fc from "fast-check";
 import { agentNames, ConfigurationSite, routerNames, type SubmissionOrder } from "./configurationSite.js";
 import type { FuzzTarget } from "./fuzzTarget.js";
--- a/packages/proofs/src/fuzz/ordersSite.ts
+++ b/packages/proofs/src/fuzz/ordersSite.ts
@@ -16,7 +16,7 @@
 } from "@redwingpin/claims";
 import { FakeClock, silentLogger, sleep } from "@redwingpin/common";
 import { EndpointKind, type Manifest } from "@redwingpin/manifest";
-import { MemoryStore, SimulatedProcess } from "@redwingpin/platform";
+import { MemoryStore, SimulatedProcess } from "@redwingpin/outside";
 import type { EndpointStatus } from "@redwingpin/protocol";
 import { err, ok, type Result, ResultAsync } from "neverthrow";
 
--- a/packages/proofs/src/fuzz/quarantineSite.ts
+++ b/packages/proofs/src/fuzz/quarantineSite.ts
@@ -12,7 +12,7 @@
     Treatment,
 } from "@redwingpin/claims";
 import { FakeClock, rendezvousOrder, silentLogger, sleep } from "@redwingpin/common";
-import { MemoryStore, SimulatedProcess } from "@redwingpin/platform";
+import { MemoryStore, SimulatedProcess } from "@redwingpin/outside";
 
 const startOfTime = 1_000_000;
 const storeLatency = 10;
--- a/packages/proofs/src/fuzz/quarantineTarget.ts
+++ b/packages/proofs/src/fuzz/quarantineTarget.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { assertNever } from "@redwingpin/common";
-import { passTime, StoreFault } from "@redwingpin/platform";
+import { passTime, StoreFault } from "@redwingpin/outside";
 import fc from "fast-check";
 import type { FuzzTarget } from "./fuzzTarget.js";
 import { QuarantineSite, type SiteRequest } from "./quarantineSite.js";
--- a/packages/proofs/src/fuzz/ratesTarget.ts
+++ b/packages/proofs/src/fuzz/ratesTarget.ts
@@ -9,7 +9,7 @@
 import { RateFleet } from "@redwingpin/admission/trial";
 import { assertNever, type Milliseconds, seededRandom } from "@redwingpin/common";
 import type { ClientAccount } from "@redwingpin/manifest";
-import { StoreFault } from "@redwingpin/platform";
+import { StoreFault } from "@redwingpin/outside";
 import fc from "fast-check";
 import type { FuzzTarget } from "./fuzzTarget.js";
 
--- a/packages/router/src/__tests__/ratesOverSockets.spec.ts
+++ b/packages/router/src/__tests__/ratesOverSockets.spec.ts
@@ -1,7 +1,7 @@
 import { type AdmissionController, createAdmission } from "@redwingpin/admission";
 import { silentLogger, systemClock } from "@redwingpin/common";
 import type { ClientAccount } from "@redwingpin/manifest";
-import { type KeyValueStore, MemoryStore } from "@redwingpin/platform";
+import { type KeyValueStore, MemoryStore } from "@redwingpin/outside";
 import { InnerNode, parseFleetKeys, ProcessRole } from "@redwingpin/protocol";
 import { expect } from "chai";
 import { createRatePeers } from "../node/ratePeers.js";
--- a/packages/router/src/node/attemptRunner.ts
+++ b/packages/router/src/node/attemptRunner.ts
@@ -5,7 +5,7 @@
  */
 import { type Clock, RefusalReason, RetryReason } from "@redwingpin/common";
 import { RouteKind } from "@redwingpin/manifest";
-import type { VirtualMachine } from "@redwingpin/platform";
+import type { VirtualMachine } from "@redwingpin/outside";
 import {
     type Connection,
     DeclineReason,
--- a/packages/router/src/node/main.ts
+++ b/packages/router/src/node/main.ts
@@ -12,7 +12,7 @@
     systemClock,
     untilToldToStop,
 } from "@redwingpin/common";
-import { createEtcdStore, createVirtualMachineList } from "@redwingpin/platform";
+import { createEtcdStore, createVirtualMachineList } from "@redwingpin/outside";
 import { Command, runExit } from "clipanion";
 import { collectDefaultMetrics, Registry } from "prom-client";
 import { type ResolvedRouterConfig, routerSettings } from "../config.js";
--- a/packages/router/src/node/orderLeading.ts
+++ b/packages/router/src/node/orderLeading.ts
@@ -6,7 +6,7 @@
 import { createOrderLeader, type OrderLeader } from "@redwingpin/claims";
 import { type Clock, type Logger, rendezvousOrder } from "@redwingpin/common";
 import type { Configuration } from "@redwingpin/configuration";
-import { type KeyValueStore, type VirtualMachine, VirtualMachineRole } from "@redwingpin/platform";
+import { type KeyValueStore, type VirtualMachine, VirtualMachineRole } from "@redwingpin/outside";
 import { type EndpointStatus, type InnerNode, Topic } from "@redwingpin/protocol";
 import { errAsync } from "neverthrow";
 
--- a/packages/router/src/node/router.ts
+++ b/packages/router/src/node/router.ts
@@ -30,7 +30,7 @@
     type VirtualMachine,
     type VirtualMachineList,
     VirtualMachineRole,
-} from "@redwingpin/platform";
+} from "@redwingpin/outside";
 import {
     type Connection,
     type EndpointStatus,
