--- a/packages/agent/src/node/agent.ts
+++ b/packages/agent/src/node/agent.ts
@@ -11,8 +11,8 @@
 import { type Configuration, createAgentPeers, createConfiguration } from "@redwingpin/configuration";
 import { EndpointKind } from "@redwingpin/manifest";
 import { MembershipResponder } from "@redwingpin/membership";
-import { defaultBlockTokens } from "@redwingpin/placement";
 import type { KeyValueStore } from "@redwingpin/outside";
+import { defaultBlockTokens } from "@redwingpin/placement";
 import {
     type Connection,
     type EndpointStatus,
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -8,6 +8,7 @@
 export * from "./digest.js";
 export * from "./finding.js";
 export * from "./httpService.js";
+export * from "./lineWriter.js";
 export * from "./logger.js";
 export * from "./metrics.js";
 export * from "./processLife.js";
--- a/packages/common/src/logger.ts
+++ b/packages/common/src/logger.ts
@@ -1,8 +1,9 @@
 /**
- * Structured logs over winston: one JSON object a line on standard error. Neither prompt text nor keys are logged.
+ * Structured logs over winston: one JSON object a line, on standard error or a given stream. Neither prompt text nor keys are logged.
  *
  * @module
  */
+import type { Writable } from "node:stream";
 import winston from "winston";
 
 /** Log levels, most severe first. */
@@ -37,15 +38,24 @@
     readonly level?: LogLevel;
     /** Fields added to every line, for example the instance's name. */
     readonly fields?: LogFields;
+    /**
+     * Where the lines go.
+     * @default standard error
+     */
+    readonly destination?: Writable;
 }
 
-/** Makes a logger that writes JSON lines to standard error. */
+/** Makes a logger that writes JSON lines. */
 export function createLogger(options: LoggerOptions): Logger {
     const sink = winston.createLogger({
         level: options.level ?? LogLevel.Info,
         format: winston.format.combine(winston.format.timestamp(), winston.format.json()),
         defaultMeta: options.fields,
-        transports: [new winston.transports.Console({ stderrLevels: Object.values(LogLevel) })],
+        transports: [
+            options.destination === undefined
+                ? new winston.transports.Console({ stderrLevels: Object.values(LogLevel) })
+                : new winston.transports.Stream({ stream: options.destination }),
+        ],
     });
     return scopedLogger(sink, options.scope);
 }
--- /dev/null
+++ b/packages/fleet/src/decision/fleetState.ts
@@ -0,0 +1,236 @@
+/**
+ * What a process believes of the fleet: the configuration in force, the weights that each model should run, and the
+ * endpoints. Facts come from the store or from peers, in any order; none ever goes back to an older one.
+ *
+ * @module
+ */
+import type { Milliseconds } from "@redwingpin/common";
+import type { DirectConfiguration, DirectEndpoint } from "../directConfiguration.js";
+
+/** Kinds of facts. */
+export enum FactKind {
+    Configuration = "configuration",
+    Weights = "weights",
+    Endpoint = "endpoint",
+}
+
+/** One fact. `revision` is the store's revision of the record that states it. */
+export type FleetFact =
+    | {
+        readonly kind: FactKind.Configuration;
+        readonly revision: number;
+        readonly configuration: DirectConfiguration;
+    }
+    | {
+        readonly kind: FactKind.Weights;
+        readonly revision: number;
+        readonly model: string;
+        readonly version: number;
+    }
+    | {
+        readonly kind: FactKind.Endpoint;
+        readonly revision: number;
+        readonly instance: string;
+        /** Absent where the endpoint's registration is gone or names no endpoint that can be used. */
+        readonly endpoint: DirectEndpoint | undefined;
+    };
+
+/** How far a process's knowledge reaches. */
+export interface FleetWatermark {
+    readonly configuration: number;
+    readonly weights: number;
+    readonly endpoints: number;
+}
+
+/** Weights that a model should run. */
+export interface NamedWeights {
+    readonly model: string;
+    readonly version: number;
+    readonly revision: number;
+    /** When this process learned of them, on its own clock. */
+    readonly learnedAt: Milliseconds;
+}
+
+/** An endpoint with the revision of its registration. */
+export interface KnownEndpoint {
+    readonly endpoint: DirectEndpoint;
+    readonly revision: number;
+    /** When its registration was seen to be gone; it may serve a little longer. */
+    readonly removedAt?: Milliseconds;
+}
+
+/** Time that a removed registration may take to come back after the store was out of reach. */
+export const registrationReturnMilliseconds: Milliseconds = 1_800;
+
+/** Removed endpoints that are remembered, so that an older fact does not bring them back. */
+const maxTombstones = 10_000;
+
+/** The facts that a process holds. */
+export class FleetState {
+    private configurationFact:
+        | { readonly value: DirectConfiguration; readonly revision: number; }
+        | undefined;
+    private readonly weights = new Map<string, NamedWeights>();
+    private readonly known = new Map<string, KnownEndpoint>();
+    private readonly tombstones = new Map<string, number>();
+    private endpointsRevision = 0;
+
+    /** The configuration in force. */
+    get configuration(): DirectConfiguration | undefined {
+        return this.configurationFact?.value;
+    }
+
+    /** Weights that the model should run. */
+    weightsOf(model: string): NamedWeights | undefined {
+        return this.weights.get(model);
+    }
+
+    /** Every model's named weights. */
+    namedWeights(): readonly NamedWeights[] {
+        return [...this.weights.values()];
+    }
+
+    /** Every endpoint that may be used, removed ones within their time included. */
+    endpoints(): IterableIterator<KnownEndpoint> {
+        return this.known.values();
+    }
+
+    endpoint(instance: string): KnownEndpoint | undefined {
+        return this.known.get(instance);
+    }
+
+    watermark(): FleetWatermark {
+        return {
+            configuration: this.configurationFact?.value.version ?? 0,
+            weights: [...this.weights.values()].reduce((most, named) => Math.max(most, named.revision), 0),
+            endpoints: this.endpointsRevision,
+        };
+    }
+
+    /**
+     * Takes in a fact; returns whether it is news. `storeTroubledAt` is when the store last was out of reach: a
+     * registration that lapses about then is kept until it had the time to come back.
+     */
+    learn(fact: FleetFact, now: Milliseconds, storeTroubledAt = -Infinity): boolean {
+        switch (fact.kind) {
+            case FactKind.Configuration:
+                return this.learnConfiguration(fact.configuration, fact.revision);
+            case FactKind.Weights:
+                return this.learnWeights({ ...fact, learnedAt: now });
+            case FactKind.Endpoint:
+                return this.learnEndpoint(fact.instance, fact.endpoint, fact.revision, now, storeTroubledAt);
+        }
+    }
+
+    /** Marks the endpoints' facts as complete up to a revision of the store. */
+    endpointsCompleteTo(revision: number): void {
+        this.endpointsRevision = Math.max(this.endpointsRevision, revision);
+    }
+
+    /** Instances with a registration that was not removed and that a complete reading no longer shows. */
+    missingFrom(listed: ReadonlySet<string>, revision: number): FleetFact[] {
+        return [...this.known]
+            .filter(([instance, known]) => !listed.has(instance) && known.removedAt === undefined)
+            .map(([instance]) => ({ kind: FactKind.Endpoint, revision, instance, endpoint: undefined }));
+    }
+
+    /** Forgets removed endpoints whose time to come back is over; returns them. */
+    expire(now: Milliseconds): string[] {
+        const gone = [...this.known]
+            .filter(([, known]) =>
+                known.removedAt !== undefined && now - known.removedAt >= registrationReturnMilliseconds
+            )
+            .map(([instance]) => instance);
+        for (const instance of gone) {
+            this.known.delete(instance);
+        }
+        return gone;
+    }
+
+    /** Facts that a process at `mark` lacks. */
+    newsSince(mark: FleetWatermark): FleetFact[] {
+        const news: FleetFact[] = [];
+        const configuration = this.configurationFact;
+        if (configuration !== undefined && configuration.value.version > mark.configuration) {
+            news.push({
+                kind: FactKind.Configuration,
+                revision: configuration.revision,
+                configuration: configuration.value,
+            });
+        }
+        for (const { model, version, revision } of this.weights.values()) {
+            if (revision > mark.weights) {
+                news.push({ kind: FactKind.Weights, revision, model, version });
+            }
+        }
+        for (const [instance, { endpoint, revision, removedAt }] of this.known) {
+            if (revision > mark.endpoints) {
+                const shown = removedAt === undefined ? endpoint : undefined;
+                news.push({ kind: FactKind.Endpoint, revision, instance, endpoint: shown });
+            }
+        }
+        for (const [instance, revision] of this.tombstones) {
+            if (revision > mark.endpoints && !this.known.has(instance)) {
+                news.push({ kind: FactKind.Endpoint, revision, instance, endpoint: undefined });
+            }
+        }
+        return news;
+    }
+
+    private learnConfiguration(value: DirectConfiguration, revision: number): boolean {
+        if (value.version <= (this.configurationFact?.value.version ?? 0)) {
+            return false;
+        }
+        this.configurationFact = { value, revision };
+        return true;
+    }
+
+    private learnWeights(named: NamedWeights): boolean {
+        if (named.version <= (this.weights.get(named.model)?.version ?? 0)) {
+            return false;
+        }
+        const { model, version, revision, learnedAt } = named;
+        this.weights.set(model, { model, version, revision, learnedAt });
+        return true;
+    }
+
+    private learnEndpoint(
+        instance: string,
+        endpoint: DirectEndpoint | undefined,
+        revision: number,
+        now: Milliseconds,
+        storeTroubledAt: Milliseconds,
+    ): boolean {
+        const before = this.known.get(instance);
+        const newest = Math.max(before?.revision ?? 0, this.tombstones.get(instance) ?? 0);
+        if (revision <= newest) {
+            return false;
+        }
+        this.endpointsRevision = Math.max(this.endpointsRevision, revision);
+        if (endpoint !== undefined) {
+            this.tombstones.delete(instance);
+            this.known.set(instance, { endpoint, revision });
+            return true;
+        }
+        this.bury(instance, revision);
+        const lapsed = before !== undefined && !before.endpoint.leaving
+            && now - storeTroubledAt < registrationReturnMilliseconds;
+        if (lapsed) {
+            this.known.set(instance, { endpoint: before.endpoint, revision, removedAt: now });
+        }
+        else {
+            this.known.delete(instance);
+        }
+        return before !== undefined;
+    }
+
+    private bury(instance: string, revision: number): void {
+        this.tombstones.set(instance, revision);
+        if (this.tombstones.size > maxTombstones) {
+            const oldest = this.tombstones.keys().next().value;
+            if (oldest !== undefined) {
+                this.tombstones.delete(oldest);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/packages/fleet/src/decision/peerTable.ts
@@ -0,0 +1,165 @@
+/**
+ * Which peers a process talks to, when the next exchange with each is due, and who has fallen silent.
+ *
+ * @module
+ */
+import type { Clock, Milliseconds } from "@redwingpin/common";
+import type { InnerAddress } from "@redwingpin/protocol";
+
+/** A router that answered within this time counts as live. */
+const liveTime: Milliseconds = 1_500;
+
+/** A router that was silent for longer counts as gone; the platform replaces machines within seconds. */
+const goneTime: Milliseconds = 12_000;
+
+/** Longest pause between attempts to reach a peer that gives no answer. */
+const longestPause: Milliseconds = 2_000;
+
+interface Peer {
+    readonly address: InnerAddress;
+    readonly isRouter: boolean;
+    nextDue: Milliseconds;
+    busy: boolean;
+    failures: number;
+    answeredAt: Milliseconds;
+    heardAt: Milliseconds;
+}
+
+/** The peers of a process. */
+export class PeerTable {
+    private readonly peers = new Map<string, Peer>();
+
+    constructor(private readonly own: InnerAddress, private readonly clock: Clock) {}
+
+    /** Adds routers that are not known yet. */
+    addRouters(addresses: readonly InnerAddress[]): void {
+        for (const address of addresses) {
+            this.ensure(address, true);
+        }
+    }
+
+    /** Replaces the agents. */
+    setAgents(addresses: readonly InnerAddress[]): void {
+        const names = new Set(addresses.map(nameOf));
+        for (const [name, peer] of this.peers) {
+            if (!peer.isRouter && !names.has(name)) {
+                this.peers.delete(name);
+            }
+        }
+        for (const address of addresses) {
+            this.ensure(address, false);
+        }
+    }
+
+    /** Takes the peers whose exchange is due; each is busy until it answered or failed. */
+    due(routerInterval: Milliseconds, agentInterval: Milliseconds): InnerAddress[] {
+        const now = this.clock.now();
+        this.dropGone(now);
+        const due = [...this.peers.values()].filter((peer) => !peer.busy && peer.nextDue <= now);
+        for (const peer of due) {
+            peer.busy = true;
+            peer.nextDue = now + (peer.isRouter ? routerInterval : agentInterval);
+        }
+        return due.map((peer) => peer.address);
+    }
+
+    /** Makes exchanges due at once, with agents only or with every peer. */
+    hurry(agentsOnly: boolean): void {
+        for (const peer of this.peers.values()) {
+            if (peer.failures === 0 && (!agentsOnly || !peer.isRouter)) {
+                peer.nextDue = this.clock.now();
+            }
+        }
+    }
+
+    /** Notes an answer; returns whether the peer had been out of reach. */
+    answered(address: InnerAddress): boolean {
+        const peer = this.peers.get(nameOf(address));
+        if (peer === undefined) {
+            return false;
+        }
+        const regained = peer.failures > 0 || peer.answeredAt === -Infinity;
+        peer.busy = false;
+        peer.failures = 0;
+        peer.answeredAt = this.clock.now();
+        peer.heardAt = peer.answeredAt;
+        return regained;
+    }
+
+    /** Notes a failure; returns whether it is the first after answers. */
+    failed(address: InnerAddress): boolean {
+        const peer = this.peers.get(nameOf(address));
+        if (peer === undefined) {
+            return false;
+        }
+        peer.busy = false;
+        peer.failures += 1;
+        peer.nextDue = this.clock.now() + Math.min(longestPause, 100 * 2 ** peer.failures);
+        return peer.failures === 1 && peer.answeredAt !== -Infinity;
+    }
+
+    /** Notes a call from a router. */
+    heardFrom(address: InnerAddress): void {
+        const peer = this.ensure(address, true);
+        if (peer !== undefined) {
+            peer.heardAt = this.clock.now();
+        }
+    }
+
+    /** Routers that called or answered lately. */
+    routersHeard(): InnerAddress[] {
+        const since = this.clock.now() - goneTime;
+        return this.routers().filter((peer) => peer.heardAt > since).map((peer) => peer.address);
+    }
+
+    liveRouters(): number {
+        const since = this.clock.now() - liveTime;
+        return this.routers().filter((peer) => peer.heardAt > since).length;
+    }
+
+    silentRouters(): number {
+        const now = this.clock.now();
+        return this.routers()
+            .filter((peer) => peer.heardAt <= now - liveTime && peer.heardAt > now - goneTime).length;
+    }
+
+    private routers(): Peer[] {
+        return [...this.peers.values()].filter((peer) => peer.isRouter);
+    }
+
+    private ensure(address: InnerAddress, isRouter: boolean): Peer | undefined {
+        const name = nameOf(address);
+        if (name === nameOf(this.own)) {
+            return undefined;
+        }
+        const found = this.peers.get(name);
+        if (found !== undefined) {
+            return found;
+        }
+        const peer: Peer = {
+            address,
+            isRouter,
+            nextDue: this.clock.now(),
+            busy: false,
+            failures: 0,
+            answeredAt: -Infinity,
+            heardAt: -Infinity,
+        };
+        this.peers.set(name, peer);
+        return peer;
+    }
+
+    /** Forgets routers that have been silent for long and that nobody names any more. */
+    private dropGone(now: Milliseconds): void {
+        for (const [name, peer] of this.peers) {
+            const wasHeard = peer.heardAt !== -Infinity;
+            if (peer.isRouter && !peer.busy && wasHeard && peer.heardAt < now - 5 * goneTime) {
+                this.peers.delete(name);
+            }
+        }
+    }
+}
+
+function nameOf(address: InnerAddress): string {
+    return `${address.host}:${address.port}`;
+}
--- /dev/null
+++ b/packages/fleet/src/fleetMessages.ts
@@ -0,0 +1,165 @@
+/**
+ * Messages on {@link Topic.Fleet}: what routers and replica agents tell each other.
+ *
+ * @module
+ */
+import { isAmount, isCount, isFlag, isListOf, isOptional, isShaped, isText } from "@redwingpin/common";
+import type { InnerAddress } from "@redwingpin/protocol";
+import type { FleetFact, FleetWatermark } from "./decision/fleetState.js";
+import type { ModelWeights } from "./directConfiguration.js";
+
+/** Tokens that a router has spent for an account since its start. */
+export interface AccountSpending {
+    readonly account: string;
+    readonly tokens: number;
+}
+
+/** Work that a router has sent to an endpoint and that has not begun to answer. */
+export interface EndpointLoad {
+    readonly instance: string;
+    readonly waitingTokens: number;
+    readonly running: number;
+}
+
+/** Endpoints that a request has crashed, as far as the sender knows. */
+export interface CrashCount {
+    readonly fingerprint: string;
+    readonly crashes: number;
+}
+
+/** What the agent beside a replica says of it. */
+export interface ReplicaStatus {
+    /** Differs for each start of the replica; absent until the agent has learned it. */
+    readonly instance?: string;
+    /** `host:port` of the replica. */
+    readonly address: string;
+    readonly weights: readonly ModelWeights[];
+    /** True from shortly before the replica is told to load weights until it serves them. */
+    readonly loading: boolean;
+    readonly running: number;
+    readonly queued: number;
+    readonly cacheUsed: number;
+    readonly cacheTotal: number;
+}
+
+/** What a router tells an agent of the replicas of the agent's service. */
+export interface ReplicaProgress {
+    readonly address: string;
+    readonly weights: readonly ModelWeights[];
+    readonly loading: boolean;
+}
+
+/** What a process tells a peer at each exchange. */
+export interface PeerReport {
+    readonly spent: readonly AccountSpending[];
+    readonly load: readonly EndpointLoad[];
+    readonly crashes: readonly CrashCount[];
+    /** Level of each account's bucket, for peers that have just started. */
+    readonly levels: readonly AccountSpending[];
+    /** From an agent: its replica. */
+    readonly replica?: ReplicaStatus;
+    /** From a router to an agent: the replicas of the agent's service. */
+    readonly replicas?: readonly ReplicaProgress[];
+}
+
+/** Kinds of messages on the topic. */
+export enum FleetMessageKind {
+    /** A periodic exchange, answered by {@link SyncReply}. */
+    Sync = "sync",
+    /** Facts that the receiver lacks. */
+    News = "news",
+    /** An agent's replica has changed. */
+    Replica = "replica",
+}
+
+/** What a process says first in an exchange. */
+export interface SyncCall {
+    readonly kind: FleetMessageKind.Sync;
+    /** Where the sender listens, for routers. */
+    readonly address?: InnerAddress;
+    readonly mark: FleetWatermark;
+    readonly report: PeerReport;
+}
+
+/** Answers a {@link SyncCall}. */
+export interface SyncReply {
+    readonly mark: FleetWatermark;
+    /** Facts that the caller lacked. */
+    readonly news: readonly FleetFact[];
+    /** Routers that the sender hears from. */
+    readonly routers: readonly InnerAddress[];
+    readonly report: PeerReport;
+}
+
+/** Facts for a process that is behind. */
+export interface NewsMessage {
+    readonly kind: FleetMessageKind.News;
+    readonly news: readonly FleetFact[];
+    readonly mark: FleetWatermark;
+}
+
+/** Tells routers of a replica outside the periodic exchange. */
+export interface ReplicaMessage {
+    readonly kind: FleetMessageKind.Replica;
+    readonly replica: ReplicaStatus;
+}
+
+/** Every message on the topic, but for the reply. */
+export type FleetMessage = SyncCall | NewsMessage | ReplicaMessage;
+
+const markShape = { configuration: isCount, weights: isCount, endpoints: isCount };
+const isAddress = isShaped({ host: isText, port: isCount });
+const isWeights = isShaped({ model: isText, version: isCount });
+const spendingShape = { account: isText, tokens: (value: unknown) => Number.isFinite(value) };
+const replicaShape = {
+    instance: isOptional(isText),
+    address: isText,
+    weights: isListOf(isWeights),
+    loading: isFlag,
+    running: isAmount,
+    queued: isAmount,
+    cacheUsed: isAmount,
+    cacheTotal: isAmount,
+};
+const isProgress = isShaped({ address: isText, weights: isListOf(isWeights), loading: isFlag });
+const reportShape = {
+    spent: isListOf(isShaped(spendingShape)),
+    load: isListOf(isShaped({ instance: isText, waitingTokens: isAmount, running: isAmount })),
+    crashes: isListOf(isShaped({ fingerprint: isText, crashes: isCount })),
+    levels: isListOf(isShaped(spendingShape)),
+    replica: isOptional(isShaped(replicaShape)),
+    replicas: isOptional(isListOf(isProgress)),
+};
+const isFact = isShaped({ kind: isText, revision: isCount });
+const isSync = isShaped({
+    address: isOptional(isAddress),
+    mark: isShaped(markShape),
+    report: isShaped(reportShape),
+});
+const isNews = isShaped({ news: isListOf(isFact), mark: isShaped(markShape) });
+const isReplicaMessage = isShaped({ replica: isShaped(replicaShape) });
+const isReply = isShaped({
+    mark: isShaped(markShape),
+    news: isListOf(isFact),
+    routers: isListOf(isAddress),
+    report: isShaped(reportShape),
+});
+
+/** Reads a message of the topic; `undefined` where it has another shape. */
+export function readFleetMessage(body: unknown): FleetMessage | undefined {
+    switch ((body as FleetMessage | undefined)?.kind) {
+        case FleetMessageKind.Sync:
+            return isSync(body) ? body as SyncCall : undefined;
+        case FleetMessageKind.News:
+            return isNews(body) ? body as NewsMessage : undefined;
+        case FleetMessageKind.Replica:
+            return isReplicaMessage(body) ? body as ReplicaMessage : undefined;
+        default:
+            return undefined;
+    }
+}
+
+/** Reads the answer to a {@link SyncCall}; `undefined` where it has another shape. */
+export function readSyncReply(body: unknown): SyncReply | undefined {
+    return isReply(body) ? body as SyncReply : undefined;
+}
--- /dev/null
+++ b/packages/fleet/src/index.ts
@@ -0,0 +1,12 @@
+/**
+ * Public items of this package.
+ *
+ * @module
+ */
+export * from "./decision/fleetState.js";
+export * from "./decision/peerTable.js";
+export * from "./directConfiguration.js";
+export * from "./fleetMessages.js";
+export * from "./fleetSource.js";
+export * from "./node/fleetSync.js";
+export * from "./node/storeFollower.js";
--- /dev/null
+++ b/packages/fleet/src/node/fleetSync.ts
@@ -0,0 +1,209 @@
+/**
+ * Periodic exchanges between routers, and from routers to replica agents. They carry the watermarks of both ends,
+ * so that whoever is behind gets what it lacks, whichever of the two the store still serves.
+ *
+ * Agents also tell routers of each other: a router that starts while the store is away finds the rest through them.
+ *
+ * @module
+ */
+import type { Clock, Logger, Milliseconds } from "@redwingpin/common";
+import {
+    type Connection,
+    type Hello,
+    type InnerAddress,
+    type InnerNode,
+    ProcessRole,
+    Topic,
+} from "@redwingpin/protocol";
+import type { FleetFact, FleetState } from "../decision/fleetState.js";
+import { PeerTable } from "../decision/peerTable.js";
+import {
+    FleetMessageKind,
+    type PeerReport,
+    readFleetMessage,
+    readSyncReply,
+    type ReplicaStatus,
+    type SyncReply,
+} from "../fleetMessages.js";
+
+/** Interval of exchanges with peers to which there is something to tell. */
+export const busyInterval: Milliseconds = 150;
+
+/** Interval of exchanges with nothing to tell; peers behind learn news after about this time. */
+export const quietInterval: Milliseconds = 700;
+
+/** A peer that gives no answer for this time is called again on a new connection. */
+const answerTimeout: Milliseconds = 700;
+
+/** Granularity of the schedule of exchanges. */
+const tickInterval: Milliseconds = 50;
+
+/** Options of {@link FleetSync}. */
+export interface FleetSyncOptions {
+    readonly clock: Clock;
+    readonly logger: Logger;
+    readonly innerNode: InnerNode;
+    readonly state: FleetState;
+    /** Where this process listens. */
+    readonly address: InnerAddress;
+    readonly role: ProcessRole;
+    /** Routers named by the settings. */
+    readonly seeds: readonly InnerAddress[];
+    /** Agents that this process should talk to. */
+    readonly agents: () => readonly InnerAddress[];
+    /** What to tell a peer. */
+    readonly report: (peer: Hello | undefined, address: InnerAddress | undefined) => PeerReport;
+    /** True while the reports for routers differ from the last that were sent. */
+    readonly hasReport: () => boolean;
+    readonly onReport: (peer: Hello, report: PeerReport) => void;
+    readonly onReplica: (replica: ReplicaStatus) => void;
+    /** Takes in facts from a peer. */
+    readonly onNews: (facts: readonly FleetFact[], peer: Hello) => void;
+}
+
+/** Keeps in touch with peers. */
+export class FleetSync {
+    private readonly peers: PeerTable;
+    private cancelTick: (() => void) | undefined;
+    private stopped = false;
+
+    constructor(private readonly options: FleetSyncOptions) {
+        this.peers = new PeerTable(options.address, options.clock);
+        options.innerNode.handle(Topic.Fleet, (body, from) => this.answer(body, from));
+    }
+
+    start(): void {
+        this.peers.addRouters(this.options.seeds);
+        this.tick();
+    }
+
+    stop(): void {
+        this.stopped = true;
+        this.cancelTick?.();
+    }
+
+    /** Routers that answered lately, this one not counted. */
+    liveRouters(): number {
+        return this.peers.liveRouters();
+    }
+
+    /** Routers that answered before and have lately been silent. */
+    silentRouters(): number {
+        return this.peers.silentRouters();
+    }
+
+    /** Makes the next exchange with every peer, or with agents only, happen at once. */
+    hurry(agentsOnly: boolean): void {
+        this.peers.hurry(agentsOnly);
+        if (!this.stopped) {
+            this.round();
+        }
+    }
+
+    /** Tells every connected router of this agent's replica. */
+    tellReplica(replica: ReplicaStatus): void {
+        for (const connection of this.options.innerNode.openConnections()) {
+            if (connection.peer.role === ProcessRole.Router) {
+                connection.notify(Topic.Fleet, { kind: FleetMessageKind.Replica, replica });
+            }
+        }
+    }
+
+    private tick(): void {
+        if (this.stopped) {
+            return;
+        }
+        this.round();
+        this.cancelTick = this.options.clock.schedule(tickInterval, () => this.tick());
+    }
+
+    private round(): void {
+        if (this.options.role === ProcessRole.Agent) {
+            return;
+        }
+        this.peers.setAgents(this.options.agents());
+        const interval = this.options.hasReport() ? busyInterval : quietInterval;
+        for (const peer of this.peers.due(interval, quietInterval)) {
+            void this.exchange(peer);
+        }
+    }
+
+    private async exchange(address: InnerAddress): Promise<void> {
+        const connected = await this.options.innerNode.connect(address);
+        if (connected.isErr()) {
+            this.failed(address, connected.error.message);
+            return;
+        }
+        const connection = connected.value;
+        const mark = this.options.state.watermark();
+        const answer = await connection.call(Topic.Fleet, {
+            kind: FleetMessageKind.Sync,
+            address: this.options.role === ProcessRole.Router ? this.options.address : undefined,
+            mark,
+            report: this.options.report(connection.peer, address),
+        }, answerTimeout);
+        const reply = answer.isOk() ? readSyncReply(answer.value) : undefined;
+        if (reply === undefined) {
+            connection.close();
+            this.failed(address, answer.isErr() ? answer.error.message : "malformed answer");
+            return;
+        }
+        this.succeeded(address, connection, reply);
+    }
+
+    private succeeded(address: InnerAddress, connection: Connection, reply: SyncReply): void {
+        const { logger, onNews, onReport, state } = this.options;
+        if (this.peers.answered(address)) {
+            logger.info("peer reached", { host: address.host, peer: connection.peer.instance });
+        }
+        this.peers.addRouters(reply.routers);
+        if (reply.news.length > 0) {
+            onNews(reply.news, connection.peer);
+        }
+        state.endpointsCompleteTo(reply.mark.endpoints);
+        onReport(connection.peer, reply.report);
+        const news = state.newsSince(reply.mark);
+        if (news.length > 0) {
+            connection.notify(Topic.Fleet, { kind: FleetMessageKind.News, news, mark: state.watermark() });
+        }
+    }
+
+    private failed(address: InnerAddress, message: string): void {
+        if (this.peers.failed(address)) {
+            this.options.logger.warn("peer lost", { host: address.host, error: message });
+        }
+    }
+
+    private async answer(body: unknown, from: Hello): Promise<SyncReply | undefined> {
+        const message = readFleetMessage(body);
+        switch (message?.kind) {
+            case FleetMessageKind.Sync: {
+                if (message.address !== undefined) {
+                    this.peers.heardFrom(message.address);
+                }
+                this.options.onReport(from, message.report);
+                return this.reply(message.mark, from);
+            }
+            case FleetMessageKind.News:
+                this.options.onNews(message.news, from);
+                this.options.state.endpointsCompleteTo(message.mark.endpoints);
+                return undefined;
+            case FleetMessageKind.Replica:
+                this.options.onReplica(message.replica);
+                return undefined;
+            case undefined:
+                this.options.logger.warn("a peer sent a malformed message", { peer: from.instance });
+                return undefined;
+        }
+    }
+
+    private reply(mark: SyncReply["mark"], from: Hello): SyncReply {
+        const { report, state } = this.options;
+        return {
+            mark: state.watermark(),
+            news: state.newsSince(mark),
+            routers: this.peers.routersHeard(),
+            report: report(from, undefined),
+        };
+    }
+}
--- /dev/null
+++ b/packages/fleet/src/node/storeFollower.ts
@@ -0,0 +1,114 @@
+/**
+ * Follows one scope of the store: reads it once, then waits for changes, and reads it again only where the store no
+ * longer keeps the changes in between. Errors are answered with a growing, jittered pause.
+ *
+ * @module
+ */
+import type { Clock, Logger, Milliseconds, RandomSource } from "@redwingpin/common";
+import type { FleetReading, FleetScope, FleetSource, SourceError } from "../fleetSource.js";
+
+/** First pause after an error; each further one is twice as long. */
+const firstPause: Milliseconds = 100;
+
+/** Longest pause after errors; a store that returns is used again within about this time. */
+const longestPause: Milliseconds = 1_000;
+
+/** Options of {@link StoreFollower}. */
+export interface StoreFollowerOptions {
+    readonly scope: FleetScope;
+    readonly source: FleetSource;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly logger: Logger;
+    /** Longest wait of one call; a channel that went silent is noticed after about this time. */
+    readonly wait: Milliseconds;
+    /** Pause after changes arrived, so that a series of them costs one call. */
+    readonly gatherFor: Milliseconds;
+    /** Takes in facts; `complete` is true for a reading of the whole scope. */
+    readonly onReading: (reading: FleetReading, complete: boolean) => void;
+}
+
+/** Follows the store until stopped. */
+export class StoreFollower {
+    private after: number | undefined;
+    private pause = firstPause;
+    private stopped = false;
+    private reachable: boolean | undefined;
+    private troubledAt: Milliseconds = -Infinity;
+
+    constructor(private readonly options: StoreFollowerOptions) {}
+
+    /** True while the last call was answered. */
+    get isReachable(): boolean {
+        return this.reachable === true;
+    }
+
+    /** When the last call failed, on the process's clock. */
+    get lastTrouble(): Milliseconds {
+        return this.troubledAt;
+    }
+
+    start(): void {
+        void this.run();
+    }
+
+    stop(): void {
+        this.stopped = true;
+    }
+
+    private async run(): Promise<void> {
+        while (!this.stopped) {
+            const pause = await this.step();
+            if (pause > 0) {
+                await new Promise<void>((resolve) => void this.options.clock.schedule(pause, resolve));
+            }
+        }
+    }
+
+    /** Makes one call; returns the pause before the next. */
+    private async step(): Promise<Milliseconds> {
+        const { scope, source, wait } = this.options;
+        const complete = this.after === undefined;
+        const result = this.after === undefined
+            ? await source.read(scope)
+            : await source.follow(scope, this.after, wait);
+        if (this.stopped) {
+            return 0;
+        }
+        return result.match(
+            (reading) => this.succeeded(reading, complete),
+            (error) => this.failed(error),
+        );
+    }
+
+    private succeeded(reading: FleetReading, complete: boolean): Milliseconds {
+        if (this.reachable !== true) {
+            this.options.logger.info("store reached", {
+                scope: this.options.scope,
+                revision: reading.revision,
+            });
+        }
+        this.reachable = true;
+        this.pause = firstPause;
+        this.after = Math.max(this.after ?? 0, reading.revision);
+        this.options.onReading(reading, complete);
+        return reading.facts.length > 0 && !complete ? this.options.gatherFor : 0;
+    }
+
+    private failed(error: SourceError): Milliseconds {
+        const { clock, logger, random, scope } = this.options;
+        if (error.kind === "historyGone") {
+            logger.warn("the store's history is gone, reading all again", { scope, after: this.after });
+            this.after = undefined;
+            return 0;
+        }
+        this.troubledAt = clock.now();
+        if (this.reachable !== false) {
+            logger.warn("store lost", { scope, error: error.message });
+        }
+        this.reachable = false;
+        const pause = this.pause * (0.5 + random.unit());
+        this.pause = Math.min(longestPause, this.pause * 2);
+        return pause;
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/decision/endpointBoard.ts
@@ -0,0 +1,220 @@
+/**
+ * What a router knows of every endpoint: its registration, what its agent says, the work that routers have sent to it,
+ * and how its answers have been.
+ *
+ * @module
+ */
+import type { Milliseconds } from "@redwingpin/common";
+import type { DirectEndpoint, EndpointLoad, FleetState, ReplicaStatus } from "@redwingpin/fleet";
+import { HealthRecord } from "./healthRecord.js";
+
+/** An agent's word counts before the registration for this long. */
+const statusLifetime: Milliseconds = 2_500;
+
+/** A router's report of its load counts for this long. */
+const loadLifetime: Milliseconds = 2_000;
+
+/** Prompt tokens that an engine reads in a millisecond, before any answer was seen. */
+const initialTokensPerMillisecond = 25;
+
+/** Time to the first event of a short prompt on an idle engine, before any answer was seen. */
+const initialBaseLatency: Milliseconds = 25;
+
+/** Weight of one observation in the moving averages. */
+const averageWeight = 0.1;
+
+/** Prompts from this size show an engine's reading speed. */
+const minMeasuredTokens = 1_000;
+
+interface Reported<T> {
+    readonly value: T;
+    readonly at: Milliseconds;
+}
+
+/** One endpoint. */
+export class EndpointView {
+    /** Requests that this router has sent and that are not over. */
+    running = 0;
+    /** Prompt tokens of requests that this router has sent and that have not begun to answer. */
+    waitingTokens = 0;
+    readonly health = new HealthRecord();
+    private status: Reported<ReplicaStatus> | undefined;
+    private observedWeights: Reported<{ readonly model: string; readonly version: number; }> | undefined;
+    private readonly loads = new Map<string, Reported<EndpointLoad>>();
+    /** Set where the endpoint said itself that it is busy with an order or leaving. */
+    private avoidUntil: Milliseconds = -Infinity;
+
+    constructor(public endpoint: DirectEndpoint) {}
+
+    /** Version of a model's weights that the endpoint is believed to serve. */
+    weightsVersion(model: string, now: Milliseconds): number | undefined {
+        const status = this.freshStatus(now);
+        const observed = this.observedWeights?.value.model === model ? this.observedWeights : undefined;
+        if (
+            observed !== undefined && observed.at > (status?.at ?? -Infinity)
+            && now - observed.at < statusLifetime
+        ) {
+            return observed.value.version;
+        }
+        const weights = status?.value.weights ?? this.endpoint.weights;
+        return weights.find((entry) => entry.model === model)?.version;
+    }
+
+    /** True while the endpoint loads weights or is about to. */
+    isLoading(now: Milliseconds): boolean {
+        return this.freshStatus(now)?.value.loading ?? false;
+    }
+
+    /** True where the agent lately could not reach the endpoint. */
+    isDown(now: Milliseconds): boolean {
+        return this.freshStatus(now)?.value.weights.length === 0;
+    }
+
+    /** Requests that run or wait over all routers, as far as known. */
+    totalRunning(now: Milliseconds): number {
+        return this.running + this.freshLoads(now).reduce((sum, load) => sum + load.running, 0);
+    }
+
+    /** Prompt tokens that wait to be read over all routers, as far as known. */
+    totalWaitingTokens(now: Milliseconds): number {
+        return this.waitingTokens + this.freshLoads(now).reduce((sum, load) => sum + load.waitingTokens, 0);
+    }
+
+    isAvoided(now: Milliseconds): boolean {
+        return this.avoidUntil > now;
+    }
+
+    /** Leaves the endpoint out for a while. */
+    avoid(duration: Milliseconds, now: Milliseconds): void {
+        this.avoidUntil = Math.max(this.avoidUntil, now + duration);
+    }
+
+    observeStatus(status: ReplicaStatus, now: Milliseconds): void {
+        if (status.instance === undefined || status.instance === this.endpoint.instance) {
+            this.status = { value: status, at: now };
+        }
+    }
+
+    observeWeights(model: string, version: number, now: Milliseconds): void {
+        this.observedWeights = { value: { model, version }, at: now };
+    }
+
+    observeLoad(router: string, load: EndpointLoad | undefined, now: Milliseconds): void {
+        if (load === undefined) {
+            this.loads.delete(router);
+        }
+        else {
+            this.loads.set(router, { value: load, at: now });
+        }
+    }
+
+    /** Age of the agent's last word; infinite without one. */
+    statusAge(now: Milliseconds): Milliseconds {
+        return now - (this.status?.at ?? -Infinity);
+    }
+
+    private freshStatus(now: Milliseconds): Reported<ReplicaStatus> | undefined {
+        return this.status !== undefined && now - this.status.at < statusLifetime ? this.status : undefined;
+    }
+
+    private freshLoads(now: Milliseconds): EndpointLoad[] {
+        const loads: EndpointLoad[] = [];
+        for (const [router, load] of this.loads) {
+            if (now - load.at >= loadLifetime) {
+                this.loads.delete(router);
+                continue;
+            }
+            loads.push(load.value);
+        }
+        return loads;
+    }
+}
+
+/** Speed of a service's endpoints, learned from answers. */
+export class ServiceSpeed {
+    tokensPerMillisecond = initialTokensPerMillisecond;
+    baseLatency = initialBaseLatency;
+
+    /** Takes in the time to the first event of a request that had no other waiting before it. */
+    observe(uncachedTokens: number, latency: Milliseconds): void {
+        if (uncachedTokens >= minMeasuredTokens && latency > this.baseLatency) {
+            const speed = uncachedTokens / (latency - this.baseLatency);
+            this.tokensPerMillisecond += averageWeight * (speed - this.tokensPerMillisecond);
+        }
+        else if (uncachedTokens < minMeasuredTokens) {
+            const rest = latency - uncachedTokens / this.tokensPerMillisecond;
+            this.baseLatency += averageWeight * (Math.max(1, rest) - this.baseLatency);
+        }
+    }
+}
+
+/** Every endpoint that a router knows. */
+export class EndpointBoard {
+    private readonly views = new Map<string, EndpointView>();
+    private readonly byService = new Map<string, EndpointView[]>();
+    private readonly speeds = new Map<string, ServiceSpeed>();
+
+    constructor(private readonly onGone: (instance: string) => void) {}
+
+    /** Takes over the endpoints of the state. */
+    update(state: FleetState): void {
+        const instances = new Set<string>();
+        this.byService.clear();
+        for (const { endpoint } of state.endpoints()) {
+            instances.add(endpoint.instance);
+            const view = this.views.get(endpoint.instance) ?? new EndpointView(endpoint);
+            view.endpoint = endpoint;
+            this.views.set(endpoint.instance, view);
+            this.byService.set(endpoint.service, [...this.byService.get(endpoint.service) ?? [], view]);
+        }
+        for (const instance of this.views.keys()) {
+            if (!instances.has(instance)) {
+                this.views.delete(instance);
+                this.onGone(instance);
+            }
+        }
+    }
+
+    /** Endpoints of a service, leaving ones included. */
+    ofService(service: string): readonly EndpointView[] {
+        return this.byService.get(service) ?? [];
+    }
+
+    all(): IterableIterator<EndpointView> {
+        return this.views.values();
+    }
+
+    speed(service: string): ServiceSpeed {
+        const speed = this.speeds.get(service) ?? new ServiceSpeed();
+        this.speeds.set(service, speed);
+        return speed;
+    }
+
+    /** Takes in an agent's word of its replica, by the replica's address. */
+    observeStatus(status: ReplicaStatus, now: Milliseconds): void {
+        for (const view of this.views.values()) {
+            if (`${view.endpoint.host}:${view.endpoint.port}` === status.address) {
+                view.observeStatus(status, now);
+            }
+        }
+    }
+
+    /** Takes in another router's load. */
+    observeLoads(router: string, loads: readonly EndpointLoad[], now: Milliseconds): void {
+        const byInstance = new Map(loads.map((load) => [load.instance, load]));
+        for (const [instance, view] of this.views) {
+            view.observeLoad(router, byInstance.get(instance), now);
+        }
+    }
+
+    /** This router's own load, for peers. */
+    ownLoads(): EndpointLoad[] {
+        return [...this.views.values()]
+            .filter((view) => view.running > 0)
+            .map((view) => ({
+                instance: view.endpoint.instance,
+                waitingTokens: view.waitingTokens,
+                running: view.running,
+            }));
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/decision/endpointChoice.ts
@@ -0,0 +1,159 @@
+/**
+ * Chooses the endpoint that a request should be sent to, by what the caller would get there: the time to the first
+ * event against the route's target, and whether the weights are the ones that should run.
+ *
+ * @module
+ */
+import type { Milliseconds } from "@redwingpin/common";
+import type { NamedWeights } from "@redwingpin/fleet";
+import type { EndpointView, ServiceSpeed } from "./endpointBoard.js";
+
+/** Weights that were named this long ago count as old at endpoints that do not serve them yet. */
+export interface WeightsBounds {
+    /** Requests begun on older weights are worth less from this time on. */
+    readonly worthLessAfter: Milliseconds;
+    /** Part of a request's worth that is lost then. */
+    readonly lostShare: number;
+    /** No request may begin on older weights from this time on. */
+    readonly forbiddenAfter: Milliseconds;
+}
+
+/** What the choice is made from. */
+export interface ChoiceInput {
+    readonly views: readonly EndpointView[];
+    readonly now: Milliseconds;
+    readonly dataCentre: string;
+    readonly speed: ServiceSpeed;
+    readonly targetLatency: Milliseconds;
+    /** Time since the caller sent the request. */
+    readonly elapsed: Milliseconds;
+    /** Instances that were tried already. */
+    readonly tried: ReadonlySet<string>;
+    /** Present for requests to model engines. */
+    readonly prompt?: PromptNeeds;
+    readonly bounds: WeightsBounds;
+}
+
+/** What a request to a model engine needs. */
+export interface PromptNeeds {
+    readonly model: string;
+    readonly named: NamedWeights | undefined;
+    readonly promptTokens: number;
+    /** Tokens of the prompt that need no reading at an endpoint, and the time to fetch them. */
+    readonly ready: (view: EndpointView, version: number | undefined) => {
+        readonly tokens: number;
+        readonly fetchTime: Milliseconds;
+    };
+}
+
+/** A chosen endpoint. */
+export interface Choice {
+    readonly view: EndpointView;
+    /** Version of the weights that it is believed to serve. */
+    readonly version: number | undefined;
+    /** Tokens that it must read. */
+    readonly readTokens: number;
+    /** Predicted time to the first event, from now. */
+    readonly latency: Milliseconds;
+    /** Predicted part of the request's worth, from 0 to 1. */
+    readonly worth: number;
+}
+
+/** Extra time that a running request costs each event of the others. */
+const perRunningLatency: Milliseconds = 0.4;
+
+/** Weighs an endpoint in another data centre as this much slower: bytes between data centres cost. */
+const otherDataCentreLatency: Milliseconds = 4;
+
+/** Part of the target that a prediction may use before the request's worth is taken to fall. */
+const comfortableShare = 0.5;
+
+/** Multiple of the target at which a request's worth is taken to be that of a late one. */
+const lateShare = 1.3;
+
+/** Worth of a late request. */
+const lateWorth = 0.35;
+
+/** Differences in worth below this are decided by the latency. */
+const worthStep = 0.02;
+
+/** Chooses the best endpoint, or `undefined` where none can take the request. */
+export function chooseEndpoint(input: ChoiceInput): Choice | undefined {
+    const usable = input.views.filter((view) =>
+        !view.endpoint.leaving && !input.tried.has(view.endpoint.instance) && mayServe(view, input)
+    );
+    const tiers = [
+        usable.filter((view) => isCalm(view, input.now) && !view.health.isEjected(input.now)),
+        usable.filter((view) => isCalm(view, input.now)),
+    ];
+    for (const tier of tiers) {
+        const best = pickBest(tier.map((view) => evaluate(view, input)));
+        if (best !== undefined) {
+            return best;
+        }
+    }
+    return undefined;
+}
+
+function isCalm(view: EndpointView, now: Milliseconds): boolean {
+    return !view.isLoading(now) && !view.isAvoided(now);
+}
+
+function mayServe(view: EndpointView, input: ChoiceInput): boolean {
+    const named = input.prompt?.named;
+    if (input.prompt === undefined || named === undefined) {
+        return true;
+    }
+    const version = view.weightsVersion(input.prompt.model, input.now);
+    if (version === undefined) {
+        return false;
+    }
+    return version >= named.version || input.now - named.learnedAt < input.bounds.forbiddenAfter;
+}
+
+function pickBest(choices: readonly Choice[]): Choice | undefined {
+    let best: Choice | undefined;
+    for (const choice of choices) {
+        if (best === undefined || isBetter(choice, best)) {
+            best = choice;
+        }
+    }
+    return best;
+}
+
+function isBetter(left: Choice, right: Choice): boolean {
+    const difference = left.worth - right.worth;
+    return Math.abs(difference) > worthStep ? difference > 0 : left.latency < right.latency;
+}
+
+function evaluate(view: EndpointView, input: ChoiceInput): Choice {
+    const { now, prompt, speed } = input;
+    const version = prompt === undefined ? undefined : view.weightsVersion(prompt.model, now);
+    const ready = prompt?.ready(view, version) ?? { tokens: 0, fetchTime: 0 };
+    const readTokens = Math.max(0, (prompt?.promptTokens ?? 0) - ready.tokens);
+    const running = view.totalRunning(now);
+    const place = view.endpoint.dataCentre === input.dataCentre ? 0 : otherDataCentreLatency;
+    const latency = prompt === undefined
+        ? speed.baseLatency * (1 + running / Math.max(1, view.endpoint.slots)) + place
+        : speed.baseLatency + ready.fetchTime + running * perRunningLatency + place
+            + (view.totalWaitingTokens(now) + readTokens) / speed.tokensPerMillisecond;
+    const worth = timelyWorth(input.elapsed + latency, input.targetLatency) * weightsWorth(version, input);
+    return { view, version, readTokens, latency, worth };
+}
+
+function timelyWorth(latency: Milliseconds, target: Milliseconds): number {
+    const share = latency / Math.max(1, target);
+    if (share <= comfortableShare) {
+        return 1;
+    }
+    const progress = Math.min(1, (share - comfortableShare) / (lateShare - comfortableShare));
+    return 1 - progress * (1 - lateWorth);
+}
+
+function weightsWorth(version: number | undefined, input: ChoiceInput): number {
+    const named = input.prompt?.named;
+    if (named === undefined || version === undefined || version >= named.version) {
+        return 1;
+    }
+    return input.now - named.learnedAt < input.bounds.worthLessAfter ? 1 : 1 - input.bounds.lostShare;
+}
--- /dev/null
+++ b/packages/gateway/src/node/answerWriter.ts
@@ -0,0 +1,111 @@
+/**
+ * Writes to a caller: an endpoint's answer unchanged, the gateway's own refusals, and streams event by event.
+ *
+ * @module
+ */
+import type { Milliseconds } from "@redwingpin/common";
+import type { ServerResponse } from "node:http";
+import type { RawHeaders } from "../wireDialect.js";
+
+/** Header fields that concern one connection only. */
+const connectionHeaders: ReadonlySet<string> = new Set([
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+]);
+
+const millisecondsPerSecond = 1_000;
+
+/** Leaves out the fields that concern one connection only, those that `Connection` names included. */
+export function endToEndHeaders(raw: RawHeaders): string[] {
+    const named = new Set(connectionHeaders);
+    for (let index = 0; index < raw.length; index += 2) {
+        if (raw[index].toLowerCase() === "connection") {
+            raw[index + 1].split(",").forEach((name) => named.add(name.trim().toLowerCase()));
+        }
+    }
+    const kept: string[] = [];
+    for (let index = 0; index < raw.length; index += 2) {
+        if (!named.has(raw[index].toLowerCase())) {
+            kept.push(raw[index], raw[index + 1]);
+        }
+    }
+    return kept;
+}
+
+/** Value of a header field, or `undefined`. */
+export function headerValue(raw: RawHeaders, name: string): string | undefined {
+    for (let index = 0; index < raw.length; index += 2) {
+        if (raw[index].toLowerCase() === name) {
+            return raw[index + 1];
+        }
+    }
+    return undefined;
+}
+
+/** Seconds with fractions, rounded up. */
+export function retryAfterSeconds(duration: Milliseconds): string {
+    const hundredths = Math.ceil(Math.max(0, duration) * 100 / millisecondsPerSecond);
+    return String(hundredths / 100);
+}
+
+/** An answer that the gateway itself makes. */
+export interface OwnAnswer {
+    readonly status: number;
+    readonly code: string;
+    readonly message: string;
+    readonly retryAfter?: Milliseconds;
+    readonly headers: Readonly<Record<string, string>>;
+}
+
+/** Sends an answer of the gateway's own; nothing where the caller has left or has part of an answer. */
+export function writeOwnAnswer(response: ServerResponse, answer: OwnAnswer): void {
+    if (response.headersSent || response.destroyed) {
+        return;
+    }
+    const body = JSON.stringify({ error: { code: answer.code, message: answer.message } });
+    const retryAfter = answer.retryAfter === undefined
+        ? {}
+        : { "retry-after": retryAfterSeconds(answer.retryAfter) };
+    response.writeHead(answer.status, {
+        ...answer.headers,
+        ...retryAfter,
+        "content-type": "application/json",
+        "content-length": Buffer.byteLength(body),
+    });
+    response.end(body);
+}
+
+/** Sends an endpoint's whole answer. */
+export function writeWholeAnswer(
+    response: ServerResponse,
+    status: number,
+    rawHeaders: RawHeaders,
+    body: Buffer,
+): void {
+    if (response.destroyed) {
+        return;
+    }
+    writeHead(response, status, rawHeaders);
+    response.end(body);
+}
+
+/** Sends the head of an endpoint's stream. */
+export function writeStreamHead(response: ServerResponse, status: number, rawHeaders: RawHeaders): void {
+    writeHead(response, status, rawHeaders);
+    response.flushHeaders();
+}
+
+/** `writeHead` with a list drops what `setHeader` set; fields are therefore set one by one. */
+function writeHead(response: ServerResponse, status: number, rawHeaders: RawHeaders): void {
+    const fields = endToEndHeaders(rawHeaders);
+    for (let index = 0; index < fields.length; index += 2) {
+        response.appendHeader(fields[index], fields[index + 1]);
+    }
+    response.writeHead(status);
+}
--- /dev/null
+++ b/packages/gateway/src/node/attempt.ts
@@ -0,0 +1,244 @@
+/**
+ * One attempt at a request: sends it to the chosen endpoint, checks the answer and passes it on.
+ *
+ * A whole answer is passed on once it is complete and bears the request's identifier; a stream event by event, from its
+ * first event on. A stream that breaks off may go on at another endpoint in a further attempt.
+ *
+ * @module
+ */
+import { type CancelTimer, type Clock, RetryReason } from "@redwingpin/common";
+import { Delivery } from "@redwingpin/fleet";
+import type { ServerResponse } from "node:http";
+import type { AttemptOutcome } from "../decision/attemptPlan.js";
+import type { Choice } from "../decision/endpointChoice.js";
+import { EventStreamReader } from "../decision/eventStreamReader.js";
+import type { AnswerFacts, WireDialect } from "../wireDialect.js";
+import { headerValue, writeStreamHead, writeWholeAnswer } from "./answerWriter.js";
+import type { DirectRequest } from "./callerRequest.js";
+import { EndpointExchange, type ExchangeRequest } from "./endpointExchange.js";
+
+/** Largest whole answer that is passed on. */
+const maxAnswerBytes = 16_777_216;
+
+const firstErrorStatus = 400;
+const firstServerErrorStatus = 500;
+const okStatus = 200;
+const misdirectedStatus = 421;
+
+/** Statuses that promise callers that a request has not run. */
+export const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+/** What the caller has of a stream, over all attempts. */
+export interface StreamProgress {
+    /** True once the head has been written. */
+    started: boolean;
+    lastEvent: string | undefined;
+    events: number;
+}
+
+/** What an attempt reports as it goes. */
+export interface AttemptObserver {
+    /** The first event, or the whole answer, is there. */
+    onFirstAnswer(facts: AnswerFacts): void;
+    /** The endpoint serves other weights than expected. */
+    onOtherWeights(facts: AnswerFacts): void;
+}
+
+/** What an attempt needs. */
+export interface AttemptContext {
+    readonly clock: Clock;
+    readonly dialect: WireDialect;
+    readonly request: DirectRequest;
+    readonly response: ServerResponse;
+    readonly choice: Choice;
+    readonly exchange: ExchangeRequest;
+    readonly progress: StreamProgress;
+    readonly observer: AttemptObserver;
+}
+
+/** Runs one attempt to its end. */
+export function runAttempt(context: AttemptContext): Promise<AttemptOutcome> {
+    return new Promise((resolve) => new Attempt(context, resolve).start());
+}
+
+class Attempt {
+    private readonly reader = new EventStreamReader();
+    private readonly chunks: Buffer[] = [];
+    private bytes = 0;
+    private status = 0;
+    private rawHeaders: readonly string[] = [];
+    private facts: AnswerFacts = { sealed: false, notRun: false };
+    private streaming = false;
+    private over = false;
+    private exchange: EndpointExchange | undefined;
+    private cancelDeadline: CancelTimer = () => {};
+    private readonly onDrain = () => this.exchange?.resume();
+    private readonly onCallerClose = () => this.finish({ kind: "callerGone" });
+
+    constructor(
+        private readonly context: AttemptContext,
+        private readonly resolve: (outcome: AttemptOutcome) => void,
+    ) {}
+
+    start(): void {
+        const { clock, request, response } = this.context;
+        if (response.destroyed) {
+            this.finish({ kind: "callerGone" });
+            return;
+        }
+        response.on("drain", this.onDrain);
+        response.on("close", this.onCallerClose);
+        const left = request.deadline - clock.now();
+        this.cancelDeadline = clock.schedule(left, () => this.finish({ kind: "timedOut" }));
+        this.exchange = new EndpointExchange(this.context.exchange, {
+            onHead: (status, rawHeaders) => this.onHead(status, rawHeaders),
+            onData: (chunk) => this.onData(chunk),
+            onEnd: () => this.onEnd(),
+            onBroken: (detail, sent) => this.onBroken(detail, sent),
+        });
+    }
+
+    private finish(outcome: AttemptOutcome): void {
+        if (this.over) {
+            return;
+        }
+        this.over = true;
+        this.cancelDeadline();
+        this.context.response.off("drain", this.onDrain);
+        this.context.response.off("close", this.onCallerClose);
+        if (outcome.kind !== "delivered" && outcome.kind !== "failed" && outcome.kind !== "notRun") {
+            this.exchange?.abort();
+        }
+        this.resolve(outcome);
+    }
+
+    private onHead(status: number, rawHeaders: readonly string[]): void {
+        this.status = status;
+        this.rawHeaders = rawHeaders;
+        this.facts = this.context.dialect.readAnswer(rawHeaders);
+        const problem = this.headProblem();
+        if (problem !== undefined) {
+            this.finish({ kind: "broken", detail: problem });
+            return;
+        }
+        this.streaming = status === okStatus && this.context.request.route.delivery === Delivery.EventStream;
+    }
+
+    /** What shows that the answer is not the one to this request. */
+    private headProblem(): string | undefined {
+        const { facts } = this;
+        if (facts.attempt !== undefined && facts.attempt !== this.context.request.facts.attempt) {
+            return `the answer belongs to request "${facts.attempt}"`;
+        }
+        if (facts.notRun) {
+            return undefined;
+        }
+        if (this.status < firstErrorStatus && !facts.sealed) {
+            return `an answer of status ${this.status} that the endpoint does not vouch for`;
+        }
+        return headerValue(this.rawHeaders, "content-encoding") === undefined
+            ? undefined
+            : "the answer is encoded, though no encoding was asked for";
+    }
+
+    private onData(chunk: Buffer): boolean {
+        if (this.over) {
+            return true;
+        }
+        if (this.streaming) {
+            return this.forwardEvents(chunk);
+        }
+        this.bytes += chunk.length;
+        if (this.bytes > maxAnswerBytes) {
+            this.finish({ kind: "broken", detail: `an answer of more than ${maxAnswerBytes} bytes` });
+            return true;
+        }
+        this.chunks.push(chunk);
+        return true;
+    }
+
+    /** Passes whole events on; returns false where the caller should be waited for. */
+    private forwardEvents(chunk: Buffer): boolean {
+        const { progress, response } = this.context;
+        let writable = true;
+        for (const event of this.reader.read(chunk)) {
+            if (this.isRepeated(event.identifier)) {
+                continue;
+            }
+            if (!progress.started) {
+                writeStreamHead(response, this.status, this.rawHeaders);
+                progress.started = true;
+            }
+            if (progress.events === 0) {
+                this.context.observer.onFirstAnswer(this.facts);
+            }
+            progress.events += 1;
+            progress.lastEvent = event.identifier ?? progress.lastEvent;
+            writable = response.write(event.bytes);
+        }
+        if (this.reader.isOverlong) {
+            this.finish({ kind: "broken", detail: "an event that is too long" });
+        }
+        return writable;
+    }
+
+    /** True for an event of a resumed stream that the caller has already. */
+    private isRepeated(identifier: string | undefined): boolean {
+        const last = this.context.progress.lastEvent;
+        return identifier !== undefined && last !== undefined && Number(identifier) <= Number(last);
+    }
+
+    private onEnd(): void {
+        if (this.streaming) {
+            this.finish(this.endStream());
+            return;
+        }
+        this.finish(this.endWhole());
+    }
+
+    private endStream(): AttemptOutcome {
+        const { progress, response } = this.context;
+        if (this.reader.hasPartialEvent) {
+            return { kind: "broken", detail: "the stream ended in the middle of an event" };
+        }
+        if (!progress.started) {
+            return { kind: "broken", detail: "the stream ended before its first event" };
+        }
+        response.end();
+        return { kind: "delivered" };
+    }
+
+    private endWhole(): AttemptOutcome {
+        const { facts, status } = this;
+        if (facts.notRun) {
+            if (status === misdirectedStatus) {
+                this.context.observer.onOtherWeights(facts);
+            }
+            return { kind: "notRun", reason: notRunReason(status), reached: true };
+        }
+        const body = Buffer.concat(this.chunks);
+        if (status >= firstServerErrorStatus || notRunStatuses.has(status)) {
+            return { kind: "failed", answer: { status, rawHeaders: this.rawHeaders, body } };
+        }
+        if (this.context.progress.started) {
+            return { kind: "broken", detail: `a resumed stream was answered with status ${status}` };
+        }
+        this.context.observer.onFirstAnswer(facts);
+        writeWholeAnswer(this.context.response, status, this.rawHeaders, body);
+        return { kind: "delivered" };
+    }
+
+    private onBroken(detail: string, sent: boolean): void {
+        this.finish(
+            sent
+                ? { kind: "broken", detail }
+                : { kind: "notRun", reason: RetryReason.ConnectFailed, reached: false },
+        );
+    }
+}
+
+function notRunReason(status: number): RetryReason {
+    return status === misdirectedStatus
+        ? RetryReason.AgentDeclinedVersion
+        : RetryReason.AgentDeclinedQueueFull;
+}
--- /dev/null
+++ b/packages/gateway/src/node/callerChecks.ts
@@ -0,0 +1,171 @@
+/**
+ * Checks of a caller's request, in order: configuration, route, key, header fields, body, limits of the account.
+ *
+ * @module
+ */
+import { digestOf, type Milliseconds, RefusalReason } from "@redwingpin/common";
+import type { DirectAccount, DirectRoute } from "@redwingpin/fleet";
+import { err, ok, type Result } from "neverthrow";
+import type { IncomingMessage } from "node:http";
+import { chooseTarget, type RouteTable } from "../decision/routeTable.js";
+import type { SharedLedger } from "../decision/sharedLedger.js";
+import type { CallerFacts, WireDialect } from "../wireDialect.js";
+import type { DirectRequest } from "./callerRequest.js";
+
+/** A request that is not served. It has not run. */
+export interface CheckFailure {
+    readonly status: number;
+    readonly reason: RefusalReason;
+    readonly message: string;
+    readonly retryAfter?: Milliseconds;
+    readonly attempt?: string;
+    /** Level of the account's bucket, where that decided. */
+    readonly level?: number;
+}
+
+/** When to come back to a router that has no configuration yet. */
+const notConfiguredRetryAfter: Milliseconds = 300;
+
+/** Part of the time between a router's decision and the caller's reading it. */
+const answerMargin: Milliseconds = 5;
+
+/** What the checks need. */
+export interface CheckContext {
+    readonly dialect: WireDialect;
+    readonly ledger: SharedLedger;
+    readonly table: () => RouteTable | undefined;
+    readonly now: () => Milliseconds;
+    readonly random: () => number;
+}
+
+/** A request whose head passed the checks. */
+export interface CheckedHead {
+    readonly table: RouteTable;
+    readonly route: DirectRoute;
+    readonly account: DirectAccount | undefined;
+    readonly facts: CallerFacts;
+}
+
+/** Checks everything that the head shows. */
+export function checkHead(
+    context: CheckContext,
+    request: IncomingMessage,
+): Result<CheckedHead, CheckFailure> {
+    const table = context.table();
+    if (table === undefined) {
+        return err({
+            status: 503,
+            reason: RefusalReason.NotConfigured,
+            message: "no configuration is known yet",
+            retryAfter: notConfiguredRetryAfter,
+        });
+    }
+    const { limits } = table.configuration;
+    if (headerBytes(request) > limits.headerBytes) {
+        const message = `the header has more than ${limits.headerBytes} bytes`;
+        return err({ status: 431, reason: RefusalReason.MalformedRequest, message });
+    }
+    const route = table.findRoute(request.headers.host, request.url ?? "/");
+    if (route === undefined) {
+        const message = `no route for host "${request.headers.host ?? ""}" and this path`;
+        return err({ status: 404, reason: RefusalReason.RouteNotFound, message });
+    }
+    const facts = context.dialect.readRequest(request.headers);
+    if (facts.isErr()) {
+        return err({ status: 400, reason: RefusalReason.MalformedRequest, message: facts.error });
+    }
+    return findAccount(table, route, facts.value).map((account) => ({
+        table,
+        route,
+        account,
+        facts: facts.value,
+    }));
+}
+
+function findAccount(
+    table: RouteTable,
+    route: DirectRoute,
+    facts: CallerFacts,
+): Result<DirectAccount | undefined, CheckFailure> {
+    if (route.open || !table.hasAccounts) {
+        return ok(undefined);
+    }
+    const { attempt, credential } = facts;
+    if (credential === undefined) {
+        const message = `route "${route.name}" needs a key`;
+        return err({ status: 401, reason: RefusalReason.MissingKey, message, attempt });
+    }
+    const account = table.findAccount(credential);
+    return account === undefined
+        ? err({ status: 401, reason: RefusalReason.UnknownKey, message: "the key is not known", attempt })
+        : ok(account);
+}
+
+/** Completes the checks once the body is there; the account is charged. */
+export function checkWhole(
+    context: CheckContext,
+    head: CheckedHead,
+    request: IncomingMessage,
+    body: Buffer,
+    arrival: Milliseconds,
+): Result<DirectRequest, CheckFailure> {
+    const { account, facts, route, table } = head;
+    const target = chooseTarget(route.targets, context.random());
+    const service = target === undefined ? undefined : table.service(target);
+    if (service === undefined) {
+        const message = `route "${route.name}" leads to no service`;
+        const retryAfter = notConfiguredRetryAfter;
+        return err({
+            status: 503,
+            reason: RefusalReason.NoEndpoint,
+            message,
+            retryAfter,
+            attempt: facts.attempt,
+        });
+    }
+    const tokens = chargedTokens(facts, account);
+    const spent = account === undefined
+        ? { admitted: true as const }
+        : context.ledger.spend(account.name, tokens, context.now());
+    if (!spent.admitted) {
+        return err({
+            status: 429,
+            reason: RefusalReason.RateExceeded,
+            message: `account "${account?.name}" has used up its rate`,
+            retryAfter: spent.retryAfter,
+            attempt: facts.attempt,
+            level: spent.level,
+        });
+    }
+    const url = request.url ?? "/";
+    const patience = Math.min(facts.patience ?? Infinity, route.timeout) - answerMargin;
+    return ok({
+        facts,
+        table,
+        route,
+        service,
+        account,
+        method: request.method ?? "GET",
+        url,
+        rawHeaders: request.rawHeaders,
+        body,
+        arrival,
+        deadline: arrival + patience,
+        fingerprint: digestOf(account?.name ?? "", url, body).slice(0, fingerprintDigits),
+        tokens,
+    });
+}
+
+const fingerprintDigits = 32;
+
+function chargedTokens(facts: CallerFacts, account: DirectAccount | undefined): number {
+    if (account === undefined || account.countsRequests) {
+        return 1;
+    }
+    return facts.namesTokens ? facts.promptTokens + facts.outputTokens : account.tokensPerPlainRequest;
+}
+
+function headerBytes(request: IncomingMessage): number {
+    const fieldOverhead = 2;
+    return request.rawHeaders.reduce((sum, text) => sum + text.length + fieldOverhead, 0);
+}
--- /dev/null
+++ b/packages/gateway/src/node/callerRequest.ts
@@ -0,0 +1,29 @@
+/**
+ * A caller's request on its way through the gateway, after its checks.
+ *
+ * @module
+ */
+import type { Milliseconds } from "@redwingpin/common";
+import type { DirectAccount, DirectRoute, DirectService } from "@redwingpin/fleet";
+import type { RouteTable } from "../decision/routeTable.js";
+import type { CallerFacts } from "../wireDialect.js";
+
+/** A request that may be sent to endpoints. */
+export interface DirectRequest {
+    readonly facts: CallerFacts;
+    readonly table: RouteTable;
+    readonly route: DirectRoute;
+    readonly service: DirectService;
+    readonly account: DirectAccount | undefined;
+    readonly method: string;
+    readonly url: string;
+    readonly rawHeaders: readonly string[];
+    readonly body: Buffer;
+    readonly arrival: Milliseconds;
+    /** When the caller must have an answer. */
+    readonly deadline: Milliseconds;
+    /** Digest of account, path and body, by which a request that crashes endpoints is known. */
+    readonly fingerprint: string;
+    /** Tokens that the account was charged. */
+    readonly tokens: number;
+}
--- /dev/null
+++ b/packages/gateway/src/node/directServer.ts
@@ -0,0 +1,265 @@
+/**
+ * The callers' HTTP server of direct routes.
+ *
+ * @module
+ */
+import type { Clock, Logger, Milliseconds } from "@redwingpin/common";
+import { RefusalReason } from "@redwingpin/common";
+import type { CallerLimits } from "@redwingpin/fleet";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import type { RequestOutcome } from "../decision/attemptPlan.js";
+import type { WireDialect } from "../wireDialect.js";
+import { writeOwnAnswer } from "./answerWriter.js";
+import {
+    type CheckContext,
+    type CheckedHead,
+    type CheckFailure,
+    checkHead,
+    checkWhole,
+} from "./callerChecks.js";
+import type { DirectRequest } from "./callerRequest.js";
+import type { GatewayMetrics } from "./gatewayMetrics.js";
+
+/** Largest header that is read at all; the configuration's own limit is checked afterwards. */
+const maxHeaderBytes = 65_536;
+
+/** How often the server looks for requests that take too long to arrive. */
+const timeoutCheckInterval: Milliseconds = 1_000;
+
+/** Time that a caller may take for a whole request with its body. */
+const requestTimeout: Milliseconds = 30_000;
+
+/** When to come back where the bodies of running requests fill the memory set aside for them. */
+const memoryRetryAfter: Milliseconds = 500;
+
+/** What the server needs. */
+export interface DirectServerContext {
+    readonly clock: Clock;
+    readonly logger: Logger;
+    readonly metrics: GatewayMetrics;
+    readonly dialect: WireDialect;
+    readonly checks: CheckContext;
+    /** True while the process leaves: each connection closes after its answer. */
+    readonly stopping: () => boolean;
+    /** Bytes of callers' bodies that may be held at once. */
+    readonly maxHeldBytes: number;
+    readonly serve: (request: DirectRequest, response: ServerResponse) => Promise<RequestOutcome>;
+    /** Takes back what a request was charged that has not run. */
+    readonly refund: (request: DirectRequest) => void;
+}
+
+/** Serves callers. */
+export class DirectServer {
+    private readonly server: Server;
+    private heldBytes = 0;
+    private running = 0;
+
+    constructor(private readonly context: DirectServerContext) {
+        this.server = createServer({
+            maxHeaderSize: maxHeaderBytes,
+            connectionsCheckingInterval: timeoutCheckInterval,
+            requestTimeout,
+        }, (request, response) => void this.handle(request, response));
+        this.server.on(
+            "clientError",
+            (error: NodeJS.ErrnoException, socket) => answerBroken(error, socket as Socket),
+        );
+    }
+
+    /** Requests that are being served. */
+    get runningRequests(): number {
+        return this.running;
+    }
+
+    /** Takes over the limits of a configuration. */
+    setLimits(limits: CallerLimits): void {
+        this.server.headersTimeout = limits.headerTimeout;
+        this.server.keepAliveTimeout = limits.idleTimeout;
+    }
+
+    listen(host: string, port: number): Promise<void> {
+        return new Promise((resolve, reject) => {
+            this.server.once("error", reject);
+            this.server.listen(port, host, () => resolve());
+        });
+    }
+
+    /** Takes no more connections and closes those without a request. */
+    closeIdle(): void {
+        if (this.server.listening) {
+            this.server.close();
+        }
+        this.server.closeIdleConnections();
+    }
+
+    /** Closes everything at once. */
+    stop(): void {
+        this.closeIdle();
+        this.server.closeAllConnections();
+    }
+
+    private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const arrival = this.context.clock.now();
+        response.on("error", () => response.destroy());
+        if (this.context.stopping()) {
+            response.setHeader("connection", "close");
+        }
+        this.running += 1;
+        try {
+            await this.serve(request, response, arrival);
+        }
+        catch (error) {
+            this.context.logger.error("a request failed inside the gateway", { error: String(error) });
+            response.destroy();
+        }
+        finally {
+            this.running -= 1;
+        }
+    }
+
+    private async serve(
+        request: IncomingMessage,
+        response: ServerResponse,
+        arrival: Milliseconds,
+    ): Promise<void> {
+        const head = checkHead(this.context.checks, request);
+        if (head.isErr()) {
+            this.refuse(request, response, head.error);
+            return;
+        }
+        const { attempt } = head.value.facts;
+        const limit = head.value.table.configuration.limits.bodyBytes;
+        const body = await this.readBody(request, limit, attempt);
+        if (body === undefined) {
+            return;
+        }
+        if ("status" in body) {
+            this.refuse(request, response, body);
+            return;
+        }
+        try {
+            await this.serveWhole(head.value, request, response, body.bytes, arrival);
+        }
+        finally {
+            this.heldBytes -= body.bytes.length;
+        }
+    }
+
+    private async serveWhole(
+        head: CheckedHead,
+        request: IncomingMessage,
+        response: ServerResponse,
+        body: Buffer,
+        arrival: Milliseconds,
+    ): Promise<void> {
+        const { checks, clock, logger } = this.context;
+        const whole = checkWhole(checks, head, request, body, arrival);
+        if (whole.isErr()) {
+            this.refuse(request, response, whole.error);
+            return;
+        }
+        const direct = whole.value;
+        const outcome = await this.context.serve(direct, response);
+        if (outcome.kind === "refused") {
+            this.context.refund(direct);
+        }
+        logger.info("request", {
+            request: direct.facts.attempt,
+            route: direct.route.name,
+            service: direct.service.name,
+            account: direct.account?.name,
+            outcome: outcome.kind,
+            reason: outcome.kind === "refused" ? outcome.reason : undefined,
+            detail: outcome.kind === "unknown" ? outcome.detail : undefined,
+            tokens: direct.tokens,
+            took: Math.round(clock.now() - arrival),
+            configuration: direct.table.configuration.version,
+        });
+    }
+
+    private refuse(request: IncomingMessage, response: ServerResponse, failure: CheckFailure): void {
+        const { dialect, logger, metrics } = this.context;
+        metrics.refused(failure.reason);
+        logger.info("refused", {
+            request: failure.attempt,
+            reason: failure.reason,
+            status: failure.status,
+            message: failure.message,
+            level: failure.level,
+            retryAfter: failure.retryAfter === undefined ? undefined : Math.round(failure.retryAfter),
+        });
+        if (!request.complete) {
+            response.setHeader("connection", "close");
+        }
+        writeOwnAnswer(response, {
+            status: failure.status,
+            code: failure.reason,
+            message: failure.message,
+            retryAfter: failure.retryAfter,
+            headers: dialect.ownAnswerHeaders(failure.attempt),
+        });
+    }
+
+    /** Reads a body; `undefined` where the caller closed its connection. */
+    private readBody(
+        request: IncomingMessage,
+        limit: number,
+        attempt: string,
+    ): Promise<{ readonly bytes: Buffer; } | CheckFailure | undefined> {
+        return new Promise((resolve) => {
+            const chunks: Buffer[] = [];
+            let bytes = 0;
+            const fail = (failure: CheckFailure | undefined) => {
+                this.heldBytes -= bytes;
+                bytes = 0;
+                chunks.length = 0;
+                request.removeAllListeners("data");
+                request.resume();
+                resolve(failure);
+            };
+            request.on("data", (chunk: Buffer) => {
+                bytes += chunk.length;
+                this.heldBytes += chunk.length;
+                chunks.push(chunk);
+                if (bytes > limit) {
+                    const message = `the body has more than ${limit} bytes`;
+                    fail({ status: 413, reason: RefusalReason.BodyTooLarge, message, attempt });
+                }
+                else if (this.heldBytes > this.context.maxHeldBytes) {
+                    const message = "too many bytes of other requests are held";
+                    const retryAfter = memoryRetryAfter;
+                    fail({ status: 503, reason: RefusalReason.QueueFull, message, attempt, retryAfter });
+                }
+            });
+            request.once("end", () => resolve({ bytes: Buffer.concat(chunks, bytes) }));
+            request.once("close", () => {
+                if (!request.complete) {
+                    fail(undefined);
+                }
+            });
+            request.once("error", () => fail(undefined));
+        });
+    }
+}
+
+/** Answers a request that can not be parsed, or did not arrive in time. */
+function answerBroken(error: NodeJS.ErrnoException, socket: Socket): void {
+    if (!socket.writable || error.code === "ECONNRESET") {
+        socket.destroy();
+        return;
+    }
+    const status = brokenStatus(error.code);
+    socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`);
+}
+
+function brokenStatus(code: string | undefined): string {
+    switch (code) {
+        case "HPE_HEADER_OVERFLOW":
+            return "431 Request Header Fields Too Large";
+        case "ERR_HTTP_REQUEST_TIMEOUT":
+            return "408 Request Timeout";
+        default:
+            return "400 Bad Request";
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/node/endpointConnections.ts
@@ -0,0 +1,95 @@
+/**
+ * Connections to endpoints, over Node's own HTTP client: undici takes a chunked answer that ends before its last chunk
+ * for complete where the endpoint announced that it will close the connection, and an answer without a length for
+ * complete after a reset. Node's client tells both apart.
+ *
+ * @module
+ */
+import type { DirectEndpoint } from "@redwingpin/fleet";
+import { Agent, type AgentOptions, type ClientRequest, type IncomingMessage } from "node:http";
+import type { Socket } from "node:net";
+import type { Duplex } from "node:stream";
+
+/** Idle connections are closed after this time, or before the time that the endpoint states. */
+const idleTimeMilliseconds = 3_000;
+
+/** A connection is not used again in the last part of the time for which the endpoint keeps it. */
+const idleMarginMilliseconds = 600;
+
+const keepAlivePattern = /timeout=(\d+)/i;
+const millisecondsPerSecond = 1_000;
+
+/** Idle connections kept to one endpoint. */
+const maxIdleConnections = 8;
+
+/** Keeps connections to one endpoint, and closes an idle one on which bytes arrive. */
+class EndpointAgent extends Agent {
+    private readonly strangers = new WeakMap<Duplex, () => void>();
+
+    constructor(options: AgentOptions) {
+        super({ ...options, keepAlive: true, scheduling: "lifo", maxFreeSockets: maxIdleConnections });
+    }
+
+    override keepSocketAlive(socket: Duplex): boolean {
+        const idle = idleTime(socket);
+        if (idle <= 0) {
+            return false;
+        }
+        const kept = super.keepSocketAlive(socket) as unknown as boolean;
+        (socket as Socket).setTimeout(idle);
+        // No request waits: whatever arrives belongs to none.
+        const onStray = () => void socket.destroy();
+        this.strangers.set(socket, onStray);
+        socket.on("data", onStray);
+        return kept;
+    }
+
+    override reuseSocket(socket: Duplex, request: ClientRequest): void {
+        const onStray = this.strangers.get(socket);
+        if (onStray !== undefined) {
+            socket.off("data", onStray);
+        }
+        (socket as Socket).setTimeout(0);
+        super.reuseSocket(socket, request);
+    }
+}
+
+function idleTime(socket: Duplex): number {
+    const answer = (socket as { _httpMessage?: { res?: IncomingMessage; }; })._httpMessage?.res;
+    const stated = keepAlivePattern.exec(String(answer?.headers["keep-alive"] ?? ""));
+    const limit = stated === null // eslint-disable-line no-restricted-syntax -- RegExp.exec returns null
+        ? idleTimeMilliseconds
+        : Number(stated[1]) * millisecondsPerSecond - idleMarginMilliseconds;
+    return Math.min(idleTimeMilliseconds, limit);
+}
+
+/** The connections of a router, by endpoint. */
+export class EndpointConnections {
+    private readonly agents = new Map<string, EndpointAgent>();
+
+    /** The connections to an endpoint. */
+    agentOf(endpoint: DirectEndpoint, maxConnections: number): Agent {
+        let agent = this.agents.get(endpoint.instance);
+        if (agent === undefined) {
+            agent = new EndpointAgent({ maxSockets: Math.max(1, maxConnections) });
+            this.agents.set(endpoint.instance, agent);
+        }
+        return agent;
+    }
+
+    /** Closes idle connections to an endpoint that is gone; running requests go on. */
+    forget(instance: string): void {
+        const agent = this.agents.get(instance);
+        this.agents.delete(instance);
+        for (const socket of Object.values(agent?.freeSockets ?? {}).flat()) {
+            socket?.destroy();
+        }
+    }
+
+    /** Closes every connection. */
+    stop(): void {
+        for (const agent of this.agents.values()) {
+            agent.destroy();
+        }
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/node/endpointExchange.ts
@@ -0,0 +1,105 @@
+/**
+ * One request to one endpoint and its answer.
+ *
+ * @module
+ */
+import type { DirectEndpoint } from "@redwingpin/fleet";
+import { type Agent, type ClientRequest, type IncomingMessage, request as httpRequest } from "node:http";
+
+/** What is sent. */
+export interface ExchangeRequest {
+    readonly endpoint: DirectEndpoint;
+    readonly method: string;
+    /** Path and query as the caller sent them. */
+    readonly url: string;
+    /** Name, value, name, value. */
+    readonly headers: readonly string[];
+    readonly body: Buffer;
+    /** Kept connections; a new one, closed after the answer, where there are none. */
+    readonly agent: Agent | undefined;
+}
+
+/** Takes in an answer as it arrives. */
+export interface ExchangeListener {
+    onHead(status: number, rawHeaders: readonly string[]): void;
+    /** Returns false to pause the answer until {@link EndpointExchange.resume}. */
+    onData(chunk: Buffer): boolean;
+    /** The answer is complete. */
+    onEnd(): void;
+    /** No complete answer will come; `sent` is false where nothing of the request can have arrived. */
+    onBroken(detail: string, sent: boolean): void;
+}
+
+/** A running exchange. */
+export class EndpointExchange {
+    private readonly request: ClientRequest;
+    private answer: IncomingMessage | undefined;
+    private sent = false;
+    private over = false;
+
+    constructor(what: ExchangeRequest, private readonly listener: ExchangeListener) {
+        this.request = httpRequest({
+            host: what.endpoint.host,
+            port: what.endpoint.port,
+            method: what.method,
+            path: what.url,
+            headers: what.headers as unknown as NodeJS.Dict<string>,
+            agent: what.agent ?? false,
+            setHost: false,
+        });
+        this.request.once("socket", (socket) => {
+            if (socket.connecting) {
+                socket.once("connect", () => this.sent = true);
+            }
+            else {
+                this.sent = true;
+            }
+        });
+        this.request.once("response", (answer) => this.onResponse(answer));
+        this.request.on("error", (error) => this.broken(error.message));
+        this.request.end(what.body);
+    }
+
+    /** Goes on after a pause. */
+    resume(): void {
+        this.answer?.resume();
+    }
+
+    /** Closes the connection; the listener hears no more. */
+    abort(): void {
+        this.over = true;
+        this.request.destroy();
+    }
+
+    private onResponse(answer: IncomingMessage): void {
+        if (this.over) {
+            return;
+        }
+        this.answer = answer;
+        answer.on("data", (chunk: Buffer) => {
+            if (!this.over && !this.listener.onData(chunk)) {
+                answer.pause();
+            }
+        });
+        answer.on("error", (error) => this.broken(error.message));
+        answer.on("end", () => {
+            if (!answer.complete) {
+                this.broken("the answer ended before it was complete");
+            }
+            else if (!this.over) {
+                this.over = true;
+                this.listener.onEnd();
+            }
+        });
+        answer.on("close", () => this.broken("the connection closed in the middle of the answer"));
+        this.listener.onHead(answer.statusCode ?? 0, answer.rawHeaders);
+    }
+
+    private broken(detail: string): void {
+        if (!this.over) {
+            this.over = true;
+            this.request.destroy();
+            this.listener.onBroken(detail, this.sent);
+        }
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/node/gateway.ts
@@ -0,0 +1,445 @@
+/**
+ * The gateway: serves callers of direct routes, follows the store and keeps in touch with peers.
+ *
+ * @module
+ */
+import {
+    type CancelTimer,
+    type Clock,
+    listenOn,
+    type Logger,
+    maxSeed,
+    type Milliseconds,
+    seededRandom,
+    sleep,
+} from "@redwingpin/common";
+import {
+    type AccountSpending,
+    type DirectEndpoint,
+    FactKind,
+    type FleetFact,
+    type FleetReading,
+    FleetScope,
+    type FleetSource,
+    FleetState,
+    FleetSync,
+    type PeerReport,
+    StoreFollower,
+} from "@redwingpin/fleet";
+import { type FleetKeys, type Hello, type InnerAddress, InnerNode, ProcessRole } from "@redwingpin/protocol";
+import { randomInt, randomUUID } from "node:crypto";
+import { createServer, type Server } from "node:http";
+import type { Registry } from "prom-client";
+import { CrashBook } from "../decision/crashBook.js";
+import { EndpointBoard } from "../decision/endpointBoard.js";
+import type { WeightsBounds } from "../decision/endpointChoice.js";
+import { PrefixHomes } from "../decision/prefixHomes.js";
+import { RetryAllowance, type RetryBudgetBounds } from "../decision/retryAllowance.js";
+import { RouteTable } from "../decision/routeTable.js";
+import { SharedLedger } from "../decision/sharedLedger.js";
+import type { WireDialect } from "../wireDialect.js";
+import { DirectServer } from "./directServer.js";
+import { EndpointConnections } from "./endpointConnections.js";
+import { GatewayMetrics } from "./gatewayMetrics.js";
+import { serveRequest } from "./requestTask.js";
+
+/** An address to listen on. */
+export interface ListenAddress {
+    readonly host: string;
+    readonly port: number;
+}
+
+/** Everything that a gateway is told at its start. */
+export interface ResolvedGatewayConfig {
+    readonly instance: string;
+    readonly dataCentre: string;
+    readonly fleetKeys: FleetKeys;
+    readonly callers: ListenAddress;
+    /** Where the balancer asks whether this router should get connections. */
+    readonly readiness: ListenAddress;
+    readonly readinessPath: string;
+    readonly inner: InnerAddress;
+    /** Routers to ask first. */
+    readonly seeds: readonly InnerAddress[];
+    /** True only at the very first start of the whole fleet. */
+    readonly fleetIsNew: boolean;
+    readonly retryBudget: RetryBudgetBounds;
+    readonly weights: WeightsBounds;
+    /** Tokens that an account may spend beyond its rate and burst, over all routers. */
+    readonly rateTolerance: number;
+    /** Longest time from a signal to stop to the end of the process. */
+    readonly stopWithin: Milliseconds;
+    /** Bytes of callers' bodies that may be held at once. */
+    readonly maxHeldBytes: number;
+}
+
+/** What a gateway is made from. */
+export interface GatewayOptions {
+    readonly config: ResolvedGatewayConfig;
+    readonly clock: Clock;
+    readonly logger: Logger;
+    readonly registry: Registry;
+    readonly source: FleetSource;
+    readonly dialect: WireDialect;
+    /** Where the agent beside an endpoint listens; `undefined` for endpoints without one. */
+    readonly agentOf: (endpoint: DirectEndpoint) => InnerAddress | undefined;
+}
+
+/** Wait of one call that follows the store; a connection that went silent is noticed after about this time. */
+const followWait: Milliseconds = 3_000;
+
+/** Registrations change in series; one call takes in what changes within this time. */
+const registrationGather: Milliseconds = 120;
+
+/** Interval of the housekeeping. */
+const housekeepingInterval: Milliseconds = 150;
+
+/** Housekeeping rounds after which peers are taken to have heard what was spent. */
+const reportedAfterRounds = 3;
+
+/** Part of the tolerance of an account with which buckets start after a restart of every router. */
+const startingTolerance = 0.4;
+
+/** A router takes over its peers' levels during this time after its start. */
+const adoptFor: Milliseconds = 2_500;
+
+/** The balancer may send connections for this part of the time to stop. */
+const acceptShare = 0.5;
+
+/** Time for the last answers to leave before the process must end. */
+const stopMargin: Milliseconds = 800;
+
+/** Serves callers of direct routes. */
+export class Gateway {
+    private readonly state = new FleetState();
+    private readonly homes = new PrefixHomes();
+    private readonly connections = new EndpointConnections();
+    private readonly crashes = new CrashBook();
+    private readonly board: EndpointBoard;
+    private readonly ledger: SharedLedger;
+    private readonly innerNode: InnerNode;
+    private readonly sync: FleetSync;
+    private readonly followers: readonly StoreFollower[];
+    private readonly server: DirectServer;
+    private readonly readiness: Server;
+    private readonly random = seededRandom(randomInt(maxSeed));
+    private readonly incarnation = randomUUID();
+    private readonly startedAt: Milliseconds;
+    private readonly spentBefore: AccountSpending[][] = [];
+    private table: RouteTable | undefined;
+    private endpointsKnown = false;
+    private adopted = false;
+    private stopping = false;
+    private cancelHousekeeping: CancelTimer = () => {};
+
+    constructor(private readonly options: GatewayOptions) {
+        const { clock, config } = options;
+        this.startedAt = clock.now();
+        this.board = new EndpointBoard((instance) => this.endpointGone(instance));
+        this.ledger = new SharedLedger({
+            startsFull: config.fleetIsNew,
+            startingTokens: config.rateTolerance * startingTolerance,
+        });
+        this.innerNode = this.createInnerNode();
+        this.sync = this.createSync();
+        this.followers = [
+            this.createFollower(FleetScope.Operator, 0),
+            this.createFollower(FleetScope.Endpoints, registrationGather),
+        ];
+        this.server = this.createServer();
+        this.readiness = createServer((request, response) => {
+            const known = request.url === config.readinessPath;
+            response.writeHead(known ? (this.isReady() ? 200 : 503) : 404, { "content-length": 0 });
+            response.end();
+        });
+    }
+
+    /** Starts to serve. */
+    async start(): Promise<void> {
+        const { config } = this.options;
+        await this.innerNode.listen(config.inner.host, config.inner.port);
+        await listenOn(this.readiness, config.readiness.host, config.readiness.port);
+        await this.server.listen(config.callers.host, config.callers.port);
+        this.followers.forEach((follower) => follower.start());
+        this.sync.start();
+        this.housekeep();
+    }
+
+    /** True while the balancer should send connections. */
+    isReady(): boolean {
+        return !this.stopping && this.table !== undefined && this.endpointsKnown;
+    }
+
+    /** Leaves without cutting a request: not ready, then no new connections, then what runs to its end. */
+    async drain(): Promise<void> {
+        const { clock, config, logger } = this.options;
+        const end = clock.now() + config.stopWithin - stopMargin;
+        this.stopping = true;
+        await sleep(clock, config.stopWithin * acceptShare);
+        logger.info("taking no more connections", { running: this.server.runningRequests });
+        const pollInterval = 50;
+        do {
+            this.server.closeIdle();
+            await sleep(clock, pollInterval);
+        }
+        while (this.server.runningRequests > 0 && clock.now() < end);
+        this.stop();
+    }
+
+    /** Closes everything at once. */
+    stop(): void {
+        this.cancelHousekeeping();
+        this.followers.forEach((follower) => follower.stop());
+        this.sync.stop();
+        this.innerNode.stop();
+        this.server.stop();
+        this.readiness.close();
+        this.connections.stop();
+    }
+
+    private createInnerNode(): InnerNode {
+        const { clock, config, logger } = this.options;
+        return new InnerNode({
+            role: ProcessRole.Router,
+            instance: config.instance,
+            incarnation: this.incarnation,
+            fleetKeys: config.fleetKeys,
+            clock,
+            logger: logger.scope("inner"),
+            revision: () => this.state.configuration?.version ?? 0,
+            onRevision: () => {},
+            onMessage: () => {},
+            onClosed: () => {},
+        });
+    }
+
+    private createSync(): FleetSync {
+        const { clock, config, logger } = this.options;
+        return new FleetSync({
+            clock,
+            logger: logger.scope("fleet"),
+            innerNode: this.innerNode,
+            state: this.state,
+            address: config.inner,
+            role: ProcessRole.Router,
+            seeds: config.seeds,
+            agents: () => this.agentAddresses(),
+            report: (peer, address) => this.reportFor(peer, address),
+            hasReport: () => this.ledger.hasUnreported(),
+            onReport: (peer, report) => this.onReport(peer, report),
+            onReplica: (replica) => this.board.observeStatus(replica, clock.now()),
+            onNews: (facts, peer) => this.learn(facts, peer.instance),
+        });
+    }
+
+    private createFollower(scope: FleetScope, gatherFor: Milliseconds): StoreFollower {
+        const { clock, logger, source } = this.options;
+        return new StoreFollower({
+            scope,
+            source,
+            clock,
+            random: this.random,
+            logger: logger.scope("store"),
+            wait: followWait,
+            gatherFor,
+            onReading: (reading, complete) => this.onReading(scope, reading, complete),
+        });
+    }
+
+    private createServer(): DirectServer {
+        const { clock, config, dialect, logger, registry } = this.options;
+        const metrics = new GatewayMetrics(registry);
+        const now = () => clock.now();
+        const random = () => this.random.unit();
+        const context = {
+            clock,
+            logger: logger.scope("request"),
+            dialect,
+            dataCentre: config.dataCentre,
+            state: this.state,
+            board: this.board,
+            homes: this.homes,
+            connections: this.connections,
+            retries: new RetryAllowance(config.retryBudget),
+            crashes: this.crashes,
+            weightsBounds: config.weights,
+            metrics,
+            routers: () => 1 + this.sync.liveRouters(),
+            random,
+        };
+        return new DirectServer({
+            clock,
+            logger: context.logger,
+            metrics,
+            dialect,
+            checks: { dialect, ledger: this.ledger, table: () => this.table, now, random },
+            stopping: () => this.stopping,
+            maxHeldBytes: config.maxHeldBytes,
+            serve: (request, response) => serveRequest(context, request, response),
+            refund: (request) => {
+                if (request.account !== undefined) {
+                    this.ledger.refund(request.account.name, request.tokens);
+                }
+            },
+        });
+    }
+
+    private onReading(scope: FleetScope, reading: FleetReading, complete: boolean): void {
+        if (scope === FleetScope.Endpoints && complete) {
+            const listed = new Set(
+                reading.facts.flatMap((fact) => fact.kind === FactKind.Endpoint ? [fact.instance] : []),
+            );
+            this.learn(this.state.missingFrom(listed, reading.revision), "store");
+            this.endpointsKnown = true;
+        }
+        this.learn(reading.facts, "store");
+        if (scope === FleetScope.Endpoints) {
+            this.state.endpointsCompleteTo(reading.revision);
+        }
+    }
+
+    /** Takes in facts and acts on those that are news. */
+    private learn(facts: readonly FleetFact[], from: string): void {
+        const now = this.options.clock.now();
+        const troubledAt = Math.max(...this.followers.map((follower) => follower.lastTrouble));
+        const news = facts.filter((fact) => this.state.learn(fact, now, troubledAt));
+        if (news.length === 0) {
+            return;
+        }
+        news.forEach((fact) => this.logFact(fact, from));
+        if (news.some((fact) => fact.kind === FactKind.Configuration)) {
+            this.configurationChanged(now);
+        }
+        if (news.some((fact) => fact.kind === FactKind.Endpoint)) {
+            this.endpointsKnown = true;
+            this.board.update(this.state);
+        }
+        if (news.some((fact) => fact.kind !== FactKind.Endpoint)) {
+            this.sync.hurry(false);
+        }
+    }
+
+    private configurationChanged(now: Milliseconds): void {
+        const { configuration } = this.state;
+        if (configuration !== undefined) {
+            this.table = new RouteTable(configuration);
+            this.ledger.configure(configuration.accounts, now);
+            this.server.setLimits(configuration.limits);
+        }
+    }
+
+    private logFact(fact: FleetFact, from: string): void {
+        const { logger } = this.options;
+        switch (fact.kind) {
+            case FactKind.Configuration:
+                logger.info("configuration in force", {
+                    version: fact.configuration.version,
+                    revision: fact.revision,
+                    from,
+                });
+                return;
+            case FactKind.Weights:
+                logger.info("weights named", {
+                    model: fact.model,
+                    version: fact.version,
+                    revision: fact.revision,
+                    from,
+                });
+                return;
+            case FactKind.Endpoint:
+                logger.info("endpoint changed", {
+                    instance: fact.instance,
+                    service: fact.endpoint?.service,
+                    state: fact.endpoint === undefined ? "gone" : fact.endpoint.leaving ? "leaving" : "ready",
+                    weights: fact.endpoint?.weights.map((entry) => entry.version).join(","),
+                    revision: fact.revision,
+                    from,
+                });
+        }
+    }
+
+    private endpointGone(instance: string): void {
+        this.connections.forget(instance);
+        this.homes.forget(instance);
+    }
+
+    private agentAddresses(): InnerAddress[] {
+        const addresses: InnerAddress[] = [];
+        for (const view of this.board.all()) {
+            const address = this.options.agentOf(view.endpoint);
+            if (address !== undefined) {
+                addresses.push(address);
+            }
+        }
+        return addresses;
+    }
+
+    private reportFor(peer: Hello | undefined, address: InnerAddress | undefined): PeerReport {
+        const now = this.options.clock.now();
+        if (peer?.role === ProcessRole.Agent) {
+            const replicas = address === undefined ? [] : this.replicasBeside(address, now);
+            return { spent: [], load: [], crashes: [], levels: [], replicas };
+        }
+        return {
+            spent: this.ledger.spent(),
+            load: this.board.ownLoads(),
+            crashes: this.crashes.report(now),
+            levels: this.isSettled(now) ? this.ledger.levels(now) : [],
+        };
+    }
+
+    /** The replicas of the service whose agent listens at an address. */
+    private replicasBeside(address: InnerAddress, now: Milliseconds) {
+        const own = [...this.board.all()].find(({ endpoint }) => {
+            const agent = this.options.agentOf(endpoint);
+            return agent?.host === address.host && agent.port === address.port;
+        });
+        const service = own?.endpoint.service;
+        return service === undefined ? [] : this.board.ofService(service)
+            .filter((view) => !view.endpoint.leaving && !view.isDown(now))
+            .map((view) => ({
+                address: `${view.endpoint.host}:${view.endpoint.port}`,
+                weights: view.endpoint.weights.map(({ model, version }) => ({
+                    model,
+                    version: view.weightsVersion(model, now) ?? version,
+                })),
+                loading: view.isLoading(now),
+            }));
+    }
+
+    private onReport(peer: Hello, report: PeerReport): void {
+        const now = this.options.clock.now();
+        if (report.replica !== undefined) {
+            this.board.observeStatus(report.replica, now);
+        }
+        if (peer.role !== ProcessRole.Router) {
+            return;
+        }
+        this.ledger.observe(peer.incarnation, report.spent, now);
+        this.board.observeLoads(peer.instance, report.load, now);
+        this.crashes.observe(report.crashes, now);
+        if (!this.adopted && report.levels.length > 0 && !this.isSettled(now)) {
+            this.adopted = true;
+            this.ledger.adopt(report.levels, now);
+        }
+    }
+
+    /** True once this router's buckets stand for what was spent. */
+    private isSettled(now: Milliseconds): boolean {
+        return this.options.config.fleetIsNew || this.adopted || now - this.startedAt > adoptFor;
+    }
+
+    private housekeep(): void {
+        const { clock } = this.options;
+        const now = clock.now();
+        if (this.state.expire(now).length > 0) {
+            this.board.update(this.state);
+        }
+        this.ledger.fleetChanged({ live: this.sync.liveRouters(), silent: this.sync.silentRouters() }, now);
+        this.spentBefore.push(this.ledger.spent());
+        if (this.spentBefore.length > reportedAfterRounds) {
+            this.ledger.reported(this.spentBefore.shift() ?? []);
+        }
+        this.cancelHousekeeping = clock.schedule(housekeepingInterval, () => this.housekeep());
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -0,0 +1,78 @@
+/**
+ * Counters and histograms of direct routes.
+ *
+ * @module
+ */
+import {
+    createReasonCounters,
+    type Milliseconds,
+    type ReasonCounters,
+    type RefusalReason,
+    type RetryReason,
+} from "@redwingpin/common";
+import { Counter, Histogram, type Registry } from "prom-client";
+
+const millisecondsPerSecond = 1_000;
+const latencyBuckets = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8];
+
+/** Counts what becomes of requests. */
+export class GatewayMetrics {
+    private readonly reasons: ReasonCounters;
+    private readonly requests: Counter<"route" | "outcome">;
+    private readonly denied: Counter<"reason">;
+    private readonly duration: Histogram<"route">;
+    private readonly first: Histogram<"route">;
+
+    constructor(registry: Registry) {
+        const registers = [registry];
+        this.reasons = createReasonCounters(registry);
+        this.requests = new Counter({
+            name: "redwingpin_direct_requests_total",
+            help: "Requests on direct routes, by route and outcome",
+            labelNames: ["route", "outcome"],
+            registers,
+        });
+        this.denied = new Counter({
+            name: "redwingpin_direct_retries_denied_total",
+            help: "Retries that the budget did not allow, by reason",
+            labelNames: ["reason"],
+            registers,
+        });
+        this.duration = new Histogram({
+            name: "redwingpin_direct_request_seconds",
+            help: "Time from a request's arrival to its end, by route",
+            labelNames: ["route"],
+            buckets: latencyBuckets,
+            registers,
+        });
+        this.first = new Histogram({
+            name: "redwingpin_direct_first_answer_seconds",
+            help: "Time from a request's arrival to the first event or the whole answer, by route",
+            labelNames: ["route"],
+            buckets: latencyBuckets,
+            registers,
+        });
+    }
+
+    refused(reason: RefusalReason): void {
+        this.reasons.refused(reason);
+    }
+
+    retried(reason: RetryReason, allowed: boolean): void {
+        if (allowed) {
+            this.reasons.retried(reason);
+        }
+        else {
+            this.denied.inc({ reason });
+        }
+    }
+
+    firstAnswer(route: string, latency: Milliseconds): void {
+        this.first.observe({ route }, latency / millisecondsPerSecond);
+    }
+
+    ended(route: string, outcome: string, duration: Milliseconds): void {
+        this.requests.inc({ route, outcome });
+        this.duration.observe({ route }, duration / millisecondsPerSecond);
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/node/requestTask.ts
@@ -0,0 +1,485 @@
+/**
+ * Serves one checked request: plans its attempts, keeps the books of what is sent where, and answers the caller.
+ *
+ * @module
+ */
+import {
+    type Clock,
+    type Logger,
+    type Milliseconds,
+    RefusalReason,
+    type RetryReason,
+    runDecision,
+} from "@redwingpin/common";
+import { DirectServiceKind, type FleetState, type NamedWeights } from "@redwingpin/fleet";
+import type { ServerResponse } from "node:http";
+import {
+    type AttemptEffect,
+    type AttemptEvent,
+    type AttemptOutcome,
+    planAttempts,
+    type RequestOutcome,
+} from "../decision/attemptPlan.js";
+import type { CrashBook } from "../decision/crashBook.js";
+import type { EndpointBoard, EndpointView } from "../decision/endpointBoard.js";
+import {
+    type Choice,
+    chooseEndpoint,
+    type PromptNeeds,
+    type WeightsBounds,
+} from "../decision/endpointChoice.js";
+import { type PrefixHomes, prefixNames } from "../decision/prefixHomes.js";
+import type { RetryAllowance } from "../decision/retryAllowance.js";
+import { chooseTarget } from "../decision/routeTable.js";
+import type { AnswerFacts, DispatchFacts, WireDialect } from "../wireDialect.js";
+import { endToEndHeaders, writeOwnAnswer, writeWholeAnswer } from "./answerWriter.js";
+import { notRunStatuses, runAttempt, type StreamProgress } from "./attempt.js";
+import type { DirectRequest } from "./callerRequest.js";
+import type { EndpointConnections } from "./endpointConnections.js";
+import type { GatewayMetrics } from "./gatewayMetrics.js";
+
+/** Time for a kept connection to bring a byte of the prefix over the network of a cache store, for each token. */
+const fetchMillisecondsPerToken = 0.007;
+
+/** Part of an engine's cache that all routers together count on. */
+const countedCacheShare = 0.6;
+
+/** An endpoint that refused a request as full or busy is left out for this long. */
+const refusedPause: Milliseconds = 250;
+
+/** An endpoint that could not be reached is left out for this long. */
+const unreachablePause: Milliseconds = 1_000;
+
+/** When to come back where no endpoint can take a request now. */
+const noEndpointRetryAfter: Milliseconds = 400;
+
+/** What every request needs. */
+export interface RequestContext {
+    readonly clock: Clock;
+    readonly logger: Logger;
+    readonly dialect: WireDialect;
+    readonly dataCentre: string;
+    readonly state: FleetState;
+    readonly board: EndpointBoard;
+    readonly homes: PrefixHomes;
+    readonly connections: EndpointConnections;
+    readonly retries: RetryAllowance;
+    readonly crashes: CrashBook;
+    readonly weightsBounds: WeightsBounds;
+    readonly metrics: GatewayMetrics;
+    /** Routers in touch, this one included. */
+    readonly routers: () => number;
+    /** Random number from 0 up to, not including, 1. */
+    readonly random: () => number;
+}
+
+/** Serves a request to its end. */
+export async function serveRequest(
+    context: RequestContext,
+    request: DirectRequest,
+    response: ServerResponse,
+): Promise<RequestOutcome> {
+    const task = new RequestTask(context, request, response);
+    return task.run();
+}
+
+class RequestTask {
+    private readonly tried = new Set<string>();
+    private readonly progress: StreamProgress;
+    private readonly prompt: PromptFacts | undefined;
+    private attempts = 0;
+
+    constructor(
+        private readonly context: RequestContext,
+        private readonly request: DirectRequest,
+        private readonly response: ServerResponse,
+    ) {
+        this.progress = { started: false, lastEvent: request.facts.lastEvent, events: 0 };
+        this.prompt = promptFacts(request, context.state);
+    }
+
+    async run(): Promise<RequestOutcome> {
+        const { context, request } = this;
+        const now = context.clock.now();
+        if (context.crashes.isRefused(request.fingerprint, now)) {
+            return this.answer({
+                kind: "refused",
+                reason: RefusalReason.Quarantined,
+                retryAfter: request.deadline - now,
+            });
+        }
+        context.retries.recordRequest(request.service.name, now);
+        const { repeatable, attempts } = request.route;
+        const outcome = await runDecision(
+            planAttempts({ repeatable, attempts }),
+            (effect) => this.perform(effect),
+        );
+        return this.answer(outcome);
+    }
+
+    private perform(effect: AttemptEffect): AttemptEvent | Promise<AttemptEvent> {
+        switch (effect.kind) {
+            case "choose":
+                return { kind: "chosen", choice: this.choose(), retryAfter: noEndpointRetryAfter };
+            case "takeRetry":
+                return { kind: "retryTaken", allowed: this.takeRetry(effect.reason) };
+            case "dispatch":
+                return this.dispatch(effect.choice);
+        }
+    }
+
+    private choose(): Choice | undefined {
+        const { board, clock, dataCentre, weightsBounds } = this.context;
+        const { service } = this.request;
+        const now = clock.now();
+        return chooseEndpoint({
+            views: board.ofService(service.name),
+            now,
+            dataCentre,
+            speed: board.speed(service.name),
+            targetLatency: this.request.route.targetLatency,
+            elapsed: now - this.request.arrival,
+            tried: this.tried,
+            prompt: this.prompt === undefined ? undefined : this.promptNeeds(this.prompt),
+            bounds: weightsBounds,
+        });
+    }
+
+    private promptNeeds(prompt: PromptFacts): PromptNeeds {
+        const { homes } = this.context;
+        const { parts, promptTokens } = this.request.facts;
+        return {
+            model: prompt.model,
+            named: prompt.named,
+            promptTokens,
+            ready: (view, version) => {
+                const names = prefixNames(prompt.scope(version), parts);
+                const held = homes.heldTokens(view.endpoint.instance, names, parts);
+                const saved = prompt.cacheStore === undefined ? 0 : homes.savedTokens(names, parts);
+                const fetched = Math.max(0, saved - held);
+                return { tokens: held + fetched, fetchTime: fetched * fetchMillisecondsPerToken };
+            },
+        };
+    }
+
+    private takeRetry(reason: RetryReason): boolean {
+        const { clock, logger, metrics, retries, routers } = this.context;
+        const allowed = retries.tryRetry(this.request.service.name, routers(), clock.now());
+        metrics.retried(reason, allowed);
+        logger.info("retry", { request: this.request.facts.attempt, reason, allowed });
+        return allowed;
+    }
+
+    private async dispatch(choice: Choice): Promise<AttemptEvent> {
+        const { clock, dialect } = this.context;
+        const { request } = this;
+        const { endpoint } = choice.view;
+        const sentAt = clock.now();
+        this.attempts += 1;
+        this.tried.add(endpoint.instance);
+        const waitedBehind = choice.view.waitingTokens;
+        const book = openBook(choice);
+        const facts = this.dispatchFacts(choice, sentAt);
+        const outcome = await runAttempt({
+            clock,
+            dialect,
+            request,
+            response: this.response,
+            choice,
+            exchange: {
+                endpoint,
+                method: request.method,
+                url: request.url,
+                headers: this.endpointHeaders(facts),
+                body: request.body,
+                agent: request.route.repeatable
+                    ? this.context.connections.agentOf(endpoint, request.service.maxConnections)
+                    : undefined,
+            },
+            progress: this.progress,
+            observer: {
+                onFirstAnswer: (answer) => {
+                    book.answered();
+                    this.firstAnswer(choice, facts, answer, clock.now() - sentAt, waitedBehind === 0);
+                },
+                onOtherWeights: (answer) => this.otherWeights(choice.view, answer),
+            },
+        });
+        book.close();
+        this.observe(choice, outcome, sentAt);
+        return { kind: "ended", outcome };
+    }
+
+    private dispatchFacts(choice: Choice, now: Milliseconds): DispatchFacts {
+        const { request, prompt } = this;
+        const resumed = this.progress.started ? this.progress.lastEvent : undefined;
+        const common: DispatchFacts = {
+            instance: choice.view.endpoint.instance,
+            timeLeft: Math.max(1, Math.floor(request.deadline - now)),
+            account: request.account?.name,
+            priority: request.account?.priority ?? request.route.priority,
+            lastEvent: resumed,
+        };
+        if (prompt === undefined) {
+            return common;
+        }
+        const scope = prompt.scope(choice.version);
+        const names = prefixNames(scope, request.facts.parts);
+        const shared = request.facts.parts.slice(0, -1);
+        const sharedTokens = shared.reduce((sum, part) => sum + part.tokens, 0);
+        const saved = this.context.homes.savedTokens(names, request.facts.parts);
+        return {
+            ...common,
+            cacheScope: scope,
+            expectedVersion: choice.version,
+            fetchFrom: prompt.cacheStore,
+            saveTo: saved < sharedTokens ? prompt.cacheStore : undefined,
+        };
+    }
+
+    private endpointHeaders(facts: DispatchFacts): string[] {
+        const { body, method, rawHeaders } = this.request;
+        const fields = this.context.dialect.endpointHeaders(endToEndHeaders(rawHeaders), facts);
+        const kept: string[] = [];
+        for (let index = 0; index < fields.length; index += 2) {
+            const name = fields[index].toLowerCase();
+            if (name !== "content-length" && name !== "expect") {
+                kept.push(fields[index], fields[index + 1]);
+            }
+        }
+        if (body.length > 0 || (method !== "GET" && method !== "HEAD")) {
+            kept.push("content-length", String(body.length));
+        }
+        return kept;
+    }
+
+    private firstAnswer(
+        choice: Choice,
+        facts: DispatchFacts,
+        answer: AnswerFacts,
+        latency: Milliseconds,
+        alone: boolean,
+    ): void {
+        const { board, clock, homes, metrics, routers } = this.context;
+        const { request, prompt } = this;
+        metrics.firstAnswer(request.route.name, clock.now() - request.arrival);
+        if (alone) {
+            board.speed(request.service.name).observe(choice.readTokens, latency);
+        }
+        if (prompt === undefined) {
+            return;
+        }
+        if (answer.weightsVersion !== undefined) {
+            choice.view.observeWeights(prompt.model, answer.weightsVersion, clock.now());
+        }
+        const { parts } = request.facts;
+        const names = prefixNames(facts.cacheScope ?? "", parts);
+        const cacheTokens = request.service.engine?.cacheTokens ?? 0;
+        homes.recordRead(
+            choice.view.endpoint.instance,
+            names,
+            parts,
+            cacheTokens * countedCacheShare / routers(),
+        );
+        if (facts.saveTo !== undefined) {
+            homes.recordSaved(names.slice(0, -1));
+        }
+    }
+
+    private otherWeights(view: EndpointView, answer: AnswerFacts): void {
+        if (answer.weightsVersion !== undefined && this.prompt !== undefined) {
+            view.observeWeights(this.prompt.model, answer.weightsVersion, this.context.clock.now());
+        }
+    }
+
+    /** Keeps the books of an ended attempt and writes its line. */
+    private observe(choice: Choice, outcome: AttemptOutcome, sentAt: Milliseconds): void {
+        const { board, clock, crashes, logger, state } = this.context;
+        const { request } = this;
+        const { view } = choice;
+        const now = clock.now();
+        this.recordHealth(view, outcome);
+        const peers = board.ofService(request.service.name).map((peer) => peer.health);
+        if (view.health.ejectIfBad(peers, now)) {
+            logger.warn("endpoint left out", {
+                instance: view.endpoint.instance,
+                service: request.service.name,
+                failing: view.health.failing,
+            });
+        }
+        if (outcome.kind === "broken") {
+            crashes.recordCrash(request.fingerprint, view.endpoint.instance, now);
+        }
+        logger.info("attempt", {
+            request: request.facts.attempt,
+            attempt: this.attempts,
+            instance: view.endpoint.instance,
+            outcome: outcome.kind,
+            detail: outcomeDetail(outcome),
+            took: Math.round(now - sentAt),
+            predicted: Math.round(choice.latency),
+            worth: Number(choice.worth.toFixed(2)),
+            readTokens: choice.readTokens,
+            version: choice.version,
+            named: this.prompt?.named?.version,
+            configuration: state.configuration?.version,
+            events: this.progress.events,
+            statusAge: finiteOrAbsent(view.statusAge(now)),
+        });
+    }
+
+    private recordHealth(view: EndpointView, outcome: AttemptOutcome): void {
+        const now = this.context.clock.now();
+        switch (outcome.kind) {
+            case "delivered":
+                view.health.recordSuccess();
+                return;
+            case "failed":
+                view.health.recordFailure();
+                return;
+            case "broken":
+                view.health.recordBroken();
+                return;
+            case "notRun":
+                view.avoid(outcome.reached ? refusedPause : unreachablePause, now);
+                return;
+            case "timedOut":
+                view.health.recordBroken();
+                return;
+            case "callerGone":
+                return;
+        }
+    }
+
+    /** Tells the caller how its request ended. */
+    private answer(outcome: RequestOutcome): RequestOutcome {
+        const { clock, dialect, metrics } = this.context;
+        const { response, request } = this;
+        metrics.ended(request.route.name, outcome.kind, clock.now() - request.arrival);
+        const headers = dialect.ownAnswerHeaders(request.facts.attempt);
+        switch (outcome.kind) {
+            case "delivered":
+            case "callerGone":
+                return outcome;
+            case "refused": {
+                metrics.refused(outcome.reason);
+                const message = `the request was not run: ${outcome.reason}`;
+                const { retryAfter } = outcome;
+                writeOwnAnswer(response, { status: 503, code: outcome.reason, message, retryAfter, headers });
+                return outcome;
+            }
+            case "unknown":
+                this.endUnknown(outcome, headers);
+                return outcome;
+            case "failed":
+                this.passOnFailure(outcome.answer, headers);
+                return outcome;
+        }
+    }
+
+    private endUnknown(
+        outcome: RequestOutcome & { kind: "unknown"; },
+        headers: Record<string, string>,
+    ): void {
+        if (this.progress.started) {
+            // A stream that can not go on must not look complete.
+            this.response.destroy();
+            return;
+        }
+        writeOwnAnswer(this.response, {
+            status: outcome.timedOut ? 504 : 502,
+            code: outcome.timedOut ? RefusalReason.DeadlineExceeded : RefusalReason.OutcomeUnknown,
+            message: `the request may have run: ${outcome.detail}`,
+            headers,
+        });
+    }
+
+    private passOnFailure(
+        answer: { readonly status: number; readonly rawHeaders: readonly string[]; readonly body: Buffer; },
+        headers: Record<string, string>,
+    ): void {
+        if (this.progress.started) {
+            this.response.destroy();
+        }
+        else if (notRunStatuses.has(answer.status)) {
+            // The status would promise that the request has not run, which the endpoint does not state.
+            writeOwnAnswer(this.response, {
+                status: 502,
+                code: RefusalReason.EndpointFailed,
+                message:
+                    `the endpoint answered status ${answer.status} without stating whether it ran the request`,
+                headers,
+            });
+        }
+        else {
+            writeWholeAnswer(this.response, answer.status, answer.rawHeaders, answer.body);
+        }
+    }
+}
+
+/** What a request to a model engine is about. */
+interface PromptFacts {
+    readonly model: string;
+    readonly named: NamedWeights | undefined;
+    readonly cacheStore: string | undefined;
+    /** Text under which prefixes read by weights of a version may be found. */
+    readonly scope: (version: number | undefined) => string;
+}
+
+function promptFacts(request: DirectRequest, state: FleetState): PromptFacts | undefined {
+    const { model } = request.facts;
+    if (model === undefined || request.service.kind !== DirectServiceKind.Engine) {
+        return undefined;
+    }
+    const owner = request.account?.isolated === true ? `account=${request.account.name}` : "shared";
+    return {
+        model,
+        named: state.weightsOf(model),
+        cacheStore: request.table.cacheStore()?.cacheStoreAddress,
+        scope: (version) => `${owner};${model};${version ?? 0}`,
+    };
+}
+
+/** Counts a request at its endpoint until it is over. */
+function openBook(choice: Choice): { answered: () => void; close: () => void; } {
+    const { view, readTokens } = choice;
+    let waiting = true;
+    view.running += 1;
+    view.waitingTokens += readTokens;
+    const answered = () => {
+        if (waiting) {
+            waiting = false;
+            view.waitingTokens -= readTokens;
+        }
+    };
+    return {
+        answered,
+        close: () => {
+            answered();
+            view.running -= 1;
+        },
+    };
+}
+
+function outcomeDetail(outcome: AttemptOutcome): string | undefined {
+    switch (outcome.kind) {
+        case "notRun":
+            return outcome.reason;
+        case "failed":
+            return `status ${outcome.answer.status}`;
+        case "broken":
+            return outcome.detail;
+        default:
+            return undefined;
+    }
+}
+
+function finiteOrAbsent(value: number): number | undefined {
+    return Number.isFinite(value) ? Math.round(value) : undefined;
+}
+
+/** The service that a request goes to, by the weights of its route. */
+export function serviceOf(table: DirectRequest["table"], route: DirectRequest["route"], unit: number) {
+    const name = chooseTarget(route.targets, unit);
+    return name === undefined ? undefined : table.service(name);
+}
--- a/packages/outside/src/index.ts
+++ b/packages/outside/src/index.ts
@@ -5,6 +5,7 @@
  */
 export * from "./constants.js";
 export * from "./etcdStore.js";
+export * from "./jsonHttpClient.js";
 export * from "./memoryStore.js";
 export * from "./prometheusVirtualMachineList.js";
 export * from "./simulatedProcess.js";
--- a/packages/outside/src/jsonHttpClient.ts
+++ b/packages/outside/src/jsonHttpClient.ts
@@ -32,6 +32,8 @@
     /** Path that is appended to the base address. */
     readonly path: string;
     readonly body?: unknown;
+    /** Header fields beside those of the encoding. */
+    readonly headers?: Readonly<Record<string, string>>;
 }
 
 /** Errors of the connect phase: the platform cannot have received anything. */
@@ -105,7 +107,7 @@
         return request(`${this.options.address}${call.path}`, {
             dispatcher: this.agent,
             method: call.method,
-            headers: { "content-type": "application/json", "accept": "application/json" },
+            headers: { "content-type": "application/json", "accept": "application/json", ...call.headers },
             body,
             signal,
         });
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -219,6 +219,7 @@
     Claims = "claims",
     Orders = "orders",
     Quarantine = "quarantine",
+    Fleet = "fleet",
     Operator = "operator",
 }
 
--- /dev/null
+++ b/packages/rollout/src/node/replicaAgent.ts
@@ -0,0 +1,334 @@
+/**
+ * The agent beside a replica: watches it, tells routers of it, and is the only one that orders it to load weights.
+ *
+ * @module
+ */
+import type { CancelTimer, Clock, Logger, Milliseconds } from "@redwingpin/common";
+import {
+    type FleetFact,
+    FleetState,
+    FleetSync,
+    type ModelWeights,
+    type NamedWeights,
+    type PeerReport,
+    type ReplicaProgress,
+    type ReplicaStatus,
+} from "@redwingpin/fleet";
+import { type FleetKeys, type Hello, type InnerAddress, InnerNode, ProcessRole } from "@redwingpin/protocol";
+import { randomUUID } from "node:crypto";
+import { Counter, type Registry } from "prom-client";
+import { isTurn } from "../decision/rolloutTurn.js";
+import { OrderAnswer, type ReplicaControl, type ReplicaReport } from "../replicaControl.js";
+
+/** Everything that an agent is told at its start. */
+export interface ResolvedReplicaAgentConfig {
+    readonly instance: string;
+    readonly fleetKeys: FleetKeys;
+    readonly inner: InnerAddress;
+    /** `host:port` of the replica. */
+    readonly replica: string;
+    readonly service: string;
+    /** Time from the naming of weights after which they are loaded whatever the other replicas do. */
+    readonly loadLatestAfter: Milliseconds;
+}
+
+/** What an agent is made from. */
+export interface ReplicaAgentOptions {
+    readonly config: ResolvedReplicaAgentConfig;
+    readonly clock: Clock;
+    readonly logger: Logger;
+    readonly registry: Registry;
+    readonly control: ReplicaControl;
+}
+
+/** Interval of reports of an idle replica. */
+const calmInterval: Milliseconds = 250;
+
+/** Interval of reports while weights are being loaded. */
+const loadingInterval: Milliseconds = 30;
+
+/** Time for routers to hear that no more requests should come, before the order is given. */
+const announceTime: Milliseconds = 25;
+
+/** An order that shows no effect after this time is given again. */
+const orderPatience: Milliseconds = 2_500;
+
+/** Reports that may fail in a row before the replica counts as down. */
+const failuresUntilDown = 2;
+
+/** A load that has been announced or ordered. */
+interface RunningLoad {
+    readonly target: NamedWeights;
+    readonly since: Milliseconds;
+    /** Absent until the order was answered or given up. */
+    orderedAt: Milliseconds | undefined;
+}
+
+/** Works beside one replica. */
+export class ReplicaAgent {
+    private readonly state = new FleetState();
+    private readonly innerNode: InnerNode;
+    private readonly sync: FleetSync;
+    private readonly loads: Counter<"outcome">;
+    private report: ReplicaReport | undefined;
+    private failures = 0;
+    private load: RunningLoad | undefined;
+    private replicas: readonly ReplicaProgress[] = [];
+    private replicasAt: Milliseconds = -Infinity;
+    private told = "";
+    private stopped = false;
+    private cancelTick: CancelTimer = () => {};
+
+    constructor(private readonly options: ReplicaAgentOptions) {
+        const { config, clock, logger, registry } = options;
+        this.loads = new Counter({
+            name: "redwingpin_weight_loads_total",
+            help: "Orders to load weights, by outcome",
+            labelNames: ["outcome"],
+            registers: [registry],
+        });
+        this.innerNode = new InnerNode({
+            role: ProcessRole.Agent,
+            instance: config.instance,
+            incarnation: randomUUID(),
+            fleetKeys: config.fleetKeys,
+            clock,
+            logger: logger.scope("inner"),
+            revision: () => this.state.configuration?.version ?? 0,
+            onRevision: () => {},
+            onMessage: () => {},
+            onClosed: () => {},
+        });
+        this.sync = new FleetSync({
+            clock,
+            logger: logger.scope("fleet"),
+            innerNode: this.innerNode,
+            state: this.state,
+            address: config.inner,
+            role: ProcessRole.Agent,
+            seeds: [],
+            agents: () => [],
+            report: () => this.peerReport(),
+            hasReport: () => false,
+            onReport: (peer, report) => this.onReport(peer, report),
+            onReplica: () => {},
+            onNews: (facts) => this.learn(facts),
+        });
+    }
+
+    async start(): Promise<void> {
+        const { inner } = this.options.config;
+        await this.innerNode.listen(inner.host, inner.port);
+        this.tick();
+    }
+
+    stop(): void {
+        this.stopped = true;
+        this.cancelTick();
+        this.sync.stop();
+        this.innerNode.stop();
+    }
+
+    private tick(): void {
+        void this.look().then(() => {
+            if (!this.stopped) {
+                const interval = this.load === undefined ? calmInterval : loadingInterval;
+                this.cancelTick = this.options.clock.schedule(interval, () => this.tick());
+            }
+        });
+    }
+
+    /** Reads the replica's report and acts on it. */
+    private async look(): Promise<void> {
+        const report = await this.options.control.report();
+        report.match(
+            (value) => this.reported(value),
+            (error) => this.failed(error),
+        );
+        await this.advance();
+        this.tellRouters();
+    }
+
+    private reported(report: ReplicaReport): void {
+        if (this.report?.startedAt !== report.startedAt) {
+            this.options.logger.info("replica reached", {
+                startedAt: report.startedAt,
+                weights: describeWeights(report.weights),
+            });
+            this.load = undefined;
+        }
+        this.failures = 0;
+        this.report = report;
+    }
+
+    private failed(error: string): void {
+        this.failures += 1;
+        if (this.failures === failuresUntilDown && this.report !== undefined) {
+            this.options.logger.warn("replica lost", { error });
+            this.report = undefined;
+            this.load = undefined;
+        }
+    }
+
+    /** Starts, continues or ends a load. */
+    private async advance(): Promise<void> {
+        const { report } = this;
+        if (report === undefined) {
+            return;
+        }
+        const target = this.target(report);
+        if (target === undefined) {
+            if (!report.busy) {
+                this.endLoad(report);
+            }
+            return;
+        }
+        const now = this.options.clock.now();
+        if (this.load === undefined) {
+            if (!report.busy && this.isTurn(target, now)) {
+                await this.begin(target, now);
+            }
+            return;
+        }
+        const { orderedAt } = this.load;
+        if (!report.busy && orderedAt !== undefined && now - orderedAt > orderPatience) {
+            this.options.logger.warn("an order showed no effect", { version: target.version });
+            this.load = undefined;
+        }
+        else if (!report.busy && this.load.target.version !== target.version) {
+            // Newer weights were named; those of the running load are not wanted any more.
+            this.load = undefined;
+        }
+    }
+
+    /** Newest named weights of a model that the replica serves in an older version. */
+    private target(report: ReplicaReport): NamedWeights | undefined {
+        for (const { model, version } of report.weights) {
+            const named = this.state.weightsOf(model);
+            if (named !== undefined && named.version > version) {
+                return named;
+            }
+        }
+        return undefined;
+    }
+
+    private isTurn(target: NamedWeights, now: Milliseconds): boolean {
+        const { config } = this.options;
+        return isTurn({
+            address: config.replica,
+            target,
+            replicas: this.replicas,
+            age: now - this.replicasAt,
+            now,
+            latestAfter: config.loadLatestAfter,
+        });
+    }
+
+    private async begin(target: NamedWeights, now: Milliseconds): Promise<void> {
+        const { clock, config, control, logger } = this.options;
+        const instance = this.instance();
+        const { report } = this;
+        if (instance === undefined || report === undefined) {
+            return;
+        }
+        this.load = { target, since: now, orderedAt: undefined };
+        this.tellRouters();
+        await new Promise<void>((resolve) => void clock.schedule(announceTime, resolve));
+        const answer = await control.load({
+            instance,
+            model: target.model,
+            version: target.version,
+            expectedOrders: report.orders,
+            holder: config.instance,
+            fence: target.revision,
+        });
+        const outcome = answer.isOk() ? answer.value : "unanswered";
+        this.loads.inc({ outcome });
+        logger.info("ordered to load weights", {
+            instance,
+            model: target.model,
+            version: target.version,
+            fence: target.revision,
+            orders: report.orders,
+            running: report.running,
+            age: Math.round(now - target.learnedAt),
+            outcome,
+            error: answer.isErr() ? answer.error : undefined,
+        });
+        const expected = outcome === OrderAnswer.Accepted || outcome === "unanswered";
+        this.load = expected ? { target, since: now, orderedAt: clock.now() } : undefined;
+    }
+
+    private endLoad(report: ReplicaReport): void {
+        if (this.load !== undefined) {
+            this.options.logger.info("weights in place", {
+                weights: describeWeights(report.weights),
+                took: Math.round(this.options.clock.now() - this.load.since),
+            });
+            this.load = undefined;
+        }
+    }
+
+    /** Identifier of the replica, as routers know it from its registration. */
+    private instance(): string | undefined {
+        const { replica, service } = this.options.config;
+        for (const { endpoint } of this.state.endpoints()) {
+            if (`${endpoint.host}:${endpoint.port}` === replica && endpoint.service === service) {
+                return endpoint.leaving ? undefined : endpoint.instance;
+            }
+        }
+        return undefined;
+    }
+
+    private learn(facts: readonly FleetFact[]): void {
+        const now = this.options.clock.now();
+        for (const fact of facts) {
+            if (this.state.learn(fact, now) && fact.kind === "weights") {
+                this.options.logger.info("weights named", {
+                    model: fact.model,
+                    version: fact.version,
+                    revision: fact.revision,
+                });
+            }
+        }
+    }
+
+    private onReport(peer: Hello, report: PeerReport): void {
+        if (peer.role === ProcessRole.Router && report.replicas !== undefined && report.replicas.length > 0) {
+            this.replicas = report.replicas;
+            this.replicasAt = this.options.clock.now();
+        }
+    }
+
+    private peerReport(): PeerReport {
+        return { spent: [], load: [], crashes: [], levels: [], replica: this.status() };
+    }
+
+    private status(): ReplicaStatus {
+        const { report } = this;
+        return {
+            instance: this.instance(),
+            address: this.options.config.replica,
+            weights: report?.weights ?? [],
+            loading: this.load !== undefined || (report?.busy ?? false),
+            running: report?.running ?? 0,
+            queued: report?.queued ?? 0,
+            cacheUsed: report?.cacheUsed ?? 0,
+            cacheTotal: report?.cacheTotal ?? 0,
+        };
+    }
+
+    /** Tells routers at once of a change that matters to their choice. */
+    private tellRouters(): void {
+        const status = this.status();
+        const told = `${status.instance} ${status.loading} ${describeWeights(status.weights)}`;
+        if (told !== this.told) {
+            this.told = told;
+            this.sync.tellReplica(status);
+        }
+    }
+}
+
+function describeWeights(weights: readonly ModelWeights[]): string {
+    return weights.map(({ model, version }) => `${model}@${version}`).join(",");
+}
--- a/packages/router/src/node/requestPlacement.ts
+++ b/packages/router/src/node/requestPlacement.ts
@@ -5,8 +5,8 @@
  * @module
  */
 import { rendezvousOrder } from "@redwingpin/common";
-import { type Placed, Placement, PlacementOutcome, type PlacementRequest } from "@redwingpin/placement";
 import { type VirtualMachine, VirtualMachineRole } from "@redwingpin/outside";
+import { type Placed, Placement, PlacementOutcome, type PlacementRequest } from "@redwingpin/placement";
 import type { EndpointStatus, Head } from "@redwingpin/protocol";
 import type { AttemptEnd } from "../decision/attemptLoop.js";
 import { weightsOf } from "./attemptRunner.js";
--- a/packages/router/src/node/router.ts
+++ b/packages/router/src/node/router.ts
@@ -24,13 +24,13 @@
 } from "@redwingpin/common";
 import { type Configuration, createConfiguration, createRouterPeers } from "@redwingpin/configuration";
 import { createInnerTransport, createMembership, type Membership } from "@redwingpin/membership";
-import { defaultBlockTokens, Placement, RetryBudget } from "@redwingpin/placement";
 import {
     type KeyValueStore,
     type VirtualMachine,
     type VirtualMachineList,
     VirtualMachineRole,
 } from "@redwingpin/outside";
+import { defaultBlockTokens, Placement, RetryBudget } from "@redwingpin/placement";
 import {
     type Connection,
     type EndpointStatus,
