feat(rollout,gateway): turns by version, drained before the turn; ledgers told by acknowledgement

Cause: two replicas were on weights 12 s old, since each newer version began the turns from the same address, and the age of old weights was counted from the newest version. Four loads at once took 2 to 4 s each. Requests below their rate were refused, since three times the unreported tokens were set aside for half a second.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -2,7 +2,7 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-    { ignores: ["**/dist/**", "**/node_modules/**"] },
+    { ignores: ["**/dist/**", "**/target/**", "**/node_modules/**"] },
     { files: ["**/*.mjs"], languageOptions: { globals: { console: "readonly", process: "readonly" } } },
     js.configs.recommended,
     ...tseslint.configs.recommended,
--- a/packages/fleet/src/decision/fleetState.ts
+++ b/packages/fleet/src/decision/fleetState.ts
@@ -26,6 +26,8 @@
         readonly revision: number;
         readonly model: string;
         readonly version: number;
+        /** Time since the version was named; absent where it is not known. */
+        readonly age?: Milliseconds;
     }
     | {
         readonly kind: FactKind.Endpoint;
@@ -47,8 +49,27 @@
     readonly model: string;
     readonly version: number;
     readonly revision: number;
-    /** When this process learned of them, on its own clock. */
-    readonly learnedAt: Milliseconds;
+    /** When they were named, on this process's clock; `-Infinity` where that is not known. */
+    readonly namedAt: Milliseconds;
+    /** Versions named before, as far as known, oldest first. */
+    readonly earlier: readonly EarlierWeights[];
+}
+
+/** A version that was named before the newest one. */
+export interface EarlierWeights {
+    readonly version: number;
+    readonly namedAt: Milliseconds;
+}
+
+/** Earlier versions that are remembered for each model. */
+const maxEarlierWeights = 16;
+
+/** When the first version newer than `version` was named; `undefined` where `version` is the newest. */
+export function replacedAt(named: NamedWeights, version: number): Milliseconds | undefined {
+    if (version >= named.version) {
+        return undefined;
+    }
+    return named.earlier.find((earlier) => earlier.version > version)?.namedAt ?? named.namedAt;
 }
 
 /** An endpoint with the revision of its registration. */
@@ -102,7 +123,7 @@
     watermark(): FleetWatermark {
         return {
             configuration: this.configurationFact?.value.version ?? 0,
-            weights: [...this.weights.values()].reduce((most, named) => Math.max(most, named.revision), 0),
+            weights: this.weightsRevision(),
             endpoints: this.endpointsRevision,
         };
     }
@@ -116,7 +137,7 @@
             case FactKind.Configuration:
                 return this.learnConfiguration(fact.configuration, fact.revision);
             case FactKind.Weights:
-                return this.learnWeights({ ...fact, learnedAt: now });
+                return this.learnWeights(fact, now);
             case FactKind.Endpoint:
                 return this.learnEndpoint(fact.instance, fact.endpoint, fact.revision, now, storeTroubledAt);
         }
@@ -148,7 +169,7 @@
     }
 
     /** Facts that a process at `mark` lacks. */
-    newsSince(mark: FleetWatermark): FleetFact[] {
+    newsSince(mark: FleetWatermark, now: Milliseconds): FleetFact[] {
         const news: FleetFact[] = [];
         const configuration = this.configurationFact;
         if (configuration !== undefined && configuration.value.version > mark.configuration) {
@@ -158,9 +179,10 @@
                 configuration: configuration.value,
             });
         }
-        for (const { model, version, revision } of this.weights.values()) {
+        for (const { model, version, revision, namedAt } of this.weights.values()) {
             if (revision > mark.weights) {
-                news.push({ kind: FactKind.Weights, revision, model, version });
+                const age = Number.isFinite(namedAt) ? now - namedAt : undefined;
+                news.push({ kind: FactKind.Weights, revision, model, version, age });
             }
         }
         for (const [instance, { endpoint, revision, removedAt }] of this.known) {
@@ -185,15 +207,32 @@
         return true;
     }
 
-    private learnWeights(named: NamedWeights): boolean {
-        if (named.version <= (this.weights.get(named.model)?.version ?? 0)) {
+    private learnWeights(fact: FleetFact & { kind: FactKind.Weights; }, now: Milliseconds): boolean {
+        const { model, version, revision, age } = fact;
+        const before = this.weights.get(model);
+        const namedAt = age === undefined ? -Infinity : now - age;
+        if (before !== undefined && version === before.version && namedAt > before.namedAt) {
+            this.weights.set(model, { ...before, namedAt });
+            return false;
+        }
+        if (version <= (before?.version ?? 0)) {
             return false;
         }
-        const { model, version, revision, learnedAt } = named;
-        this.weights.set(model, { model, version, revision, learnedAt });
+        const earlier = before === undefined ? [] : [
+            ...before.earlier.slice(-maxEarlierWeights),
+            { version: before.version, namedAt: before.namedAt },
+        ];
+        this.weights.set(model, { model, version, revision, namedAt, earlier });
         return true;
     }
 
+    /** Versions whose age is not known count as not heard of, so that a peer tells of them again. */
+    private weightsRevision(): number {
+        const revisions = [...this.weights.values()]
+            .map((named) => Number.isFinite(named.namedAt) ? named.revision : 0);
+        return revisions.length === 0 ? 0 : Math.max(...revisions);
+    }
+
     private learnEndpoint(
         instance: string,
         endpoint: DirectEndpoint | undefined,
--- a/packages/fleet/src/decision/peerTable.ts
+++ b/packages/fleet/src/decision/peerTable.ts
@@ -40,7 +40,7 @@
 
     /** Replaces the agents. */
     setAgents(addresses: readonly InnerAddress[]): void {
-        const names = new Set(addresses.map(nameOf));
+        const names = new Set(addresses.map(peerName));
         for (const [name, peer] of this.peers) {
             if (!peer.isRouter && !names.has(name)) {
                 this.peers.delete(name);
@@ -63,10 +63,10 @@
         return due.map((peer) => peer.address);
     }
 
-    /** Makes exchanges due at once, with agents only or with every peer. */
-    hurry(agentsOnly: boolean): void {
+    /** Makes exchanges with the chosen peers due at once. */
+    hurry(isChosen: (address: InnerAddress) => boolean): void {
         for (const peer of this.peers.values()) {
-            if (peer.failures === 0 && (!agentsOnly || !peer.isRouter)) {
+            if (peer.failures === 0 && isChosen(peer.address)) {
                 peer.nextDue = this.clock.now();
             }
         }
@@ -74,7 +74,7 @@
 
     /** Notes an answer; returns whether the peer had been out of reach. */
     answered(address: InnerAddress): boolean {
-        const peer = this.peers.get(nameOf(address));
+        const peer = this.peers.get(peerName(address));
         if (peer === undefined) {
             return false;
         }
@@ -88,7 +88,7 @@
 
     /** Notes a failure; returns whether it is the first after answers. */
     failed(address: InnerAddress): boolean {
-        const peer = this.peers.get(nameOf(address));
+        const peer = this.peers.get(peerName(address));
         if (peer === undefined) {
             return false;
         }
@@ -112,9 +112,9 @@
         return this.routers().filter((peer) => peer.heardAt > since).map((peer) => peer.address);
     }
 
-    liveRouters(): number {
+    liveRouterNames(): string[] {
         const since = this.clock.now() - liveTime;
-        return this.routers().filter((peer) => peer.heardAt > since).length;
+        return this.routers().filter((peer) => peer.heardAt > since).map((peer) => peerName(peer.address));
     }
 
     silentRouters(): number {
@@ -128,8 +128,8 @@
     }
 
     private ensure(address: InnerAddress, isRouter: boolean): Peer | undefined {
-        const name = nameOf(address);
-        if (name === nameOf(this.own)) {
+        const name = peerName(address);
+        if (name === peerName(this.own)) {
             return undefined;
         }
         const found = this.peers.get(name);
@@ -160,6 +160,7 @@
     }
 }
 
-function nameOf(address: InnerAddress): string {
+/** Name of a peer: its address. */
+export function peerName(address: InnerAddress): string {
     return `${address.host}:${address.port}`;
 }
--- a/packages/fleet/src/node/fleetSync.ts
+++ b/packages/fleet/src/node/fleetSync.ts
@@ -16,7 +16,7 @@
     Topic,
 } from "@redwingpin/protocol";
 import type { FleetFact, FleetState } from "../decision/fleetState.js";
-import { PeerTable } from "../decision/peerTable.js";
+import { peerName, PeerTable } from "../decision/peerTable.js";
 import {
     FleetMessageKind,
     type PeerReport,
@@ -57,6 +57,8 @@
     readonly hasReport: () => boolean;
     readonly onReport: (peer: Hello, report: PeerReport) => void;
     readonly onReplica: (replica: ReplicaStatus) => void;
+    /** A peer, by name, has taken in a report. */
+    readonly onTold: (peer: string, report: PeerReport) => void;
     /** Takes in facts from a peer. */
     readonly onNews: (facts: readonly FleetFact[], peer: Hello) => void;
 }
@@ -82,9 +84,9 @@
         this.cancelTick?.();
     }
 
-    /** Routers that answered lately, this one not counted. */
+    /** Number of routers that answered lately, this one not counted. */
     liveRouters(): number {
-        return this.peers.liveRouters();
+        return this.peers.liveRouterNames().length;
     }
 
     /** Routers that answered before and have lately been silent. */
@@ -92,9 +94,14 @@
         return this.peers.silentRouters();
     }
 
-    /** Makes the next exchange with every peer, or with agents only, happen at once. */
-    hurry(agentsOnly: boolean): void {
-        this.peers.hurry(agentsOnly);
+    /** Names of the routers that answered lately, this one not counted. */
+    liveRouterNames(): string[] {
+        return this.peers.liveRouterNames();
+    }
+
+    /** Makes the next exchange with the chosen peers happen at once. */
+    hurry(isChosen: (address: InnerAddress) => boolean = () => true): void {
+        this.peers.hurry(isChosen);
         if (!this.stopped) {
             this.round();
         }
@@ -136,11 +143,12 @@
         }
         const connection = connected.value;
         const mark = this.options.state.watermark();
+        const report = this.options.report(connection.peer, address);
         const answer = await connection.call(Topic.Fleet, {
             kind: FleetMessageKind.Sync,
             address: this.options.role === ProcessRole.Router ? this.options.address : undefined,
             mark,
-            report: this.options.report(connection.peer, address),
+            report,
         }, answerTimeout);
         const reply = answer.isOk() ? readSyncReply(answer.value) : undefined;
         if (reply === undefined) {
@@ -148,6 +156,7 @@
             this.failed(address, answer.isErr() ? answer.error.message : "malformed answer");
             return;
         }
+        this.options.onTold(peerName(address), report);
         this.succeeded(address, connection, reply);
     }
 
@@ -162,7 +171,7 @@
         }
         state.endpointsCompleteTo(reply.mark.endpoints);
         onReport(connection.peer, reply.report);
-        const news = state.newsSince(reply.mark);
+        const news = state.newsSince(reply.mark, this.options.clock.now());
         if (news.length > 0) {
             connection.notify(Topic.Fleet, { kind: FleetMessageKind.News, news, mark: state.watermark() });
         }
@@ -201,7 +210,7 @@
         const { report, state } = this.options;
         return {
             mark: state.watermark(),
-            news: state.newsSince(mark),
+            news: state.newsSince(mark, this.options.clock.now()),
             routers: this.peers.routersHeard(),
             report: report(from, undefined),
         };
--- a/packages/gateway/src/decision/endpointChoice.ts
+++ b/packages/gateway/src/decision/endpointChoice.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import type { Milliseconds } from "@redwingpin/common";
-import type { NamedWeights } from "@redwingpin/fleet";
+import { type NamedWeights, replacedAt } from "@redwingpin/fleet";
 import type { EndpointView, ServiceSpeed } from "./endpointBoard.js";
 
 /** Weights that were named this long ago count as old at endpoints that do not serve them yet. */
@@ -108,7 +108,8 @@
     if (version === undefined) {
         return false;
     }
-    return version >= named.version || input.now - named.learnedAt < input.bounds.forbiddenAfter;
+    const replaced = replacedAt(named, version);
+    return replaced === undefined || input.now - replaced < input.bounds.forbiddenAfter;
 }
 
 function pickBest(choices: readonly Choice[]): Choice | undefined {
@@ -152,8 +153,10 @@
 
 function weightsWorth(version: number | undefined, input: ChoiceInput): number {
     const named = input.prompt?.named;
-    if (named === undefined || version === undefined || version >= named.version) {
+    if (named === undefined || version === undefined) {
         return 1;
     }
-    return input.now - named.learnedAt < input.bounds.worthLessAfter ? 1 : 1 - input.bounds.lostShare;
+    const replaced = replacedAt(named, version);
+    const isOld = replaced !== undefined && input.now - replaced >= input.bounds.worthLessAfter;
+    return isOld ? 1 - input.bounds.lostShare : 1;
 }
--- a/packages/gateway/src/decision/healthRecord.ts
+++ b/packages/gateway/src/decision/healthRecord.ts
@@ -15,6 +15,9 @@
 /** Failures in a row, without any answer, after which an endpoint is left out. */
 const brokenInARow = 2;
 
+/** Requests in a row whose time ended without an answer, after which an endpoint is left out. */
+const silentInARow = 3;
+
 /** First time for which an endpoint is left out; each further one is twice as long. */
 const firstEjection: Milliseconds = 1_000;
 
@@ -29,6 +32,7 @@
     /** Moving share of failures. */
     failing = 0;
     private brokenNow = 0;
+    private silentNow = 0;
     private successes = 0;
     private ejections = 0;
     private ejectedUntil: Milliseconds = -Infinity;
@@ -40,6 +44,7 @@
     recordSuccess(): void {
         this.failing -= outcomeWeight * this.failing;
         this.brokenNow = 0;
+        this.silentNow = 0;
         this.successes += 1;
         if (this.successes >= successesToForget) {
             this.ejections = 0;
@@ -58,6 +63,11 @@
         this.brokenNow += 1;
     }
 
+    /** Notes a request whose time ended without an answer; its time may just have been short. */
+    recordSilence(): void {
+        this.silentNow += 1;
+    }
+
     /** Leaves the endpoint out if it is worse than its peers and enough of them stay. Returns whether it did. */
     ejectIfBad(peers: readonly HealthRecord[], now: Milliseconds): boolean {
         if (this.isEjected(now) || !this.isBad(peers)) {
@@ -70,12 +80,13 @@
         this.ejectedUntil = now + Math.min(longestEjection, firstEjection * 2 ** this.ejections);
         this.ejections += 1;
         this.brokenNow = 0;
+        this.silentNow = 0;
         this.failing = this.failing / 2;
         return true;
     }
 
     private isBad(peers: readonly HealthRecord[]): boolean {
-        if (this.brokenNow >= brokenInARow) {
+        if (this.brokenNow >= brokenInARow || this.silentNow >= silentInARow) {
             return true;
         }
         const others = peers.filter((peer) => peer !== this).map((peer) => peer.failing);
--- a/packages/gateway/src/decision/sharedLedger.ts
+++ b/packages/gateway/src/decision/sharedLedger.ts
@@ -2,8 +2,9 @@
  * Token buckets that all routers share. Each router debits its own copy at once and tells the others how much it has
  * spent since its start; cumulative counts make a lost or repeated report harmless.
  *
- * Between two reports a router assumes that each other router has spent as much as itself, and while routers are
- * silent it uses only the share of the others, so that the copies together stay within the rate and a small tolerance.
+ * Between two reports a router spends no more than its share of what is left, or of the overdraft that is allowed, and
+ * while other routers are silent it leaves them their share of the rate: the copies together stay within rate and
+ * burst, and the overdraft.
  *
  * @module
  */
@@ -24,14 +25,14 @@
     filledAt: Milliseconds;
     /** Tokens that this router spent since its start. */
     spent: number;
-    /** Value of `spent` at the last report that a peer has. */
-    reported: number;
+    /** Value of `spent` in the last report that each peer has, by the peer's name. */
+    readonly reported: Map<string, number>;
 }
 
 /** What the ledger is told of the fleet. */
 export interface LedgerFleet {
-    /** Other routers that are in touch. */
-    readonly live: number;
+    /** Names of the other routers that are in touch. */
+    readonly live: readonly string[];
     /** Other routers that were in touch lately and are silent. */
     readonly silent: number;
 }
@@ -42,13 +43,15 @@
     readonly startsFull: boolean;
     /** Tokens with which each bucket starts otherwise, over all routers. */
     readonly startingTokens: number;
+    /** Tokens that all routers together may overdraw a bucket by while reports travel; 0 for none. */
+    readonly overdraft: number;
 }
 
 /** The buckets of one router. */
 export class SharedLedger {
     private readonly buckets = new Map<string, Bucket>();
     private readonly peerSpent = new Map<string, Map<string, number>>();
-    private fleet: LedgerFleet = { live: 0, silent: 0 };
+    private fleet: LedgerFleet = { live: [], silent: 0 };
 
     constructor(private readonly options: SharedLedgerOptions) {}
 
@@ -73,12 +76,10 @@
     }
 
     fleetChanged(fleet: LedgerFleet, now: Milliseconds): void {
-        if (fleet.live !== this.fleet.live || fleet.silent !== this.fleet.silent) {
-            for (const bucket of this.buckets.values()) {
-                this.fill(bucket, now);
-            }
-            this.fleet = fleet;
+        for (const bucket of this.buckets.values()) {
+            this.fill(bucket, now);
         }
+        this.fleet = fleet;
     }
 
     /** Spends tokens of an account, or says when they may be there. */
@@ -88,12 +89,14 @@
             return { admitted: true };
         }
         this.fill(bucket, now);
-        const unreported = Math.max(0, bucket.spent - bucket.reported);
-        const available = bucket.level - unreported * this.fleet.live;
-        if (available < Math.min(tokens, bucket.account.burstTokens)) {
-            const missing = tokens - available;
+        const needed = Math.min(tokens, bucket.account.burstTokens);
+        const unreported = this.unreported(bucket);
+        const share = Math.max(bucket.level, this.options.overdraft) / (1 + this.fleet.live.length);
+        const fitsShare = unreported === 0 || unreported + tokens <= share;
+        if (bucket.level < needed || !fitsShare) {
+            const missing = Math.max(needed - bucket.level, fitsShare ? 0 : unreported + tokens - share);
             const retryAfter = missing * millisecondsPerSecond / bucket.account.tokensPerSecond;
-            return { admitted: false, retryAfter, level: available };
+            return { admitted: false, retryAfter, level: bucket.level };
         }
         bucket.level -= tokens;
         bucket.spent += tokens;
@@ -116,15 +119,15 @@
 
     /** True where something was spent that peers have not been told. */
     hasUnreported(): boolean {
-        return [...this.buckets.values()].some((bucket) => bucket.spent !== bucket.reported);
+        return [...this.buckets.values()].some((bucket) => this.unreported(bucket) !== 0);
     }
 
-    /** Notes that peers have a report. */
-    reported(report: readonly AccountSpending[]): void {
+    /** Notes that a peer has a report. */
+    reported(peer: string, report: readonly AccountSpending[]): void {
         for (const { account, tokens } of report) {
             const bucket = this.buckets.get(account);
             if (bucket !== undefined) {
-                bucket.reported = tokens;
+                bucket.reported.set(peer, tokens);
             }
         }
     }
@@ -167,12 +170,18 @@
     private createBucket(account: DirectAccount, now: Milliseconds): Bucket {
         const { startsFull, startingTokens } = this.options;
         const level = startsFull ? account.burstTokens : Math.min(account.burstTokens, startingTokens);
-        return { account, level, filledAt: now, spent: 0, reported: 0 };
+        return { account, level, filledAt: now, spent: 0, reported: new Map() };
+    }
+
+    /** Tokens spent here that some router in touch has not been told of. */
+    private unreported(bucket: Bucket): number {
+        const known = this.fleet.live.map((peer) => bucket.reported.get(peer) ?? 0);
+        return known.length === 0 ? 0 : Math.max(0, bucket.spent - Math.min(...known));
     }
 
     private fill(bucket: Bucket, now: Milliseconds): void {
-        const routers = 1 + this.fleet.live + this.fleet.silent;
-        const share = (1 + this.fleet.live) / routers;
+        const inTouch = 1 + this.fleet.live.length;
+        const share = inTouch / (inTouch + this.fleet.silent);
         const earned = (now - bucket.filledAt) * bucket.account.tokensPerSecond * share
             / millisecondsPerSecond;
         bucket.level = Math.min(bucket.account.burstTokens, bucket.level + Math.max(0, earned));
--- a/packages/gateway/src/node/callerChecks.ts
+++ b/packages/gateway/src/node/callerChecks.ts
@@ -21,6 +21,8 @@
     readonly attempt?: string;
     /** Level of the account's bucket, where that decided. */
     readonly level?: number;
+    readonly account?: string;
+    readonly tokens?: number;
 }
 
 /** When to come back to a router that has no configuration yet. */
@@ -134,7 +136,9 @@
             message: `account "${account?.name}" has used up its rate`,
             retryAfter: spent.retryAfter,
             attempt: facts.attempt,
-            level: spent.level,
+            level: Math.round(spent.level),
+            account: account?.name,
+            tokens,
         });
     }
     const url = request.url ?? "/";
--- a/packages/gateway/src/node/directServer.ts
+++ b/packages/gateway/src/node/directServer.ts
@@ -185,7 +185,9 @@
             request: failure.attempt,
             reason: failure.reason,
             status: failure.status,
-            message: failure.message,
+            detail: failure.message,
+            account: failure.account,
+            tokens: failure.tokens,
             level: failure.level,
             retryAfter: failure.retryAfter === undefined ? undefined : Math.round(failure.retryAfter),
         });
--- a/packages/gateway/src/node/endpointExchange.ts
+++ b/packages/gateway/src/node/endpointExchange.ts
@@ -6,6 +6,9 @@
 import type { DirectEndpoint } from "@redwingpin/fleet";
 import { type Agent, type ClientRequest, type IncomingMessage, request as httpRequest } from "node:http";
 
+/** An endpoint accepts a connection within some milliseconds; one without power never answers. */
+const connectTimeoutMilliseconds = 350;
+
 /** What is sent. */
 export interface ExchangeRequest {
     readonly endpoint: DirectEndpoint;
@@ -49,7 +52,13 @@
         });
         this.request.once("socket", (socket) => {
             if (socket.connecting) {
+                const timer = setTimeout(
+                    () => this.broken(`no connection within ${connectTimeoutMilliseconds} ms`),
+                    connectTimeoutMilliseconds,
+                );
                 socket.once("connect", () => this.sent = true);
+                socket.once("connect", () => clearTimeout(timer));
+                socket.once("close", () => clearTimeout(timer));
             }
             else {
                 this.sent = true;
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -10,11 +10,11 @@
     type Logger,
     maxSeed,
     type Milliseconds,
+    rendezvousOrder,
     seededRandom,
     sleep,
 } from "@redwingpin/common";
 import {
-    type AccountSpending,
     type DirectEndpoint,
     FactKind,
     type FleetFact,
@@ -23,7 +23,9 @@
     type FleetSource,
     FleetState,
     FleetSync,
+    peerName,
     type PeerReport,
+    type ReplicaStatus,
     StoreFollower,
 } from "@redwingpin/fleet";
 import { type FleetKeys, type Hello, type InnerAddress, InnerNode, ProcessRole } from "@redwingpin/protocol";
@@ -94,12 +96,12 @@
 /** Interval of the housekeeping. */
 const housekeepingInterval: Milliseconds = 150;
 
-/** Housekeeping rounds after which peers are taken to have heard what was spent. */
-const reportedAfterRounds = 3;
-
 /** Part of the tolerance of an account with which buckets start after a restart of every router. */
 const startingTolerance = 0.4;
 
+/** Part of the tolerance of an account by which routers may overdraw its bucket while reports travel. */
+const overdraftTolerance = 0.5;
+
 /** A router takes over its peers' levels during this time after its start. */
 const adoptFor: Milliseconds = 2_500;
 
@@ -109,6 +111,11 @@
 /** Time for the last answers to leave before the process must end. */
 const stopMargin: Milliseconds = 800;
 
+/** A change that the store has just told of. */
+function justNamed(fact: FleetFact): FleetFact {
+    return fact.kind === FactKind.Weights ? { ...fact, age: 0 } : fact;
+}
+
 /** Serves callers of direct routes. */
 export class Gateway {
     private readonly state = new FleetState();
@@ -125,7 +132,6 @@
     private readonly random = seededRandom(randomInt(maxSeed));
     private readonly incarnation = randomUUID();
     private readonly startedAt: Milliseconds;
-    private readonly spentBefore: AccountSpending[][] = [];
     private table: RouteTable | undefined;
     private endpointsKnown = false;
     private adopted = false;
@@ -139,6 +145,7 @@
         this.ledger = new SharedLedger({
             startsFull: config.fleetIsNew,
             startingTokens: config.rateTolerance * startingTolerance,
+            overdraft: config.rateTolerance * overdraftTolerance,
         });
         this.innerNode = this.createInnerNode();
         this.sync = this.createSync();
@@ -227,7 +234,8 @@
             report: (peer, address) => this.reportFor(peer, address),
             hasReport: () => this.ledger.hasUnreported(),
             onReport: (peer, report) => this.onReport(peer, report),
-            onReplica: (replica) => this.board.observeStatus(replica, clock.now()),
+            onReplica: (replica) => this.onReplica(replica),
+            onTold: (peer, report) => this.ledger.reported(peer, report.spent),
             onNews: (facts, peer) => this.learn(facts, peer.instance),
         });
     }
@@ -292,12 +300,25 @@
             this.learn(this.state.missingFrom(listed, reading.revision), "store");
             this.endpointsKnown = true;
         }
-        this.learn(reading.facts, "store");
+        this.learn(complete ? reading.facts : reading.facts.map(justNamed), "store");
         if (scope === FleetScope.Endpoints) {
             this.state.endpointsCompleteTo(reading.revision);
         }
     }
 
+    /** An agent tells of its replica: the other agents of its service that look to this router hear of it at once. */
+    private onReplica(replica: ReplicaStatus): void {
+        this.board.observeStatus(replica, this.options.clock.now());
+        this.sync.hurry((address) => this.isHomeOf(address));
+    }
+
+    /** True where this router, of all that are in touch, is the one to pass on news to an agent. */
+    private isHomeOf(agent: InnerAddress): boolean {
+        const own = peerName(this.options.config.inner);
+        const routers = [own, ...this.sync.liveRouterNames()];
+        return rendezvousOrder(peerName(agent), routers, (name) => name)[0] === own;
+    }
+
     /** Takes in facts and acts on those that are news. */
     private learn(facts: readonly FleetFact[], from: string): void {
         const now = this.options.clock.now();
@@ -315,7 +336,7 @@
             this.board.update(this.state);
         }
         if (news.some((fact) => fact.kind !== FactKind.Endpoint)) {
-            this.sync.hurry(false);
+            this.sync.hurry();
         }
     }
 
@@ -335,6 +356,10 @@
                 logger.info("configuration in force", {
                     version: fact.configuration.version,
                     revision: fact.revision,
+                    routes: fact.configuration.routes.length,
+                    rates: fact.configuration.accounts
+                        .map((account) => `${account.name}=${account.tokensPerSecond}/${account.burstTokens}`)
+                        .join(","),
                     from,
                 });
                 return;
@@ -348,7 +373,7 @@
                 return;
             case FactKind.Endpoint:
                 logger.info("endpoint changed", {
-                    instance: fact.instance,
+                    endpoint: fact.instance,
                     service: fact.endpoint?.service,
                     state: fact.endpoint === undefined ? "gone" : fact.endpoint.leaving ? "leaving" : "ready",
                     weights: fact.endpoint?.weights.map((entry) => entry.version).join(","),
@@ -435,11 +460,10 @@
         if (this.state.expire(now).length > 0) {
             this.board.update(this.state);
         }
-        this.ledger.fleetChanged({ live: this.sync.liveRouters(), silent: this.sync.silentRouters() }, now);
-        this.spentBefore.push(this.ledger.spent());
-        if (this.spentBefore.length > reportedAfterRounds) {
-            this.ledger.reported(this.spentBefore.shift() ?? []);
-        }
+        this.ledger.fleetChanged(
+            { live: this.sync.liveRouterNames(), silent: this.sync.silentRouters() },
+            now,
+        );
         this.cancelHousekeeping = clock.schedule(housekeepingInterval, () => this.housekeep());
     }
 }
--- /dev/null
+++ b/packages/gateway/src/node/promptFacts.ts
@@ -0,0 +1,31 @@
+/**
+ * What a request to a model engine is about: its model, the weights that should run, and where its prefixes may lie.
+ *
+ * @module
+ */
+import { DirectServiceKind, type FleetState, type NamedWeights } from "@redwingpin/fleet";
+import type { DirectRequest } from "./callerRequest.js";
+
+/** What a request to a model engine is about. */
+export interface PromptFacts {
+    readonly model: string;
+    readonly named: NamedWeights | undefined;
+    readonly cacheStore: string | undefined;
+    /** Text under which prefixes read by weights of a version may be found. */
+    readonly scope: (version: number | undefined) => string;
+}
+
+/** Reads the facts of a request; `undefined` for requests to plain services. */
+export function promptFacts(request: DirectRequest, state: FleetState): PromptFacts | undefined {
+    const { model } = request.facts;
+    if (model === undefined || request.service.kind !== DirectServiceKind.Engine) {
+        return undefined;
+    }
+    const owner = request.account?.isolated === true ? `account=${request.account.name}` : "shared";
+    return {
+        model,
+        named: state.weightsOf(model),
+        cacheStore: request.table.cacheStore()?.cacheStoreAddress,
+        scope: (version) => `${owner};${model};${version ?? 0}`,
+    };
+}
--- a/packages/gateway/src/node/requestTask.ts
+++ b/packages/gateway/src/node/requestTask.ts
@@ -11,12 +11,11 @@
     type RetryReason,
     runDecision,
 } from "@redwingpin/common";
-import { DirectServiceKind, type FleetState, type NamedWeights } from "@redwingpin/fleet";
+import type { FleetState } from "@redwingpin/fleet";
 import type { ServerResponse } from "node:http";
 import {
     type AttemptEffect,
     type AttemptEvent,
-    type AttemptOutcome,
     planAttempts,
     type RequestOutcome,
 } from "../decision/attemptPlan.js";
@@ -30,13 +29,14 @@
 } from "../decision/endpointChoice.js";
 import { type PrefixHomes, prefixNames } from "../decision/prefixHomes.js";
 import type { RetryAllowance } from "../decision/retryAllowance.js";
-import { chooseTarget } from "../decision/routeTable.js";
 import type { AnswerFacts, DispatchFacts, WireDialect } from "../wireDialect.js";
 import { endToEndHeaders, writeOwnAnswer, writeWholeAnswer } from "./answerWriter.js";
 import { notRunStatuses, runAttempt, type StreamProgress } from "./attempt.js";
+import { openBook, recordAttempt } from "./attemptRecord.js";
 import type { DirectRequest } from "./callerRequest.js";
 import type { EndpointConnections } from "./endpointConnections.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
+import { type PromptFacts, promptFacts } from "./promptFacts.js";
 
 /** Time for a kept connection to bring a byte of the prefix over the network of a cache store, for each token. */
 const fetchMillisecondsPerToken = 0.007;
@@ -44,12 +44,6 @@
 /** Part of an engine's cache that all routers together count on. */
 const countedCacheShare = 0.6;
 
-/** An endpoint that refused a request as full or busy is left out for this long. */
-const refusedPause: Milliseconds = 250;
-
-/** An endpoint that could not be reached is left out for this long. */
-const unreachablePause: Milliseconds = 1_000;
-
 /** When to come back where no endpoint can take a request now. */
 const noEndpointRetryAfter: Milliseconds = 400;
 
@@ -206,7 +200,12 @@
             },
         });
         book.close();
-        this.observe(choice, outcome, sentAt);
+        recordAttempt(this.context, request, choice, outcome, {
+            number: this.attempts,
+            sentAt,
+            events: this.progress.events,
+            namedVersion: this.prompt?.named?.version,
+        });
         return { kind: "ended", outcome };
     }
 
@@ -292,65 +291,6 @@
         }
     }
 
-    /** Keeps the books of an ended attempt and writes its line. */
-    private observe(choice: Choice, outcome: AttemptOutcome, sentAt: Milliseconds): void {
-        const { board, clock, crashes, logger, state } = this.context;
-        const { request } = this;
-        const { view } = choice;
-        const now = clock.now();
-        this.recordHealth(view, outcome);
-        const peers = board.ofService(request.service.name).map((peer) => peer.health);
-        if (view.health.ejectIfBad(peers, now)) {
-            logger.warn("endpoint left out", {
-                instance: view.endpoint.instance,
-                service: request.service.name,
-                failing: view.health.failing,
-            });
-        }
-        if (outcome.kind === "broken") {
-            crashes.recordCrash(request.fingerprint, view.endpoint.instance, now);
-        }
-        logger.info("attempt", {
-            request: request.facts.attempt,
-            attempt: this.attempts,
-            instance: view.endpoint.instance,
-            outcome: outcome.kind,
-            detail: outcomeDetail(outcome),
-            took: Math.round(now - sentAt),
-            predicted: Math.round(choice.latency),
-            worth: Number(choice.worth.toFixed(2)),
-            readTokens: choice.readTokens,
-            version: choice.version,
-            named: this.prompt?.named?.version,
-            configuration: state.configuration?.version,
-            events: this.progress.events,
-            statusAge: finiteOrAbsent(view.statusAge(now)),
-        });
-    }
-
-    private recordHealth(view: EndpointView, outcome: AttemptOutcome): void {
-        const now = this.context.clock.now();
-        switch (outcome.kind) {
-            case "delivered":
-                view.health.recordSuccess();
-                return;
-            case "failed":
-                view.health.recordFailure();
-                return;
-            case "broken":
-                view.health.recordBroken();
-                return;
-            case "notRun":
-                view.avoid(outcome.reached ? refusedPause : unreachablePause, now);
-                return;
-            case "timedOut":
-                view.health.recordBroken();
-                return;
-            case "callerGone":
-                return;
-        }
-    }
-
     /** Tells the caller how its request ended. */
     private answer(outcome: RequestOutcome): RequestOutcome {
         const { clock, dialect, metrics } = this.context;
@@ -416,70 +356,3 @@
         }
     }
 }
-
-/** What a request to a model engine is about. */
-interface PromptFacts {
-    readonly model: string;
-    readonly named: NamedWeights | undefined;
-    readonly cacheStore: string | undefined;
-    /** Text under which prefixes read by weights of a version may be found. */
-    readonly scope: (version: number | undefined) => string;
-}
-
-function promptFacts(request: DirectRequest, state: FleetState): PromptFacts | undefined {
-    const { model } = request.facts;
-    if (model === undefined || request.service.kind !== DirectServiceKind.Engine) {
-        return undefined;
-    }
-    const owner = request.account?.isolated === true ? `account=${request.account.name}` : "shared";
-    return {
-        model,
-        named: state.weightsOf(model),
-        cacheStore: request.table.cacheStore()?.cacheStoreAddress,
-        scope: (version) => `${owner};${model};${version ?? 0}`,
-    };
-}
-
-/** Counts a request at its endpoint until it is over. */
-function openBook(choice: Choice): { answered: () => void; close: () => void; } {
-    const { view, readTokens } = choice;
-    let waiting = true;
-    view.running += 1;
-    view.waitingTokens += readTokens;
-    const answered = () => {
-        if (waiting) {
-            waiting = false;
-            view.waitingTokens -= readTokens;
-        }
-    };
-    return {
-        answered,
-        close: () => {
-            answered();
-            view.running -= 1;
-        },
-    };
-}
-
-function outcomeDetail(outcome: AttemptOutcome): string | undefined {
-    switch (outcome.kind) {
-        case "notRun":
-            return outcome.reason;
-        case "failed":
-            return `status ${outcome.answer.status}`;
-        case "broken":
-            return outcome.detail;
-        default:
-            return undefined;
-    }
-}
-
-function finiteOrAbsent(value: number): number | undefined {
-    return Number.isFinite(value) ? Math.round(value) : undefined;
-}
-
-/** The service that a request goes to, by the weights of its route. */
-export function serviceOf(table: DirectRequest["table"], route: DirectRequest["route"], unit: number) {
-    const name = chooseTarget(route.targets, unit);
-    return name === undefined ? undefined : table.service(name);
-}
--- a/packages/rollout/src/node/replicaAgent.ts
+++ b/packages/rollout/src/node/replicaAgent.ts
@@ -17,7 +17,7 @@
 import { type FleetKeys, type Hello, type InnerAddress, InnerNode, ProcessRole } from "@redwingpin/protocol";
 import { randomUUID } from "node:crypto";
 import { Counter, type Registry } from "prom-client";
-import { isTurn } from "../decision/rolloutTurn.js";
+import { RolloutStep, rolloutStep } from "../decision/rolloutTurn.js";
 import { OrderAnswer, type ReplicaControl, type ReplicaReport } from "../replicaControl.js";
 
 /** Everything that an agent is told at its start. */
@@ -64,6 +64,12 @@
     orderedAt: Milliseconds | undefined;
 }
 
+/** A model whose weights are not the newest. */
+interface Behind {
+    readonly target: NamedWeights;
+    readonly version: number;
+}
+
 /** Works beside one replica. */
 export class ReplicaAgent {
     private readonly state = new FleetState();
@@ -76,6 +82,8 @@
     private replicas: readonly ReplicaProgress[] = [];
     private replicasAt: Milliseconds = -Infinity;
     private told = "";
+    private preparing = false;
+    private looking = false;
     private stopped = false;
     private cancelTick: CancelTimer = () => {};
 
@@ -112,6 +120,7 @@
             hasReport: () => false,
             onReport: (peer, report) => this.onReport(peer, report),
             onReplica: () => {},
+            onTold: () => {},
             onNews: (facts) => this.learn(facts),
         });
     }
@@ -130,9 +139,16 @@
     }
 
     private tick(): void {
+        this.cancelTick();
+        if (this.looking || this.stopped) {
+            return;
+        }
+        this.looking = true;
         void this.look().then(() => {
+            this.looking = false;
             if (!this.stopped) {
-                const interval = this.load === undefined ? calmInterval : loadingInterval;
+                const isBusy = this.load !== undefined || this.preparing;
+                const interval = isBusy ? loadingInterval : calmInterval;
                 this.cancelTick = this.options.clock.schedule(interval, () => this.tick());
             }
         });
@@ -176,8 +192,9 @@
         if (report === undefined) {
             return;
         }
-        const target = this.target(report);
-        if (target === undefined) {
+        const behind = this.behind(report);
+        if (behind === undefined) {
+            this.preparing = false;
             if (!report.busy) {
                 this.endLoad(report);
             }
@@ -185,43 +202,46 @@
         }
         const now = this.options.clock.now();
         if (this.load === undefined) {
-            if (!report.busy && this.isTurn(target, now)) {
-                await this.begin(target, now);
-            }
+            await this.takeStep(behind, report, now);
             return;
         }
         const { orderedAt } = this.load;
         if (!report.busy && orderedAt !== undefined && now - orderedAt > orderPatience) {
-            this.options.logger.warn("an order showed no effect", { version: target.version });
+            this.options.logger.warn("an order showed no effect", { version: behind.target.version });
             this.load = undefined;
         }
-        else if (!report.busy && this.load.target.version !== target.version) {
+        else if (!report.busy && this.load.target.version !== behind.target.version) {
             // Newer weights were named; those of the running load are not wanted any more.
             this.load = undefined;
         }
     }
 
-    /** Newest named weights of a model that the replica serves in an older version. */
-    private target(report: ReplicaReport): NamedWeights | undefined {
-        for (const { model, version } of report.weights) {
-            const named = this.state.weightsOf(model);
-            if (named !== undefined && named.version > version) {
-                return named;
-            }
-        }
-        return undefined;
-    }
-
-    private isTurn(target: NamedWeights, now: Milliseconds): boolean {
+    private async takeStep(behind: Behind, report: ReplicaReport, now: Milliseconds): Promise<void> {
         const { config } = this.options;
-        return isTurn({
+        const step = report.busy ? RolloutStep.Wait : rolloutStep({
             address: config.replica,
-            target,
+            version: behind.version,
+            target: behind.target,
             replicas: this.replicas,
             age: now - this.replicasAt,
             now,
             latestAfter: config.loadLatestAfter,
         });
+        this.preparing = step === RolloutStep.Prepare;
+        if (step === RolloutStep.Load) {
+            await this.begin(behind.target, now);
+        }
+    }
+
+    /** A model that the replica serves in an older version than the newest named one. */
+    private behind(report: ReplicaReport): Behind | undefined {
+        for (const { model, version } of report.weights) {
+            const target = this.state.weightsOf(model);
+            if (target !== undefined && target.version > version) {
+                return { target, version };
+            }
+        }
+        return undefined;
     }
 
     private async begin(target: NamedWeights, now: Milliseconds): Promise<void> {
@@ -231,9 +251,13 @@
         if (instance === undefined || report === undefined) {
             return;
         }
+        const wasAnnounced = this.preparing;
+        this.preparing = false;
         this.load = { target, since: now, orderedAt: undefined };
         this.tellRouters();
-        await new Promise<void>((resolve) => void clock.schedule(announceTime, resolve));
+        if (!wasAnnounced) {
+            await new Promise<void>((resolve) => void clock.schedule(announceTime, resolve));
+        }
         const answer = await control.load({
             instance,
             model: target.model,
@@ -245,13 +269,13 @@
         const outcome = answer.isOk() ? answer.value : "unanswered";
         this.loads.inc({ outcome });
         logger.info("ordered to load weights", {
-            instance,
+            endpoint: instance,
             model: target.model,
             version: target.version,
             fence: target.revision,
             orders: report.orders,
             running: report.running,
-            age: Math.round(now - target.learnedAt),
+            age: finiteOrAbsent(now - target.namedAt),
             outcome,
             error: answer.isErr() ? answer.error : undefined,
         });
@@ -289,6 +313,7 @@
                     version: fact.version,
                     revision: fact.revision,
                 });
+                this.tick();
             }
         }
     }
@@ -297,6 +322,9 @@
         if (peer.role === ProcessRole.Router && report.replicas !== undefined && report.replicas.length > 0) {
             this.replicas = report.replicas;
             this.replicasAt = this.options.clock.now();
+            if (this.report !== undefined && this.behind(this.report) !== undefined) {
+                this.tick();
+            }
         }
     }
 
@@ -310,7 +338,7 @@
             instance: this.instance(),
             address: this.options.config.replica,
             weights: report?.weights ?? [],
-            loading: this.load !== undefined || (report?.busy ?? false),
+            loading: this.load !== undefined || this.preparing || (report?.busy ?? false),
             running: report?.running ?? 0,
             queued: report?.queued ?? 0,
             cacheUsed: report?.cacheUsed ?? 0,
@@ -332,3 +360,7 @@
 function describeWeights(weights: readonly ModelWeights[]): string {
     return weights.map(({ model, version }) => `${model}@${version}`).join(",");
 }
+
+function finiteOrAbsent(value: number): number | undefined {
+    return Number.isFinite(value) ? Math.round(value) : undefined;
+}
