--- /dev/null
+++ b/packages/fleet/src/__tests__/fleetState.spec.ts
@@ -0,0 +1,80 @@
+import { expect } from "chai";
+import { FactKind, FleetState, registrationReturnMilliseconds, replacedAt } from "../index.js";
+import { configurationFixture, endpointFact, endpointFixture, weightsFact } from "./fleetFixture.js";
+
+describe("fleet state", () => {
+    it("never goes back to an older configuration, whatever the order of facts", () => {
+        const state = new FleetState();
+        const learn = (version: number, revision: number) =>
+            state.learn(
+                { kind: FactKind.Configuration, revision, configuration: configurationFixture(version) },
+                0,
+            );
+        expect(learn(7, 12)).to.equal(true);
+        expect(learn(4, 20)).to.equal(false);
+        expect(state.configuration?.version).to.equal(7);
+    });
+
+    it("drops an endpoint at once where its registration is gone and the store is sound", () => {
+        const state = new FleetState();
+        state.learn(endpointFact("a", 3, endpointFixture("a")), 0);
+        state.learn(endpointFact("a", 4), 10_000, 0);
+        expect(state.endpoint("a")).to.equal(undefined);
+    });
+
+    it("keeps a registration that lapsed with the store until it had the time to come back", () => {
+        const state = new FleetState();
+        state.learn(endpointFact("a", 3, endpointFixture("a")), 0);
+        state.learn(endpointFact("a", 4), 10_000, 9_900);
+        expect(state.endpoint("a")?.removedAt).to.equal(10_000);
+        expect(state.expire(10_000 + registrationReturnMilliseconds - 1)).to.deep.equal([]);
+        expect(state.expire(10_000 + registrationReturnMilliseconds)).to.deep.equal(["a"]);
+    });
+
+    it("drops a leaving endpoint at once even beside trouble of the store", () => {
+        const state = new FleetState();
+        state.learn(endpointFact("a", 3, endpointFixture("a", { leaving: true })), 0);
+        state.learn(endpointFact("a", 4), 10_000, 9_900);
+        expect(state.endpoint("a")).to.equal(undefined);
+    });
+
+    it("does not bring a removed endpoint back by an older fact from a peer", () => {
+        const state = new FleetState();
+        state.learn(endpointFact("a", 9), 0);
+        expect(state.learn(endpointFact("a", 5, endpointFixture("a")), 1)).to.equal(false);
+        expect(state.endpoint("a")).to.equal(undefined);
+    });
+
+    it("gives a peer that is behind the removals as well", () => {
+        const ahead = new FleetState();
+        const behind = new FleetState();
+        ahead.learn(endpointFact("a", 3, endpointFixture("a")), 0);
+        behind.learn(endpointFact("a", 3, endpointFixture("a")), 0);
+        ahead.learn(endpointFact("a", 6), 5, -Infinity);
+        for (const fact of ahead.newsSince(behind.watermark(), 5)) {
+            behind.learn(fact, 5);
+        }
+        expect([...behind.endpoints()]).to.deep.equal([]);
+        expect(behind.watermark()).to.deep.equal(ahead.watermark());
+    });
+
+    it("judges old weights by the first version that replaced them, not by the newest", () => {
+        const state = new FleetState();
+        state.learn(weightsFact(2, 10, 0), 1_000);
+        state.learn(weightsFact(3, 11, 0), 6_000);
+        const named = state.weightsOf("drafting")!;
+        expect(replacedAt(named, 1)).to.equal(1_000);
+        expect(replacedAt(named, 2)).to.equal(6_000);
+        expect(replacedAt(named, 3)).to.equal(undefined);
+    });
+
+    it("takes weights of unknown age for long replaced until a peer tells their age", () => {
+        const restarted = new FleetState();
+        restarted.learn(weightsFact(2, 10), 500);
+        expect(replacedAt(restarted.weightsOf("drafting")!, 1)).to.equal(-Infinity);
+        expect(restarted.watermark().weights).to.equal(0);
+        restarted.learn(weightsFact(2, 10, 300), 600);
+        expect(replacedAt(restarted.weightsOf("drafting")!, 1)).to.equal(300);
+        expect(restarted.watermark().weights).to.equal(10);
+    });
+});
--- /dev/null
+++ b/packages/gateway/src/__tests__/books.spec.ts
@@ -0,0 +1,107 @@
+import { expect } from "chai";
+import {
+    chooseTarget,
+    CrashBook,
+    EventStreamReader,
+    PrefixHomes,
+    prefixNames,
+    RetryAllowance,
+} from "../index.js";
+
+const parts = [{ identifier: "catalogue", tokens: 2_000 }, { identifier: "maker", tokens: 4_000 }];
+
+describe("retry allowance", () => {
+    it("keeps the routers of a fleet together within ratio and slack in any window", () => {
+        const bounds = { ratio: 0.2, window: 10_000, slack: 54 };
+        const routers = Array.from({ length: 4 }, () => new RetryAllowance(bounds));
+        let requests = 0;
+        const retryTimes: number[] = [];
+        for (let now = 0; now < 30_000; now += 10) {
+            for (const router of routers) {
+                router.recordRequest("service", now);
+                requests += 1;
+                if (router.tryRetry("service", routers.length, now)) {
+                    retryTimes.push(now);
+                }
+            }
+        }
+        const requestsInWindow = requests / 3;
+        for (let start = 0; start <= 20_000; start += 500) {
+            const inWindow = retryTimes.filter((time) =>
+                time >= start && time < start + bounds.window
+            ).length;
+            expect(inWindow).to.be.at.most(requestsInWindow * bounds.ratio + bounds.slack);
+        }
+        expect(retryTimes.length).to.be.greaterThan(0);
+    });
+});
+
+describe("crash book", () => {
+    it("refuses a request that broke off three endpoints, counted over routers", () => {
+        const own = new CrashBook();
+        const peer = new CrashBook();
+        own.recordCrash("request", "a", 0);
+        peer.recordCrash("request", "b", 0);
+        peer.recordCrash("request", "c", 0);
+        expect(own.isRefused("request", 1)).to.equal(false);
+        own.observe(peer.report(1), 1);
+        expect(own.isRefused("request", 1)).to.equal(true);
+    });
+
+    it("does not count two breaks of one endpoint twice, and forgets a request that was served", () => {
+        const book = new CrashBook();
+        for (const instance of ["a", "a", "a", "b"]) {
+            book.recordCrash("innocent", instance, 0);
+        }
+        expect(book.isRefused("innocent", 1)).to.equal(false);
+        book.recordSuccess("innocent");
+        expect(book.crashes("innocent", 1)).to.equal(0);
+    });
+});
+
+describe("event stream reader", () => {
+    it("gives whole events only, cut at any byte", () => {
+        const bytes = Buffer.from("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda");
+        for (let cut = 0; cut <= bytes.length; cut++) {
+            const reader = new EventStreamReader();
+            const events = [...reader.read(bytes.subarray(0, cut)), ...reader.read(bytes.subarray(cut))];
+            expect(events.map((event) => event.identifier)).to.deep.equal(["1", "2"]);
+            expect(reader.hasPartialEvent).to.equal(true);
+        }
+    });
+
+    it("reads identifiers beside other lines, and events that end in carriage returns", () => {
+        const reader = new EventStreamReader();
+        const events = reader.read(Buffer.from("weights: 3\nid: 7\ndata: x\n\nid:8\r\ndata: y\r\n\r\n"));
+        expect(events.map((event) => event.identifier)).to.deep.equal(["7", "8"]);
+        expect(reader.hasPartialEvent).to.equal(false);
+    });
+});
+
+describe("prefix homes", () => {
+    it("counts leading parts only, under the same scope", () => {
+        const homes = new PrefixHomes();
+        const names = prefixNames("shared;drafting;1", parts);
+        homes.recordRead("a", names, parts, 10_000);
+        expect(homes.heldTokens("a", names, parts)).to.equal(6_000);
+        expect(homes.heldTokens("a", prefixNames("shared;drafting;2", parts), parts)).to.equal(0);
+        expect(homes.heldTokens("b", names, parts)).to.equal(0);
+    });
+
+    it("forgets the least recently used parts beyond an endpoint's memory", () => {
+        const homes = new PrefixHomes();
+        const first = prefixNames("s", parts);
+        homes.recordRead("a", first, parts, 7_000);
+        const others = [{ identifier: "other", tokens: 5_000 }];
+        homes.recordRead("a", prefixNames("s", others), others, 7_000);
+        expect(homes.heldTokens("a", first, parts)).to.equal(0);
+    });
+});
+
+describe("choice of a route's service", () => {
+    it("follows the weights", () => {
+        const targets = [{ service: "old", weight: 90 }, { service: "new", weight: 10 }];
+        const chosen = Array.from({ length: 100 }, (_, index) => chooseTarget(targets, index / 100));
+        expect(chosen.filter((service) => service === "new").length).to.equal(10);
+    });
+});
--- /dev/null
+++ b/packages/gateway/src/__tests__/gatewayFixture.ts
@@ -0,0 +1,71 @@
+import type { DirectAccount, DirectEndpoint, NamedWeights, ReplicaStatus } from "@redwingpin/fleet";
+import { type ChoiceInput, EndpointView, ServiceSpeed } from "../index.js";
+
+/** An account with a rate and burst of the given tokens. */
+export function accountFixture(more: Partial<DirectAccount> = {}): DirectAccount {
+    return {
+        name: "makers",
+        keyDigests: [],
+        tokensPerSecond: 1_000,
+        burstTokens: 5_000,
+        tokensPerPlainRequest: 200,
+        countsRequests: false,
+        isolated: false,
+        ...more,
+    };
+}
+
+/** An endpoint that serves version 1 of the model "drafting". */
+export function viewFixture(instance: string, more: Partial<DirectEndpoint> = {}): EndpointView {
+    return new EndpointView({
+        instance,
+        service: "drafting",
+        host: "127.0.0.1",
+        port: 9_000,
+        dataCentre: "hobart",
+        slots: 64,
+        leaving: false,
+        weights: [{ model: "drafting", version: 1 }],
+        ...more,
+    });
+}
+
+/** What the agent beside a replica says. */
+export function statusFixture(version: number, more: Partial<ReplicaStatus> = {}): ReplicaStatus {
+    return {
+        address: "127.0.0.1:9000",
+        weights: [{ model: "drafting", version }],
+        loading: false,
+        running: 0,
+        queued: 0,
+        cacheUsed: 0,
+        cacheTotal: 90_000,
+        ...more,
+    };
+}
+
+/** Weights of the model "drafting". */
+export function namedFixture(version: number, namedAt: number): NamedWeights {
+    return { model: "drafting", version, revision: version, namedAt, earlier: [] };
+}
+
+/** A choice between endpoints for a prompt of 1,000 tokens of which nothing is cached. */
+export function choiceFixture(views: readonly EndpointView[], more: Partial<ChoiceInput> = {}): ChoiceInput {
+    return {
+        views,
+        now: 10_000,
+        dataCentre: "hobart",
+        speed: new ServiceSpeed(),
+        targetLatency: 800,
+        elapsed: 0,
+        tried: new Set(),
+        prompt: {
+            model: "drafting",
+            named: undefined,
+            promptTokens: 1_000,
+            ready: () => ({ tokens: 0, fetchTime: 0 }),
+        },
+        bounds: { worthLessAfter: 1_500, lostShare: 0.2, forbiddenAfter: 9_500 },
+        ...more,
+    };
+}
--- /dev/null
+++ b/packages/gateway/src/__tests__/sharedLedger.spec.ts
@@ -0,0 +1,106 @@
+import { expect } from "chai";
+import { SharedLedger } from "../index.js";
+import { accountFixture } from "./gatewayFixture.js";
+
+function ledgerFixture(more: { startsFull?: boolean; overdraft?: number; startingTokens?: number; } = {}) {
+    const ledger = new SharedLedger({
+        startsFull: more.startsFull ?? true,
+        startingTokens: more.startingTokens ?? 0,
+        overdraft: more.overdraft ?? 0,
+    });
+    ledger.configure([accountFixture()], 0);
+    return ledger;
+}
+
+/** Routers with one account each that exchange reports at the given interval. */
+function simulateRouters(routers: number, interval: number, overdraft: number, demandPerMillisecond: number) {
+    const ledgers = Array.from({ length: routers }, () => ledgerFixture({ overdraft }));
+    const names = ledgers.map((_, index) => `router-${index}`);
+    ledgers.forEach((ledger, index) =>
+        ledger.fleetChanged({ live: names.filter((_, other) => other !== index), silent: 0 }, 0)
+    );
+    const exchange = (now: number) => {
+        for (const [from, ledger] of ledgers.entries()) {
+            for (const [to, other] of ledgers.entries()) {
+                if (from !== to) {
+                    other.observe(names[from], ledger.spent(), now);
+                    ledger.reported(names[to], ledger.spent());
+                }
+            }
+        }
+    };
+    exchange(0);
+    let admitted = 0;
+    const length = 8_000;
+    for (let now = 1; now <= length; now++) {
+        if (now % interval === 0) {
+            exchange(now);
+        }
+        const tokens = 100;
+        for (const ledger of ledgers) {
+            for (let count = 0; count < demandPerMillisecond / routers; count++) {
+                admitted += ledger.spend("makers", tokens, now).admitted ? tokens : 0;
+            }
+        }
+    }
+    return { admitted, bound: 5_000 + length };
+}
+
+describe("shared ledger", () => {
+    it("admits a whole burst and then the rate", () => {
+        const ledger = ledgerFixture();
+        expect(ledger.spend("makers", 5_000, 0).admitted).to.equal(true);
+        const refused = ledger.spend("makers", 500, 100);
+        expect(refused).to.deep.include({ admitted: false, retryAfter: 400 });
+        expect(ledger.spend("makers", 500, 500).admitted).to.equal(true);
+    });
+
+    it("keeps many routers under one account's full demand within rate, burst and overdraft", () => {
+        const { admitted, bound } = simulateRouters(4, 150, 2_000, 8);
+        expect(admitted).to.be.at.most(bound + 2_000);
+        expect(admitted).to.be.at.least(bound * 0.95);
+    });
+
+    it("stays within rate and burst without any overdraft but for one request a router", () => {
+        const { admitted, bound } = simulateRouters(4, 150, 0, 8);
+        expect(admitted).to.be.at.most(bound + 4 * 100);
+    });
+
+    it("does not refuse what is below the level because reports are on their way", () => {
+        const ledger = ledgerFixture({ overdraft: 8_000 });
+        ledger.fleetChanged({ live: ["b", "c", "d"], silent: 0 }, 0);
+        expect(ledger.spend("makers", 1_000, 0).admitted).to.equal(true);
+        expect(ledger.spend("makers", 900, 1).admitted).to.equal(true);
+    });
+
+    it("takes in a peer's spending once, however often it is reported, and ignores a first report", () => {
+        const ledger = ledgerFixture();
+        ledger.observe("peer", [{ account: "makers", tokens: 4_000 }], 0);
+        ledger.observe("peer", [{ account: "makers", tokens: 7_000 }], 0);
+        ledger.observe("peer", [{ account: "makers", tokens: 7_000 }], 0);
+        expect(ledger.levels(0)).to.deep.equal([{ account: "makers", tokens: 2_000 }]);
+    });
+
+    it("leaves silent routers their share of the rate", () => {
+        const ledger = ledgerFixture();
+        ledger.spend("makers", 5_000, 0);
+        ledger.fleetChanged({ live: ["b"], silent: 2 }, 0);
+        expect(ledger.levels(1_000)).to.deep.equal([{ account: "makers", tokens: 500 }]);
+    });
+
+    it("starts with a part of the tolerance after every router was killed, and takes over a peer's level", () => {
+        const ledger = ledgerFixture({ startsFull: false, startingTokens: 300 });
+        expect(ledger.spend("makers", 400, 0).admitted).to.equal(false);
+        expect(ledger.spend("makers", 300, 0).admitted).to.equal(true);
+        ledger.adopt([{ account: "makers", tokens: 2_000 }], 0);
+        expect(ledger.levels(0)).to.deep.equal([{ account: "makers", tokens: 1_700 }]);
+    });
+
+    it("gives back what did not run and follows a limit that falls", () => {
+        const ledger = ledgerFixture();
+        ledger.spend("makers", 5_000, 0);
+        ledger.refund("makers", 5_000);
+        ledger.configure([accountFixture({ burstTokens: 700 })], 0);
+        expect(ledger.levels(0)).to.deep.equal([{ account: "makers", tokens: 700 }]);
+    });
+});
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -10,6 +10,11 @@
 
 const knownRedFile = "KNOWN-RED.txt";
 const timeoutMilliseconds = 120_000;
+const specFiles = [
+    "packages/*/dist/**/*.spec.js",
+    "platform/dist/**/*.spec.js",
+    "playground/dist/**/*.spec.js",
+];
 
 function readKnownRed() {
     if (!existsSync(knownRedFile)) {
@@ -28,7 +33,7 @@
 
 const knownRed = readKnownRed();
 const mocha = new Mocha({ timeout: timeoutMilliseconds, reporter: "dot", grep: readGrep() });
-for (const file of globSync(["packages/*/dist/**/*.spec.js", "playground/dist/**/*.spec.js"]).sort()) {
+for (const file of globSync(specFiles).sort()) {
     mocha.addFile(file);
 }
 await mocha.loadFilesAsync();
