--- /dev/null
+++ b/packages/gateway/src/__tests__/endpointExchange.spec.ts
@@ -0,0 +1,92 @@
+import { expect } from "chai";
+import type { Socket } from "node:net";
+import { EndpointConnections } from "../node/endpointConnections.js";
+import { exchange, type RawEndpoint, startRawEndpoint } from "./rawEndpointFixture.js";
+
+describe("exchange with an endpoint", () => {
+    let running: RawEndpoint | undefined;
+    afterEach(() => running?.stop());
+
+    async function play(answer: (socket: Socket, request: number) => void, kept: boolean) {
+        running = await startRawEndpoint(answer);
+        const connections = new EndpointConnections();
+        const agent = kept ? connections.agentOf(running.endpoint, 8) : undefined;
+        return exchange(running.endpoint, agent);
+    }
+
+    for (const kept of [true, false]) {
+        const where = kept ? "a kept connection" : "a connection of its own";
+
+        it(`on ${where} takes an answer without a length for complete where the connection ends`, async () => {
+            const result = await play((socket) => socket.end("HTTP/1.1 200 OK\r\n\r\nwhole"), kept);
+            expect(result).to.deep.equal({ kind: "ended", text: "whole", sent: true });
+        });
+
+        it(`on ${where} takes an answer without a length for broken where the connection is reset`, async () => {
+            const result = await play((socket) => {
+                socket.write(
+                    "HTTP/1.1 200 OK\r\n\r\npart",
+                    () => setTimeout(() => socket.resetAndDestroy(), 20),
+                );
+            }, kept);
+            expect(result.kind).to.equal("broken");
+        });
+
+        it(`on ${where} takes an answer without a length for broken where data and reset come together`, async () => {
+            const result = await play((socket) => {
+                socket.write("HTTP/1.1 200 OK\r\n\r\npart", () => socket.resetAndDestroy());
+            }, kept);
+            expect(result.kind).to.equal("broken");
+        });
+
+        it(`on ${where} takes a chunked answer that ends before its last chunk for broken`, async () => {
+            const result = await play((socket) => {
+                socket.end(
+                    "HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+                );
+            }, kept);
+            expect(result.kind).to.equal("broken");
+        });
+
+        it(`on ${where} takes an answer shorter than its length for broken`, async () => {
+            const result = await play(
+                (socket) => socket.end("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart"),
+                kept,
+            );
+            expect(result.kind).to.equal("broken");
+        });
+
+        it(`on ${where} takes bytes that are no answer for broken`, async () => {
+            const result = await play((socket) => socket.end("\x00\x01 no answer at all\r\n\r\n"), kept);
+            expect(result.kind).to.equal("broken");
+        });
+    }
+
+    it("knows that nothing was sent where there is no listener", async () => {
+        running = await startRawEndpoint(() => {});
+        running.stop();
+        const result = await exchange(running.endpoint);
+        expect(result).to.deep.include({ kind: "broken", sent: false });
+    });
+
+    it("uses a kept connection again, but none on which further bytes have arrived", async () => {
+        const answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+        const endpoint = await startRawEndpoint((socket, request) => {
+            socket.write(answer);
+            if (request === 1) {
+                setTimeout(() => socket.write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray"), 5);
+            }
+        });
+        running = endpoint;
+        const agent = new EndpointConnections().agentOf(endpoint.endpoint, 8);
+        const pause = (duration: number) => new Promise((resolve) => setTimeout(resolve, duration));
+        await exchange(endpoint.endpoint, agent);
+        await pause(5);
+        await exchange(endpoint.endpoint, agent);
+        expect(endpoint.connections()).to.equal(1);
+        await pause(60);
+        const third = await exchange(endpoint.endpoint, agent);
+        expect(third.text).to.equal("ok");
+        expect(endpoint.connections()).to.equal(2);
+    });
+});
--- /dev/null
+++ b/packages/gateway/src/__tests__/rawEndpointFixture.ts
@@ -0,0 +1,63 @@
+import type { DirectEndpoint } from "@redwingpin/fleet";
+import type { Agent } from "node:http";
+import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
+import { EndpointExchange } from "../node/endpointExchange.js";
+import { viewFixture } from "./gatewayFixture.js";
+
+/** An endpoint that does with each request what a script says. */
+export interface RawEndpoint {
+    readonly endpoint: DirectEndpoint;
+    readonly connections: () => number;
+    stop(): void;
+}
+
+/** Starts an endpoint whose n-th request on a connection is answered by `answer`. */
+export async function startRawEndpoint(
+    answer: (socket: Socket, request: number) => void,
+): Promise<RawEndpoint> {
+    let connections = 0;
+    const sockets = new Set<Socket>();
+    const server: Server = createServer((socket) => {
+        connections += 1;
+        sockets.add(socket);
+        let requests = 0;
+        socket.on("error", () => {});
+        socket.on("data", () => answer(socket, requests++));
+    });
+    await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+    const { port } = server.address() as AddressInfo;
+    return {
+        endpoint: viewFixture("raw", { host: "127.0.0.1", port }).endpoint,
+        connections: () => connections,
+        stop: () => {
+            sockets.forEach((socket) => socket.destroy());
+            server.close();
+        },
+    };
+}
+
+/** What came of an exchange. */
+export interface ExchangeResult {
+    readonly kind: "ended" | "broken";
+    readonly text: string;
+    readonly sent: boolean;
+}
+
+/** Sends a request without a body. */
+export function exchange(endpoint: DirectEndpoint, agent?: Agent): Promise<ExchangeResult> {
+    return new Promise((resolve) => {
+        let text = "";
+        new EndpointExchange(
+            { endpoint, method: "GET", url: "/", headers: ["Host", "site"], body: Buffer.alloc(0), agent },
+            {
+                onHead: () => {},
+                onData: (chunk) => {
+                    text += chunk.toString();
+                    return true;
+                },
+                onEnd: () => resolve({ kind: "ended", text, sent: true }),
+                onBroken: (_detail, sent) => resolve({ kind: "broken", text, sent }),
+            },
+        );
+    });
+}
--- a/packages/gateway/src/node/endpointExchange.ts
+++ b/packages/gateway/src/node/endpointExchange.ts
@@ -85,6 +85,9 @@
             return;
         }
         this.answer = answer;
+        if (endsWithConnection(answer)) {
+            answer.socket.prependOnceListener("end", () => this.checkForReset(answer));
+        }
         answer.on("data", (chunk: Buffer) => {
             if (!this.over && !this.listener.onData(chunk)) {
                 answer.pause();
@@ -104,6 +107,17 @@
         this.listener.onHead(answer.statusCode ?? 0, answer.rawHeaders);
     }
 
+    /**
+     * A reset that arrives together with data is reported as a plain end of the connection. A write tells them apart:
+     * it fails at once where the connection was reset.
+     */
+    private checkForReset(answer: IncomingMessage): void {
+        answer.socket.write("\r\n");
+        if (answer.socket.errored) {
+            this.broken("the connection was reset in the middle of an answer without a length");
+        }
+    }
+
     private broken(detail: string): void {
         if (!this.over) {
             this.over = true;
@@ -112,3 +126,9 @@
         }
     }
 }
+
+/** True for an answer whose end is that of its connection. */
+function endsWithConnection(answer: IncomingMessage): boolean {
+    return answer.headers["content-length"] === undefined
+        && answer.headers["transfer-encoding"] === undefined;
+}
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -105,11 +105,11 @@
 /** A router takes over its peers' levels during this time after its start. */
 const adoptFor: Milliseconds = 2_500;
 
-/** The balancer may send connections for this part of the time to stop. */
-const acceptShare = 0.5;
+/** Part of the time to stop in which connections are taken: the balancer asks each second and needs two answers. */
+const acceptShare = 0.36;
 
 /** Time for the last answers to leave before the process must end. */
-const stopMargin: Milliseconds = 800;
+const stopMargin: Milliseconds = 400;
 
 /** A change that the store has just told of. */
 function justNamed(fact: FleetFact): FleetFact {
