--- a/packages/fleet/src/__tests__/peerTable.spec.ts
+++ b/packages/fleet/src/__tests__/peerTable.spec.ts
@@ -38,6 +38,21 @@
         expect([table.liveRouterNames().length, table.silentRouters()]).to.deep.equal([0, 0]);
     });
 
+    it("talks at once to a peer that calls after it could not be reached", () => {
+        const { clock, table } = tableFixture();
+        table.addRouters([other]);
+        for (let failure = 0; failure < 6; failure++) {
+            table.due(100, 100);
+            table.failed(other);
+            clock.advance(2_000);
+        }
+        table.due(100, 100);
+        table.failed(other);
+        expect(table.due(100, 100)).to.deep.equal([]);
+        table.heardFrom(other);
+        expect(table.due(100, 100)).to.deep.equal([other]);
+    });
+
     it("makes exchanges due at once for the chosen peers only", () => {
         const { table } = tableFixture();
         table.addRouters([other]);
--- a/packages/fleet/src/decision/peerTable.ts
+++ b/packages/fleet/src/decision/peerTable.ts
@@ -21,6 +21,8 @@
     nextDue: Milliseconds;
     busy: boolean;
     failures: number;
+    /** True from the first failure to the next answer. */
+    isLost: boolean;
     answeredAt: Milliseconds;
     heardAt: Milliseconds;
 }
@@ -78,7 +80,8 @@
         if (peer === undefined) {
             return false;
         }
-        const regained = peer.failures > 0 || peer.answeredAt === -Infinity;
+        const regained = peer.isLost || peer.answeredAt === -Infinity;
+        peer.isLost = false;
         peer.busy = false;
         peer.failures = 0;
         peer.answeredAt = this.clock.now();
@@ -95,7 +98,9 @@
         peer.busy = false;
         peer.failures += 1;
         peer.nextDue = this.clock.now() + Math.min(longestPause, 100 * 2 ** peer.failures);
-        return peer.failures === 1 && peer.answeredAt !== -Infinity;
+        const isFirst = !peer.isLost && peer.answeredAt !== -Infinity;
+        peer.isLost = true;
+        return isFirst;
     }
 
     /** Notes a call from a router. */
@@ -103,6 +108,11 @@
         const peer = this.ensure(address, true);
         if (peer !== undefined) {
             peer.heardAt = this.clock.now();
+            if (peer.failures > 0) {
+                // It calls, so it can be reached again.
+                peer.failures = 0;
+                peer.nextDue = peer.heardAt;
+            }
         }
     }
 
@@ -142,6 +152,7 @@
             nextDue: this.clock.now(),
             busy: false,
             failures: 0,
+            isLost: false,
             answeredAt: -Infinity,
             heardAt: -Infinity,
         };
--- a/packages/gateway/src/__tests__/sharedLedger.spec.ts
+++ b/packages/gateway/src/__tests__/sharedLedger.spec.ts
@@ -1,20 +1,19 @@
 import { expect } from "chai";
-import { SharedLedger } from "../index.js";
+import { noTolerance, SharedLedger } from "../index.js";
 import { accountFixture } from "./gatewayFixture.js";
 
-function ledgerFixture(more: { startsFull?: boolean; overdraft?: number; startingTokens?: number; } = {}) {
+function ledgerFixture(more: { startsFull?: boolean; tolerance?: number; } = {}) {
     const ledger = new SharedLedger({
         startsFull: more.startsFull ?? true,
-        startingTokens: more.startingTokens ?? 0,
-        overdraft: more.overdraft ?? 0,
+        tolerance: { ...noTolerance, tokens: more.tolerance ?? 0 },
     });
     ledger.configure([accountFixture()], 0);
     return ledger;
 }
 
 /** Routers with one account each that exchange reports at the given interval. */
-function simulateRouters(routers: number, interval: number, overdraft: number, demandPerMillisecond: number) {
-    const ledgers = Array.from({ length: routers }, () => ledgerFixture({ overdraft }));
+function simulateRouters(routers: number, interval: number, tolerance: number, demandPerMillisecond: number) {
+    const ledgers = Array.from({ length: routers }, () => ledgerFixture({ tolerance }));
     const names = ledgers.map((_, index) => `router-${index}`);
     ledgers.forEach((ledger, index) =>
         ledger.fleetChanged({ live: names.filter((_, other) => other !== index), silent: 0 }, 0)
@@ -55,19 +54,19 @@
         expect(ledger.spend("makers", 500, 500).admitted).to.equal(true);
     });
 
-    it("keeps many routers under one account's full demand within rate, burst and overdraft", () => {
+    it("keeps many routers under one account's full demand within rate, burst and tolerance", () => {
         const { admitted, bound } = simulateRouters(4, 150, 2_000, 8);
         expect(admitted).to.be.at.most(bound + 2_000);
         expect(admitted).to.be.at.least(bound * 0.95);
     });
 
-    it("stays within rate and burst without any overdraft but for one request a router", () => {
+    it("stays within rate and burst without any tolerance but for one request a router", () => {
         const { admitted, bound } = simulateRouters(4, 150, 0, 8);
         expect(admitted).to.be.at.most(bound + 4 * 100);
     });
 
     it("does not refuse what is below the level because reports are on their way", () => {
-        const ledger = ledgerFixture({ overdraft: 8_000 });
+        const ledger = ledgerFixture({ tolerance: 32_000 });
         ledger.fleetChanged({ live: ["b", "c", "d"], silent: 0 }, 0);
         expect(ledger.spend("makers", 1_000, 0).admitted).to.equal(true);
         expect(ledger.spend("makers", 900, 1).admitted).to.equal(true);
@@ -81,6 +80,18 @@
         expect(ledger.levels(0)).to.deep.equal([{ account: "makers", tokens: 2_000 }]);
     });
 
+    it("does not take what it spent long ago for untold once a router joins that was never told", () => {
+        const ledger = ledgerFixture();
+        ledger.fleetChanged({ live: ["b"], silent: 0 }, 0);
+        for (let now = 0; now < 60_000; now += 1_000) {
+            ledger.spend("makers", 500, now);
+            ledger.reported("b", ledger.spent());
+        }
+        ledger.fleetChanged({ live: ["b", "restarted"], silent: 0 }, 60_000);
+        expect(ledger.spend("makers", 800, 60_000).admitted).to.equal(true);
+        expect(ledger.spend("makers", 400, 60_000).admitted).to.equal(true);
+    });
+
     it("leaves silent routers their share of the rate", () => {
         const ledger = ledgerFixture();
         ledger.spend("makers", 5_000, 0);
@@ -89,7 +100,7 @@
     });
 
     it("starts with a part of the tolerance after every router was killed, and takes over a peer's level", () => {
-        const ledger = ledgerFixture({ startsFull: false, startingTokens: 300 });
+        const ledger = ledgerFixture({ startsFull: false, tolerance: 700 });
         expect(ledger.spend("makers", 400, 0).admitted).to.equal(false);
         expect(ledger.spend("makers", 300, 0).admitted).to.equal(true);
         ledger.adopt([{ account: "makers", tokens: 2_000 }], 0);
--- a/packages/gateway/src/decision/sharedLedger.ts
+++ b/packages/gateway/src/decision/sharedLedger.ts
@@ -41,12 +41,27 @@
 export interface SharedLedgerOptions {
     /** True where no router can have spent anything before: buckets start full. */
     readonly startsFull: boolean;
-    /** Tokens with which each bucket starts otherwise, over all routers. */
-    readonly startingTokens: number;
-    /** Tokens that all routers together may overdraw a bucket by while reports travel; 0 for none. */
-    readonly overdraft: number;
+    readonly tolerance: RateTolerance;
 }
 
+/** What an account may spend beyond its rate and burst, over all routers and in any window. */
+export interface RateTolerance {
+    readonly window: Milliseconds;
+    /** Part of what rate and burst allow in a window. */
+    readonly share: number;
+    /** Tokens beside that. */
+    readonly tokens: number;
+}
+
+/** No tolerance: rate and burst hold as they are. */
+export const noTolerance: RateTolerance = { window: 0, share: 0, tokens: 0 };
+
+/** Part of the tolerance with which a bucket starts where nobody knows what was spent before. */
+const startingPart = 0.45;
+
+/** Part of the tolerance by which routers may overdraw a bucket while their reports travel. */
+const overdraftPart = 0.25;
+
 /** The buckets of one router. */
 export class SharedLedger {
     private readonly buckets = new Map<string, Bucket>();
@@ -91,7 +106,8 @@
         this.fill(bucket, now);
         const needed = Math.min(tokens, bucket.account.burstTokens);
         const unreported = this.unreported(bucket);
-        const share = Math.max(bucket.level, this.options.overdraft) / (1 + this.fleet.live.length);
+        const overdraft = overdraftPart * this.toleratedTokens(bucket.account);
+        const share = Math.max(bucket.level, overdraft) / (1 + this.fleet.live.length);
         const fitsShare = unreported === 0 || unreported + tokens <= share;
         if (bucket.level < needed || !fitsShare) {
             const missing = Math.max(needed - bucket.level, fitsShare ? 0 : unreported + tokens - share);
@@ -167,15 +183,24 @@
         }
     }
 
+    private toleratedTokens(account: DirectAccount): number {
+        const { share, tokens, window } = this.options.tolerance;
+        const allowed = account.tokensPerSecond * window / millisecondsPerSecond + account.burstTokens;
+        return allowed * share + tokens;
+    }
+
     private createBucket(account: DirectAccount, now: Milliseconds): Bucket {
-        const { startsFull, startingTokens } = this.options;
-        const level = startsFull ? account.burstTokens : Math.min(account.burstTokens, startingTokens);
+        const startingTokens = startingPart * this.toleratedTokens(account);
+        const level = Math.min(account.burstTokens, this.options.startsFull ? Infinity : startingTokens);
         return { account, level, filledAt: now, spent: 0, reported: new Map() };
     }
 
-    /** Tokens spent here that some router in touch has not been told of. */
+    /**
+     * Tokens spent here that some router in touch has not been told of. One that has never been told has just
+     * started and counts from its first report on.
+     */
     private unreported(bucket: Bucket): number {
-        const known = this.fleet.live.map((peer) => bucket.reported.get(peer) ?? 0);
+        const known = this.fleet.live.flatMap((peer) => bucket.reported.get(peer) ?? []);
         return known.length === 0 ? 0 : Math.max(0, bucket.spent - Math.min(...known));
     }
 
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -38,7 +38,7 @@
 import { PrefixHomes } from "../decision/prefixHomes.js";
 import { RetryAllowance, type RetryBudgetBounds } from "../decision/retryAllowance.js";
 import { RouteTable } from "../decision/routeTable.js";
-import { SharedLedger } from "../decision/sharedLedger.js";
+import { type RateTolerance, SharedLedger } from "../decision/sharedLedger.js";
 import type { WireDialect } from "../wireDialect.js";
 import { DirectServer } from "./directServer.js";
 import { EndpointConnections } from "./endpointConnections.js";
@@ -67,8 +67,8 @@
     readonly fleetIsNew: boolean;
     readonly retryBudget: RetryBudgetBounds;
     readonly weights: WeightsBounds;
-    /** Tokens that an account may spend beyond its rate and burst, over all routers. */
-    readonly rateTolerance: number;
+    /** What an account may spend beyond its rate and burst over all routers. */
+    readonly rateTolerance: RateTolerance;
     /** Longest time from a signal to stop to the end of the process. */
     readonly stopWithin: Milliseconds;
     /** Bytes of callers' bodies that may be held at once. */
@@ -96,12 +96,6 @@
 /** Interval of the housekeeping. */
 const housekeepingInterval: Milliseconds = 150;
 
-/** Part of the tolerance of an account with which buckets start after a restart of every router. */
-const startingTolerance = 0.4;
-
-/** Part of the tolerance of an account by which routers may overdraw its bucket while reports travel. */
-const overdraftTolerance = 0.5;
-
 /** A router takes over its peers' levels during this time after its start. */
 const adoptFor: Milliseconds = 2_500;
 
@@ -144,8 +138,7 @@
         this.board = new EndpointBoard((instance) => this.endpointGone(instance));
         this.ledger = new SharedLedger({
             startsFull: config.fleetIsNew,
-            startingTokens: config.rateTolerance * startingTolerance,
-            overdraft: config.rateTolerance * overdraftTolerance,
+            tolerance: config.rateTolerance,
         });
         this.innerNode = this.createInnerNode();
         this.sync = this.createSync();
