--- a/packages/fleet/src/directConfiguration.ts
+++ b/packages/fleet/src/directConfiguration.ts
@@ -68,6 +68,8 @@
     readonly engine?: EngineCapacity;
     /** `host:port` of a cache store. */
     readonly cacheStoreAddress?: string;
+    /** Tokens for which a cache store has room. */
+    readonly cacheTokens?: number;
     readonly dataCentre?: string;
 }
 
--- a/packages/fleet/src/fleetMessages.ts
+++ b/packages/fleet/src/fleetMessages.ts
@@ -36,6 +36,8 @@
     readonly weights: readonly ModelWeights[];
     /** True from shortly before the replica is told to load weights until it serves them. */
     readonly loading: boolean;
+    /** Milliseconds until the replica is expected to load weights; absent where it is not soon. */
+    readonly loadsIn?: number;
     readonly running: number;
     readonly queued: number;
     readonly cacheUsed: number;
@@ -49,6 +51,35 @@
     readonly loading: boolean;
 }
 
+/** What a router tells an agent of the service of its replica. */
+export interface ServiceProgress {
+    readonly replicas: readonly ReplicaProgress[];
+    /** Replicas that may be out of service at once, as requests come now. */
+    readonly spare: number;
+}
+
+/** Prompt tokens that a router's requests to a service make engines read. */
+export interface ServiceDemand {
+    readonly service: string;
+    readonly tokensPerMillisecond: number;
+}
+
+/** A prefix that was saved to the cache store. */
+export interface SavedPrefix {
+    readonly name: string;
+    readonly tokens: number;
+}
+
+/** A report without content. */
+export const emptyReport: PeerReport = {
+    spent: [],
+    load: [],
+    crashes: [],
+    levels: [],
+    demand: [],
+    saved: [],
+};
+
 /** What a process tells a peer at each exchange. */
 export interface PeerReport {
     readonly spent: readonly AccountSpending[];
@@ -58,8 +89,11 @@
     readonly levels: readonly AccountSpending[];
     /** From an agent: its replica. */
     readonly replica?: ReplicaStatus;
-    /** From a router to an agent: the replicas of the agent's service. */
-    readonly replicas?: readonly ReplicaProgress[];
+    readonly demand: readonly ServiceDemand[];
+    /** Prefixes saved to the cache store since the last reports. */
+    readonly saved: readonly SavedPrefix[];
+    /** From a router to an agent: the agent's service. */
+    readonly service?: ServiceProgress;
 }
 
 /** Kinds of messages on the topic. */
@@ -116,6 +150,7 @@
     address: isText,
     weights: isListOf(isWeights),
     loading: isFlag,
+    loadsIn: isOptional(isAmount),
     running: isAmount,
     queued: isAmount,
     cacheUsed: isAmount,
@@ -127,8 +162,10 @@
     load: isListOf(isShaped({ instance: isText, waitingTokens: isAmount, running: isAmount })),
     crashes: isListOf(isShaped({ fingerprint: isText, crashes: isCount })),
     levels: isListOf(isShaped(spendingShape)),
+    demand: isListOf(isShaped({ service: isText, tokensPerMillisecond: isAmount })),
+    saved: isListOf(isShaped({ name: isText, tokens: isCount })),
     replica: isOptional(isShaped(replicaShape)),
-    replicas: isOptional(isListOf(isProgress)),
+    service: isOptional(isShaped({ replicas: isListOf(isProgress), spare: isCount })),
 };
 const isFact = isShaped({ kind: isText, revision: isCount });
 const isSync = isShaped({
--- a/packages/gateway/src/__tests__/books.spec.ts
+++ b/packages/gateway/src/__tests__/books.spec.ts
@@ -2,10 +2,12 @@
 import {
     chooseTarget,
     CrashBook,
+    DemandMeter,
     EventStreamReader,
     PrefixHomes,
     prefixNames,
     RetryAllowance,
+    spareReplicas,
 } from "../index.js";
 
 const parts = [{ identifier: "catalogue", tokens: 2_000 }, { identifier: "maker", tokens: 4_000 }];
@@ -36,6 +38,23 @@
     });
 });
 
+describe("demand meter", () => {
+    it("adds up what all routers send and forgets what came before its window", () => {
+        const meter = new DemandMeter();
+        meter.record("engines", 20_000, 1_000);
+        meter.observe("peer", [{ service: "engines", tokensPerMillisecond: 30 }], 1_000);
+        expect(meter.total("engines", 1_500)).to.equal(40);
+        expect(meter.total("engines", 9_000)).to.equal(0);
+    });
+
+    it("spares fewer replicas the more they have to read, but always one", () => {
+        // Six replicas left of nine, each reading 30 tokens a millisecond, under the load of a day of high demand.
+        expect(spareReplicas(6, 105, 30)).to.equal(1);
+        expect(spareReplicas(8, 40, 30)).to.equal(6);
+        expect(spareReplicas(2, 1_000, 30)).to.equal(1);
+    });
+});
+
 describe("crash book", () => {
     it("refuses a request that broke off three endpoints, counted over routers", () => {
         const own = new CrashBook();
@@ -88,6 +107,30 @@
         expect(homes.heldTokens("b", names, parts)).to.equal(0);
     });
 
+    it("has one home for a prefix that all routers agree on, and moves only what a lost endpoint held", () => {
+        const instances = ["a", "b", "c", "d"];
+        const names = Array.from({ length: 200 }, (_, index) => `prefix-${index}`);
+        const before = names.map((name) => new PrefixHomes().homeOf(name, instances));
+        const after = names.map((name) => new PrefixHomes().homeOf(name, ["a", "b", "d"]));
+        const moved = names.filter((_, index) => before[index] !== after[index]);
+        expect(moved.length).to.equal(before.filter((home) => home === "c").length);
+        expect(new Set(before).size).to.equal(4);
+    });
+
+    it("knows what other routers saved, as far as the cache store has room", () => {
+        const own = new PrefixHomes();
+        const peer = new PrefixHomes();
+        const names = prefixNames("s", parts);
+        own.setStoreCapacity(20_000);
+        peer.setStoreCapacity(20_000);
+        peer.recordSaved(names, parts);
+        own.observeSaved(peer.takeSaved());
+        expect(own.savedTokens(names, parts)).to.equal(6_000);
+        const others = [{ identifier: "other", tokens: 12_000 }];
+        own.recordSaved(prefixNames("s", others), others);
+        expect(own.savedTokens(names, parts)).to.equal(0);
+    });
+
     it("forgets the least recently used parts beyond an endpoint's memory", () => {
         const homes = new PrefixHomes();
         const first = prefixNames("s", parts);
--- a/packages/gateway/src/__tests__/gatewayFixture.ts
+++ b/packages/gateway/src/__tests__/gatewayFixture.ts
@@ -63,6 +63,7 @@
             model: "drafting",
             named: undefined,
             promptTokens: 1_000,
+            outputTokens: 10,
             ready: () => ({ tokens: 0, fetchTime: 0 }),
         },
         bounds: { worthLessAfter: 1_500, lostShare: 0.2, forbiddenAfter: 9_500 },
--- a/packages/gateway/src/decision/endpointBoard.ts
+++ b/packages/gateway/src/decision/endpointBoard.ts
@@ -20,9 +20,15 @@
 /** Time to the first event of a short prompt on an idle engine, before any answer was seen. */
 const initialBaseLatency: Milliseconds = 25;
 
+/** Time from one output token to the next, before any answer was seen. */
+const initialPerOutputToken: Milliseconds = 25;
+
 /** Weight of one observation in the moving averages. */
 const averageWeight = 0.1;
 
+/** Connections in a row that could not be made, after which an endpoint is taken to be lost. */
+const unreachedUntilLost = 2;
+
 /** Prompts from this size show an engine's reading speed. */
 const minMeasuredTokens = 1_000;
 
@@ -41,6 +47,8 @@
     private status: Reported<ReplicaStatus> | undefined;
     private observedWeights: Reported<{ readonly model: string; readonly version: number; }> | undefined;
     private readonly loads = new Map<string, Reported<EndpointLoad>>();
+    private readonly lossListeners = new Set<() => void>();
+    private unreachedInARow = 0;
     /** Set where the endpoint said itself that it is busy with an order or leaving. */
     private avoidUntil: Milliseconds = -Infinity;
 
@@ -65,6 +73,12 @@
         return this.freshStatus(now)?.value.loading ?? false;
     }
 
+    /** When the endpoint is expected to load weights; `undefined` where that is not soon. */
+    loadsAt(now: Milliseconds): Milliseconds | undefined {
+        const status = this.freshStatus(now);
+        return status?.value.loadsIn === undefined ? undefined : status.at + status.value.loadsIn;
+    }
+
     /** True where the agent lately could not reach the endpoint. */
     isDown(now: Milliseconds): boolean {
         return this.freshStatus(now)?.value.weights.length === 0;
@@ -92,6 +106,30 @@
     observeStatus(status: ReplicaStatus, now: Milliseconds): void {
         if (status.instance === undefined || status.instance === this.endpoint.instance) {
             this.status = { value: status, at: now };
+            if (status.weights.length === 0) {
+                this.lost();
+            }
+        }
+    }
+
+    /** Calls `listener` once the endpoint is taken to be lost; returns what stops that. */
+    onLost(listener: () => void): () => void {
+        this.lossListeners.add(listener);
+        return () => this.lossListeners.delete(listener);
+    }
+
+    /** The endpoint runs no more: whatever it was sent gets no answer. */
+    lost(): void {
+        const listeners = [...this.lossListeners];
+        this.lossListeners.clear();
+        listeners.forEach((listener) => listener());
+    }
+
+    /** Notes whether a connection to the endpoint could be made. */
+    observeReach(reached: boolean): void {
+        this.unreachedInARow = reached ? 0 : this.unreachedInARow + 1;
+        if (this.unreachedInARow >= unreachedUntilLost) {
+            this.lost();
         }
     }
 
@@ -134,6 +172,8 @@
 export class ServiceSpeed {
     tokensPerMillisecond = initialTokensPerMillisecond;
     baseLatency = initialBaseLatency;
+    /** Time from one output token to the next. */
+    perOutputToken = initialPerOutputToken;
 
     /** Takes in the time to the first event of a request that had no other waiting before it. */
     observe(uncachedTokens: number, latency: Milliseconds): void {
@@ -146,6 +186,13 @@
             this.baseLatency += averageWeight * (Math.max(1, rest) - this.baseLatency);
         }
     }
+
+    /** Takes in the time from the first event to the end of a stream. */
+    observeStream(outputTokens: number, duration: Milliseconds): void {
+        if (outputTokens > 0) {
+            this.perOutputToken += averageWeight * (duration / outputTokens - this.perOutputToken);
+        }
+    }
 }
 
 /** Every endpoint that a router knows. */
@@ -167,10 +214,13 @@
             this.views.set(endpoint.instance, view);
             this.byService.set(endpoint.service, [...this.byService.get(endpoint.service) ?? [], view]);
         }
-        for (const instance of this.views.keys()) {
+        for (const [instance, view] of this.views) {
             if (!instances.has(instance)) {
                 this.views.delete(instance);
                 this.onGone(instance);
+                if (!view.endpoint.leaving) {
+                    view.lost();
+                }
             }
         }
     }
--- a/packages/gateway/src/decision/endpointChoice.ts
+++ b/packages/gateway/src/decision/endpointChoice.ts
@@ -39,6 +39,7 @@
     readonly model: string;
     readonly named: NamedWeights | undefined;
     readonly promptTokens: number;
+    readonly outputTokens: number;
     /** Tokens of the prompt that need no reading at an endpoint, and the time to fetch them. */
     readonly ready: (view: EndpointView, version: number | undefined) => {
         readonly tokens: number;
@@ -82,12 +83,11 @@
     const usable = input.views.filter((view) =>
         !view.endpoint.leaving && !input.tried.has(view.endpoint.instance) && mayServe(view, input)
     );
-    const tiers = [
-        usable.filter((view) => isCalm(view, input.now) && !view.health.isEjected(input.now)),
-        usable.filter((view) => isCalm(view, input.now)),
-    ];
-    for (const tier of tiers) {
-        const best = pickBest(tier.map((view) => evaluate(view, input)));
+    const calm = usable.filter((view) => isCalm(view, input.now));
+    const choices = calm.map((view) => evaluate(view, input));
+    const sound = choices.filter((choice) => !choice.view.health.isEjected(input.now));
+    for (const tier of [sound.filter((choice) => endsBeforeLoad(choice, input)), sound, choices]) {
+        const best = pickBest(tier);
         if (best !== undefined) {
             return best;
         }
@@ -99,6 +99,16 @@
     return !view.isLoading(now) && !view.isAvoided(now);
 }
 
+/** False where the request would hold up an endpoint that is about to load weights. */
+function endsBeforeLoad(choice: Choice, input: ChoiceInput): boolean {
+    const loadsAt = choice.view.loadsAt(input.now);
+    if (loadsAt === undefined) {
+        return true;
+    }
+    const stream = (input.prompt?.outputTokens ?? 0) * input.speed.perOutputToken;
+    return input.now + choice.latency + stream <= loadsAt;
+}
+
 function mayServe(view: EndpointView, input: ChoiceInput): boolean {
     const named = input.prompt?.named;
     if (input.prompt === undefined || named === undefined) {
--- a/packages/gateway/src/decision/prefixHomes.ts
+++ b/packages/gateway/src/decision/prefixHomes.ts
@@ -1,18 +1,31 @@
 /**
  * Where cached prefixes are believed to lie: for each endpoint the parts that this router sent there lately, as far as
- * its memory reaches, and those that were saved to the cache store.
+ * its memory reaches, and what all routers have saved to the cache store.
+ *
+ * Each shared prefix has a home among the endpoints that every router works out alike. Routers send its requests there
+ * while it is not too busy, so it is taken to hold the prefix without a message about it.
  *
  * @module
  */
+import { digestOf, rendezvousOrder } from "@redwingpin/common";
+import type { SavedPrefix } from "@redwingpin/fleet";
 import type { PromptPart } from "../wireDialect.js";
 
-/** Prompts whose prefixes are remembered as saved. */
-const maxSavedPrefixes = 8_192;
+/** Part of a cache store's room on which routers count: others save there as well. */
+const countedStoreShare = 0.7;
+
+/** Names of prefixes that peers are told of at once; the rest follows with the next reports. */
+const maxReportedNames = 64;
+
+const nameDigits = 16;
+
+/** Homes that are remembered until the endpoints change. */
+const maxRememberedHomes = 4_096;
 
 /** Names of the nested prefixes of a prompt, outermost first. */
 export function prefixNames(scope: string, parts: readonly PromptPart[]): string[] {
     let name = scope;
-    return parts.map((part) => name = `${name}|${part.identifier}`);
+    return parts.map((part) => name = digestOf(name, part.identifier).slice(0, nameDigits));
 }
 
 /** A cache that drops the least recently used prefixes, counted in tokens. */
@@ -26,6 +39,11 @@
         return this.entries.has(name);
     }
 
+    clear(): void {
+        this.entries.clear();
+        this.used = 0;
+    }
+
     touch(name: string, tokens: number): void {
         const before = this.entries.get(name);
         if (before !== undefined) {
@@ -47,9 +65,13 @@
 /** What is believed of every endpoint's cache. */
 export class PrefixHomes {
     private readonly caches = new Map<string, TokenCache>();
-    private readonly saved = new Set<string>();
+    private readonly homes = new Map<string, string>();
+    private homesOf = "";
+    private store = new TokenCache(0);
+    private storeCapacity = 0;
+    private unreported: SavedPrefix[] = [];
 
-    /** Tokens of leading parts that the endpoint is believed to hold. */
+    /** Tokens of leading parts that the endpoint is believed to hold because this router sent them there. */
     heldTokens(instance: string, names: readonly string[], parts: readonly PromptPart[]): number {
         const cache = this.caches.get(instance);
         return cache === undefined ? 0 : leadingTokens(names, parts, (name) => cache.has(name));
@@ -57,7 +79,24 @@
 
     /** Tokens of leading parts that the cache store is believed to hold. */
     savedTokens(names: readonly string[], parts: readonly PromptPart[]): number {
-        return leadingTokens(names, parts, (name) => this.saved.has(name));
+        return leadingTokens(names, parts, (name) => this.store.has(name));
+    }
+
+    /** The home of a prefix among endpoints. */
+    homeOf(name: string, instances: readonly string[]): string | undefined {
+        const key = instances.join(",");
+        if (key !== this.homesOf || this.homes.size > maxRememberedHomes) {
+            this.homes.clear();
+            this.homesOf = key;
+        }
+        let home = this.homes.get(name);
+        if (home === undefined) {
+            home = rendezvousOrder(name, instances, (instance) => instance)[0];
+            if (home !== undefined) {
+                this.homes.set(name, home);
+            }
+        }
+        return home;
     }
 
     /** Notes that an endpoint has read a prompt. `capacity` is the part of its memory that this router may count on. */
@@ -72,23 +111,34 @@
         names.forEach((name, index) => cache.touch(name, parts[index].tokens));
     }
 
-    /** Notes that a prompt's prefixes were saved to the cache store. */
-    recordSaved(names: readonly string[]): void {
-        for (const name of names) {
-            this.saved.delete(name);
-            this.saved.add(name);
-        }
-        for (const oldest of this.saved) {
-            if (this.saved.size <= maxSavedPrefixes) {
-                break;
-            }
-            this.saved.delete(oldest);
+    /** Sets the room of the cache store, in tokens. */
+    setStoreCapacity(tokens: number): void {
+        if (tokens !== this.storeCapacity) {
+            this.storeCapacity = tokens;
+            this.store = new TokenCache(tokens * countedStoreShare);
         }
     }
 
+    /** Notes that this router had a prompt's prefixes saved to the cache store, or fetched from there. */
+    recordSaved(names: readonly string[], parts: readonly PromptPart[]): void {
+        const saved = names.map((name, index) => ({ name, tokens: parts[index].tokens }));
+        this.observeSaved(saved);
+        this.unreported.push(...saved);
+    }
+
+    /** Takes in what another router has saved. */
+    observeSaved(saved: readonly SavedPrefix[]): void {
+        saved.forEach(({ name, tokens }) => this.store.touch(name, tokens));
+    }
+
+    /** Takes what peers have not been told of. */
+    takeSaved(): SavedPrefix[] {
+        return this.unreported.splice(0, maxReportedNames);
+    }
+
     /** Forgets what the cache store held, after it lost it. */
     forgetSaved(): void {
-        this.saved.clear();
+        this.store.clear();
     }
 
     /** Forgets an endpoint that is gone or has emptied its cache. */
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -5,6 +5,7 @@
  */
 export * from "./decision/attemptPlan.js";
 export * from "./decision/crashBook.js";
+export * from "./decision/demandMeter.js";
 export * from "./decision/endpointBoard.js";
 export * from "./decision/endpointChoice.js";
 export * from "./decision/eventStreamReader.js";
--- a/packages/gateway/src/node/attempt.ts
+++ b/packages/gateway/src/node/attempt.ts
@@ -72,6 +72,7 @@
     private over = false;
     private exchange: EndpointExchange | undefined;
     private cancelDeadline: CancelTimer = () => {};
+    private stopListening: () => void = () => {};
     private readonly onDrain = () => this.exchange?.resume();
     private readonly onCallerClose = () => this.finish({ kind: "callerGone" });
 
@@ -90,6 +91,11 @@
         response.on("close", this.onCallerClose);
         const left = request.deadline - clock.now();
         this.cancelDeadline = clock.schedule(left, () => this.finish({ kind: "timedOut" }));
+        if (request.route.repeatable) {
+            this.stopListening = this.context.choice.view.onLost(() =>
+                this.finish({ kind: "broken", detail: "the endpoint is lost" })
+            );
+        }
         this.exchange = new EndpointExchange(this.context.exchange, {
             onHead: (status, rawHeaders) => this.onHead(status, rawHeaders),
             onData: (chunk) => this.onData(chunk),
@@ -104,6 +110,7 @@
         }
         this.over = true;
         this.cancelDeadline();
+        this.stopListening();
         this.context.response.off("drain", this.onDrain);
         this.context.response.off("close", this.onCallerClose);
         if (outcome.kind !== "delivered" && outcome.kind !== "failed" && outcome.kind !== "notRun") {
@@ -113,6 +120,7 @@
     }
 
     private onHead(status: number, rawHeaders: readonly string[]): void {
+        this.context.choice.view.observeReach(true);
         this.status = status;
         this.rawHeaders = rawHeaders;
         this.facts = this.context.dialect.readAnswer(rawHeaders);
--- a/packages/gateway/src/node/attemptRecord.ts
+++ b/packages/gateway/src/node/attemptRecord.ts
@@ -90,6 +90,7 @@
             return;
         case "notRun":
             view.avoid(outcome.reached ? refusedPause : unreachablePause, now);
+            view.observeReach(outcome.reached);
             return;
         case "timedOut":
             view.health.recordSilence();
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -24,15 +24,15 @@
     FleetState,
     FleetSync,
     peerName,
-    type PeerReport,
     type ReplicaStatus,
     StoreFollower,
 } from "@redwingpin/fleet";
-import { type FleetKeys, type Hello, type InnerAddress, InnerNode, ProcessRole } from "@redwingpin/protocol";
+import { type FleetKeys, type InnerAddress, InnerNode, ProcessRole } from "@redwingpin/protocol";
 import { randomInt, randomUUID } from "node:crypto";
 import { createServer, type Server } from "node:http";
 import type { Registry } from "prom-client";
 import { CrashBook } from "../decision/crashBook.js";
+import { DemandMeter } from "../decision/demandMeter.js";
 import { EndpointBoard } from "../decision/endpointBoard.js";
 import type { WeightsBounds } from "../decision/endpointChoice.js";
 import { PrefixHomes } from "../decision/prefixHomes.js";
@@ -43,6 +43,7 @@
 import { DirectServer } from "./directServer.js";
 import { EndpointConnections } from "./endpointConnections.js";
 import { GatewayMetrics } from "./gatewayMetrics.js";
+import { PeerReports } from "./peerReports.js";
 import { serveRequest } from "./requestTask.js";
 
 /** An address to listen on. */
@@ -96,9 +97,6 @@
 /** Interval of the housekeeping. */
 const housekeepingInterval: Milliseconds = 150;
 
-/** A router takes over its peers' levels during this time after its start. */
-const adoptFor: Milliseconds = 2_500;
-
 /** Part of the time to stop in which connections are taken: the balancer asks each second and needs two answers. */
 const acceptShare = 0.36;
 
@@ -116,8 +114,10 @@
     private readonly homes = new PrefixHomes();
     private readonly connections = new EndpointConnections();
     private readonly crashes = new CrashBook();
+    private readonly demand = new DemandMeter();
     private readonly board: EndpointBoard;
     private readonly ledger: SharedLedger;
+    private readonly reports: PeerReports;
     private readonly innerNode: InnerNode;
     private readonly sync: FleetSync;
     private readonly followers: readonly StoreFollower[];
@@ -125,21 +125,28 @@
     private readonly readiness: Server;
     private readonly random = seededRandom(randomInt(maxSeed));
     private readonly incarnation = randomUUID();
-    private readonly startedAt: Milliseconds;
     private table: RouteTable | undefined;
     private endpointsKnown = false;
-    private adopted = false;
     private stopping = false;
     private cancelHousekeeping: CancelTimer = () => {};
 
     constructor(private readonly options: GatewayOptions) {
         const { clock, config } = options;
-        this.startedAt = clock.now();
         this.board = new EndpointBoard((instance) => this.endpointGone(instance));
         this.ledger = new SharedLedger({
             startsFull: config.fleetIsNew,
             tolerance: config.rateTolerance,
         });
+        this.reports = new PeerReports({
+            clock,
+            fleetIsNew: config.fleetIsNew,
+            ledger: this.ledger,
+            board: this.board,
+            crashes: this.crashes,
+            demand: this.demand,
+            homes: this.homes,
+            agentOf: options.agentOf,
+        });
         this.innerNode = this.createInnerNode();
         this.sync = this.createSync();
         this.followers = [
@@ -224,9 +231,9 @@
             role: ProcessRole.Router,
             seeds: config.seeds,
             agents: () => this.agentAddresses(),
-            report: (peer, address) => this.reportFor(peer, address),
+            report: (peer, address) => this.reports.reportFor(peer, address),
             hasReport: () => this.ledger.hasUnreported(),
-            onReport: (peer, report) => this.onReport(peer, report),
+            onReport: (peer, report) => this.reports.observe(peer, report),
             onReplica: (replica) => this.onReplica(replica),
             onTold: (peer, report) => this.ledger.reported(peer, report.spent),
             onNews: (facts, peer) => this.learn(facts, peer.instance),
@@ -263,6 +270,7 @@
             connections: this.connections,
             retries: new RetryAllowance(config.retryBudget),
             crashes: this.crashes,
+            demand: this.demand,
             weightsBounds: config.weights,
             metrics,
             routers: () => 1 + this.sync.liveRouters(),
@@ -339,6 +347,7 @@
             this.table = new RouteTable(configuration);
             this.ledger.configure(configuration.accounts, now);
             this.server.setLimits(configuration.limits);
+            this.homes.setStoreCapacity(this.table.cacheStore()?.cacheTokens ?? 0);
         }
     }
 
@@ -392,67 +401,13 @@
         return addresses;
     }
 
-    private reportFor(peer: Hello | undefined, address: InnerAddress | undefined): PeerReport {
-        const now = this.options.clock.now();
-        if (peer?.role === ProcessRole.Agent) {
-            const replicas = address === undefined ? [] : this.replicasBeside(address, now);
-            return { spent: [], load: [], crashes: [], levels: [], replicas };
-        }
-        return {
-            spent: this.ledger.spent(),
-            load: this.board.ownLoads(),
-            crashes: this.crashes.report(now),
-            levels: this.isSettled(now) ? this.ledger.levels(now) : [],
-        };
-    }
-
-    /** The replicas of the service whose agent listens at an address. */
-    private replicasBeside(address: InnerAddress, now: Milliseconds) {
-        const own = [...this.board.all()].find(({ endpoint }) => {
-            const agent = this.options.agentOf(endpoint);
-            return agent?.host === address.host && agent.port === address.port;
-        });
-        const service = own?.endpoint.service;
-        return service === undefined ? [] : this.board.ofService(service)
-            .filter((view) => !view.endpoint.leaving && !view.isDown(now))
-            .map((view) => ({
-                address: `${view.endpoint.host}:${view.endpoint.port}`,
-                weights: view.endpoint.weights.map(({ model, version }) => ({
-                    model,
-                    version: view.weightsVersion(model, now) ?? version,
-                })),
-                loading: view.isLoading(now),
-            }));
-    }
-
-    private onReport(peer: Hello, report: PeerReport): void {
-        const now = this.options.clock.now();
-        if (report.replica !== undefined) {
-            this.board.observeStatus(report.replica, now);
-        }
-        if (peer.role !== ProcessRole.Router) {
-            return;
-        }
-        this.ledger.observe(peer.incarnation, report.spent, now);
-        this.board.observeLoads(peer.instance, report.load, now);
-        this.crashes.observe(report.crashes, now);
-        if (!this.adopted && report.levels.length > 0 && !this.isSettled(now)) {
-            this.adopted = true;
-            this.ledger.adopt(report.levels, now);
-        }
-    }
-
-    /** True once this router's buckets stand for what was spent. */
-    private isSettled(now: Milliseconds): boolean {
-        return this.options.config.fleetIsNew || this.adopted || now - this.startedAt > adoptFor;
-    }
-
     private housekeep(): void {
         const { clock } = this.options;
         const now = clock.now();
         if (this.state.expire(now).length > 0) {
             this.board.update(this.state);
         }
+        this.reports.turn(now);
         this.ledger.fleetChanged(
             { live: this.sync.liveRouterNames(), silent: this.sync.silentRouters() },
             now,
--- /dev/null
+++ b/packages/gateway/src/node/peerReports.ts
@@ -0,0 +1,125 @@
+/**
+ * What a router tells its peers and agents at each exchange, and what it takes in from them.
+ *
+ * @module
+ */
+import type { Clock, Milliseconds } from "@redwingpin/common";
+import {
+    type DirectEndpoint,
+    emptyReport,
+    type PeerReport,
+    quietInterval,
+    type SavedPrefix,
+    type ServiceProgress,
+} from "@redwingpin/fleet";
+import { type Hello, type InnerAddress, ProcessRole } from "@redwingpin/protocol";
+import type { CrashBook } from "../decision/crashBook.js";
+import { type DemandMeter, spareReplicas } from "../decision/demandMeter.js";
+import type { EndpointBoard } from "../decision/endpointBoard.js";
+import type { PrefixHomes } from "../decision/prefixHomes.js";
+import type { SharedLedger } from "../decision/sharedLedger.js";
+
+/** A router takes over its peers' levels during this time after its start. */
+const adoptFor: Milliseconds = 2_500;
+
+/** Options of {@link PeerReports}. */
+export interface PeerReportsOptions {
+    readonly clock: Clock;
+    /** True only at the very first start of the whole fleet. */
+    readonly fleetIsNew: boolean;
+    readonly ledger: SharedLedger;
+    readonly board: EndpointBoard;
+    readonly crashes: CrashBook;
+    readonly demand: DemandMeter;
+    readonly homes: PrefixHomes;
+    readonly agentOf: (endpoint: DirectEndpoint) => InnerAddress | undefined;
+}
+
+/** Makes and reads reports. */
+export class PeerReports {
+    private readonly startedAt: Milliseconds;
+    private adopted = false;
+    private savedLately: readonly SavedPrefix[] = [];
+    private savedLatelyAt: Milliseconds = -Infinity;
+
+    constructor(private readonly options: PeerReportsOptions) {
+        this.startedAt = options.clock.now();
+    }
+
+    /** What to tell a peer; agents are told of the service of their replica. */
+    reportFor(peer: Hello | undefined, address: InnerAddress | undefined): PeerReport {
+        const now = this.options.clock.now();
+        if (peer?.role === ProcessRole.Agent) {
+            return { ...emptyReport, service: address && this.serviceBeside(address, now) };
+        }
+        return {
+            spent: this.options.ledger.spent(),
+            load: this.options.board.ownLoads(),
+            crashes: this.options.crashes.report(now),
+            levels: this.isSettled(now) ? this.options.ledger.levels(now) : [],
+            demand: this.options.demand.report(now),
+            saved: this.savedLately,
+        };
+    }
+
+    /** The service of the replica whose agent listens at an address. */
+    private serviceBeside(address: InnerAddress, now: Milliseconds): ServiceProgress | undefined {
+        const own = [...this.options.board.all()].find(({ endpoint }) => {
+            const agent = this.options.agentOf(endpoint);
+            return agent?.host === address.host && agent.port === address.port;
+        });
+        if (own === undefined) {
+            return undefined;
+        }
+        const { service } = own.endpoint;
+        const serving = this.options.board.ofService(service).filter((view) =>
+            !view.endpoint.leaving && !view.isDown(now)
+        );
+        const replicas = serving.map((view) => ({
+            address: `${view.endpoint.host}:${view.endpoint.port}`,
+            weights: view.endpoint.weights.map(({ model, version }) => ({
+                model,
+                version: view.weightsVersion(model, now) ?? version,
+            })),
+            loading: view.isLoading(now),
+        }));
+        const speed = this.options.board.speed(service).tokensPerMillisecond;
+        return {
+            replicas,
+            spare: spareReplicas(serving.length, this.options.demand.total(service, now), speed),
+        };
+    }
+
+    /** Takes in what a peer tells. */
+    observe(peer: Hello, report: PeerReport): void {
+        const now = this.options.clock.now();
+        if (report.replica !== undefined) {
+            this.options.board.observeStatus(report.replica, now);
+        }
+        if (peer.role !== ProcessRole.Router) {
+            return;
+        }
+        this.options.ledger.observe(peer.incarnation, report.spent, now);
+        this.options.board.observeLoads(peer.instance, report.load, now);
+        this.options.crashes.observe(report.crashes, now);
+        this.options.demand.observe(peer.instance, report.demand, now);
+        this.options.homes.observeSaved(report.saved);
+        if (!this.adopted && report.levels.length > 0 && !this.isSettled(now)) {
+            this.adopted = true;
+            this.options.ledger.adopt(report.levels, now);
+        }
+    }
+
+    /** Each saved prefix is told in the reports of some exchanges, so that every peer hears of it. */
+    turn(now: Milliseconds): void {
+        if (now - this.savedLatelyAt >= quietInterval) {
+            this.savedLately = this.options.homes.takeSaved();
+            this.savedLatelyAt = now;
+        }
+    }
+
+    /** True once this router's buckets stand for what was spent. */
+    private isSettled(now: Milliseconds): boolean {
+        return this.options.fleetIsNew || this.adopted || now - this.startedAt > adoptFor;
+    }
+}
--- a/packages/gateway/src/node/requestTask.ts
+++ b/packages/gateway/src/node/requestTask.ts
@@ -20,6 +20,7 @@
     type RequestOutcome,
 } from "../decision/attemptPlan.js";
 import type { CrashBook } from "../decision/crashBook.js";
+import type { DemandMeter } from "../decision/demandMeter.js";
 import type { EndpointBoard, EndpointView } from "../decision/endpointBoard.js";
 import {
     type Choice,
@@ -29,7 +30,7 @@
 } from "../decision/endpointChoice.js";
 import { type PrefixHomes, prefixNames } from "../decision/prefixHomes.js";
 import type { RetryAllowance } from "../decision/retryAllowance.js";
-import type { AnswerFacts, DispatchFacts, WireDialect } from "../wireDialect.js";
+import type { AnswerFacts, DispatchFacts, PromptPart, WireDialect } from "../wireDialect.js";
 import { endToEndHeaders, writeOwnAnswer, writeWholeAnswer } from "./answerWriter.js";
 import { notRunStatuses, runAttempt, type StreamProgress } from "./attempt.js";
 import { openBook, recordAttempt } from "./attemptRecord.js";
@@ -38,8 +39,14 @@
 import type { GatewayMetrics } from "./gatewayMetrics.js";
 import { type PromptFacts, promptFacts } from "./promptFacts.js";
 
-/** Time for a kept connection to bring a byte of the prefix over the network of a cache store, for each token. */
-const fetchMillisecondsPerToken = 0.007;
+/** Time to fetch a token of a cached prefix from a cache store; its link carries 22 Gbit/s. */
+const storeFetchPerToken: Milliseconds = 0.007;
+
+/** Time to fetch a token of a cached prefix from another replica; links between replicas carry 280 Gbit/s. */
+const replicaFetchPerToken: Milliseconds = 0.001;
+
+/** Shared prefixes below this size are read again faster than they are looked up elsewhere. */
+const minFetchedTokens = 512;
 
 /** Part of an engine's cache that all routers together count on. */
 const countedCacheShare = 0.6;
@@ -59,6 +66,7 @@
     readonly connections: EndpointConnections;
     readonly retries: RetryAllowance;
     readonly crashes: CrashBook;
+    readonly demand: DemandMeter;
     readonly weightsBounds: WeightsBounds;
     readonly metrics: GatewayMetrics;
     /** Routers in touch, this one included. */
@@ -77,10 +85,24 @@
     return task.run();
 }
 
+/** What an endpoint holds of a shared prefix and where it may fetch the rest. */
+interface PrefixSource {
+    /** Tokens that it is believed to hold. */
+    readonly cached: number;
+    /** Tokens that it can fetch. */
+    readonly fetched: number;
+    readonly source: { readonly address: string; readonly isStore: boolean; } | undefined;
+}
+
+function tokensOf(parts: readonly PromptPart[]): number {
+    return parts.reduce((sum, part) => sum + part.tokens, 0);
+}
+
 class RequestTask {
     private readonly tried = new Set<string>();
     private readonly progress: StreamProgress;
     private readonly prompt: PromptFacts | undefined;
+    private readonly names = new Map<string, readonly string[]>();
     private attempts = 0;
 
     constructor(
@@ -140,22 +162,76 @@
     }
 
     private promptNeeds(prompt: PromptFacts): PromptNeeds {
-        const { homes } = this.context;
-        const { parts, promptTokens } = this.request.facts;
         return {
             model: prompt.model,
             named: prompt.named,
-            promptTokens,
+            promptTokens: this.request.facts.promptTokens,
+            outputTokens: this.request.facts.outputTokens,
             ready: (view, version) => {
-                const names = prefixNames(prompt.scope(version), parts);
-                const held = homes.heldTokens(view.endpoint.instance, names, parts);
-                const saved = prompt.cacheStore === undefined ? 0 : homes.savedTokens(names, parts);
-                const fetched = Math.max(0, saved - held);
-                return { tokens: held + fetched, fetchTime: fetched * fetchMillisecondsPerToken };
+                const { cached, fetched, source } = this.prefixSource(prompt, view, version);
+                const perToken = source?.isStore === true ? storeFetchPerToken : replicaFetchPerToken;
+                return { tokens: cached + fetched, fetchTime: fetched * perToken };
             },
         };
     }
 
+    /** What an endpoint needs not read, and where it may fetch what it lacks. */
+    private prefixSource(prompt: PromptFacts, view: EndpointView, version: number | undefined): PrefixSource {
+        const { homes } = this.context;
+        const { parts } = this.request.facts;
+        const shared = parts.slice(0, -1);
+        const sharedTokens = tokensOf(shared);
+        const names = this.namesIn(prompt.scope(version));
+        const held = homes.heldTokens(view.endpoint.instance, names, parts);
+        if (sharedTokens < minFetchedTokens) {
+            return { cached: held, fetched: 0, source: undefined };
+        }
+        const source = this.storeSource(prompt);
+        if (source === undefined) {
+            const home = this.homeOf(prompt, names, version);
+            const address = home && `${home.endpoint.host}:${home.endpoint.port}`;
+            return home === view || address === undefined
+                ? { cached: held, fetched: 0, source: undefined }
+                : {
+                    cached: held,
+                    fetched: Math.max(0, sharedTokens - held),
+                    source: { address, isStore: false },
+                };
+        }
+        const saved = Math.max(0, homes.savedTokens(names, parts) - held);
+        return { cached: held, fetched: saved, source };
+    }
+
+    private storeSource(prompt: PromptFacts): PrefixSource["source"] {
+        return prompt.cacheStore === undefined ? undefined : { address: prompt.cacheStore, isStore: true };
+    }
+
+    /** The home of the shared prefix among the endpoints with the same weights. */
+    private homeOf(
+        prompt: PromptFacts,
+        names: readonly string[],
+        version: number | undefined,
+    ): EndpointView | undefined {
+        const now = this.context.clock.now();
+        const views = this.context.board.ofService(this.request.service.name).filter((view) =>
+            !view.endpoint.leaving && !view.isDown(now) && view.weightsVersion(prompt.model, now) === version
+        );
+        const name = names.at(-2);
+        const home = name === undefined
+            ? undefined
+            : this.context.homes.homeOf(name, views.map((view) => view.endpoint.instance));
+        return views.find((view) => view.endpoint.instance === home);
+    }
+
+    private namesIn(scope: string): readonly string[] {
+        let names = this.names.get(scope);
+        if (names === undefined) {
+            names = prefixNames(scope, this.request.facts.parts);
+            this.names.set(scope, names);
+        }
+        return names;
+    }
+
     private takeRetry(reason: RetryReason): boolean {
         const { clock, logger, metrics, retries, routers } = this.context;
         const allowed = retries.tryRetry(this.request.service.name, routers(), clock.now());
@@ -171,8 +247,10 @@
         const sentAt = clock.now();
         this.attempts += 1;
         this.tried.add(endpoint.instance);
+        this.context.demand.record(request.service.name, choice.readTokens, sentAt);
         const waitedBehind = choice.view.waitingTokens;
         const book = openBook(choice);
+        let firstAt: Milliseconds | undefined;
         const facts = this.dispatchFacts(choice, sentAt);
         const outcome = await runAttempt({
             clock,
@@ -194,12 +272,17 @@
             observer: {
                 onFirstAnswer: (answer) => {
                     book.answered();
+                    firstAt = clock.now();
                     this.firstAnswer(choice, facts, answer, clock.now() - sentAt, waitedBehind === 0);
                 },
                 onOtherWeights: (answer) => this.otherWeights(choice.view, answer),
             },
         });
         book.close();
+        if (outcome.kind === "delivered" && firstAt !== undefined) {
+            const speed = this.context.board.speed(request.service.name);
+            speed.observeStream(request.facts.outputTokens, clock.now() - firstAt);
+        }
         recordAttempt(this.context, request, choice, outcome, {
             number: this.attempts,
             sentAt,
@@ -223,16 +306,16 @@
             return common;
         }
         const scope = prompt.scope(choice.version);
-        const names = prefixNames(scope, request.facts.parts);
-        const shared = request.facts.parts.slice(0, -1);
-        const sharedTokens = shared.reduce((sum, part) => sum + part.tokens, 0);
-        const saved = this.context.homes.savedTokens(names, request.facts.parts);
+        const { parts } = request.facts;
+        const shared = tokensOf(parts.slice(0, -1));
+        const saved = this.context.homes.savedTokens(this.namesIn(scope), parts);
+        const isWorthSaving = shared >= minFetchedTokens && saved < shared;
         return {
             ...common,
             cacheScope: scope,
             expectedVersion: choice.version,
-            fetchFrom: prompt.cacheStore,
-            saveTo: saved < sharedTokens ? prompt.cacheStore : undefined,
+            fetchFrom: this.prefixSource(prompt, choice.view, choice.version).source?.address,
+            saveTo: isWorthSaving ? prompt.cacheStore : undefined,
         };
     }
 
@@ -272,7 +355,7 @@
             choice.view.observeWeights(prompt.model, answer.weightsVersion, clock.now());
         }
         const { parts } = request.facts;
-        const names = prefixNames(facts.cacheScope ?? "", parts);
+        const names = this.namesIn(facts.cacheScope ?? "");
         const cacheTokens = request.service.engine?.cacheTokens ?? 0;
         homes.recordRead(
             choice.view.endpoint.instance,
@@ -281,7 +364,7 @@
             cacheTokens * countedCacheShare / routers(),
         );
         if (facts.saveTo !== undefined) {
-            homes.recordSaved(names.slice(0, -1));
+            homes.recordSaved(names, parts);
         }
     }
 
--- a/packages/rollout/src/decision/rolloutTurn.ts
+++ b/packages/rollout/src/decision/rolloutTurn.ts
@@ -1,32 +1,35 @@
 /**
  * Decides when a replica loads newly named weights. Replicas that are behind take turns in an order that every agent
- * works out alike, a part of them at a time, so that no leader is needed and the rest keeps serving.
+ * works out alike, a part of them at a time and no more than the demand leaves to spare, so that no leader is needed
+ * and the rest keeps serving in time.
  *
  * @module
  */
-import type { Milliseconds } from "@redwingpin/common";
-import { type NamedWeights, replacedAt, type ReplicaProgress } from "@redwingpin/fleet";
+import { type Milliseconds, rendezvousScore } from "@redwingpin/common";
+import { type NamedWeights, replacedAt, type ReplicaProgress, type ServiceProgress } from "@redwingpin/fleet";
 
 /** Replicas load in about this many groups; loads slow each other down where more of them run at once. */
 export const rolloutGroups = 4;
 
 /** Replicas of a service that may load at once. */
 export function loadsAtOnce(replicas: number): number {
-    return Math.max(1, Math.floor(replicas / rolloutGroups));
+    return Math.max(1, Math.round(replicas / rolloutGroups));
 }
 
+/** Time that one group takes: a load of somewhat more than a second, and the last runs before it. */
+export const groupTime: Milliseconds = 1_400;
+
+/** Groups ahead of their turn in which replicas take no requests any more that would outlast it. */
+const preparingGroups = 2;
+
 /** What a replica should do about newly named weights. */
-export enum RolloutStep {
+export type RolloutStep =
     /** Go on serving. */
-    Wait = "wait",
-    /** Its turn is next: take no new requests, so that runs end by the time of its turn. */
-    Prepare = "prepare",
+    | { readonly kind: "wait"; }
+    /** Its turn is near: take no requests that would outlast it. */
+    | { readonly kind: "prepare"; readonly loadsIn: Milliseconds; }
     /** Load the weights now. */
-    Load = "load",
-}
-
-/** Replicas that prepare while others load. */
-const preparing = 1;
+    | { readonly kind: "load"; };
 
 /** What decides about a turn. */
 export interface TurnInput {
@@ -35,13 +38,15 @@
     /** Version that the replica serves. */
     readonly version: number;
     readonly target: NamedWeights;
-    /** Replicas of the service as routers last told. */
-    readonly replicas: readonly ReplicaProgress[];
+    /** The service as a router last told of it. */
+    readonly service: ServiceProgress;
     /** Age of what routers told; infinite where none did. */
     readonly age: Milliseconds;
     readonly now: Milliseconds;
-    /** Time after which weights are loaded whatever the others do. */
+    /** Time after which weights are loaded by an agent that hears of no others. */
     readonly latestAfter: Milliseconds;
+    /** Time in which every replica should have the weights. */
+    readonly allowed: Milliseconds;
 }
 
 /** What routers told counts for this long. */
@@ -49,25 +54,42 @@
 
 /** Decides what the replica should do now. Those that are furthest behind go first. */
 export function rolloutStep(input: TurnInput): RolloutStep {
-    const { address, age, now, replicas, target, version } = input;
+    const { address, age, now, service, target, version } = input;
     const replaced = replacedAt(target, version);
     if (replaced === undefined) {
-        return RolloutStep.Wait;
-    }
-    if (now - replaced >= input.latestAfter) {
-        return RolloutStep.Load;
+        return { kind: "wait" };
     }
     if (age > progressLifetime) {
-        return RolloutStep.Wait;
+        const blindAfter = input.latestAfter + blindGroup(address) * groupTime;
+        return now - replaced >= blindAfter ? { kind: "load" } : { kind: "wait" };
     }
-    const before = replicas.filter((replica) =>
+    const before = service.replicas.filter((replica) =>
         replica.address !== address && isBefore(replica, target, { address, version })
     );
-    const places = loadsAtOnce(replicas.length) - before.length;
-    if (places > 0) {
-        return RolloutStep.Load;
+    const behind = service.replicas.filter((replica) => isBehind(replica, target)).length;
+    const places = placesNow(service, behind, input.allowed - (now - replaced));
+    const group = Math.floor(before.length / places);
+    if (group === 0) {
+        return { kind: "load" };
     }
-    return places + preparing > 0 ? RolloutStep.Prepare : RolloutStep.Wait;
+    return group <= preparingGroups ? { kind: "prepare", loadsIn: group * groupTime } : { kind: "wait" };
+}
+
+/** Replicas that may load now: what the demand spares, or more where the time for the rest runs out. */
+function placesNow(service: ServiceProgress, behind: number, left: Milliseconds): number {
+    const most = loadsAtOnce(service.replicas.length);
+    const pressed = left <= 0 ? most : Math.floor(behind * groupTime / left);
+    return Math.max(1, Math.min(most, Math.max(service.spare, pressed)));
+}
+
+function isBehind(replica: ReplicaProgress, target: NamedWeights): boolean {
+    const version = replica.weights.find((entry) => entry.model === target.model)?.version;
+    return version !== undefined && version < target.version;
+}
+
+/** Group of an agent that hears of no others. */
+function blindGroup(address: string): number {
+    return rendezvousScore("blind", address) % rolloutGroups;
 }
 
 interface Place {
--- a/packages/rollout/src/node/replicaAgent.ts
+++ b/packages/rollout/src/node/replicaAgent.ts
@@ -5,19 +5,20 @@
  */
 import type { CancelTimer, Clock, Logger, Milliseconds } from "@redwingpin/common";
 import {
+    emptyReport,
     type FleetFact,
     FleetState,
     FleetSync,
     type ModelWeights,
     type NamedWeights,
     type PeerReport,
-    type ReplicaProgress,
     type ReplicaStatus,
+    type ServiceProgress,
 } from "@redwingpin/fleet";
 import { type FleetKeys, type Hello, type InnerAddress, InnerNode, ProcessRole } from "@redwingpin/protocol";
 import { randomUUID } from "node:crypto";
 import { Counter, type Registry } from "prom-client";
-import { RolloutStep, rolloutStep } from "../decision/rolloutTurn.js";
+import { type RolloutStep, rolloutStep } from "../decision/rolloutTurn.js";
 import { OrderAnswer, type ReplicaControl, type ReplicaReport } from "../replicaControl.js";
 
 /** Everything that an agent is told at its start. */
@@ -30,6 +31,8 @@
     readonly service: string;
     /** Time from the naming of weights after which they are loaded whatever the other replicas do. */
     readonly loadLatestAfter: Milliseconds;
+    /** Time from the naming of weights in which every replica should have them. */
+    readonly loadAllowed: Milliseconds;
 }
 
 /** What an agent is made from. */
@@ -79,10 +82,11 @@
     private report: ReplicaReport | undefined;
     private failures = 0;
     private load: RunningLoad | undefined;
-    private replicas: readonly ReplicaProgress[] = [];
-    private replicasAt: Milliseconds = -Infinity;
+    private service: ServiceProgress = { replicas: [], spare: 1 };
+    private serviceAt: Milliseconds = -Infinity;
     private told = "";
-    private preparing = false;
+    /** Time until the expected turn of the replica. */
+    private loadsIn: Milliseconds | undefined;
     private looking = false;
     private stopped = false;
     private cancelTick: CancelTimer = () => {};
@@ -147,7 +151,7 @@
         void this.look().then(() => {
             this.looking = false;
             if (!this.stopped) {
-                const isBusy = this.load !== undefined || this.preparing;
+                const isBusy = this.load !== undefined || this.loadsIn !== undefined;
                 const interval = isBusy ? loadingInterval : calmInterval;
                 this.cancelTick = this.options.clock.schedule(interval, () => this.tick());
             }
@@ -194,7 +198,7 @@
         }
         const behind = this.behind(report);
         if (behind === undefined) {
-            this.preparing = false;
+            this.loadsIn = undefined;
             if (!report.busy) {
                 this.endLoad(report);
             }
@@ -218,17 +222,18 @@
 
     private async takeStep(behind: Behind, report: ReplicaReport, now: Milliseconds): Promise<void> {
         const { config } = this.options;
-        const step = report.busy ? RolloutStep.Wait : rolloutStep({
+        const step: RolloutStep = report.busy ? { kind: "wait" } : rolloutStep({
             address: config.replica,
             version: behind.version,
             target: behind.target,
-            replicas: this.replicas,
-            age: now - this.replicasAt,
+            service: this.service,
+            age: now - this.serviceAt,
             now,
             latestAfter: config.loadLatestAfter,
+            allowed: config.loadAllowed,
         });
-        this.preparing = step === RolloutStep.Prepare;
-        if (step === RolloutStep.Load) {
+        this.loadsIn = step.kind === "prepare" ? step.loadsIn : undefined;
+        if (step.kind === "load") {
             await this.begin(behind.target, now);
         }
     }
@@ -251,13 +256,10 @@
         if (instance === undefined || report === undefined) {
             return;
         }
-        const wasAnnounced = this.preparing;
-        this.preparing = false;
+        this.loadsIn = undefined;
         this.load = { target, since: now, orderedAt: undefined };
         this.tellRouters();
-        if (!wasAnnounced) {
-            await new Promise<void>((resolve) => void clock.schedule(announceTime, resolve));
-        }
+        await new Promise<void>((resolve) => void clock.schedule(announceTime, resolve));
         const answer = await control.load({
             instance,
             model: target.model,
@@ -275,6 +277,7 @@
             fence: target.revision,
             orders: report.orders,
             running: report.running,
+            spare: this.service.spare,
             age: finiteOrAbsent(now - target.namedAt),
             outcome,
             error: answer.isErr() ? answer.error : undefined,
@@ -319,9 +322,9 @@
     }
 
     private onReport(peer: Hello, report: PeerReport): void {
-        if (peer.role === ProcessRole.Router && report.replicas !== undefined && report.replicas.length > 0) {
-            this.replicas = report.replicas;
-            this.replicasAt = this.options.clock.now();
+        if (peer.role === ProcessRole.Router && report.service !== undefined) {
+            this.service = report.service;
+            this.serviceAt = this.options.clock.now();
             if (this.report !== undefined && this.behind(this.report) !== undefined) {
                 this.tick();
             }
@@ -329,7 +332,7 @@
     }
 
     private peerReport(): PeerReport {
-        return { spent: [], load: [], crashes: [], levels: [], replica: this.status() };
+        return { ...emptyReport, replica: this.status() };
     }
 
     private status(): ReplicaStatus {
@@ -338,7 +341,8 @@
             instance: this.instance(),
             address: this.options.config.replica,
             weights: report?.weights ?? [],
-            loading: this.load !== undefined || this.preparing || (report?.busy ?? false),
+            loading: this.load !== undefined || (report?.busy ?? false),
+            loadsIn: this.loadsIn,
             running: report?.running ?? 0,
             queued: report?.queued ?? 0,
             cacheUsed: report?.cacheUsed ?? 0,
@@ -349,7 +353,8 @@
     /** Tells routers at once of a change that matters to their choice. */
     private tellRouters(): void {
         const status = this.status();
-        const told = `${status.instance} ${status.loading} ${describeWeights(status.weights)}`;
+        const { instance, loading, loadsIn, weights } = status;
+        const told = `${instance} ${loading} ${loadsIn} ${describeWeights(weights)}`;
         if (told !== this.told) {
             this.told = told;
             this.sync.tellReplica(status);
