fix(gateway,rollout): kept connections close after the stop began; agents look for routers that restarted; settings apply while running

Routers that all restart with the store away knew no agents, and agents called nobody: they stayed without a configuration until the store returned.

--- a/packages/fleet/src/__tests__/peerTable.spec.ts
+++ b/packages/fleet/src/__tests__/peerTable.spec.ts
@@ -53,6 +53,17 @@
         expect(table.due(100, 100)).to.deep.equal([other]);
     });
 
+    it("gives an agent the routers that have fallen silent, for they may have restarted", () => {
+        const { clock, table } = tableFixture();
+        table.heardFrom(other);
+        expect(table.dueSilent(700)).to.deep.equal([]);
+        clock.advance(1_600);
+        expect(table.dueSilent(700)).to.deep.equal([other]);
+        table.answered(other);
+        clock.advance(700);
+        expect(table.dueSilent(700)).to.deep.equal([]);
+    });
+
     it("makes exchanges due at once for the chosen peers only", () => {
         const { table } = tableFixture();
         table.addRouters([other]);
--- a/packages/fleet/src/decision/peerTable.ts
+++ b/packages/fleet/src/decision/peerTable.ts
@@ -65,6 +65,19 @@
         return due.map((peer) => peer.address);
     }
 
+    /** Takes the routers that have been silent for a while and may have restarted without knowing anything. */
+    dueSilent(interval: Milliseconds): InnerAddress[] {
+        const now = this.clock.now();
+        this.dropGone(now);
+        const due = this.routers()
+            .filter((peer) => !peer.busy && peer.nextDue <= now && peer.heardAt <= now - liveTime);
+        for (const peer of due) {
+            peer.busy = true;
+            peer.nextDue = now + interval;
+        }
+        return due.map((peer) => peer.address);
+    }
+
     /** Makes exchanges with the chosen peers due at once. */
     hurry(isChosen: (address: InnerAddress) => boolean): void {
         for (const peer of this.peers.values()) {
--- a/packages/fleet/src/node/fleetSync.ts
+++ b/packages/fleet/src/node/fleetSync.ts
@@ -126,6 +126,8 @@
 
     private round(): void {
         if (this.options.role === ProcessRole.Agent) {
+            // Routers call agents. One that restarts while the store is away knows none, so agents look for it.
+            this.peers.dueSilent(quietInterval).forEach((peer) => void this.exchange(peer));
             return;
         }
         this.peers.setAgents(this.options.agents());
--- a/packages/gateway/src/decision/retryAllowance.ts
+++ b/packages/gateway/src/decision/retryAllowance.ts
@@ -31,7 +31,15 @@
 export class RetryAllowance {
     private readonly services = new Map<string, Map<number, Count>>();
 
-    constructor(private readonly bounds: RetryBudgetBounds) {}
+    constructor(private bounds: RetryBudgetBounds) {}
+
+    /** Takes over other bounds; what was counted stays. */
+    setBounds(bounds: RetryBudgetBounds): void {
+        if (bounds.window !== this.bounds.window) {
+            this.services.clear();
+        }
+        this.bounds = bounds;
+    }
 
     recordRequest(service: string, now: Milliseconds): void {
         this.count(service, now).requests += 1;
--- a/packages/gateway/src/decision/sharedLedger.ts
+++ b/packages/gateway/src/decision/sharedLedger.ts
@@ -68,7 +68,16 @@
     private readonly peerSpent = new Map<string, Map<string, number>>();
     private fleet: LedgerFleet = { live: [], silent: 0 };
 
-    constructor(private readonly options: SharedLedgerOptions) {}
+    private tolerance: RateTolerance;
+
+    constructor(private readonly options: SharedLedgerOptions) {
+        this.tolerance = options.tolerance;
+    }
+
+    /** Takes over another tolerance; levels stay. */
+    setTolerance(tolerance: RateTolerance): void {
+        this.tolerance = tolerance;
+    }
 
     /** Takes over the accounts of a configuration; levels stay where they are, within the new bursts. */
     configure(accounts: readonly DirectAccount[], now: Milliseconds): void {
@@ -184,7 +193,7 @@
     }
 
     private toleratedTokens(account: DirectAccount): number {
-        const { share, tokens, window } = this.options.tolerance;
+        const { share, tokens, window } = this.tolerance;
         const allowed = account.tokensPerSecond * window / millisecondsPerSecond + account.burstTokens;
         return allowed * share + tokens;
     }
--- a/packages/gateway/src/node/directServer.ts
+++ b/packages/gateway/src/node/directServer.ts
@@ -115,6 +115,21 @@
         }
         finally {
             this.running -= 1;
+            this.closeWhereStopping(response);
+        }
+    }
+
+    /** An answer that began before the stop could not say that its connection closes: it closes after the answer. */
+    private closeWhereStopping(response: ServerResponse): void {
+        if (!this.context.stopping()) {
+            return;
+        }
+        const { socket } = response;
+        if (response.writableFinished) {
+            socket?.end();
+        }
+        else {
+            response.once("finish", () => socket?.end());
         }
     }
 
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -115,6 +115,7 @@
     private readonly connections = new EndpointConnections();
     private readonly crashes = new CrashBook();
     private readonly demand = new DemandMeter();
+    private readonly retries: RetryAllowance;
     private readonly board: EndpointBoard;
     private readonly ledger: SharedLedger;
     private readonly reports: PeerReports;
@@ -125,6 +126,8 @@
     private readonly readiness: Server;
     private readonly random = seededRandom(randomInt(maxSeed));
     private readonly incarnation = randomUUID();
+    /** The settings in force. */
+    private bounds: ResolvedGatewayConfig;
     private table: RouteTable | undefined;
     private endpointsKnown = false;
     private stopping = false;
@@ -132,6 +135,8 @@
 
     constructor(private readonly options: GatewayOptions) {
         const { clock, config } = options;
+        this.bounds = config;
+        this.retries = new RetryAllowance(config.retryBudget);
         this.board = new EndpointBoard((instance) => this.endpointGone(instance));
         this.ledger = new SharedLedger({
             startsFull: config.fleetIsNew,
@@ -177,12 +182,20 @@
         return !this.stopping && this.table !== undefined && this.endpointsKnown;
     }
 
+    /** Takes over settings that can change while it runs; addresses and names stay until a restart. */
+    reconfigure(config: ResolvedGatewayConfig): void {
+        this.bounds = config;
+        this.retries.setBounds(config.retryBudget);
+        this.ledger.setTolerance(config.rateTolerance);
+    }
+
     /** Leaves without cutting a request: not ready, then no new connections, then what runs to its end. */
     async drain(): Promise<void> {
-        const { clock, config, logger } = this.options;
-        const end = clock.now() + config.stopWithin - stopMargin;
+        const { clock, logger } = this.options;
+        const { stopWithin } = this.bounds;
+        const end = clock.now() + stopWithin - stopMargin;
         this.stopping = true;
-        await sleep(clock, config.stopWithin * acceptShare);
+        await sleep(clock, stopWithin * acceptShare);
         logger.info("taking no more connections", { running: this.server.runningRequests });
         const pollInterval = 50;
         do {
@@ -268,10 +281,10 @@
             board: this.board,
             homes: this.homes,
             connections: this.connections,
-            retries: new RetryAllowance(config.retryBudget),
+            retries: this.retries,
             crashes: this.crashes,
             demand: this.demand,
-            weightsBounds: config.weights,
+            weightsBounds: () => this.bounds.weights,
             metrics,
             routers: () => 1 + this.sync.liveRouters(),
             random,
--- a/packages/gateway/src/node/requestTask.ts
+++ b/packages/gateway/src/node/requestTask.ts
@@ -67,7 +67,7 @@
     readonly retries: RetryAllowance;
     readonly crashes: CrashBook;
     readonly demand: DemandMeter;
-    readonly weightsBounds: WeightsBounds;
+    readonly weightsBounds: () => WeightsBounds;
     readonly metrics: GatewayMetrics;
     /** Routers in touch, this one included. */
     readonly routers: () => number;
@@ -157,7 +157,7 @@
             elapsed: now - this.request.arrival,
             tried: this.tried,
             prompt: this.prompt === undefined ? undefined : this.promptNeeds(this.prompt),
-            bounds: weightsBounds,
+            bounds: weightsBounds(),
         });
     }
 
--- a/packages/rollout/src/node/replicaAgent.ts
+++ b/packages/rollout/src/node/replicaAgent.ts
@@ -6,6 +6,7 @@
 import type { CancelTimer, Clock, Logger, Milliseconds } from "@redwingpin/common";
 import {
     emptyReport,
+    FactKind,
     type FleetFact,
     FleetState,
     FleetSync,
@@ -89,10 +90,13 @@
     private loadsIn: Milliseconds | undefined;
     private looking = false;
     private stopped = false;
+    /** The settings in force. */
+    private bounds: ResolvedReplicaAgentConfig;
     private cancelTick: CancelTimer = () => {};
 
     constructor(private readonly options: ReplicaAgentOptions) {
         const { config, clock, logger, registry } = options;
+        this.bounds = config;
         this.loads = new Counter({
             name: "redwingpin_weight_loads_total",
             help: "Orders to load weights, by outcome",
@@ -132,9 +136,15 @@
     async start(): Promise<void> {
         const { inner } = this.options.config;
         await this.innerNode.listen(inner.host, inner.port);
+        this.sync.start();
         this.tick();
     }
 
+    /** Takes over settings that can change while it runs; addresses and names stay until a restart. */
+    reconfigure(config: ResolvedReplicaAgentConfig): void {
+        this.bounds = config;
+    }
+
     stop(): void {
         this.stopped = true;
         this.cancelTick();
@@ -229,8 +239,8 @@
             service: this.service,
             age: now - this.serviceAt,
             now,
-            latestAfter: config.loadLatestAfter,
-            allowed: config.loadAllowed,
+            latestAfter: this.bounds.loadLatestAfter,
+            allowed: this.bounds.loadAllowed,
         });
         this.loadsIn = step.kind === "prepare" ? step.loadsIn : undefined;
         if (step.kind === "load") {
@@ -309,15 +319,27 @@
 
     private learn(facts: readonly FleetFact[]): void {
         const now = this.options.clock.now();
-        for (const fact of facts) {
-            if (this.state.learn(fact, now) && fact.kind === "weights") {
-                this.options.logger.info("weights named", {
-                    model: fact.model,
-                    version: fact.version,
-                    revision: fact.revision,
-                });
-                this.tick();
-            }
+        const news = facts.filter((fact) => this.state.learn(fact, now));
+        for (const fact of news) {
+            this.logFact(fact);
+        }
+        if (news.some((fact) => fact.kind === FactKind.Weights)) {
+            this.tick();
+        }
+    }
+
+    private logFact(fact: FleetFact): void {
+        const { logger } = this.options;
+        const { revision } = fact;
+        switch (fact.kind) {
+            case FactKind.Configuration:
+                logger.info("configuration known", { version: fact.configuration.version, revision });
+                return;
+            case FactKind.Weights:
+                logger.info("weights named", { model: fact.model, version: fact.version, revision });
+                return;
+            case FactKind.Endpoint:
+                return;
         }
     }
 
