--- a/packages/rollout/src/node/replicaAgent.ts
+++ b/packages/rollout/src/node/replicaAgent.ts
@@ -57,6 +57,9 @@
 /** An order that shows no effect after this time is given again. */
 const orderPatience: Milliseconds = 2_500;
 
+/** Pause after an order that the replica refused: its registration may still name an earlier start. */
+const refusedOrderPause: Milliseconds = 400;
+
 /** Reports that may fail in a row before the replica counts as down. */
 const failuresUntilDown = 2;
 
@@ -89,6 +92,8 @@
     /** Time until the expected turn of the replica. */
     private loadsIn: Milliseconds | undefined;
     private looking = false;
+    /** No order is given before this time. */
+    private orderAfter: Milliseconds = -Infinity;
     private stopped = false;
     /** The settings in force. */
     private bounds: ResolvedReplicaAgentConfig;
@@ -133,11 +138,13 @@
         });
     }
 
-    async start(): Promise<void> {
+    /** Starts to watch the replica; resolves with the port on which routers reach the agent. */
+    async start(): Promise<number> {
         const { inner } = this.options.config;
-        await this.innerNode.listen(inner.host, inner.port);
+        const port = await this.innerNode.listen(inner.host, inner.port);
         this.sync.start();
         this.tick();
+        return port;
     }
 
     /** Takes over settings that can change while it runs; addresses and names stay until a restart. */
@@ -243,7 +250,7 @@
             allowed: this.bounds.loadAllowed,
         });
         this.loadsIn = step.kind === "prepare" ? step.loadsIn : undefined;
-        if (step.kind === "load") {
+        if (step.kind === "load" && now >= this.orderAfter) {
             await this.begin(behind.target, now);
         }
     }
@@ -294,6 +301,7 @@
         });
         const expected = outcome === OrderAnswer.Accepted || outcome === "unanswered";
         this.load = expected ? { target, since: now, orderedAt: clock.now() } : undefined;
+        this.orderAfter = expected ? -Infinity : clock.now() + refusedOrderPause;
     }
 
     private endLoad(report: ReplicaReport): void {
@@ -309,12 +317,12 @@
     /** Identifier of the replica, as routers know it from its registration. */
     private instance(): string | undefined {
         const { replica, service } = this.options.config;
-        for (const { endpoint } of this.state.endpoints()) {
-            if (`${endpoint.host}:${endpoint.port}` === replica && endpoint.service === service) {
-                return endpoint.leaving ? undefined : endpoint.instance;
-            }
-        }
-        return undefined;
+        const registered = [...this.state.endpoints()].filter(({ endpoint, removedAt }) =>
+            removedAt === undefined && endpoint.service === service
+            && `${endpoint.host}:${endpoint.port}` === replica
+        );
+        const newest = registered.sort((left, right) => right.revision - left.revision)[0];
+        return newest === undefined || newest.endpoint.leaving ? undefined : newest.endpoint.instance;
     }
 
     private learn(facts: readonly FleetFact[]): void {
