--- a/packages/command/src/node/cli.ts
+++ b/packages/command/src/node/cli.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { Builtins, Cli } from "clipanion";
+import { ExplainCommand } from "./explainCommand.js";
 import { KeyDigestCommand } from "./keyCommands.js";
 import { ManifestApplyCommand } from "./manifestApplyCommand.js";
 import { ManifestCheckCommand, ManifestSchemaCommand, ManifestShowCommand } from "./manifestCommands.js";
@@ -20,5 +21,6 @@
     cli.register(ManifestSchemaCommand);
     cli.register(StatusCommand);
     cli.register(KeyDigestCommand);
+    cli.register(ExplainCommand);
     return cli;
 }
--- a/packages/fleet/src/fleetMessages.ts
+++ b/packages/fleet/src/fleetMessages.ts
@@ -72,6 +72,7 @@
 
 /** A report without content. */
 export const emptyReport: PeerReport = {
+    age: 0,
     spent: [],
     load: [],
     crashes: [],
@@ -82,6 +83,8 @@
 
 /** What a process tells a peer at each exchange. */
 export interface PeerReport {
+    /** Milliseconds since the sender's start. */
+    readonly age: number;
     readonly spent: readonly AccountSpending[];
     readonly load: readonly EndpointLoad[];
     readonly crashes: readonly CrashCount[];
@@ -158,6 +161,7 @@
 };
 const isProgress = isShaped({ address: isText, weights: isListOf(isWeights), loading: isFlag });
 const reportShape = {
+    age: isAmount,
     spent: isListOf(isShaped(spendingShape)),
     load: isListOf(isShaped({ instance: isText, waitingTokens: isAmount, running: isAmount })),
     crashes: isListOf(isShaped({ fingerprint: isText, crashes: isCount })),
--- a/packages/gateway/src/__tests__/sharedLedger.spec.ts
+++ b/packages/gateway/src/__tests__/sharedLedger.spec.ts
@@ -22,7 +22,7 @@
         for (const [from, ledger] of ledgers.entries()) {
             for (const [to, other] of ledgers.entries()) {
                 if (from !== to) {
-                    other.observe(names[from], ledger.spent(), now);
+                    other.observe({ incarnation: names[from], isYounger: false }, ledger.spent(), now);
                     ledger.reported(names[to], ledger.spent());
                 }
             }
@@ -74,9 +74,10 @@
 
     it("takes in a peer's spending once, however often it is reported, and ignores a first report", () => {
         const ledger = ledgerFixture();
-        ledger.observe("peer", [{ account: "makers", tokens: 4_000 }], 0);
-        ledger.observe("peer", [{ account: "makers", tokens: 7_000 }], 0);
-        ledger.observe("peer", [{ account: "makers", tokens: 7_000 }], 0);
+        const peer = { incarnation: "peer", isYounger: false };
+        ledger.observe(peer, [{ account: "makers", tokens: 4_000 }], 0);
+        ledger.observe(peer, [{ account: "makers", tokens: 7_000 }], 0);
+        ledger.observe(peer, [{ account: "makers", tokens: 7_000 }], 0);
         expect(ledger.levels(0)).to.deep.equal([{ account: "makers", tokens: 2_000 }]);
     });
 
@@ -92,6 +93,13 @@
         expect(ledger.spend("makers", 400, 60_000).admitted).to.equal(true);
     });
 
+    it("counts all that a younger router has spent, also before its first report arrives", () => {
+        const ledger = ledgerFixture();
+        const peer = { incarnation: "restarted", isYounger: true };
+        ledger.observe(peer, [{ account: "makers", tokens: 4_000 }], 0);
+        expect(ledger.levels(0)).to.deep.equal([{ account: "makers", tokens: 1_000 }]);
+    });
+
     it("leaves silent routers their share of the rate", () => {
         const ledger = ledgerFixture();
         ledger.spend("makers", 5_000, 0);
--- /dev/null
+++ b/packages/gateway/src/__tests__/sharedLedgerFuzz.spec.ts
@@ -0,0 +1,107 @@
+import { seededRandom } from "@redwingpin/common";
+import { expect } from "chai";
+import fc from "fast-check";
+import { noTolerance, SharedLedger } from "../index.js";
+import { accountFixture } from "./gatewayFixture.js";
+
+const routers = 3;
+const step = 50;
+const steps = 240;
+const rate = 1_000;
+const burst = 5_000;
+const tolerance = 4_000;
+const liveTime = 1_500;
+const requestTokens = 250;
+
+/** A time in which two routers do not hear each other. */
+interface Cut {
+    readonly from: number;
+    readonly length: number;
+    readonly pair: number;
+}
+
+const pairs = [[0, 1], [0, 2], [1, 2]];
+
+/** Plays routers under full demand through cuts; returns when each request was admitted. */
+function play(seed: number, cuts: readonly Cut[], restartAt: number): number[] {
+    const random = seededRandom(seed);
+    const create = (startsFull: boolean) => {
+        const ledger = new SharedLedger({ startsFull, tolerance: { ...noTolerance, tokens: tolerance } });
+        ledger.configure([accountFixture({ tokensPerSecond: rate, burstTokens: burst })], 0);
+        return ledger;
+    };
+    const ledgers = Array.from({ length: routers }, () => create(true));
+    const incarnations = ledgers.map((_, index) => `r${index}`);
+    const startedAt = ledgers.map(() => 0);
+    const heard = ledgers.map(() => ledgers.map(() => 0));
+    const admitted: number[] = [];
+    for (let count = 1; count <= steps; count++) {
+        const now = count * step;
+        const isCut = (left: number, right: number) =>
+            cuts.some(({ from, length, pair }) =>
+                now >= from && now < from + length && pairs[pair].includes(left)
+                && pairs[pair].includes(right)
+            );
+        if (count === restartAt) {
+            ledgers[0] = create(false);
+            [1, 2].filter((peer) => !isCut(0, peer)).forEach((peer) =>
+                ledgers[0].adopt(ledgers[peer].levels(now), now)
+            );
+            incarnations[0] = "r0 again";
+            startedAt[0] = now;
+        }
+        for (let from = 0; from < routers; from++) {
+            for (let to = 0; to < routers; to++) {
+                if (from !== to && !isCut(from, to) && random.unit() < 0.5) {
+                    const report = ledgers[from].spent();
+                    const isYounger = startedAt[from] > startedAt[to];
+                    ledgers[to].observe({ incarnation: incarnations[from], isYounger }, report, now);
+                    ledgers[from].reported(`r${to}`, report);
+                    heard[to][from] = now;
+                }
+            }
+        }
+        ledgers.forEach((ledger, index) => {
+            const others = [0, 1, 2].filter((other) => other !== index);
+            const live = others.filter((other) => now - heard[index][other] < liveTime);
+            ledger.fleetChanged({ live: live.map((other) => `r${other}`), silent: 2 - live.length }, now);
+            for (let request = random.integerBelow(8); request > 0; request--) {
+                if (ledger.spend("makers", requestTokens, now).admitted) {
+                    admitted.push(now);
+                }
+            }
+        });
+    }
+    return admitted;
+}
+
+describe("shared ledger under cuts and restarts", () => {
+    it("keeps every interval within rate, burst and tolerance", () => {
+        const cut = fc.record({
+            from: fc.integer({ min: 0, max: steps * step }),
+            length: fc.integer({ min: 100, max: 6_000 }),
+            pair: fc.integer({ min: 0, max: 2 }),
+        });
+        fc.assert(
+            fc.property(
+                fc.integer({ min: 1, max: 1_000_000 }),
+                fc.array(cut, { maxLength: 4 }),
+                fc.integer({ min: 1, max: steps }),
+                (seed, cuts, restartAt) => {
+                    const admitted = play(seed, cuts, restartAt);
+                    for (let first = 0; first < admitted.length; first += 7) {
+                        for (let last = first; last < admitted.length; last += 7) {
+                            const tokens = (last - first + 1) * requestTokens;
+                            const length = admitted[last] - admitted[first];
+                            const bound = burst + rate * length / 1_000 + tolerance;
+                            expect(tokens, `from ${admitted[first]} to ${admitted[last]}`).to.be.at.most(
+                                bound,
+                            );
+                        }
+                    }
+                },
+            ),
+            { seed: 20_261_204, numRuns: 60 },
+        );
+    });
+});
--- a/packages/gateway/src/decision/sharedLedger.ts
+++ b/packages/gateway/src/decision/sharedLedger.ts
@@ -25,6 +25,8 @@
     filledAt: Milliseconds;
     /** Tokens that this router spent since its start. */
     spent: number;
+    /** True once a running peer's level was taken over. */
+    adopted: boolean;
     /** Value of `spent` in the last report that each peer has, by the peer's name. */
     readonly reported: Map<string, number>;
 }
@@ -37,6 +39,14 @@
     readonly silent: number;
 }
 
+/** Another router. */
+export interface LedgerPeer {
+    /** Differs for each start of it. */
+    readonly incarnation: string;
+    /** True where it started after this router. */
+    readonly isYounger: boolean;
+}
+
 /** Options of {@link SharedLedger}. */
 export interface SharedLedgerOptions {
     /** True where no router can have spent anything before: buckets start full. */
@@ -90,7 +100,9 @@
         for (const account of accounts) {
             const bucket = this.buckets.get(account.name);
             if (bucket === undefined) {
-                this.buckets.set(account.name, this.createBucket(account, now));
+                const created = this.createBucket(account, now);
+                this.countFromNow(created, this.fleet);
+                this.buckets.set(account.name, created);
                 continue;
             }
             this.fill(bucket, now);
@@ -102,6 +114,7 @@
     fleetChanged(fleet: LedgerFleet, now: Milliseconds): void {
         for (const bucket of this.buckets.values()) {
             this.fill(bucket, now);
+            this.countFromNow(bucket, fleet);
         }
         this.fleet = fleet;
     }
@@ -157,8 +170,12 @@
         }
     }
 
-    /** Takes in what a peer has spent; `incarnation` differs for each start of it. */
-    observe(incarnation: string, report: readonly AccountSpending[], now: Milliseconds): void {
+    /**
+     * Takes in what a peer has spent. What an older peer had spent before its first report is part of the levels that
+     * were taken over; a younger one has spent everything since.
+     */
+    observe(peer: LedgerPeer, report: readonly AccountSpending[], now: Milliseconds): void {
+        const { incarnation, isYounger } = peer;
         const before = this.peerSpent.get(incarnation);
         const known = before ?? new Map<string, number>();
         this.peerSpent.set(incarnation, known);
@@ -166,7 +183,7 @@
             const bucket = this.buckets.get(account);
             const more = tokens - (known.get(account) ?? 0);
             known.set(account, tokens);
-            if (bucket !== undefined && before !== undefined) {
+            if (bucket !== undefined && (before !== undefined || isYounger)) {
                 this.fill(bucket, now);
                 bucket.level = Math.min(bucket.account.burstTokens, bucket.level - more);
             }
@@ -181,13 +198,18 @@
         });
     }
 
-    /** Takes over a running peer's levels, less what this router has spent since its start. */
+    /**
+     * Takes over a running peer's levels, less what this router has spent since its start. Of several peers the lowest
+     * level counts, for it knows of the most spending.
+     */
     adopt(levels: readonly AccountSpending[], now: Milliseconds): void {
         for (const { account, tokens } of levels) {
             const bucket = this.buckets.get(account);
             if (bucket !== undefined) {
-                bucket.level = Math.min(bucket.account.burstTokens, tokens - bucket.spent);
-                bucket.filledAt = now;
+                this.fill(bucket, now);
+                const level = Math.min(bucket.account.burstTokens, tokens - bucket.spent);
+                bucket.level = bucket.adopted ? Math.min(bucket.level, level) : level;
+                bucket.adopted = true;
             }
         }
     }
@@ -201,15 +223,21 @@
     private createBucket(account: DirectAccount, now: Milliseconds): Bucket {
         const startingTokens = startingPart * this.toleratedTokens(account);
         const level = Math.min(account.burstTokens, this.options.startsFull ? Infinity : startingTokens);
-        return { account, level, filledAt: now, spent: 0, reported: new Map() };
+        return { account, level, filledAt: now, spent: 0, adopted: false, reported: new Map() };
     }
 
-    /**
-     * Tokens spent here that some router in touch has not been told of. One that has never been told has just
-     * started and counts from its first report on.
-     */
+    /** A router that has never been told anything has just come in touch: what was spent before is not untold. */
+    private countFromNow(bucket: Bucket, fleet: LedgerFleet): void {
+        for (const peer of fleet.live) {
+            if (!bucket.reported.has(peer)) {
+                bucket.reported.set(peer, bucket.spent);
+            }
+        }
+    }
+
+    /** Tokens spent here that some router in touch has not been told of. */
     private unreported(bucket: Bucket): number {
-        const known = this.fleet.live.flatMap((peer) => bucket.reported.get(peer) ?? []);
+        const known = this.fleet.live.map((peer) => bucket.reported.get(peer) ?? 0);
         return known.length === 0 ? 0 : Math.max(0, bucket.spent - Math.min(...known));
     }
 
--- a/packages/gateway/src/node/peerReports.ts
+++ b/packages/gateway/src/node/peerReports.ts
@@ -38,7 +38,8 @@
 /** Makes and reads reports. */
 export class PeerReports {
     private readonly startedAt: Milliseconds;
-    private adopted = false;
+    /** Peers whose levels were taken over. */
+    private readonly adoptedFrom = new Set<string>();
     private savedLately: readonly SavedPrefix[] = [];
     private savedLatelyAt: Milliseconds = -Infinity;
 
@@ -53,6 +54,7 @@
             return { ...emptyReport, service: address && this.serviceBeside(address, now) };
         }
         return {
+            age: now - this.startedAt,
             spent: this.options.ledger.spent(),
             load: this.options.board.ownLoads(),
             crashes: this.options.crashes.report(now),
@@ -99,13 +101,14 @@
         if (peer.role !== ProcessRole.Router) {
             return;
         }
-        this.options.ledger.observe(peer.incarnation, report.spent, now);
+        const isYounger = report.age < now - this.startedAt;
+        this.options.ledger.observe({ incarnation: peer.incarnation, isYounger }, report.spent, now);
         this.options.board.observeLoads(peer.instance, report.load, now);
         this.options.crashes.observe(report.crashes, now);
         this.options.demand.observe(peer.instance, report.demand, now);
         this.options.homes.observeSaved(report.saved);
-        if (!this.adopted && report.levels.length > 0 && !this.isSettled(now)) {
-            this.adopted = true;
+        if (report.levels.length > 0 && !this.adoptedFrom.has(peer.incarnation) && !this.isSettled(now)) {
+            this.adoptedFrom.add(peer.incarnation);
             this.options.ledger.adopt(report.levels, now);
         }
     }
@@ -120,6 +123,6 @@
 
     /** True once this router's buckets stand for what was spent. */
     private isSettled(now: Milliseconds): boolean {
-        return this.options.fleetIsNew || this.adopted || now - this.startedAt > adoptFor;
+        return this.options.fleetIsNew || now - this.startedAt > adoptFor;
     }
 }
