fix(gateway): a kept connection closes after its answer in a stop; what might not end in time is refused at once

Change: the request's socket is closed; after the time in which connections are taken, streams get 503 with Retry-After 0 and whole answers are taken only where four times their target is left.

--- /dev/null
+++ b/packages/gateway/src/__tests__/directServer.spec.ts
@@ -0,0 +1,100 @@
+import { silentLogger, systemClock } from "@redwingpin/common";
+import { Delivery, type DirectConfiguration, DirectServiceKind } from "@redwingpin/fleet";
+import { expect } from "chai";
+import { ok } from "neverthrow";
+import { request as httpRequest } from "node:http";
+import { Registry } from "prom-client";
+import { noTolerance, RouteTable, SharedLedger, type WireDialect } from "../index.js";
+import { DirectServer } from "../node/directServer.js";
+import { GatewayMetrics } from "../node/gatewayMetrics.js";
+
+const dialect: WireDialect = {
+    readRequest: () => ok({ attempt: "a", promptTokens: 0, outputTokens: 0, namesTokens: false, parts: [] }),
+    endpointHeaders: () => [],
+    readAnswer: () => ({ sealed: false, notRun: false }),
+    ownAnswerHeaders: () => ({ "x-attempt": "a" }),
+};
+
+const configuration: DirectConfiguration = {
+    version: 1,
+    routes: [{
+        name: "r",
+        host: "site.example",
+        prefix: "/",
+        targets: [{ service: "s", weight: 1 }],
+        delivery: Delivery.EventStream,
+        repeatable: false,
+        timeout: 1_000,
+        targetLatency: 100,
+        attempts: 1,
+        priority: 0,
+        open: true,
+    }],
+    services: [{ name: "s", kind: DirectServiceKind.Plain, healthPath: "/", maxConnections: 1 }],
+    accounts: [],
+    limits: { headerBytes: 10_000, bodyBytes: 10, headerTimeout: 1_000, idleTimeout: 1_000 },
+};
+
+/** A server that counts what it would have served. */
+async function serverFixture(takes: boolean) {
+    let served = 0;
+    const table = new RouteTable(configuration);
+    const ledger = new SharedLedger({ startsFull: true, tolerance: noTolerance });
+    const server = new DirectServer({
+        clock: systemClock,
+        logger: silentLogger,
+        metrics: new GatewayMetrics(new Registry()),
+        dialect,
+        checks: { dialect, ledger, table: () => table, now: () => 0, random: () => 0 },
+        stopping: () => !takes,
+        takes: () => takes,
+        maxHeldBytes: 1_000,
+        serve: (_request, response) => {
+            served += 1;
+            response.end("served");
+            return Promise.resolve({ kind: "delivered" });
+        },
+        refund: () => {},
+    });
+    const port = await server.listen("127.0.0.1", 0);
+    return { server, port, served: () => served };
+}
+
+function send(
+    port: number,
+    body = "",
+): Promise<{ status?: number; headers: NodeJS.Dict<string | string[]>; }> {
+    return new Promise((resolve, reject) => {
+        const request = httpRequest(
+            { host: "127.0.0.1", port, method: "POST", headers: { host: "site.example" }, agent: false },
+            (response) => {
+                response.resume();
+                response.on("end", () => resolve({ status: response.statusCode, headers: response.headers }));
+            },
+        );
+        request.on("error", reject);
+        request.end(body);
+    });
+}
+
+describe("server of direct routes", () => {
+    let server: DirectServer | undefined;
+    afterEach(() => server?.stop());
+
+    it("refuses at once, truthfully, what might not end before the process must", async () => {
+        const fixture = await serverFixture(false);
+        server = fixture.server;
+        const { headers, status } = await send(fixture.port);
+        expect(status).to.equal(503);
+        expect(headers).to.include({ "connection": "close", "retry-after": "0", "x-attempt": "a" });
+        expect(fixture.served()).to.equal(0);
+    });
+
+    it("serves what passes the checks, and refuses a body beyond the limit", async () => {
+        const fixture = await serverFixture(true);
+        server = fixture.server;
+        expect((await send(fixture.port, "small")).status).to.equal(200);
+        expect((await send(fixture.port, "far too large a body")).status).to.equal(413);
+        expect(fixture.served()).to.equal(1);
+    });
+});
--- a/packages/gateway/src/node/directServer.ts
+++ b/packages/gateway/src/node/directServer.ts
@@ -3,9 +3,8 @@
  *
  * @module
  */
-import type { Clock, Logger, Milliseconds } from "@redwingpin/common";
-import { RefusalReason } from "@redwingpin/common";
-import type { CallerLimits } from "@redwingpin/fleet";
+import { type Clock, listenOn, type Logger, type Milliseconds, RefusalReason } from "@redwingpin/common";
+import type { CallerLimits, DirectRoute } from "@redwingpin/fleet";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { RequestOutcome } from "../decision/attemptPlan.js";
@@ -42,6 +41,8 @@
     readonly checks: CheckContext;
     /** True while the process leaves: each connection closes after its answer. */
     readonly stopping: () => boolean;
+    /** False where a request on a route might not end before the process must. */
+    readonly takes: (route: DirectRoute) => boolean;
     /** Bytes of callers' bodies that may be held at once. */
     readonly maxHeldBytes: number;
     readonly serve: (request: DirectRequest, response: ServerResponse) => Promise<RequestOutcome>;
@@ -78,11 +79,9 @@
         this.server.keepAliveTimeout = limits.idleTimeout;
     }
 
-    listen(host: string, port: number): Promise<void> {
-        return new Promise((resolve, reject) => {
-            this.server.once("error", reject);
-            this.server.listen(port, host, () => resolve());
-        });
+    /** Starts to listen; resolves with the port, which differs from the given one only where that is 0. */
+    listen(host: string, port: number): Promise<number> {
+        return listenOn(this.server, host, port);
     }
 
     /** Takes no more connections and closes those without a request. */
@@ -115,21 +114,22 @@
         }
         finally {
             this.running -= 1;
-            this.closeWhereStopping(response);
+            this.closeWhereStopping(request, response);
         }
     }
 
     /** An answer that began before the stop could not say that its connection closes: it closes after the answer. */
-    private closeWhereStopping(response: ServerResponse): void {
+    private closeWhereStopping(request: IncomingMessage, response: ServerResponse): void {
         if (!this.context.stopping()) {
             return;
         }
-        const { socket } = response;
+        // A response lets go of its socket once it is finished; the request keeps it.
+        const { socket } = request;
         if (response.writableFinished) {
-            socket?.end();
+            socket.end();
         }
         else {
-            response.once("finish", () => socket?.end());
+            response.once("finish", () => socket.end());
         }
     }
 
@@ -144,6 +144,17 @@
             return;
         }
         const { attempt } = head.value.facts;
+        if (!this.context.takes(head.value.route)) {
+            const message = "the router is stopping; another one takes the request";
+            this.refuse(request, response, {
+                status: 503,
+                reason: RefusalReason.Stopping,
+                message,
+                retryAfter: 0,
+                attempt,
+            });
+            return;
+        }
         const limit = head.value.table.configuration.limits.bodyBytes;
         const body = await this.readBody(request, limit, attempt);
         if (body === undefined) {
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -15,7 +15,9 @@
     sleep,
 } from "@redwingpin/common";
 import {
+    Delivery,
     type DirectEndpoint,
+    type DirectRoute,
     FactKind,
     type FleetFact,
     type FleetReading,
@@ -100,6 +102,9 @@
 /** Part of the time to stop in which connections are taken: the balancer asks each second and needs two answers. */
 const acceptShare = 0.36;
 
+/** Whole answers take at most this many times their target, but for few. */
+const lateAnswerFactor = 4;
+
 /** Time for the last answers to leave before the process must end. */
 const stopMargin: Milliseconds = 400;
 
@@ -131,6 +136,8 @@
     private table: RouteTable | undefined;
     private endpointsKnown = false;
     private stopping = false;
+    /** Set once no more connections are taken: when the process ends at the latest. */
+    private closingUntil: Milliseconds | undefined;
     private cancelHousekeeping: CancelTimer = () => {};
 
     constructor(private readonly options: GatewayOptions) {
@@ -196,6 +203,7 @@
         const end = clock.now() + stopWithin - stopMargin;
         this.stopping = true;
         await sleep(clock, stopWithin * acceptShare);
+        this.closingUntil = end;
         logger.info("taking no more connections", { running: this.server.runningRequests });
         const pollInterval = 50;
         do {
@@ -296,6 +304,7 @@
             dialect,
             checks: { dialect, ledger: this.ledger, table: () => this.table, now, random },
             stopping: () => this.stopping,
+            takes: (route) => this.takes(route),
             maxHeldBytes: config.maxHeldBytes,
             serve: (request, response) => serveRequest(context, request, response),
             refund: (request) => {
@@ -306,6 +315,15 @@
         });
     }
 
+    /** A request that came on a kept connection late in a stop is taken only if it is sure to end in time. */
+    private takes(route: DirectRoute): boolean {
+        if (this.closingUntil === undefined) {
+            return true;
+        }
+        const left = this.closingUntil - this.options.clock.now();
+        return route.delivery === Delivery.Whole && route.targetLatency * lateAnswerFactor < left;
+    }
+
     private onReading(scope: FleetScope, reading: FleetReading, complete: boolean): void {
         if (scope === FleetScope.Endpoints && complete) {
             const listed = new Set(
