--- a/packages/fleet/src/__tests__/peerTable.spec.ts
+++ b/packages/fleet/src/__tests__/peerTable.spec.ts
@@ -38,6 +38,19 @@
         expect([table.liveRouterNames().length, table.silentRouters()]).to.deep.equal([0, 0]);
     });
 
+    it("does not count a router as live that can not be reached, for it gets no reports", () => {
+        const { clock, table } = tableFixture();
+        table.addRouters([other]);
+        table.due(100, 100);
+        table.answered(other);
+        clock.advance(200);
+        table.due(100, 100);
+        table.failed(other);
+        expect([table.liveRouterNames().length, table.silentRouters()]).to.deep.equal([0, 1]);
+        table.heardFrom(other);
+        expect([table.liveRouterNames().length, table.silentRouters()]).to.deep.equal([1, 0]);
+    });
+
     it("talks at once to a peer that calls after it could not be reached", () => {
         const { clock, table } = tableFixture();
         table.addRouters([other]);
--- a/packages/fleet/src/decision/peerTable.ts
+++ b/packages/fleet/src/decision/peerTable.ts
@@ -124,6 +124,7 @@
             if (peer.failures > 0) {
                 // It calls, so it can be reached again.
                 peer.failures = 0;
+                peer.isLost = false;
                 peer.nextDue = peer.heardAt;
             }
         }
@@ -136,14 +137,13 @@
     }
 
     liveRouterNames(): string[] {
-        const since = this.clock.now() - liveTime;
-        return this.routers().filter((peer) => peer.heardAt > since).map((peer) => peerName(peer.address));
+        const now = this.clock.now();
+        return this.routers().filter((peer) => isLive(peer, now)).map((peer) => peerName(peer.address));
     }
 
     silentRouters(): number {
         const now = this.clock.now();
-        return this.routers()
-            .filter((peer) => peer.heardAt <= now - liveTime && peer.heardAt > now - goneTime).length;
+        return this.routers().filter((peer) => !isLive(peer, now) && peer.heardAt > now - goneTime).length;
     }
 
     private routers(): Peer[] {
@@ -184,6 +184,11 @@
     }
 }
 
+/** A router that can not be reached gets no reports, however lately it was heard. */
+function isLive(peer: Peer, now: Milliseconds): boolean {
+    return !peer.isLost && peer.heardAt > now - liveTime;
+}
+
 /** Name of a peer: its address. */
 export function peerName(address: InnerAddress): string {
     return `${address.host}:${address.port}`;
