--- a/packages/gateway/src/decision/prefixHomes.ts
+++ b/packages/gateway/src/decision/prefixHomes.ts
@@ -39,11 +39,6 @@
         return this.entries.has(name);
     }
 
-    clear(): void {
-        this.entries.clear();
-        this.used = 0;
-    }
-
     touch(name: string, tokens: number): void {
         const before = this.entries.get(name);
         if (before !== undefined) {
@@ -136,11 +131,6 @@
         return this.unreported.splice(0, maxReportedNames);
     }
 
-    /** Forgets what the cache store held, after it lost it. */
-    forgetSaved(): void {
-        this.store.clear();
-    }
-
     /** Forgets an endpoint that is gone or has emptied its cache. */
     forget(instance: string): void {
         this.caches.delete(instance);
