--- a/packages/common/src/digest.ts
+++ b/packages/common/src/digest.ts
@@ -52,3 +52,30 @@
         toArray,
     );
 }
+
+/** Keys whose owners {@link OwnerMemo} remembers before it starts afresh. */
+const maxRememberedOwners = 4_096;
+
+/** Remembers which member owns each key until the members change: a score takes microseconds, and callers ask often. */
+export class OwnerMemo {
+    private readonly owners = new Map<string, string>();
+    private membersOf = "";
+
+    /** The member with the highest score for `key`; `undefined` without members. */
+    ownerOf(key: string, members: readonly string[]): string | undefined {
+        const all = members.join(",");
+        if (all !== this.membersOf || this.owners.size > maxRememberedOwners) {
+            this.owners.clear();
+            this.membersOf = all;
+        }
+        const known = this.owners.get(key);
+        if (known !== undefined) {
+            return known;
+        }
+        const owner = rendezvousOrder(key, members, (member) => member).at(0);
+        if (owner !== undefined) {
+            this.owners.set(key, owner);
+        }
+        return owner;
+    }
+}
--- a/packages/fleet/src/decision/peerTable.ts
+++ b/packages/fleet/src/decision/peerTable.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { Clock, Milliseconds } from "@redwingpin/common";
+import { type Clock, type Milliseconds, rendezvousScore } from "@redwingpin/common";
 import type { InnerAddress } from "@redwingpin/protocol";
 
 /** A router that answered within this time counts as live. */
@@ -12,12 +12,23 @@
 /** A router that was silent for longer counts as gone; the platform replaces machines within seconds. */
 const goneTime: Milliseconds = 12_000;
 
+/** A router that was not heard for this time is missed; longer than the interval of exchanges in a fleet of today. */
+const missedAfter: Milliseconds = 700;
+
+/** Intervals without a call after which a router makes the exchanges that the other one of the pair should make. */
+const patientIntervals = 3;
+
+/** Longest time for which a router leaves the exchanges to the other one: it must notice the silence of a peer. */
+const longestPatience: Milliseconds = 1_400;
+
 /** Longest pause between attempts to reach a peer that gives no answer. */
 const longestPause: Milliseconds = 2_000;
 
 interface Peer {
     readonly address: InnerAddress;
     readonly isRouter: boolean;
+    /** False where the peer is a router that makes the exchanges of the pair. */
+    readonly isInitiated: boolean;
     nextDue: Milliseconds;
     busy: boolean;
     failures: number;
@@ -25,21 +36,36 @@
     isLost: boolean;
     answeredAt: Milliseconds;
     heardAt: Milliseconds;
+    /** When it last called, answered, or was named by a peer that hears it. */
+    knownAt: Milliseconds;
 }
 
 /** The peers of a process. */
 export class PeerTable {
     private readonly peers = new Map<string, Peer>();
+    private patience = longestPatience;
 
     constructor(private readonly own: InnerAddress, private readonly clock: Clock) {}
 
-    /** Adds routers that are not known yet. */
-    addRouters(addresses: readonly InnerAddress[]): void {
+    /** Adds routers that the settings name; they are asked at once. */
+    addSeeds(addresses: readonly InnerAddress[]): void {
         for (const address of addresses) {
             this.ensure(address, true);
         }
     }
 
+    /** Adds routers that a peer hears from and that are not known yet. */
+    addRouters(addresses: readonly InnerAddress[]): void {
+        for (const address of addresses) {
+            const isNew = !this.peers.has(peerName(address));
+            const peer = this.ensure(address, true);
+            if (peer !== undefined) {
+                peer.knownAt = this.clock.now();
+                peer.nextDue += isNew && !peer.isInitiated ? this.patience : 0;
+            }
+        }
+    }
+
     /** Replaces the agents. */
     setAgents(addresses: readonly InnerAddress[]): void {
         const names = new Set(addresses.map(peerName));
@@ -54,23 +80,30 @@
     }
 
     /** Takes the peers whose exchange is due; each is busy until it answered or failed. */
-    due(routerInterval: Milliseconds, agentInterval: Milliseconds): InnerAddress[] {
+    due(
+        routerInterval: Milliseconds,
+        agentInterval: (address: InnerAddress) => Milliseconds,
+    ): InnerAddress[] {
         const now = this.clock.now();
+        this.patience = Math.min(longestPatience, patientIntervals * routerInterval);
         this.dropGone(now);
         const due = [...this.peers.values()].filter((peer) => !peer.busy && peer.nextDue <= now);
         for (const peer of due) {
             peer.busy = true;
-            peer.nextDue = now + (peer.isRouter ? routerInterval : agentInterval);
+            peer.nextDue = now
+                + (peer.isRouter
+                    ? (peer.isInitiated ? routerInterval : this.patience)
+                    : agentInterval(peer.address));
         }
         return due.map((peer) => peer.address);
     }
 
-    /** Takes the routers that have been silent for a while and may have restarted without knowing anything. */
-    dueSilent(interval: Milliseconds): InnerAddress[] {
+    /** Takes the routers that have been silent for `silence` and may have restarted without knowing anything. */
+    dueSilent(interval: Milliseconds, silence: Milliseconds): InnerAddress[] {
         const now = this.clock.now();
         this.dropGone(now);
         const due = this.routers()
-            .filter((peer) => !peer.busy && peer.nextDue <= now && peer.heardAt <= now - liveTime);
+            .filter((peer) => !peer.busy && peer.nextDue <= now && peer.heardAt <= now - silence);
         for (const peer of due) {
             peer.busy = true;
             peer.nextDue = now + interval;
@@ -121,6 +154,9 @@
         const peer = this.ensure(address, true);
         if (peer !== undefined) {
             peer.heardAt = this.clock.now();
+            if (!peer.isInitiated && !peer.isLost) {
+                peer.nextDue = Math.max(peer.nextDue, peer.heardAt + this.patience);
+            }
             if (peer.failures > 0) {
                 // It calls, so it can be reached again.
                 peer.failures = 0;
@@ -146,6 +182,16 @@
         return this.routers().filter((peer) => !isLive(peer, now) && peer.heardAt > now - goneTime).length;
     }
 
+    /** Names of routers that run, as far as is known, and that this one has not heard for a while. */
+    missedRouterNames(): string[] {
+        const now = this.clock.now();
+        return this.routers()
+            .filter(({ heardAt, knownAt }) =>
+                now - heardAt > missedAfter && now - Math.max(heardAt, knownAt) < goneTime
+            )
+            .map((peer) => peerName(peer.address));
+    }
+
     private routers(): Peer[] {
         return [...this.peers.values()].filter((peer) => peer.isRouter);
     }
@@ -162,12 +208,14 @@
         const peer: Peer = {
             address,
             isRouter,
+            isInitiated: !isRouter || initiates(peerName(this.own), name),
             nextDue: this.clock.now(),
             busy: false,
             failures: 0,
             isLost: false,
             answeredAt: -Infinity,
             heardAt: -Infinity,
+            knownAt: this.clock.now(),
         };
         this.peers.set(name, peer);
         return peer;
@@ -189,6 +237,13 @@
     return !peer.isLost && peer.heardAt > now - liveTime;
 }
 
+/** True where `own` makes the exchanges of a pair of routers; both work it out alike, and each calls about half. */
+function initiates(own: string, other: string): boolean {
+    const [first, second] = own < other ? [own, other] : [other, own];
+    const isFirst = rendezvousScore(`${first} ${second}`, "initiator") % 2 === 0;
+    return isFirst === (own === first);
+}
+
 /** Name of a peer: its address. */
 export function peerName(address: InnerAddress): string {
     return `${address.host}:${address.port}`;
--- a/packages/fleet/src/fleetMessages.ts
+++ b/packages/fleet/src/fleetMessages.ts
@@ -14,6 +14,15 @@
     readonly tokens: number;
 }
 
+/** What a router has spent, told by another one. */
+export interface RelayedSpending {
+    /** The start of the router that has spent it. */
+    readonly incarnation: string;
+    /** Milliseconds since that start. */
+    readonly age: number;
+    readonly spent: readonly AccountSpending[];
+}
+
 /** Work that a router has sent to an endpoint and that has not begun to answer. */
 export interface EndpointLoad {
     readonly instance: string;
@@ -64,10 +73,12 @@
     readonly tokensPerMillisecond: number;
 }
 
-/** A prefix that was saved to the cache store. */
+/** A prefix that was saved to a cache store. */
 export interface SavedPrefix {
     readonly name: string;
     readonly tokens: number;
+    /** `host:port` of the store. */
+    readonly store: string;
 }
 
 /** A report without content. */
@@ -79,12 +90,15 @@
     levels: [],
     demand: [],
     saved: [],
+    missing: [],
+    relayed: [],
 };
 
 /** What a process tells a peer at each exchange. */
 export interface PeerReport {
     /** Milliseconds since the sender's start. */
     readonly age: number;
+    /** What the receiver has not been told yet. */
     readonly spent: readonly AccountSpending[];
     readonly load: readonly EndpointLoad[];
     readonly crashes: readonly CrashCount[];
@@ -93,9 +107,13 @@
     /** From an agent: its replica. */
     readonly replica?: ReplicaStatus;
     readonly demand: readonly ServiceDemand[];
-    /** Prefixes saved to the cache store since the last reports. */
+    /** Prefixes saved to cache stores since the last reports. */
     readonly saved: readonly SavedPrefix[];
-    /** From a router to an agent: the agent's service. */
+    /** Addresses, as `host:port`, of routers that the sender knows of and has not heard for a while. */
+    readonly missing: readonly string[];
+    /** What the routers have spent that the receiver misses, as far as the sender knows. */
+    readonly relayed: readonly RelayedSpending[];
+    /** From the router that an agent looks to: the agent's service, while replicas of it serve replaced weights. */
     readonly service?: ServiceProgress;
 }
 
@@ -116,6 +134,8 @@
     readonly address?: InnerAddress;
     readonly mark: FleetWatermark;
     readonly report: PeerReport;
+    /** Number of the last reply that the sender has from the receiver. */
+    readonly lastReply?: number;
 }
 
 /** Answers a {@link SyncCall}. */
@@ -123,9 +143,11 @@
     readonly mark: FleetWatermark;
     /** Facts that the caller lacked. */
     readonly news: readonly FleetFact[];
-    /** Routers that the sender hears from. */
+    /** Routers that the sender hears from; empty where they have not changed since the last reply on the connection. */
     readonly routers: readonly InnerAddress[];
     readonly report: PeerReport;
+    /** Grows with each reply of one start of a process; the next call says which was received. */
+    readonly number: number;
 }
 
 /** Facts for a process that is behind. */
@@ -167,7 +189,11 @@
     crashes: isListOf(isShaped({ fingerprint: isText, crashes: isCount })),
     levels: isListOf(isShaped(spendingShape)),
     demand: isListOf(isShaped({ service: isText, tokensPerMillisecond: isAmount })),
-    saved: isListOf(isShaped({ name: isText, tokens: isCount })),
+    saved: isListOf(isShaped({ name: isText, tokens: isCount, store: isText })),
+    missing: isListOf(isText),
+    relayed: isListOf(
+        isShaped({ incarnation: isText, age: isAmount, spent: isListOf(isShaped(spendingShape)) }),
+    ),
     replica: isOptional(isShaped(replicaShape)),
     service: isOptional(isShaped({ replicas: isListOf(isProgress), spare: isCount })),
 };
@@ -176,6 +202,7 @@
     address: isOptional(isAddress),
     mark: isShaped(markShape),
     report: isShaped(reportShape),
+    lastReply: isOptional(isCount),
 });
 const isNews = isShaped({ news: isListOf(isFact), mark: isShaped(markShape) });
 const isReplicaMessage = isShaped({ replica: isShaped(replicaShape) });
@@ -184,6 +211,7 @@
     news: isListOf(isFact),
     routers: isListOf(isAddress),
     report: isShaped(reportShape),
+    number: isCount,
 });
 
 /** Reads a message of the topic; `undefined` where it has another shape. */
--- a/packages/fleet/src/node/fleetSync.ts
+++ b/packages/fleet/src/node/fleetSync.ts
@@ -23,6 +23,7 @@
     readFleetMessage,
     readSyncReply,
     type ReplicaStatus,
+    type SyncCall,
     type SyncReply,
 } from "../fleetMessages.js";
 
@@ -32,6 +33,15 @@
 /** Interval of exchanges with nothing to tell; peers behind learn news after about this time. */
 export const quietInterval: Milliseconds = 700;
 
+/** Exchanges that a router makes with all other routers in a second; a larger fleet is asked less often. */
+const routerExchangesPerSecond = 60;
+
+/** Interval of exchanges with agents that look to another router. Half of the time for which an agent's word counts. */
+export const agentInterval: Milliseconds = 1_400;
+
+/** An agent looks for a router that has been silent for this time; longer than a router's interval. */
+const routerSilence: Milliseconds = 2_200;
+
 /** A peer that gives no answer for this time is called again on a new connection. */
 const answerTimeout: Milliseconds = 700;
 
@@ -55,10 +65,13 @@
     readonly report: (peer: Hello | undefined, address: InnerAddress | undefined) => PeerReport;
     /** True while the reports for routers differ from the last that were sent. */
     readonly hasReport: () => boolean;
-    readonly onReport: (peer: Hello, report: PeerReport) => void;
+    /** True for agents that this process, of all routers in touch, should talk to most often. */
+    readonly isHomeOf: (agent: InnerAddress) => boolean;
+    /** Takes in a report; `address` is where a router listens. */
+    readonly onReport: (peer: Hello, report: PeerReport, address: InnerAddress | undefined) => void;
     readonly onReplica: (replica: ReplicaStatus) => void;
-    /** A peer, by name, has taken in a report. */
-    readonly onTold: (peer: string, report: PeerReport) => void;
+    /** A peer that listens at `address` has taken in a report. */
+    readonly onTold: (peer: Hello, address: InnerAddress, report: PeerReport) => void;
     /** Takes in facts from a peer. */
     readonly onNews: (facts: readonly FleetFact[], peer: Hello) => void;
 }
@@ -66,6 +79,13 @@
 /** Keeps in touch with peers. */
 export class FleetSync {
     private readonly peers: PeerTable;
+    private replies = 0;
+    /** The report of the last reply to each router. */
+    private readonly sentReplies = new Map<string, Pick<SyncReply, "number" | "report">>();
+    /** Names of the routers in the last reply on each connection; a reply that is lost ends its connection. */
+    private readonly sentRouters = new WeakMap<Hello, string>();
+    /** Number of the last reply from each peer. */
+    private readonly receivedReplies = new Map<string, number>();
     private cancelTick: (() => void) | undefined;
     private stopped = false;
 
@@ -75,7 +95,7 @@
     }
 
     start(): void {
-        this.peers.addRouters(this.options.seeds);
+        this.peers.addSeeds(this.options.seeds);
         this.tick();
     }
 
@@ -99,6 +119,11 @@
         return this.peers.liveRouterNames();
     }
 
+    /** Names of routers that this one knows of and has not heard for a while. */
+    missedRouterNames(): string[] {
+        return this.peers.missedRouterNames();
+    }
+
     /** Makes the next exchange with the chosen peers happen at once. */
     hurry(isChosen: (address: InnerAddress) => boolean = () => true): void {
         this.peers.hurry(isChosen);
@@ -127,12 +152,14 @@
     private round(): void {
         if (this.options.role === ProcessRole.Agent) {
             // Routers call agents. One that restarts while the store is away knows none, so agents look for it.
-            this.peers.dueSilent(quietInterval).forEach((peer) => void this.exchange(peer));
+            this.peers.dueSilent(quietInterval, routerSilence).forEach((peer) => void this.exchange(peer));
             return;
         }
         this.peers.setAgents(this.options.agents());
-        const interval = this.options.hasReport() ? busyInterval : quietInterval;
-        for (const peer of this.peers.due(interval, quietInterval)) {
+        const interval = routerInterval(this.peers.liveRouterNames().length, this.options.hasReport());
+        const intervalOf = (agent: InnerAddress) =>
+            this.options.isHomeOf(agent) ? quietInterval : agentInterval;
+        for (const peer of this.peers.due(interval, intervalOf)) {
             void this.exchange(peer);
         }
     }
@@ -151,6 +178,7 @@
             address: this.options.role === ProcessRole.Router ? this.options.address : undefined,
             mark,
             report,
+            lastReply: this.receivedReplies.get(connection.peer.incarnation),
         }, answerTimeout);
         const reply = answer.isOk() ? readSyncReply(answer.value) : undefined;
         if (reply === undefined) {
@@ -158,7 +186,7 @@
             this.failed(address, answer.isErr() ? answer.error.message : "malformed answer");
             return;
         }
-        this.options.onTold(peerName(address), report);
+        this.options.onTold(connection.peer, address, report);
         this.succeeded(address, connection, reply);
     }
 
@@ -167,12 +195,13 @@
         if (this.peers.answered(address)) {
             logger.info("peer reached", { host: address.host, peer: connection.peer.instance });
         }
+        this.receivedReplies.set(connection.peer.incarnation, reply.number);
         this.peers.addRouters(reply.routers);
         if (reply.news.length > 0) {
             onNews(reply.news, connection.peer);
         }
         state.endpointsCompleteTo(reply.mark.endpoints);
-        onReport(connection.peer, reply.report);
+        onReport(connection.peer, reply.report, address);
         const news = state.newsSince(reply.mark, this.options.clock.now());
         if (news.length > 0) {
             connection.notify(Topic.Fleet, { kind: FleetMessageKind.News, news, mark: state.watermark() });
@@ -192,8 +221,8 @@
                 if (message.address !== undefined) {
                     this.peers.heardFrom(message.address);
                 }
-                this.options.onReport(from, message.report);
-                return this.reply(message.mark, from);
+                this.options.onReport(from, message.report, message.address);
+                return this.replyTo(message, from);
             }
             case FleetMessageKind.News:
                 this.options.onNews(message.news, from);
@@ -208,13 +237,43 @@
         }
     }
 
-    private reply(mark: SyncReply["mark"], from: Hello): SyncReply {
-        const { report, state } = this.options;
-        return {
+    /** Answers a call; what the last answer told counts as told once the caller says that it has it. */
+    private replyTo(call: SyncCall, from: Hello): SyncReply {
+        const { onTold, report, state } = this.options;
+        const { address } = call;
+        const before = address && this.sentReplies.get(peerName(address));
+        if (address !== undefined && before !== undefined && before.number === call.lastReply) {
+            onTold(from, address, before.report);
+        }
+        this.replies += 1;
+        const reply: SyncReply = {
             mark: state.watermark(),
-            news: state.newsSince(mark, this.options.clock.now()),
-            routers: this.peers.routersHeard(),
+            news: state.newsSince(call.mark, this.options.clock.now()),
+            routers: this.routersFor(from),
             report: report(from, undefined),
+            number: this.replies,
         };
+        if (address !== undefined) {
+            this.sentReplies.set(peerName(address), { number: reply.number, report: reply.report });
+        }
+        return reply;
+    }
+
+    /** The routers that this process hears; none where they are those of the last reply on the same connection. */
+    private routersFor(peer: Hello): readonly InnerAddress[] {
+        const routers = this.peers.routersHeard();
+        const names = routers.map(peerName).join(" ");
+        if (this.sentRouters.get(peer) === names) {
+            return [];
+        }
+        this.sentRouters.set(peer, names);
+        return routers;
     }
 }
+
+/** Interval of exchanges with other routers, so many that a router spends no more on them in a larger fleet. */
+export function routerInterval(peers: number, hasReport: boolean): Milliseconds {
+    const millisecondsPerSecond = 1_000;
+    const affordable = peers * millisecondsPerSecond / routerExchangesPerSecond;
+    return Math.max(hasReport ? busyInterval : quietInterval, affordable);
+}
--- a/packages/gateway/src/__tests__/books.spec.ts
+++ b/packages/gateway/src/__tests__/books.spec.ts
@@ -121,16 +121,48 @@
         const own = new PrefixHomes();
         const peer = new PrefixHomes();
         const names = prefixNames("s", parts);
-        own.setStoreCapacity(20_000);
-        peer.setStoreCapacity(20_000);
+        own.setStores([{ address: "10.0.9.1:8080", tokens: 20_000 }]);
+        peer.setStores([{ address: "10.0.9.1:8080", tokens: 20_000 }]);
         peer.recordSaved(names, parts);
         own.observeSaved(peer.takeSaved());
         expect(own.savedTokens(names, parts)).to.equal(6_000);
-        const others = [{ identifier: "other", tokens: 12_000 }];
+        const others = [{ identifier: "other", tokens: 11_000 }, { identifier: "query", tokens: 1_000 }];
         own.recordSaved(prefixNames("s", others), others);
         expect(own.savedTokens(names, parts)).to.equal(0);
     });
 
+    it("spreads prefixes over the cache stores, so that together they hold what one has no room for", () => {
+        const addresses = ["10.0.9.1:8080", "10.0.9.2:8080", "10.0.9.3:8080"];
+        const prompts = Array.from({ length: 120 }, (_, index) => [
+            { identifier: "catalogue", tokens: 2_500 },
+            { identifier: `maker-${index}`, tokens: 3_800 },
+            { identifier: `query-${index}`, tokens: 2_900 },
+        ]);
+        const savedWith = (stores: readonly string[]) => {
+            const homes = new PrefixHomes();
+            homes.setStores(stores.map((address) => ({ address, tokens: 531_000 })));
+            prompts.forEach((prompt) => homes.recordSaved(prefixNames("s", prompt), prompt));
+            return prompts.filter((prompt) => homes.savedTokens(prefixNames("s", prompt), prompt) > 6_000)
+                .length;
+        };
+        expect(savedWith(addresses.slice(0, 1))).to.be.at.most(60);
+        expect(savedWith(addresses)).to.equal(120);
+    });
+
+    it("keeps what a cache store holds when another one goes, and agrees with other routers where it lies", () => {
+        const stores = ["10.0.9.1:8080", "10.0.9.2:8080"].map((address) => ({ address, tokens: 50_000 }));
+        const homes = new PrefixHomes();
+        homes.setStores(stores);
+        const names = prefixNames("s", parts);
+        const home = homes.storeOf(names);
+        const peer = new PrefixHomes();
+        peer.setStores([...stores].reverse());
+        expect(peer.storeOf(names)).to.equal(home);
+        homes.recordSaved(names, parts);
+        homes.setStores(stores.filter(({ address }) => address === home));
+        expect(homes.savedTokens(names, parts)).to.equal(6_000);
+    });
+
     it("forgets the least recently used parts beyond an endpoint's memory", () => {
         const homes = new PrefixHomes();
         const first = prefixNames("s", parts);
--- /dev/null
+++ b/packages/gateway/src/__tests__/peerReports.spec.ts
@@ -0,0 +1,77 @@
+import { FakeClock } from "@redwingpin/common";
+import { FactKind, FleetState } from "@redwingpin/fleet";
+import { type Hello, MessageKind, ProcessRole } from "@redwingpin/protocol";
+import { expect } from "chai";
+import { CrashBook, DemandMeter, EndpointBoard, noTolerance, PrefixHomes, SharedLedger } from "../index.js";
+import { PeerReports } from "../node/peerReports.js";
+import { accountFixture, viewFixture } from "./gatewayFixture.js";
+
+const peerAddress = { host: "10.0.0.2", port: 7_600 };
+const agentAddress = { host: "127.0.0.1", port: 7_600 };
+
+function helloFixture(role: ProcessRole, incarnation: string): Hello {
+    return { kind: MessageKind.Hello, version: 1, role, instance: incarnation, incarnation, revision: 0 };
+}
+
+function reportsFixture(more: { namedVersion?: number; isHome?: boolean; } = {}) {
+    const clock = new FakeClock(10_000);
+    const ledger = new SharedLedger({ startsFull: true, tolerance: noTolerance });
+    ledger.configure([accountFixture(), accountFixture({ name: "shops" })], 10_000);
+    const board = new EndpointBoard(() => {});
+    const state = new FleetState();
+    const { endpoint } = viewFixture("i-1");
+    state.learn({ kind: FactKind.Endpoint, revision: 1, instance: "i-1", endpoint }, 10_000);
+    board.update(state);
+    const reports = new PeerReports({
+        clock,
+        fleetIsNew: true,
+        ledger,
+        board,
+        crashes: new CrashBook(),
+        demand: new DemandMeter(),
+        homes: new PrefixHomes(),
+        missedRouters: () => [],
+        isHomeOf: () => more.isHome ?? true,
+        namedVersion: () => more.namedVersion ?? 1,
+        agentOf: () => agentAddress,
+    });
+    return { clock, ledger, reports };
+}
+
+describe("reports to peers", () => {
+    it("tell a router what it has not been told, again until it has it, and all of it after its restart", () => {
+        const { clock, ledger, reports } = reportsFixture();
+        const peer = helloFixture(ProcessRole.Router, "first start");
+        const spentIn = (hello: Hello) =>
+            reports.reportFor(hello, peerAddress).spent.map((entry) => `${entry.account}=${entry.tokens}`);
+        expect(spentIn(peer)).to.deep.equal(["makers=0", "shops=0"]);
+        reports.told(peer, peerAddress, reports.reportFor(peer, peerAddress));
+        ledger.spend("shops", 300, clock.now());
+        expect(spentIn(peer)).to.deep.equal(["shops=300"]);
+        expect(spentIn(peer)).to.deep.equal(["shops=300"]);
+        reports.told(peer, peerAddress, reports.reportFor(peer, peerAddress));
+        expect(spentIn(peer)).to.deep.equal([]);
+        expect(spentIn(helloFixture(ProcessRole.Router, "second start")))
+            .to.deep.equal(["makers=0", "shops=300"]);
+    });
+
+    it("carry levels only to a router that has just started", () => {
+        const { clock, reports } = reportsFixture();
+        const peer = helloFixture(ProcessRole.Router, "a");
+        const levels = () => reports.reportFor(peer, peerAddress).levels.length;
+        expect(levels()).to.equal(2);
+        reports.observe(peer, { ...reports.reportFor(peer, peerAddress), age: 100 }, peerAddress);
+        expect(levels()).to.equal(2);
+        clock.advance(5_000);
+        expect(levels()).to.equal(0);
+    });
+
+    it("tell an agent of its service while a replica is behind, and from one router only", () => {
+        const agent = helloFixture(ProcessRole.Agent, "agent");
+        const serviceOf = (more: Parameters<typeof reportsFixture>[0]) =>
+            reportsFixture(more).reports.reportFor(agent, agentAddress).service;
+        expect(serviceOf({ namedVersion: 2 })?.replicas.length).to.equal(1);
+        expect(serviceOf({ namedVersion: 1 })).to.equal(undefined);
+        expect(serviceOf({ namedVersion: 2, isHome: false })).to.equal(undefined);
+    });
+});
--- a/packages/gateway/src/__tests__/sharedLedger.spec.ts
+++ b/packages/gateway/src/__tests__/sharedLedger.spec.ts
@@ -73,7 +73,7 @@
     });
 
     it("takes in a peer's spending once, however often it is reported, and ignores a first report", () => {
-        const ledger = ledgerFixture();
+        const ledger = ledgerFixture({ startsFull: false, tolerance: 20_000 });
         const peer = { incarnation: "peer", isYounger: false };
         ledger.observe(peer, [{ account: "makers", tokens: 4_000 }], 0);
         ledger.observe(peer, [{ account: "makers", tokens: 7_000 }], 0);
@@ -100,6 +100,32 @@
         expect(ledger.levels(0)).to.deep.equal([{ account: "makers", tokens: 1_000 }]);
     });
 
+    it("counts a first report in whole in a new fleet, where nobody's level was taken over", () => {
+        const ledger = ledgerFixture();
+        ledger.observe({ incarnation: "peer", isYounger: false }, [{ account: "makers", tokens: 4_000 }], 0);
+        expect(ledger.levels(0)).to.deep.equal([{ account: "makers", tokens: 1_000 }]);
+    });
+
+    it("leaves a router that falls silent its part of the level and takes it back once that one is heard", () => {
+        const ledger = ledgerFixture();
+        ledger.fleetChanged({ live: ["b", "c", "d"], silent: 0 }, 0);
+        ledger.spend("makers", 1_000, 0);
+        ledger.fleetChanged({ live: ["b", "c"], silent: 1 }, 0);
+        expect(ledger.levels(0)).to.deep.equal([{ account: "makers", tokens: 3_000 }]);
+        ledger.fleetChanged({ live: ["b", "c", "d"], silent: 0 }, 0);
+        expect(ledger.levels(0)).to.deep.equal([{ account: "makers", tokens: 4_000 }]);
+    });
+
+    it("takes in what a peer has spent from another one, and never an older count", () => {
+        const ledger = ledgerFixture();
+        const peer = { incarnation: "cut off", isYounger: false };
+        ledger.observe(peer, [{ account: "makers", tokens: 1_000 }], 0);
+        ledger.observeRelayed(peer, [{ account: "makers", tokens: 2_500 }], 0);
+        ledger.observeRelayed(peer, [{ account: "makers", tokens: 1_800 }], 0);
+        ledger.observe(peer, [{ account: "makers", tokens: 2_500 }], 0);
+        expect(ledger.levels(0)).to.deep.equal([{ account: "makers", tokens: 2_500 }]);
+    });
+
     it("leaves silent routers their share of the rate", () => {
         const ledger = ledgerFixture();
         ledger.spend("makers", 5_000, 0);
--- a/packages/gateway/src/__tests__/sharedLedgerFuzz.spec.ts
+++ b/packages/gateway/src/__tests__/sharedLedgerFuzz.spec.ts
@@ -1,7 +1,7 @@
 import { seededRandom } from "@redwingpin/common";
 import { expect } from "chai";
 import fc from "fast-check";
-import { noTolerance, SharedLedger } from "../index.js";
+import { noTolerance, RelayBook, SharedLedger } from "../index.js";
 import { accountFixture } from "./gatewayFixture.js";
 
 const routers = 3;
@@ -11,6 +11,7 @@
 const burst = 5_000;
 const tolerance = 4_000;
 const liveTime = 1_500;
+const missedAfter = 700;
 const requestTokens = 250;
 
 /** A time in which two routers do not hear each other. */
@@ -34,7 +35,12 @@
     const incarnations = ledgers.map((_, index) => `r${index}`);
     const startedAt = ledgers.map(() => 0);
     const heard = ledgers.map(() => ledgers.map(() => 0));
+    const relays = ledgers.map(() => new RelayBook());
+    const adoptedFrom = new Set<number>();
     const admitted: number[] = [];
+    const missedBy = (router: number, now: number) =>
+        [0, 1, 2].filter((other) => other !== router && now - heard[router][other] > missedAfter)
+            .map((other) => `r${other}`);
     for (let count = 1; count <= steps; count++) {
         const now = count * step;
         const isCut = (left: number, right: number) =>
@@ -44,10 +50,8 @@
             );
         if (count === restartAt) {
             ledgers[0] = create(false);
-            [1, 2].filter((peer) => !isCut(0, peer)).forEach((peer) =>
-                ledgers[0].adopt(ledgers[peer].levels(now), now)
-            );
             incarnations[0] = "r0 again";
+            relays[0] = new RelayBook();
             startedAt[0] = now;
         }
         for (let from = 0; from < routers; from++) {
@@ -56,7 +60,23 @@
                     const report = ledgers[from].spent();
                     const isYounger = startedAt[from] > startedAt[to];
                     ledgers[to].observe({ incarnation: incarnations[from], isYounger }, report, now);
+                    if (startedAt[from] === 0 && startedAt[to] > 0 && !adoptedFrom.has(from)) {
+                        // A report to a router that has just started carries the levels as well.
+                        adoptedFrom.add(from);
+                        ledgers[to].adopt(ledgers[from].levels(now), now);
+                    }
                     ledgers[from].reported(`r${to}`, report);
+                    const age = now - startedAt[from];
+                    const missing = missedBy(from, now);
+                    relays[to].heard(`r${from}`, { incarnation: incarnations[from], age, missing }, now);
+                    const spentBy = (incarnation: string) => ledgers[from].spentBy(incarnation);
+                    for (const relayed of relays[from].relayedTo(incarnations[to], spentBy, now)) {
+                        const peer = {
+                            incarnation: relayed.incarnation,
+                            isYounger: relayed.age < now - startedAt[to],
+                        };
+                        ledgers[to].observeRelayed(peer, relayed.spent, now);
+                    }
                     heard[to][from] = now;
                 }
             }
--- a/packages/gateway/src/decision/endpointBoard.ts
+++ b/packages/gateway/src/decision/endpointBoard.ts
@@ -8,8 +8,8 @@
 import type { DirectEndpoint, EndpointLoad, FleetState, ReplicaStatus } from "@redwingpin/fleet";
 import { HealthRecord } from "./healthRecord.js";
 
-/** An agent's word counts before the registration for this long. */
-const statusLifetime: Milliseconds = 2_500;
+/** An agent's word counts before the registration for this long: one exchange may fail. */
+const statusLifetime: Milliseconds = 3_500;
 
 /** A router's report of its load counts for this long. */
 const loadLifetime: Milliseconds = 2_000;
--- a/packages/gateway/src/decision/prefixHomes.ts
+++ b/packages/gateway/src/decision/prefixHomes.ts
@@ -7,7 +7,7 @@
  *
  * @module
  */
-import { digestOf, rendezvousOrder } from "@redwingpin/common";
+import { digestOf, OwnerMemo } from "@redwingpin/common";
 import type { SavedPrefix } from "@redwingpin/fleet";
 import type { PromptPart } from "../wireDialect.js";
 
@@ -19,9 +19,6 @@
 
 const nameDigits = 16;
 
-/** Homes that are remembered until the endpoints change. */
-const maxRememberedHomes = 4_096;
-
 /** Names of the nested prefixes of a prompt, outermost first. */
 export function prefixNames(scope: string, parts: readonly PromptPart[]): string[] {
     let name = scope;
@@ -57,13 +54,25 @@
     }
 }
 
+/** A cache store that engines can use. */
+export interface CacheStore {
+    /** `host:port`. */
+    readonly address: string;
+    /** Room, in tokens. */
+    readonly tokens: number;
+}
+
+interface KnownStore {
+    readonly tokens: number;
+    readonly cache: TokenCache;
+}
+
 /** What is believed of every endpoint's cache. */
 export class PrefixHomes {
     private readonly caches = new Map<string, TokenCache>();
-    private readonly homes = new Map<string, string>();
-    private homesOf = "";
-    private store = new TokenCache(0);
-    private storeCapacity = 0;
+    private readonly homes = new OwnerMemo();
+    private readonly stores = new Map<string, KnownStore>();
+    private readonly storesOfPrefixes = new OwnerMemo();
     private unreported: SavedPrefix[] = [];
 
     /** Tokens of leading parts that the endpoint is believed to hold because this router sent them there. */
@@ -72,26 +81,26 @@
         return cache === undefined ? 0 : leadingTokens(names, parts, (name) => cache.has(name));
     }
 
-    /** Tokens of leading parts that the cache store is believed to hold. */
+    /**
+     * The cache store of a prompt's shared prefix. A request can name one only, so that its whole prefix lies there: the
+     * innermost shared part decides, and all stores together hold each of those once.
+     */
+    storeOf(names: readonly string[]): string | undefined {
+        const innermost = names.at(-2);
+        return innermost === undefined
+            ? undefined
+            : this.storesOfPrefixes.ownerOf(innermost, [...this.stores.keys()]);
+    }
+
+    /** Tokens of leading parts that their cache store is believed to hold. */
     savedTokens(names: readonly string[], parts: readonly PromptPart[]): number {
-        return leadingTokens(names, parts, (name) => this.store.has(name));
+        const store = this.stores.get(this.storeOf(names) ?? "");
+        return store === undefined ? 0 : leadingTokens(names, parts, (name) => store.cache.has(name));
     }
 
     /** The home of a prefix among endpoints. */
     homeOf(name: string, instances: readonly string[]): string | undefined {
-        const key = instances.join(",");
-        if (key !== this.homesOf || this.homes.size > maxRememberedHomes) {
-            this.homes.clear();
-            this.homesOf = key;
-        }
-        let home = this.homes.get(name);
-        if (home === undefined) {
-            home = rendezvousOrder(name, instances, (instance) => instance)[0];
-            if (home !== undefined) {
-                this.homes.set(name, home);
-            }
-        }
-        return home;
+        return this.homes.ownerOf(name, instances);
     }
 
     /** Notes that an endpoint has read a prompt. `capacity` is the part of its memory that this router may count on. */
@@ -106,24 +115,32 @@
         names.forEach((name, index) => cache.touch(name, parts[index].tokens));
     }
 
-    /** Sets the room of the cache store, in tokens. */
-    setStoreCapacity(tokens: number): void {
-        if (tokens !== this.storeCapacity) {
-            this.storeCapacity = tokens;
-            this.store = new TokenCache(tokens * countedStoreShare);
+    /** Sets the cache stores; one whose room has not changed keeps what it is believed to hold. */
+    setStores(stores: readonly CacheStore[]): void {
+        const kept = new Map(this.stores);
+        this.stores.clear();
+        for (const { address, tokens } of stores) {
+            const known = kept.get(address);
+            const store = known?.tokens === tokens
+                ? known
+                : { tokens, cache: new TokenCache(tokens * countedStoreShare) };
+            this.stores.set(address, store);
         }
     }
 
-    /** Notes that this router had a prompt's prefixes saved to the cache store, or fetched from there. */
+    /** Notes that this router had a prompt's prefixes saved to their cache store, or fetched from there. */
     recordSaved(names: readonly string[], parts: readonly PromptPart[]): void {
-        const saved = names.map((name, index) => ({ name, tokens: parts[index].tokens }));
-        this.observeSaved(saved);
-        this.unreported.push(...saved);
+        const store = this.storeOf(names);
+        if (store !== undefined) {
+            const saved = names.map((name, index) => ({ name, tokens: parts[index].tokens, store }));
+            this.observeSaved(saved);
+            this.unreported.push(...saved);
+        }
     }
 
     /** Takes in what another router has saved. */
     observeSaved(saved: readonly SavedPrefix[]): void {
-        saved.forEach(({ name, tokens }) => this.store.touch(name, tokens));
+        saved.forEach(({ name, tokens, store }) => this.stores.get(store)?.cache.touch(name, tokens));
     }
 
     /** Takes what peers have not been told of. */
--- a/packages/gateway/src/decision/routeTable.ts
+++ b/packages/gateway/src/decision/routeTable.ts
@@ -11,6 +11,7 @@
     DirectService,
     RouteTarget,
 } from "@redwingpin/fleet";
+import type { CacheStore } from "./prefixHomes.js";
 
 /** Keys whose digests are remembered, so that a key is hashed once and not at each request. */
 const maxRememberedKeys = 4_096;
@@ -50,8 +51,10 @@
     }
 
     /** Cache stores that engines can use. */
-    cacheStore(): DirectService | undefined {
-        return this.configuration.services.find((service) => service.cacheStoreAddress !== undefined);
+    cacheStores(): CacheStore[] {
+        return this.configuration.services.flatMap(({ cacheStoreAddress: address, cacheTokens }) =>
+            address === undefined ? [] : [{ address, tokens: cacheTokens ?? 0 }]
+        );
     }
 
     /** True where accounts exist, so that routes which are not open need a key. */
--- a/packages/gateway/src/decision/sharedLedger.ts
+++ b/packages/gateway/src/decision/sharedLedger.ts
@@ -23,6 +23,8 @@
     account: DirectAccount;
     level: number;
     filledAt: Milliseconds;
+    /** Tokens of the level that are left to silent routers, which may be spending them. */
+    reserved: number;
     /** Tokens that this router spent since its start. */
     spent: number;
     /** True once a running peer's level was taken over. */
@@ -114,6 +116,7 @@
     fleetChanged(fleet: LedgerFleet, now: Milliseconds): void {
         for (const bucket of this.buckets.values()) {
             this.fill(bucket, now);
+            this.reserve(bucket, fleet);
             this.countFromNow(bucket, fleet);
         }
         this.fleet = fleet;
@@ -172,7 +175,7 @@
 
     /**
      * Takes in what a peer has spent. What an older peer had spent before its first report is part of the levels that
-     * were taken over; a younger one has spent everything since.
+     * were taken over; a younger one has spent everything since, and in a new fleet nothing was taken over.
      */
     observe(peer: LedgerPeer, report: readonly AccountSpending[], now: Milliseconds): void {
         const { incarnation, isYounger } = peer;
@@ -183,13 +186,24 @@
             const bucket = this.buckets.get(account);
             const more = tokens - (known.get(account) ?? 0);
             known.set(account, tokens);
-            if (bucket !== undefined && (before !== undefined || isYounger)) {
+            if (bucket !== undefined && (before !== undefined || isYounger || this.options.startsFull)) {
                 this.fill(bucket, now);
                 bucket.level = Math.min(bucket.account.burstTokens, bucket.level - more);
             }
         }
     }
 
+    /** Takes in what another router knows that a peer has spent; it may be older than what the peer itself has told. */
+    observeRelayed(peer: LedgerPeer, report: readonly AccountSpending[], now: Milliseconds): void {
+        const known = this.peerSpent.get(peer.incarnation);
+        this.observe(peer, report.filter(({ account, tokens }) => tokens > (known?.get(account) ?? 0)), now);
+    }
+
+    /** What a peer is known to have spent since its start; empty for one that was never heard. */
+    spentBy(incarnation: string): AccountSpending[] {
+        return [...this.peerSpent.get(incarnation) ?? []].map(([account, tokens]) => ({ account, tokens }));
+    }
+
     /** Levels of the buckets, for a router that has just started. */
     levels(now: Milliseconds): AccountSpending[] {
         return [...this.buckets].map(([account, bucket]) => {
@@ -223,7 +237,30 @@
     private createBucket(account: DirectAccount, now: Milliseconds): Bucket {
         const startingTokens = startingPart * this.toleratedTokens(account);
         const level = Math.min(account.burstTokens, this.options.startsFull ? Infinity : startingTokens);
-        return { account, level, filledAt: now, spent: 0, adopted: false, reported: new Map() };
+        return { account, level, filledAt: now, reserved: 0, spent: 0, adopted: false, reported: new Map() };
+    }
+
+    /**
+     * Leaves routers that have fallen silent their part of the level. It comes back with a router that is heard again,
+     * whose report then says what it has spent; with one that is gone it is lost.
+     */
+    private reserve(bucket: Bucket, fleet: LedgerFleet): void {
+        const before = this.fleet.silent;
+        const fallen = fleet.silent - before;
+        if (fallen > 0) {
+            const routers = 1 + fleet.live.length + fleet.silent;
+            const part = Math.max(0, bucket.level) * fallen / routers;
+            bucket.level -= part;
+            bucket.reserved += part;
+        }
+        else if (fallen < 0) {
+            const returned = Math.min(-fallen, Math.max(0, fleet.live.length - this.fleet.live.length));
+            bucket.level = Math.min(
+                bucket.account.burstTokens,
+                bucket.level + bucket.reserved * returned / before,
+            );
+            bucket.reserved *= 1 + fallen / before;
+        }
     }
 
     /** A router that has never been told anything has just come in touch: what was spent before is not untold. */
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -10,7 +10,7 @@
     type Logger,
     maxSeed,
     type Milliseconds,
-    rendezvousOrder,
+    OwnerMemo,
     seededRandom,
     sleep,
 } from "@redwingpin/common";
@@ -117,6 +117,7 @@
 export class Gateway {
     private readonly state = new FleetState();
     private readonly homes = new PrefixHomes();
+    private readonly homesOfAgents = new OwnerMemo();
     private readonly connections = new EndpointConnections();
     private readonly crashes = new CrashBook();
     private readonly demand = new DemandMeter();
@@ -157,6 +158,9 @@
             crashes: this.crashes,
             demand: this.demand,
             homes: this.homes,
+            missedRouters: () => this.sync.missedRouterNames(),
+            isHomeOf: (agent) => this.isHomeOf(agent),
+            namedVersion: (model) => this.state.weightsOf(model)?.version,
             agentOf: options.agentOf,
         });
         this.innerNode = this.createInnerNode();
@@ -254,9 +258,10 @@
             agents: () => this.agentAddresses(),
             report: (peer, address) => this.reports.reportFor(peer, address),
             hasReport: () => this.ledger.hasUnreported(),
-            onReport: (peer, report) => this.reports.observe(peer, report),
+            isHomeOf: (agent) => this.isHomeOf(agent),
+            onReport: (peer, report, address) => this.reports.observe(peer, report, address),
             onReplica: (replica) => this.onReplica(replica),
-            onTold: (peer, report) => this.ledger.reported(peer, report.spent),
+            onTold: (peer, address, report) => this.reports.told(peer, address, report),
             onNews: (facts, peer) => this.learn(facts, peer.instance),
         });
     }
@@ -347,8 +352,8 @@
     /** True where this router, of all that are in touch, is the one to pass on news to an agent. */
     private isHomeOf(agent: InnerAddress): boolean {
         const own = peerName(this.options.config.inner);
-        const routers = [own, ...this.sync.liveRouterNames()];
-        return rendezvousOrder(peerName(agent), routers, (name) => name)[0] === own;
+        const routers = [own, ...this.sync.liveRouterNames()].sort();
+        return this.homesOfAgents.ownerOf(peerName(agent), routers) === own;
     }
 
     /** Takes in facts and acts on those that are news. */
@@ -378,7 +383,7 @@
             this.table = new RouteTable(configuration);
             this.ledger.configure(configuration.accounts, now);
             this.server.setLimits(configuration.limits);
-            this.homes.setStoreCapacity(this.table.cacheStore()?.cacheTokens ?? 0);
+            this.homes.setStores(this.table.cacheStores());
         }
     }
 
--- a/packages/gateway/src/node/peerReports.ts
+++ b/packages/gateway/src/node/peerReports.ts
@@ -5,10 +5,13 @@
  */
 import type { Clock, Milliseconds } from "@redwingpin/common";
 import {
+    type AccountSpending,
     type DirectEndpoint,
     emptyReport,
+    peerName,
     type PeerReport,
     quietInterval,
+    type ReplicaProgress,
     type SavedPrefix,
     type ServiceProgress,
 } from "@redwingpin/fleet";
@@ -17,11 +20,15 @@
 import { type DemandMeter, spareReplicas } from "../decision/demandMeter.js";
 import type { EndpointBoard } from "../decision/endpointBoard.js";
 import type { PrefixHomes } from "../decision/prefixHomes.js";
+import { RelayBook } from "../decision/relayBook.js";
 import type { SharedLedger } from "../decision/sharedLedger.js";
 
 /** A router takes over its peers' levels during this time after its start. */
 const adoptFor: Milliseconds = 2_500;
 
+/** Starts of routers for which it is remembered what they were told. */
+const maxRememberedPeers = 2_000;
+
 /** Options of {@link PeerReports}. */
 export interface PeerReportsOptions {
     readonly clock: Clock;
@@ -32,6 +39,12 @@
     readonly crashes: CrashBook;
     readonly demand: DemandMeter;
     readonly homes: PrefixHomes;
+    /** Names of routers that this one has not heard for a while. */
+    readonly missedRouters: () => string[];
+    /** True for agents that this router, of all in touch, tells of their service. */
+    readonly isHomeOf: (agent: InnerAddress) => boolean;
+    /** Version that a model should run. */
+    readonly namedVersion: (model: string) => number | undefined;
     readonly agentOf: (endpoint: DirectEndpoint) => InnerAddress | undefined;
 }
 
@@ -40,6 +53,9 @@
     private readonly startedAt: Milliseconds;
     /** Peers whose levels were taken over. */
     private readonly adoptedFrom = new Set<string>();
+    private readonly relays = new RelayBook();
+    /** What each start of a router was told, by account; those told last stand last. */
+    private readonly toldSpending = new Map<string, Map<string, number>>();
     private savedLately: readonly SavedPrefix[] = [];
     private savedLatelyAt: Milliseconds = -Infinity;
 
@@ -51,16 +67,23 @@
     reportFor(peer: Hello | undefined, address: InnerAddress | undefined): PeerReport {
         const now = this.options.clock.now();
         if (peer?.role === ProcessRole.Agent) {
-            return { ...emptyReport, service: address && this.serviceBeside(address, now) };
+            const isOwn = address !== undefined && this.options.isHomeOf(address);
+            return { ...emptyReport, service: isOwn ? this.serviceBeside(address, now) : undefined };
         }
         return {
             age: now - this.startedAt,
-            spent: this.options.ledger.spent(),
+            spent: this.untold(peer),
             load: this.options.board.ownLoads(),
             crashes: this.options.crashes.report(now),
-            levels: this.isSettled(now) ? this.options.ledger.levels(now) : [],
+            levels: this.isSettled(now) && this.isYoung(peer, now) ? this.options.ledger.levels(now) : [],
             demand: this.options.demand.report(now),
             saved: this.savedLately,
+            missing: this.options.missedRouters(),
+            relayed: this.relays.relayedTo(
+                peer?.incarnation,
+                (incarnation) => this.options.ledger.spentBy(incarnation),
+                now,
+            ),
         };
     }
 
@@ -85,6 +108,9 @@
             })),
             loading: view.isLoading(now),
         }));
+        if (!replicas.some((replica) => this.isBehind(replica))) {
+            return undefined;
+        }
         const speed = this.options.board.speed(service).tokensPerMillisecond;
         return {
             replicas,
@@ -92,8 +118,35 @@
         };
     }
 
+    private isBehind(replica: ReplicaProgress): boolean {
+        return replica.weights.some(({ model, version }) =>
+            version < (this.options.namedVersion(model) ?? 0)
+        );
+    }
+
+    /** What this router has spent, as far as a peer has not been told of it. */
+    private untold(peer: Hello | undefined): AccountSpending[] {
+        const told = peer && this.toldSpending.get(peer.incarnation);
+        return this.options.ledger.spent().filter(({ account, tokens }) => told?.get(account) !== tokens);
+    }
+
+    /** Notes that a router has a report. */
+    told(peer: Hello, address: InnerAddress, report: PeerReport): void {
+        if (peer.role !== ProcessRole.Router) {
+            return;
+        }
+        const told = this.toldSpending.get(peer.incarnation) ?? new Map<string, number>();
+        this.toldSpending.delete(peer.incarnation);
+        this.toldSpending.set(peer.incarnation, told);
+        report.spent.forEach(({ account, tokens }) => told.set(account, tokens));
+        if (this.toldSpending.size > maxRememberedPeers) {
+            this.toldSpending.delete(this.toldSpending.keys().next().value!);
+        }
+        this.options.ledger.reported(peerName(address), report.spent);
+    }
+
     /** Takes in what a peer tells. */
-    observe(peer: Hello, report: PeerReport): void {
+    observe(peer: Hello, report: PeerReport, address: InnerAddress | undefined): void {
         const now = this.options.clock.now();
         if (report.replica !== undefined) {
             this.options.board.observeStatus(report.replica, now);
@@ -102,7 +155,15 @@
             return;
         }
         const isYounger = report.age < now - this.startedAt;
+        if (address !== undefined) {
+            const { age, missing } = report;
+            this.relays.heard(peerName(address), { incarnation: peer.incarnation, age, missing }, now);
+        }
         this.options.ledger.observe({ incarnation: peer.incarnation, isYounger }, report.spent, now);
+        for (const { age, incarnation, spent } of report.relayed) {
+            const relayed = { incarnation, isYounger: age < now - this.startedAt };
+            this.options.ledger.observeRelayed(relayed, spent, now);
+        }
         this.options.board.observeLoads(peer.instance, report.load, now);
         this.options.crashes.observe(report.crashes, now);
         this.options.demand.observe(peer.instance, report.demand, now);
@@ -121,6 +182,11 @@
         }
     }
 
+    /** True for a peer that may take over levels, and for one whose age is not known. */
+    private isYoung(peer: Hello | undefined, now: Milliseconds): boolean {
+        return peer === undefined || this.relays.ageOf(peer.incarnation, now) <= adoptFor;
+    }
+
     /** True once this router's buckets stand for what was spent. */
     private isSettled(now: Milliseconds): boolean {
         return this.options.fleetIsNew || now - this.startedAt > adoptFor;
--- a/packages/gateway/src/node/promptFacts.ts
+++ b/packages/gateway/src/node/promptFacts.ts
@@ -10,7 +10,6 @@
 export interface PromptFacts {
     readonly model: string;
     readonly named: NamedWeights | undefined;
-    readonly cacheStore: string | undefined;
     /** Text under which prefixes read by weights of a version may be found. */
     readonly scope: (version: number | undefined) => string;
 }
@@ -25,7 +24,6 @@
     return {
         model,
         named: state.weightsOf(model),
-        cacheStore: request.table.cacheStore()?.cacheStoreAddress,
         scope: (version) => `${owner};${model};${version ?? 0}`,
     };
 }
--- a/packages/gateway/src/node/requestTask.ts
+++ b/packages/gateway/src/node/requestTask.ts
@@ -186,8 +186,8 @@
         if (sharedTokens < minFetchedTokens) {
             return { cached: held, fetched: 0, source: undefined };
         }
-        const source = this.storeSource(prompt);
-        if (source === undefined) {
+        const store = homes.storeOf(names);
+        if (store === undefined) {
             const home = this.homeOf(prompt, names, version);
             const address = home && `${home.endpoint.host}:${home.endpoint.port}`;
             return home === view || address === undefined
@@ -199,11 +199,7 @@
                 };
         }
         const saved = Math.max(0, homes.savedTokens(names, parts) - held);
-        return { cached: held, fetched: saved, source };
-    }
-
-    private storeSource(prompt: PromptFacts): PrefixSource["source"] {
-        return prompt.cacheStore === undefined ? undefined : { address: prompt.cacheStore, isStore: true };
+        return { cached: held, fetched: saved, source: { address: store, isStore: true } };
     }
 
     /** The home of the shared prefix among the endpoints with the same weights. */
@@ -308,14 +304,15 @@
         const scope = prompt.scope(choice.version);
         const { parts } = request.facts;
         const shared = tokensOf(parts.slice(0, -1));
-        const saved = this.context.homes.savedTokens(this.namesIn(scope), parts);
+        const names = this.namesIn(scope);
+        const saved = this.context.homes.savedTokens(names, parts);
         const isWorthSaving = shared >= minFetchedTokens && saved < shared;
         return {
             ...common,
             cacheScope: scope,
             expectedVersion: choice.version,
             fetchFrom: this.prefixSource(prompt, choice.view, choice.version).source?.address,
-            saveTo: isWorthSaving ? prompt.cacheStore : undefined,
+            saveTo: isWorthSaving ? this.context.homes.storeOf(names) : undefined,
         };
     }
 
--- a/packages/rollout/src/node/replicaAgent.ts
+++ b/packages/rollout/src/node/replicaAgent.ts
@@ -131,6 +131,7 @@
             agents: () => [],
             report: () => this.peerReport(),
             hasReport: () => false,
+            isHomeOf: () => false,
             onReport: (peer, report) => this.onReport(peer, report),
             onReplica: () => {},
             onTold: () => {},
