feat(gateway,fleet): other routers are told before a request is refused that its account has tokens for

Ruled out: a larger share for each router. With requests at all of them at once it exceeds rate, burst and tolerance.

Change: where the tokens are there but too much is untold, the router tells all others at once and decides again (FleetSync.settle; callers that come meanwhile share the next round; 60 ms at most). A pair of routers uses one connection, whoever dialled it, so that such a round needs no handshakes. The line `refused` says whether untold spending decided, and the account's tokens no longer hide behind the line's own level.

--- a/packages/fleet/src/__tests__/fleetSync.spec.ts
+++ b/packages/fleet/src/__tests__/fleetSync.spec.ts
@@ -6,7 +6,7 @@
 const fleetKeys = [{ identity: "fleet", secret: Buffer.alloc(32, 7) }] as const;
 
 /** A router that tells a fixed sum and notes what others have of it. */
-async function routerFixture(tokens: number) {
+async function routerFixture(tokens: number, hasReport = true) {
     const innerNode = new InnerNode({
         role: ProcessRole.Router,
         instance: `router-${tokens}`,
@@ -34,7 +34,7 @@
             seeds,
             agents: () => [],
             report: () => ({ ...emptyReport, spent: [{ account: "makers", tokens }] }),
-            hasReport: () => true,
+            hasReport: () => hasReport,
             isHomeOf: () => false,
             onReport: (peer, report) => heard.set(peer.instance, report.spent[0].tokens),
             onReplica: () => {},
@@ -42,12 +42,13 @@
             onNews: () => {},
         });
         sync.start();
-        return () => {
+        const stop = () => {
             sync.stop();
             innerNode.stop();
         };
+        return { sync, stop };
     };
-    return { address, told, heard, start };
+    return { address, told, heard, start, connections: () => innerNode.openConnections().length };
 }
 
 async function until(condition: () => boolean): Promise<void> {
@@ -60,7 +61,7 @@
     it("lets both routers of a pair know what the other one has, whichever of them calls", async () => {
         const first = await routerFixture(100);
         const second = await routerFixture(200);
-        const stops = [first.start([second.address]), second.start([])];
+        const started = [first.start([second.address]), second.start([])];
         try {
             await until(() => first.heard.size === 1 && second.heard.size === 1);
             await until(() => first.told.size === 1 && second.told.size === 1);
@@ -68,7 +69,26 @@
             expect([...second.told]).to.deep.equal([[peerName(first.address), 200]]);
         }
         finally {
-            stops.forEach((stop) => stop());
+            started.forEach(({ stop }) => stop());
+        }
+    });
+
+    it("tells all routers in touch at once where a request waits for it, over one connection a pair", async () => {
+        const routers = await Promise.all([1, 2, 3, 4].map((tokens) => routerFixture(tokens, false)));
+        const seeds = [routers[0].address];
+        const started = routers.map((router) => router.start(seeds));
+        try {
+            await until(() => started.every(({ sync }) => sync.liveRouters() === 3));
+            for (const [index, { told }] of routers.entries()) {
+                told.clear();
+                await Promise.all([started[index].sync.settle(), started[index].sync.settle()]);
+                expect(told.size).to.equal(3);
+            }
+            const connections = routers.map((router) => router.connections());
+            expect(connections.reduce((sum, count) => sum + count, 0)).to.be.at.most(2 * 6 + 6);
+        }
+        finally {
+            started.forEach(({ stop }) => stop());
         }
     });
 
--- a/packages/fleet/src/decision/peerTable.ts
+++ b/packages/fleet/src/decision/peerTable.ts
@@ -111,6 +111,14 @@
         return due.map((peer) => peer.address);
     }
 
+    /** Notes that an exchange with a peer begins that was not due. */
+    begin(address: InnerAddress): void {
+        const peer = this.peers.get(peerName(address));
+        if (peer !== undefined) {
+            peer.busy = true;
+        }
+    }
+
     /** Makes exchanges with the chosen peers due at once. */
     hurry(isChosen: (address: InnerAddress) => boolean): void {
         for (const peer of this.peers.values()) {
@@ -172,9 +180,13 @@
         return this.routers().filter((peer) => peer.heardAt > since).map((peer) => peer.address);
     }
 
-    liveRouterNames(): string[] {
+    liveRouters(): InnerAddress[] {
         const now = this.clock.now();
-        return this.routers().filter((peer) => isLive(peer, now)).map((peer) => peerName(peer.address));
+        return this.routers().filter((peer) => isLive(peer, now)).map((peer) => peer.address);
+    }
+
+    liveRouterNames(): string[] {
+        return this.liveRouters().map(peerName);
     }
 
     silentRouters(): number {
--- a/packages/fleet/src/node/fleetSync.ts
+++ b/packages/fleet/src/node/fleetSync.ts
@@ -6,7 +6,7 @@
  *
  * @module
  */
-import type { Clock, Logger, Milliseconds } from "@redwingpin/common";
+import { type Clock, type Logger, type Milliseconds, sleep } from "@redwingpin/common";
 import {
     type Connection,
     type Hello,
@@ -45,6 +45,9 @@
 /** A peer that gives no answer for this time is called again on a new connection. */
 const answerTimeout: Milliseconds = 700;
 
+/** Routers in touch answer within some milliseconds; one that does not is not waited for by callers' requests. */
+const settleTimeout: Milliseconds = 60;
+
 /** Granularity of the schedule of exchanges. */
 const tickInterval: Milliseconds = 50;
 
@@ -79,6 +82,10 @@
 /** Keeps in touch with peers. */
 export class FleetSync {
     private readonly peers: PeerTable;
+    /** Exchanges under way, by the peer's name. */
+    private readonly exchanges = new Map<string, Promise<void>>();
+    private settling: Promise<void> = Promise.resolve();
+    private nextSettling: Promise<void> | undefined;
     private replies = 0;
     /** The report of the last reply to each router. */
     private readonly sentReplies = new Map<string, Pick<SyncReply, "number" | "report">>();
@@ -132,6 +139,29 @@
         }
     }
 
+    /**
+     * Tells every router in touch what it lacks; resolves when all have it, or after `settleTimeout`. Callers that come
+     * meanwhile share the next round.
+     */
+    settle(): Promise<void> {
+        this.nextSettling ??= this.settling.then(() => {
+            this.nextSettling = undefined;
+            this.settling = this.settleOnce();
+            return this.settling;
+        });
+        return this.nextSettling;
+    }
+
+    private async settleOnce(): Promise<void> {
+        const rounds = this.peers.liveRouters().map(async (address) => {
+            // An exchange that is under way carries an older report.
+            await this.exchanges.get(peerName(address));
+            this.peers.begin(address);
+            await this.exchange(address);
+        });
+        await Promise.race([Promise.all(rounds), sleep(this.options.clock, settleTimeout)]);
+    }
+
     /** Tells every connected router of this agent's replica. */
     tellReplica(replica: ReplicaStatus): void {
         for (const connection of this.options.innerNode.openConnections()) {
@@ -164,7 +194,18 @@
         }
     }
 
-    private async exchange(address: InnerAddress): Promise<void> {
+    private exchange(address: InnerAddress): Promise<void> {
+        const name = peerName(address);
+        const exchange = this.callPeer(address).finally(() => {
+            if (this.exchanges.get(name) === exchange) {
+                this.exchanges.delete(name);
+            }
+        });
+        this.exchanges.set(name, exchange);
+        return exchange;
+    }
+
+    private async callPeer(address: InnerAddress): Promise<void> {
         const connected = await this.options.innerNode.connect(address);
         if (connected.isErr()) {
             this.failed(address, connected.error.message);
@@ -220,6 +261,7 @@
             case FleetMessageKind.Sync: {
                 if (message.address !== undefined) {
                     this.peers.heardFrom(message.address);
+                    this.options.innerNode.adopt(from, message.address);
                 }
                 this.options.onReport(from, message.report, message.address);
                 return this.replyTo(message, from);
--- a/packages/gateway/src/__tests__/directServer.spec.ts
+++ b/packages/gateway/src/__tests__/directServer.spec.ts
@@ -1,4 +1,4 @@
-import { silentLogger, systemClock } from "@redwingpin/common";
+import { sha256Hex, silentLogger, systemClock } from "@redwingpin/common";
 import { Delivery, type DirectConfiguration, DirectServiceKind } from "@redwingpin/fleet";
 import { expect } from "chai";
 import { ok } from "neverthrow";
@@ -7,9 +7,18 @@
 import { noTolerance, RouteTable, SharedLedger, type WireDialect } from "../index.js";
 import { DirectServer } from "../node/directServer.js";
 import { GatewayMetrics } from "../node/gatewayMetrics.js";
+import { accountFixture } from "./gatewayFixture.js";
 
 const dialect: WireDialect = {
-    readRequest: () => ok({ attempt: "a", promptTokens: 0, outputTokens: 0, namesTokens: false, parts: [] }),
+    readRequest: () =>
+        ok({
+            attempt: "a",
+            credential: "key",
+            promptTokens: 0,
+            outputTokens: 0,
+            namesTokens: false,
+            parts: [],
+        }),
     endpointHeaders: () => [],
     readAnswer: () => ({ sealed: false, notRun: false }),
     ownAnswerHeaders: () => ({ "x-attempt": "a" }),
@@ -36,10 +45,12 @@
 };
 
 /** A server that counts what it would have served. */
-async function serverFixture(takes: boolean) {
+async function serverFixture(takes: boolean, more: Partial<DirectConfiguration> = {}) {
     let served = 0;
-    const table = new RouteTable(configuration);
+    const table = new RouteTable({ ...configuration, ...more });
     const ledger = new SharedLedger({ startsFull: true, tolerance: noTolerance });
+    ledger.configure(table.configuration.accounts, 0);
+    ledger.fleetChanged({ live: ["b", "c", "d"], silent: 0 }, 0);
     const server = new DirectServer({
         clock: systemClock,
         logger: silentLogger,
@@ -54,6 +65,10 @@
             response.end("served");
             return Promise.resolve({ kind: "delivered" });
         },
+        settle: () => {
+            ["b", "c", "d"].forEach((peer) => ledger.reported(peer, ledger.spent()));
+            return Promise.resolve();
+        },
         refund: () => {},
     });
     const port = await server.listen("127.0.0.1", 0);
@@ -97,4 +112,20 @@
         expect((await send(fixture.port, "far too large a body")).status).to.equal(413);
         expect(fixture.served()).to.equal(1);
     });
+
+    it("tells other routers before it refuses a request that the account has tokens for", async () => {
+        const account = accountFixture({
+            keyDigests: [sha256Hex("key")],
+            burstTokens: 500,
+            tokensPerSecond: 1,
+        });
+        const routes = configuration.routes.map((route) => ({ ...route, open: false }));
+        const fixture = await serverFixture(true, { accounts: [account], routes });
+        server = fixture.server;
+        const statuses = [];
+        for (let request = 0; request < 3; request++) {
+            statuses.push((await send(fixture.port)).status);
+        }
+        expect(statuses).to.deep.equal([200, 200, 429]);
+    });
 });
--- a/packages/gateway/src/__tests__/sharedLedger.spec.ts
+++ b/packages/gateway/src/__tests__/sharedLedger.spec.ts
@@ -126,6 +126,19 @@
         expect(ledger.levels(0)).to.deep.equal([{ account: "makers", tokens: 2_500 }]);
     });
 
+    // 22 routers and an account with 68,872 tokens to spend: one router gets two prompts of 2,000 tokens at once.
+    it("lets a request in once the other routers have been told, and says where that would help", () => {
+        const ledger = ledgerFixture();
+        const peers = Array.from({ length: 21 }, (_, index) => `peer-${index}`);
+        ledger.fleetChanged({ live: peers, silent: 0 }, 0);
+        expect(ledger.spend("makers", 200, 0).admitted).to.equal(true);
+        expect(ledger.spend("makers", 200, 0)).to.deep.include({ admitted: false, untold: true });
+        peers.forEach((peer) => ledger.reported(peer, ledger.spent()));
+        expect(ledger.spend("makers", 4_600, 0).admitted).to.equal(true);
+        peers.forEach((peer) => ledger.reported(peer, ledger.spent()));
+        expect(ledger.spend("makers", 1_000, 0)).to.deep.include({ admitted: false, untold: false });
+    });
+
     it("leaves silent routers their share of the rate", () => {
         const ledger = ledgerFixture();
         ledger.spend("makers", 5_000, 0);
--- a/packages/gateway/src/decision/sharedLedger.ts
+++ b/packages/gateway/src/decision/sharedLedger.ts
@@ -16,8 +16,14 @@
 /** Outcome of {@link SharedLedger.spend}. */
 export type SpendOutcome =
     | { readonly admitted: true; }
-    /** Milliseconds until the tokens may be there. */
-    | { readonly admitted: false; readonly retryAfter: Milliseconds; readonly level: number; };
+    | {
+        readonly admitted: false;
+        /** Time until the tokens may be there. */
+        readonly retryAfter: Milliseconds;
+        readonly level: number;
+        /** True where the tokens are there, but too much was spent that other routers have not been told. */
+        readonly untold: boolean;
+    };
 
 interface Bucket {
     account: DirectAccount;
@@ -137,7 +143,7 @@
         if (bucket.level < needed || !fitsShare) {
             const missing = Math.max(needed - bucket.level, fitsShare ? 0 : unreported + tokens - share);
             const retryAfter = missing * millisecondsPerSecond / bucket.account.tokensPerSecond;
-            return { admitted: false, retryAfter, level: bucket.level };
+            return { admitted: false, retryAfter, level: bucket.level, untold: bucket.level >= needed };
         }
         bucket.level -= tokens;
         bucket.spent += tokens;
--- a/packages/gateway/src/node/callerChecks.ts
+++ b/packages/gateway/src/node/callerChecks.ts
@@ -21,6 +21,8 @@
     readonly attempt?: string;
     /** Level of the account's bucket, where that decided. */
     readonly level?: number;
+    /** True where telling other routers what this one has spent may let the request in. */
+    readonly untold?: boolean;
     readonly account?: string;
     readonly tokens?: number;
 }
@@ -137,6 +139,7 @@
             retryAfter: spent.retryAfter,
             attempt: facts.attempt,
             level: Math.round(spent.level),
+            untold: spent.untold,
             account: account?.name,
             tokens,
         });
--- a/packages/gateway/src/node/directServer.ts
+++ b/packages/gateway/src/node/directServer.ts
@@ -46,6 +46,8 @@
     /** Bytes of callers' bodies that may be held at once. */
     readonly maxHeldBytes: number;
     readonly serve: (request: DirectRequest, response: ServerResponse) => Promise<RequestOutcome>;
+    /** Tells the other routers what this one has spent. */
+    readonly settle: () => Promise<void>;
     /** Takes back what a request was charged that has not run. */
     readonly refund: (request: DirectRequest) => void;
 }
@@ -180,7 +182,11 @@
         arrival: Milliseconds,
     ): Promise<void> {
         const { checks, clock, logger } = this.context;
-        const whole = checkWhole(checks, head, request, body, arrival);
+        let whole = checkWhole(checks, head, request, body, arrival);
+        if (whole.isErr() && whole.error.untold === true) {
+            await this.context.settle();
+            whole = checkWhole(checks, head, request, body, arrival);
+        }
         if (whole.isErr()) {
             this.refuse(request, response, whole.error);
             return;
@@ -214,7 +220,8 @@
             detail: failure.message,
             account: failure.account,
             tokens: failure.tokens,
-            level: failure.level,
+            tokensLeft: failure.level,
+            untold: failure.untold,
             retryAfter: failure.retryAfter === undefined ? undefined : Math.round(failure.retryAfter),
         });
         if (!request.complete) {
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -312,6 +312,7 @@
             takes: (route) => this.takes(route),
             maxHeldBytes: config.maxHeldBytes,
             serve: (request, response) => serveRequest(context, request, response),
+            settle: () => this.settle(),
             refund: (request) => {
                 if (request.account !== undefined) {
                     this.ledger.refund(request.account.name, request.tokens);
@@ -320,6 +321,13 @@
         });
     }
 
+    /** Tells the routers in touch what this one has spent, before a request is refused that the account has tokens for. */
+    private async settle(): Promise<void> {
+        await this.sync.settle();
+        const live = this.sync.liveRouterNames();
+        this.ledger.fleetChanged({ live, silent: this.sync.silentRouters() }, this.options.clock.now());
+    }
+
     /** A request that came on a kept connection late in a stop is taken only if it is sure to end in time. */
     private takes(route: DirectRoute): boolean {
         if (this.closingUntil === undefined) {
--- a/packages/protocol/src/node/innerNode.ts
+++ b/packages/protocol/src/node/innerNode.ts
@@ -100,6 +100,19 @@
         return new ResultAsync(connection);
     }
 
+    /** Uses an accepted connection for calls to the address at which its peer listens, where none was dialled. */
+    adopt(peer: Hello, address: InnerAddress): void {
+        const name = `${address.host}:${address.port}`;
+        if (this.dialled.has(name)) {
+            return;
+        }
+        const connection = [...this.connections].find((candidate) => candidate.peer === peer);
+        if (connection !== undefined && !this.addresses.has(connection)) {
+            this.addresses.set(connection, address);
+            this.dialled.set(name, Promise.resolve(ok(connection)));
+        }
+    }
+
     /** Calls a topic at an address; the answer's shape is for the caller to check. */
     call(
         address: InnerAddress,
