feat(fleet,gateway): three routers follow the registrations, the rest hears of changes; news is passed on once

At each word of the store every router called every peer and agent, also those that had just been told. Ruled out: a longer wait of the watch. A connection that went silent without a reset must be noticed in time.

Change: routers rank themselves alike and report when the store last answered them; a router follows the registrations unless three that rank before it do (FollowDuty). Only who heard a change from the store tells others at once, and agents only those that look to it. Configurations and weights are still followed by every router.

--- a/packages/fleet/src/decision/peerTable.ts
+++ b/packages/fleet/src/decision/peerTable.ts
@@ -120,9 +120,9 @@
     }
 
     /** Makes exchanges with the chosen peers due at once. */
-    hurry(isChosen: (address: InnerAddress) => boolean): void {
+    hurry(isChosen: (address: InnerAddress, isRouter: boolean) => boolean): void {
         for (const peer of this.peers.values()) {
-            if (peer.failures === 0 && isChosen(peer.address)) {
+            if (peer.failures === 0 && isChosen(peer.address, peer.isRouter)) {
                 peer.nextDue = this.clock.now();
             }
         }
--- a/packages/fleet/src/fleetMessages.ts
+++ b/packages/fleet/src/fleetMessages.ts
@@ -109,6 +109,8 @@
     readonly demand: readonly ServiceDemand[];
     /** Prefixes saved to cache stores since the last reports. */
     readonly saved: readonly SavedPrefix[];
+    /** Time since the store last answered the sender, where it follows the registrations of endpoints. */
+    readonly followedAge?: number;
     /** Addresses, as `host:port`, of routers that the sender knows of and has not heard for a while. */
     readonly missing: readonly string[];
     /** What the routers have spent that the receiver misses, as far as the sender knows. */
@@ -190,6 +192,7 @@
     levels: isListOf(isShaped(spendingShape)),
     demand: isListOf(isShaped({ service: isText, tokensPerMillisecond: isAmount })),
     saved: isListOf(isShaped({ name: isText, tokens: isCount, store: isText })),
+    followedAge: isOptional(isAmount),
     missing: isListOf(isText),
     relayed: isListOf(
         isShaped({ incarnation: isText, age: isAmount, spent: isListOf(isShaped(spendingShape)) }),
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -4,6 +4,7 @@
  * @module
  */
 export * from "./decision/fleetState.js";
+export * from "./decision/followDuty.js";
 export * from "./decision/peerTable.js";
 export * from "./directConfiguration.js";
 export * from "./fleetMessages.js";
--- a/packages/fleet/src/node/fleetSync.ts
+++ b/packages/fleet/src/node/fleetSync.ts
@@ -132,7 +132,7 @@
     }
 
     /** Makes the next exchange with the chosen peers happen at once. */
-    hurry(isChosen: (address: InnerAddress) => boolean = () => true): void {
+    hurry(isChosen: (address: InnerAddress, isRouter: boolean) => boolean): void {
         this.peers.hurry(isChosen);
         if (!this.stopped) {
             this.round();
--- a/packages/fleet/src/node/storeFollower.ts
+++ b/packages/fleet/src/node/storeFollower.ts
@@ -10,6 +10,9 @@
 /** First pause after an error; each further one is twice as long. */
 const firstPause: Milliseconds = 100;
 
+/** Pause between looks whether the store must be followed again. */
+const idlePause: Milliseconds = 200;
+
 /** Longest pause after errors; a store that returns is used again within about this time. */
 const longestPause: Milliseconds = 1_000;
 
@@ -24,6 +27,16 @@
     readonly wait: Milliseconds;
     /** Pause after changes arrived, so that a series of them costs one call. */
     readonly gatherFor: Milliseconds;
+    /**
+     * False while others follow and tell of changes. The first reading is made in any case.
+     * @default always true
+     */
+    readonly isNeeded?: () => boolean;
+    /**
+     * Revision up to which changes are known from elsewhere.
+     * @default 0
+     */
+    readonly knownTo?: () => number;
     /** Takes in facts; `complete` is true for a reading of the whole scope. */
     readonly onReading: (reading: FleetReading, complete: boolean) => void;
 }
@@ -35,9 +48,16 @@
     private stopped = false;
     private reachable: boolean | undefined;
     private troubledAt: Milliseconds = -Infinity;
+    private answeredAt: Milliseconds = -Infinity;
 
     constructor(private readonly options: StoreFollowerOptions) {}
 
+    /** Time since the store last answered; `undefined` where others follow or it never did. */
+    get answerAge(): Milliseconds | undefined {
+        const age = this.options.clock.now() - this.answeredAt;
+        return Number.isFinite(age) && this.isNeeded() ? age : undefined;
+    }
+
     /** True while the last call was answered. */
     get isReachable(): boolean {
         return this.reachable === true;
@@ -67,11 +87,14 @@
 
     /** Makes one call; returns the pause before the next. */
     private async step(): Promise<Milliseconds> {
-        const { scope, source, wait } = this.options;
+        const { knownTo, scope, source, wait } = this.options;
         const complete = this.after === undefined;
+        if (!complete && !this.isNeeded()) {
+            return idlePause;
+        }
         const result = this.after === undefined
             ? await source.read(scope)
-            : await source.follow(scope, this.after, wait);
+            : await source.follow(scope, Math.max(this.after, knownTo?.() ?? 0), wait);
         if (this.stopped) {
             return 0;
         }
@@ -81,6 +104,10 @@
         );
     }
 
+    private isNeeded(): boolean {
+        return this.options.isNeeded?.() ?? true;
+    }
+
     private succeeded(reading: FleetReading, complete: boolean): Milliseconds {
         if (this.reachable !== true) {
             this.options.logger.info("store reached", {
@@ -89,6 +116,7 @@
             });
         }
         this.reachable = true;
+        this.answeredAt = this.options.clock.now();
         this.pause = firstPause;
         this.after = Math.max(this.after ?? 0, reading.revision);
         this.options.onReading(reading, complete);
--- a/packages/gateway/src/__tests__/peerReports.spec.ts
+++ b/packages/gateway/src/__tests__/peerReports.spec.ts
@@ -1,5 +1,5 @@
 import { FakeClock } from "@redwingpin/common";
-import { FactKind, FleetState } from "@redwingpin/fleet";
+import { FactKind, FleetState, FollowDuty } from "@redwingpin/fleet";
 import { type Hello, MessageKind, ProcessRole } from "@redwingpin/protocol";
 import { expect } from "chai";
 import { CrashBook, DemandMeter, EndpointBoard, noTolerance, PrefixHomes, SharedLedger } from "../index.js";
@@ -31,6 +31,8 @@
         demand: new DemandMeter(),
         homes: new PrefixHomes(),
         missedRouters: () => [],
+        followedAge: () => undefined,
+        followDuty: new FollowDuty("10.0.0.1:7600", clock),
         isHomeOf: () => more.isHome ?? true,
         namedVersion: () => more.namedVersion ?? 1,
         agentOf: () => agentAddress,
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -25,9 +25,11 @@
     type FleetSource,
     FleetState,
     FleetSync,
+    FollowDuty,
     peerName,
     type ReplicaStatus,
     StoreFollower,
+    type StoreFollowerOptions,
 } from "@redwingpin/fleet";
 import { type FleetKeys, type InnerAddress, InnerNode, ProcessRole } from "@redwingpin/protocol";
 import { randomInt, randomUUID } from "node:crypto";
@@ -108,6 +110,14 @@
 /** Time for the last answers to leave before the process must end. */
 const stopMargin: Milliseconds = 400;
 
+/** Where facts come from that the store itself has told. */
+const storeName = "store";
+
+/** True for a fact that routers act on at once: all but a registration that stays in use. */
+function isUrgent(fact: FleetFact): boolean {
+    return fact.kind !== FactKind.Endpoint || fact.endpoint === undefined || fact.endpoint.leaving;
+}
+
 /** A change that the store has just told of. */
 function justNamed(fact: FleetFact): FleetFact {
     return fact.kind === FactKind.Weights ? { ...fact, age: 0 } : fact;
@@ -128,6 +138,8 @@
     private readonly innerNode: InnerNode;
     private readonly sync: FleetSync;
     private readonly followers: readonly StoreFollower[];
+    private readonly endpointsFollower: StoreFollower;
+    private readonly followDuty: FollowDuty;
     private readonly server: DirectServer;
     private readonly readiness: Server;
     private readonly random = seededRandom(randomInt(maxSeed));
@@ -150,6 +162,7 @@
             startsFull: config.fleetIsNew,
             tolerance: config.rateTolerance,
         });
+        this.followDuty = new FollowDuty(peerName(config.inner), clock);
         this.reports = new PeerReports({
             clock,
             fleetIsNew: config.fleetIsNew,
@@ -159,16 +172,20 @@
             demand: this.demand,
             homes: this.homes,
             missedRouters: () => this.sync.missedRouterNames(),
+            followedAge: () => this.endpointsFollower.answerAge,
+            followDuty: this.followDuty,
             isHomeOf: (agent) => this.isHomeOf(agent),
             namedVersion: (model) => this.state.weightsOf(model)?.version,
             agentOf: options.agentOf,
         });
         this.innerNode = this.createInnerNode();
         this.sync = this.createSync();
-        this.followers = [
-            this.createFollower(FleetScope.Operator, 0),
-            this.createFollower(FleetScope.Endpoints, registrationGather),
-        ];
+        this.endpointsFollower = this.createFollower(FleetScope.Endpoints, {
+            gatherFor: registrationGather,
+            isNeeded: () => this.followDuty.isOwn(this.sync.liveRouterNames()),
+            knownTo: () => this.state.watermark().endpoints,
+        });
+        this.followers = [this.createFollower(FleetScope.Operator, { gatherFor: 0 }), this.endpointsFollower];
         this.server = this.createServer();
         this.readiness = createServer((request, response) => {
             const known = request.url === config.readinessPath;
@@ -266,7 +283,10 @@
         });
     }
 
-    private createFollower(scope: FleetScope, gatherFor: Milliseconds): StoreFollower {
+    private createFollower(
+        scope: FleetScope,
+        more: Pick<StoreFollowerOptions, "gatherFor" | "isNeeded" | "knownTo">,
+    ): StoreFollower {
         const { clock, logger, source } = this.options;
         return new StoreFollower({
             scope,
@@ -275,7 +295,7 @@
             random: this.random,
             logger: logger.scope("store"),
             wait: followWait,
-            gatherFor,
+            ...more,
             onReading: (reading, complete) => this.onReading(scope, reading, complete),
         });
     }
@@ -342,10 +362,10 @@
             const listed = new Set(
                 reading.facts.flatMap((fact) => fact.kind === FactKind.Endpoint ? [fact.instance] : []),
             );
-            this.learn(this.state.missingFrom(listed, reading.revision), "store");
+            this.learn(this.state.missingFrom(listed, reading.revision), storeName);
             this.endpointsKnown = true;
         }
-        this.learn(complete ? reading.facts : reading.facts.map(justNamed), "store");
+        this.learn(complete ? reading.facts : reading.facts.map(justNamed), storeName);
         if (scope === FleetScope.Endpoints) {
             this.state.endpointsCompleteTo(reading.revision);
         }
@@ -354,7 +374,7 @@
     /** An agent tells of its replica: the other agents of its service that look to this router hear of it at once. */
     private onReplica(replica: ReplicaStatus): void {
         this.board.observeStatus(replica, this.options.clock.now());
-        this.sync.hurry((address) => this.isHomeOf(address));
+        this.sync.hurry((address, isRouter) => !isRouter && this.isHomeOf(address));
     }
 
     /** True where this router, of all that are in touch, is the one to pass on news to an agent. */
@@ -380,8 +400,9 @@
             this.endpointsKnown = true;
             this.board.update(this.state);
         }
-        if (news.some((fact) => fact.kind !== FactKind.Endpoint)) {
-            this.sync.hurry();
+        if (from === storeName && news.some(isUrgent)) {
+            // Who hears of it from a peer need not pass it on at once: the peer tells every other router itself.
+            this.sync.hurry((address, isRouter) => isRouter || this.isHomeOf(address));
         }
     }
 
--- a/packages/gateway/src/node/peerReports.ts
+++ b/packages/gateway/src/node/peerReports.ts
@@ -8,6 +8,7 @@
     type AccountSpending,
     type DirectEndpoint,
     emptyReport,
+    type FollowDuty,
     peerName,
     type PeerReport,
     quietInterval,
@@ -41,6 +42,9 @@
     readonly homes: PrefixHomes;
     /** Names of routers that this one has not heard for a while. */
     readonly missedRouters: () => string[];
+    /** Time since the store last answered this router; `undefined` where it does not follow the registrations. */
+    readonly followedAge: () => Milliseconds | undefined;
+    readonly followDuty: FollowDuty;
     /** True for agents that this router, of all in touch, tells of their service. */
     readonly isHomeOf: (agent: InnerAddress) => boolean;
     /** Version that a model should run. */
@@ -78,6 +82,7 @@
             levels: this.isSettled(now) && this.isYoung(peer, now) ? this.options.ledger.levels(now) : [],
             demand: this.options.demand.report(now),
             saved: this.savedLately,
+            followedAge: this.options.followedAge(),
             missing: this.options.missedRouters(),
             relayed: this.relays.relayedTo(
                 peer?.incarnation,
@@ -157,6 +162,7 @@
         const isYounger = report.age < now - this.startedAt;
         if (address !== undefined) {
             const { age, missing } = report;
+            this.options.followDuty.observe(peerName(address), report.followedAge);
             this.relays.heard(peerName(address), { incarnation: peer.incarnation, age, missing }, now);
         }
         this.options.ledger.observe({ incarnation: peer.incarnation, isYounger }, report.spent, now);
