--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -9,5 +9,6 @@
 export * from "./directConfiguration.js";
 export * from "./fleetMessages.js";
 export * from "./fleetSource.js";
+export * from "./node/factLog.js";
 export * from "./node/fleetSync.js";
 export * from "./node/storeFollower.js";
--- /dev/null
+++ b/packages/fleet/src/node/factLog.ts
@@ -0,0 +1,37 @@
+/**
+ * The line in the log for each fact that a process takes in.
+ *
+ * @module
+ */
+import type { Logger } from "@redwingpin/common";
+import { FactKind, type FleetFact } from "../decision/fleetState.js";
+
+/** Logs a fact that is news; `from` is the store or the peer that told of it. */
+export function logFact(logger: Logger, fact: FleetFact, from: string): void {
+    const { revision } = fact;
+    switch (fact.kind) {
+        case FactKind.Configuration:
+            logger.info("configuration in force", {
+                version: fact.configuration.version,
+                revision,
+                routes: fact.configuration.routes.length,
+                rates: fact.configuration.accounts
+                    .map((account) => `${account.name}=${account.tokensPerSecond}/${account.burstTokens}`)
+                    .join(","),
+                from,
+            });
+            return;
+        case FactKind.Weights:
+            logger.info("weights named", { model: fact.model, version: fact.version, revision, from });
+            return;
+        case FactKind.Endpoint:
+            logger.info("endpoint changed", {
+                endpoint: fact.instance,
+                service: fact.endpoint?.service,
+                state: fact.endpoint === undefined ? "gone" : fact.endpoint.leaving ? "leaving" : "ready",
+                weights: fact.endpoint?.weights.map((entry) => entry.version).join(","),
+                revision,
+                from,
+            });
+    }
+}
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -26,6 +26,7 @@
     FleetState,
     FleetSync,
     FollowDuty,
+    logFact,
     peerName,
     type ReplicaStatus,
     StoreFollower,
@@ -392,7 +393,7 @@
         if (news.length === 0) {
             return;
         }
-        news.forEach((fact) => this.logFact(fact, from));
+        news.forEach((fact) => logFact(this.options.logger, fact, from));
         if (news.some((fact) => fact.kind === FactKind.Configuration)) {
             this.configurationChanged(now);
         }
@@ -416,40 +417,6 @@
         }
     }
 
-    private logFact(fact: FleetFact, from: string): void {
-        const { logger } = this.options;
-        switch (fact.kind) {
-            case FactKind.Configuration:
-                logger.info("configuration in force", {
-                    version: fact.configuration.version,
-                    revision: fact.revision,
-                    routes: fact.configuration.routes.length,
-                    rates: fact.configuration.accounts
-                        .map((account) => `${account.name}=${account.tokensPerSecond}/${account.burstTokens}`)
-                        .join(","),
-                    from,
-                });
-                return;
-            case FactKind.Weights:
-                logger.info("weights named", {
-                    model: fact.model,
-                    version: fact.version,
-                    revision: fact.revision,
-                    from,
-                });
-                return;
-            case FactKind.Endpoint:
-                logger.info("endpoint changed", {
-                    endpoint: fact.instance,
-                    service: fact.endpoint?.service,
-                    state: fact.endpoint === undefined ? "gone" : fact.endpoint.leaving ? "leaving" : "ready",
-                    weights: fact.endpoint?.weights.map((entry) => entry.version).join(","),
-                    revision: fact.revision,
-                    from,
-                });
-        }
-    }
-
     private endpointGone(instance: string): void {
         this.connections.forget(instance);
         this.homes.forget(instance);
--- a/packages/rollout/src/node/replicaAgent.ts
+++ b/packages/rollout/src/node/replicaAgent.ts
@@ -10,6 +10,7 @@
     type FleetFact,
     FleetState,
     FleetSync,
+    logFact,
     type ModelWeights,
     type NamedWeights,
     type PeerReport,
@@ -135,7 +136,7 @@
             onReport: (peer, report) => this.onReport(peer, report),
             onReplica: () => {},
             onTold: () => {},
-            onNews: (facts) => this.learn(facts),
+            onNews: (facts, peer) => this.learn(facts, peer.instance),
         });
     }
 
@@ -326,32 +327,17 @@
         return newest === undefined || newest.endpoint.leaving ? undefined : newest.endpoint.instance;
     }
 
-    private learn(facts: readonly FleetFact[]): void {
+    private learn(facts: readonly FleetFact[], from: string): void {
         const now = this.options.clock.now();
         const news = facts.filter((fact) => this.state.learn(fact, now));
-        for (const fact of news) {
-            this.logFact(fact);
-        }
+        // Registrations of other replicas matter to routers, which log them.
+        news.filter((fact) => fact.kind !== FactKind.Endpoint)
+            .forEach((fact) => logFact(this.options.logger, fact, from));
         if (news.some((fact) => fact.kind === FactKind.Weights)) {
             this.tick();
         }
     }
 
-    private logFact(fact: FleetFact): void {
-        const { logger } = this.options;
-        const { revision } = fact;
-        switch (fact.kind) {
-            case FactKind.Configuration:
-                logger.info("configuration known", { version: fact.configuration.version, revision });
-                return;
-            case FactKind.Weights:
-                logger.info("weights named", { model: fact.model, version: fact.version, revision });
-                return;
-            case FactKind.Endpoint:
-                return;
-        }
-    }
-
     private onReport(peer: Hello, report: PeerReport): void {
         if (peer.role === ProcessRole.Router && report.service !== undefined) {
             this.service = report.service;
