fix(rollout): an order without an answer is repeated once the report shows no effect

Cause: an agent waited 1 s for the answer to an order and 2.5 s more for its effect, and its replica took no requests all that time. Ruled out: going on to serve while the order is out. A replica that carries it out late refuses what waits there.

--- a/packages/rollout/src/__tests__/replicaAgent.spec.ts
+++ b/packages/rollout/src/__tests__/replicaAgent.spec.ts
@@ -2,7 +2,7 @@
 import { emptyReport, FactKind, FleetMessageKind, type SyncCall } from "@redwingpin/fleet";
 import { InnerNode, parseFleetKeys, ProcessRole, Topic } from "@redwingpin/protocol";
 import { expect } from "chai";
-import { okAsync } from "neverthrow";
+import { errAsync, okAsync, type ResultAsync } from "neverthrow";
 import { Registry } from "prom-client";
 import { type LoadOrder, OrderAnswer, ReplicaAgent, type ReplicaControl } from "../index.js";
 
@@ -10,7 +10,7 @@
 const replica = "127.0.0.1:9000";
 
 /** A replica that answers every order alike and notes when it was asked. */
-function refusingReplica(clock: FakeClock) {
+function stubbornReplica(clock: FakeClock, answer: () => ResultAsync<OrderAnswer, string>) {
     const orders: { readonly order: LoadOrder; readonly at: number; }[] = [];
     const control: ReplicaControl = {
         report: () =>
@@ -26,7 +26,7 @@
             }),
         load: (order) => {
             orders.push({ order, at: clock.now() });
-            return okAsync(OrderAnswer.WrongInstance);
+            return answer();
         },
     };
     return { control, orders };
@@ -74,57 +74,74 @@
     await new Promise((resolve) => setTimeout(resolve, 3));
 }
 
+/** Lets an agent hear of newer weights and gives it 1,200 ms; returns the orders that its replica got. */
+async function ordersWith(answer: () => ResultAsync<OrderAnswer, string>) {
+    const clock = new FakeClock(1_000);
+    const { control, orders } = stubbornReplica(clock, answer);
+    const inner = { host: "127.0.0.1", port: 0 };
+    const agent = new ReplicaAgent({
+        config: {
+            instance: "agent",
+            fleetKeys,
+            inner,
+            replica,
+            service: "engines",
+            loadLatestAfter: 4_800,
+            loadAllowed: 9_500,
+        },
+        clock,
+        logger: silentLogger,
+        registry: new Registry(),
+        control,
+    });
+    const port = await agent.start();
+    const router = new InnerNode({
+        role: ProcessRole.Router,
+        instance: "router",
+        incarnation: "1",
+        fleetKeys,
+        clock,
+        logger: silentLogger,
+        revision: () => 0,
+        onRevision: () => {},
+        onMessage: () => {},
+        onClosed: () => {},
+    });
+    const connection = (await router.connect({ host: "127.0.0.1", port }))._unsafeUnwrap();
+    await connection.call(Topic.Fleet, syncCall(), 1_000);
+    connection.notify(Topic.Fleet, {
+        kind: FleetMessageKind.News,
+        mark: { configuration: 0, weights: 9, endpoints: 5 },
+        news: [
+            endpointNews("before", 3),
+            endpointNews("after", 5),
+            { kind: FactKind.Weights, revision: 9, model: "drafting", version: 2, age: 0 },
+        ],
+    });
+    for (let step = 0; step < 60; step++) {
+        await turns();
+        clock.advance(20);
+    }
+    agent.stop();
+    router.stop();
+    return orders;
+}
+
 describe("replica agent", () => {
     it("does not repeat a refused order at once, and names the newest registration", async () => {
-        const clock = new FakeClock(1_000);
-        const { control, orders } = refusingReplica(clock);
-        const inner = { host: "127.0.0.1", port: 0 };
-        const agent = new ReplicaAgent({
-            config: {
-                instance: "agent",
-                fleetKeys,
-                inner,
-                replica,
-                service: "engines",
-                loadLatestAfter: 4_800,
-                loadAllowed: 9_500,
-            },
-            clock,
-            logger: silentLogger,
-            registry: new Registry(),
-            control,
-        });
-        const port = await agent.start();
-        const router = new InnerNode({
-            role: ProcessRole.Router,
-            instance: "router",
-            incarnation: "1",
-            fleetKeys,
-            clock,
-            logger: silentLogger,
-            revision: () => 0,
-            onRevision: () => {},
-            onMessage: () => {},
-            onClosed: () => {},
-        });
-        const connection = (await router.connect({ host: "127.0.0.1", port }))._unsafeUnwrap();
-        await connection.call(Topic.Fleet, syncCall(), 1_000);
-        connection.notify(Topic.Fleet, {
-            kind: FleetMessageKind.News,
-            mark: { configuration: 0, weights: 9, endpoints: 5 },
-            news: [
-                endpointNews("before", 3),
-                endpointNews("after", 5),
-                { kind: FactKind.Weights, revision: 9, model: "drafting", version: 2, age: 0 },
-            ],
-        });
-        for (let step = 0; step < 60; step++) {
-            await turns();
-            clock.advance(20);
-        }
-        agent.stop();
-        router.stop();
+        const orders = await ordersWith(() => okAsync(OrderAnswer.WrongInstance));
         expect(orders.length).to.be.within(2, 4);
         expect(new Set(orders.map(({ order }) => order.instance))).to.deep.equal(new Set(["after"]));
     });
+
+    // A replica that leaves half of its orders unanswered was out of service for 3.5 s after each of them.
+    it("repeats an order without an answer once the report shows no effect, on the same condition", async () => {
+        const orders = await ordersWith(() => errAsync("no answer"));
+        expect(orders.length).to.be.within(3, 8);
+        expect(new Set(orders.map(({ order }) => order.expectedOrders))).to.deep.equal(new Set([0]));
+    });
+
+    it("waits for the effect of an order that was accepted", async () => {
+        expect(await ordersWith(() => okAsync(OrderAnswer.Accepted))).to.have.length(1);
+    });
 });
--- a/packages/rollout/src/node/replicaAgent.ts
+++ b/packages/rollout/src/node/replicaAgent.ts
@@ -55,8 +55,15 @@
 /** Time for routers to hear that no more requests should come, before the order is given. */
 const announceTime: Milliseconds = 25;
 
-/** An order that shows no effect after this time is given again. */
-const orderPatience: Milliseconds = 2_500;
+/** An accepted order that shows no effect after this time is given again. */
+const acceptedPatience: Milliseconds = 2_500;
+
+/**
+ * An order without an answer that shows no effect after this time is given again: a replica states within some
+ * milliseconds that it is busy with one. If the first order arrives after all, one of the two is refused, since each
+ * names the number of orders that the replica has accepted before.
+ */
+const unansweredPatience: Milliseconds = 150;
 
 /** Pause after an order that the replica refused: its registration may still name an earlier start. */
 const refusedOrderPause: Milliseconds = 400;
@@ -70,6 +77,8 @@
     readonly since: Milliseconds;
     /** Absent until the order was answered or given up. */
     orderedAt: Milliseconds | undefined;
+    /** Time in which the order must show an effect. */
+    readonly patience: Milliseconds;
 }
 
 /** A model whose weights are not the newest. */
@@ -228,8 +237,8 @@
             await this.takeStep(behind, report, now);
             return;
         }
-        const { orderedAt } = this.load;
-        if (!report.busy && orderedAt !== undefined && now - orderedAt > orderPatience) {
+        const { orderedAt, patience } = this.load;
+        if (!report.busy && orderedAt !== undefined && now - orderedAt > patience) {
             this.options.logger.warn("an order showed no effect", { version: behind.target.version });
             this.load = undefined;
         }
@@ -276,7 +285,7 @@
             return;
         }
         this.loadsIn = undefined;
-        this.load = { target, since: now, orderedAt: undefined };
+        this.load = { target, since: now, orderedAt: undefined, patience: acceptedPatience };
         this.tellRouters();
         await new Promise<void>((resolve) => void clock.schedule(announceTime, resolve));
         const answer = await control.load({
@@ -302,7 +311,8 @@
             error: answer.isErr() ? answer.error : undefined,
         });
         const expected = outcome === OrderAnswer.Accepted || outcome === "unanswered";
-        this.load = expected ? { target, since: now, orderedAt: clock.now() } : undefined;
+        const patience = outcome === "unanswered" ? unansweredPatience : acceptedPatience;
+        this.load = expected ? { target, since: now, orderedAt: clock.now(), patience } : undefined;
         this.orderAfter = expected ? -Infinity : clock.now() + refusedOrderPause;
     }
 
