revert(gateway): requests that will be late do not let others pass

Those in time do not wait behind the late ones: replicas that crash take the running streams with them, and what is late was late when it was sent again. What remains to be looked at is where the second attempt goes.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -14,6 +14,5 @@
 export * from "./decision/retryAllowance.js";
 export * from "./decision/routeTable.js";
 export * from "./decision/sharedLedger.js";
-export * from "./decision/urgency.js";
 export * from "./node/gateway.js";
 export * from "./wireDialect.js";
--- a/packages/gateway/src/node/attemptRecord.ts
+++ b/packages/gateway/src/node/attemptRecord.ts
@@ -100,10 +100,9 @@
     }
 }
 
-/** Counts a request at its endpoint until it is over. What a deferred one has to read holds up no other. */
-export function openBook(choice: Choice, isDeferred: boolean): { answered: () => void; close: () => void; } {
-    const { view } = choice;
-    const readTokens = isDeferred ? 0 : choice.readTokens;
+/** Counts a request at its endpoint until it is over. */
+export function openBook(choice: Choice): { answered: () => void; close: () => void; } {
+    const { view, readTokens } = choice;
     let waiting = true;
     view.running += 1;
     view.waitingTokens += readTokens;
--- a/packages/gateway/src/node/requestTask.ts
+++ b/packages/gateway/src/node/requestTask.ts
@@ -30,7 +30,6 @@
 } from "../decision/endpointChoice.js";
 import { type PrefixHomes, prefixNames } from "../decision/prefixHomes.js";
 import type { RetryAllowance } from "../decision/retryAllowance.js";
-import { isDeferred, type UrgencyInput, urgencyRank } from "../decision/urgency.js";
 import type { AnswerFacts, DispatchFacts, PromptPart, WireDialect } from "../wireDialect.js";
 import { endToEndHeaders, writeOwnAnswer, writeWholeAnswer } from "./answerWriter.js";
 import { notRunStatuses, runAttempt, type StreamProgress } from "./attempt.js";
@@ -246,8 +245,7 @@
         this.tried.add(endpoint.instance);
         this.context.demand.record(request.service.name, choice.readTokens, sentAt);
         const waitedBehind = choice.view.waitingTokens;
-        const urgency = this.urgencyOf(choice, sentAt);
-        const book = openBook(choice, this.prompt !== undefined && isDeferred(urgency));
+        const book = openBook(choice);
         let firstAt: Milliseconds | undefined;
         const facts = this.dispatchFacts(choice, sentAt);
         const outcome = await runAttempt({
@@ -297,7 +295,7 @@
             instance: choice.view.endpoint.instance,
             timeLeft: Math.max(1, Math.floor(request.deadline - now)),
             account: request.account?.name,
-            priority: urgencyRank(this.urgencyOf(choice, now)),
+            priority: request.account?.priority ?? request.route.priority,
             lastEvent: resumed,
         };
         if (prompt === undefined) {
@@ -318,18 +316,6 @@
         };
     }
 
-    private urgencyOf(choice: Choice, now: Milliseconds): UrgencyInput {
-        const { account, arrival, route } = this.request;
-        // The first event of a stream that goes on elsewhere is with the caller; only the pause counts.
-        const isResumed = this.progress.started;
-        return {
-            rank: account?.priority ?? route.priority,
-            elapsed: isResumed ? 0 : now - arrival,
-            latency: isResumed ? 0 : choice.latency,
-            targetLatency: route.targetLatency,
-        };
-    }
-
     private endpointHeaders(facts: DispatchFacts): string[] {
         const { body, method, rawHeaders } = this.request;
         const fields = this.context.dialect.endpointHeaders(endToEndHeaders(rawHeaders), facts);
