fix(fleet,gateway): versions found after the store forgot its history are no older than its last answer

Cause: a router whose watch is answered with "history gone" reads everything again, and took a version that it found there for one of unknown age. Such a version counts as long named, so every replica with other weights was shut out at once.

Change: a reading says within what time its news has changed: 0 for changes that a watch told at once, the time since the store's last answer after failed calls or a lost history. New versions are dated by it. A change that is told after an outage is no longer taken for one that has just been named, which was an error to the unsafe side.

--- a/packages/fleet/src/__tests__/fleetState.spec.ts
+++ b/packages/fleet/src/__tests__/fleetState.spec.ts
@@ -1,5 +1,11 @@
 import { expect } from "chai";
-import { FactKind, FleetState, registrationReturnMilliseconds, replacedAt } from "../index.js";
+import {
+    FactKind,
+    type FleetFact,
+    FleetState,
+    registrationReturnMilliseconds,
+    replacedAt,
+} from "../index.js";
 import { configurationFixture, endpointFact, endpointFixture, weightsFact } from "./fleetFixture.js";
 
 describe("fleet state", () => {
@@ -77,4 +83,19 @@
         expect(replacedAt(restarted.weightsOf("drafting")!, 1)).to.equal(300);
         expect(restarted.watermark().weights).to.equal(10);
     });
+
+    it("takes weights that were named since the store's last answer for no older than that", () => {
+        const state = new FleetState();
+        const named = (version: number, age?: number): FleetFact => ({
+            kind: FactKind.Weights,
+            revision: version,
+            model: "drafting",
+            version,
+            age,
+        });
+        state.learn(named(1, 4_000), 5_000);
+        state.dateNewWeights([named(1), named(2)], 700).forEach((fact) => state.learn(fact, 10_000));
+        expect(state.weightsOf("drafting")).to.deep.include({ version: 2, namedAt: 9_300 });
+        expect(replacedAt(state.weightsOf("drafting")!, 1)).to.equal(9_300);
+    });
 });
--- a/packages/fleet/src/__tests__/storeFollower.spec.ts
+++ b/packages/fleet/src/__tests__/storeFollower.spec.ts
@@ -5,6 +5,7 @@
     type FleetReading,
     FleetScope,
     type FleetSource,
+    type ReadingKind,
     type SourceError,
     StoreFollower,
 } from "../index.js";
@@ -29,7 +30,7 @@
 function follow(answers: ResultAsync<FleetReading, SourceError>[]) {
     const { source, calls } = scriptedSource(answers);
     const clock = new FakeClock();
-    const complete: boolean[] = [];
+    const readings: ReadingKind[] = [];
     const follower = new StoreFollower({
         scope: FleetScope.Operator,
         source,
@@ -38,10 +39,10 @@
         logger: silentLogger,
         wait: 3_000,
         gatherFor: 0,
-        onReading: (_reading, isComplete) => complete.push(isComplete),
+        onReading: (_reading, kind) => readings.push(kind),
     });
     follower.start();
-    return { follower, clock, calls, complete };
+    return { follower, clock, calls, readings };
 }
 
 async function settle(): Promise<void> {
@@ -52,13 +53,16 @@
 
 describe("store follower", () => {
     it("reads once and then only waits for changes", async () => {
-        const { calls, complete } = follow([
+        const { calls, readings } = follow([
             okAsync({ facts: [], revision: 5 }),
             okAsync({ facts: [], revision: 9 }),
         ]);
         await settle();
         expect(calls).to.deep.equal(["read", "follow 5", "follow 9"]);
-        expect(complete).to.deep.equal([true, false]);
+        expect(readings).to.deep.equal([
+            { complete: true, changedWithin: undefined },
+            { complete: false, changedWithin: 0 },
+        ]);
     });
 
     it("reads everything again where the store has forgotten the changes in between", async () => {
@@ -83,4 +87,34 @@
         await settle();
         expect(calls).to.deep.equal(["read", "follow 5", "follow 5"]);
     });
+
+    // Kartela's scale-2: the history is forgotten while newer weights are named. Of unknown age, they shut out every
+    // replica that did not serve them yet.
+    it("says within what time things have changed, also where the history is gone or calls have failed", async () => {
+        const later = (
+            clock: FakeClock,
+            milliseconds: number,
+            answer: ResultAsync<FleetReading, SourceError>,
+        ) => new ResultAsync<FleetReading, SourceError>(
+            new Promise((resolve) => clock.schedule(milliseconds, () => resolve(answer))),
+        );
+        const answers: ResultAsync<FleetReading, SourceError>[] = [okAsync({ facts: [], revision: 5 })];
+        const { clock, readings } = follow(answers);
+        answers.push(
+            later(clock, 700, errAsync({ kind: "historyGone", message: "gone" })),
+            okAsync({ facts: [], revision: 30 }),
+            later(clock, 100, errAsync({ kind: "unavailable", message: "down" })),
+            okAsync({ facts: [], revision: 31 }),
+        );
+        await settle();
+        clock.advance(700);
+        await settle();
+        expect(readings.at(-1)).to.deep.equal({ complete: true, changedWithin: 700 });
+        clock.advance(100);
+        await settle();
+        clock.advance(200);
+        await settle();
+        expect(readings.at(-1)).to.have.property("complete", false);
+        expect(readings.at(-1)?.changedWithin).to.be.within(101, 300);
+    });
 });
--- a/packages/fleet/src/decision/fleetState.ts
+++ b/packages/fleet/src/decision/fleetState.ts
@@ -143,6 +143,18 @@
         }
     }
 
+    /**
+     * Dates the versions of weights in a reading by when they were named at the earliest, `changedWithin` ago. Versions
+     * that the process knows keep their dates.
+     */
+    dateNewWeights(facts: readonly FleetFact[], changedWithin: Milliseconds): FleetFact[] {
+        return facts.map((fact) =>
+            fact.kind === FactKind.Weights && fact.version > (this.weights.get(fact.model)?.version ?? 0)
+                ? { ...fact, age: changedWithin }
+                : fact
+        );
+    }
+
     /** Marks the endpoints' facts as complete up to a revision of the store. */
     endpointsCompleteTo(revision: number): void {
         this.endpointsRevision = Math.max(this.endpointsRevision, revision);
--- a/packages/fleet/src/node/storeFollower.ts
+++ b/packages/fleet/src/node/storeFollower.ts
@@ -16,6 +16,17 @@
 /** Longest pause after errors; a store that returns is used again within about this time. */
 const longestPause: Milliseconds = 1_000;
 
+/** What a reading shows. */
+export interface ReadingKind {
+    /** True for a reading of the whole scope, false for changes. */
+    readonly complete: boolean;
+    /**
+     * What is new in the reading has changed within this time: 0 for changes that the store told of at once, the time
+     * since its last answer after calls that failed; absent for the first reading.
+     */
+    readonly changedWithin: Milliseconds | undefined;
+}
+
 /** Options of {@link StoreFollower}. */
 export interface StoreFollowerOptions {
     readonly scope: FleetScope;
@@ -37,8 +48,8 @@
      * @default 0
      */
     readonly knownTo?: () => number;
-    /** Takes in facts; `complete` is true for a reading of the whole scope. */
-    readonly onReading: (reading: FleetReading, complete: boolean) => void;
+    /** Takes in facts. */
+    readonly onReading: (reading: FleetReading, kind: ReadingKind) => void;
 }
 
 /** Follows the store until stopped. */
@@ -108,6 +119,14 @@
         return this.options.isNeeded?.() ?? true;
     }
 
+    private changedWithin(complete: boolean): Milliseconds | undefined {
+        if (this.answeredAt === -Infinity) {
+            return undefined;
+        }
+        const wasTold = !complete && this.troubledAt < this.answeredAt;
+        return wasTold ? 0 : this.options.clock.now() - this.answeredAt;
+    }
+
     private succeeded(reading: FleetReading, complete: boolean): Milliseconds {
         if (this.reachable !== true) {
             this.options.logger.info("store reached", {
@@ -116,10 +135,11 @@
             });
         }
         this.reachable = true;
+        const changedWithin = this.changedWithin(complete);
         this.answeredAt = this.options.clock.now();
         this.pause = firstPause;
         this.after = Math.max(this.after ?? 0, reading.revision);
-        this.options.onReading(reading, complete);
+        this.options.onReading(reading, { complete, changedWithin });
         return reading.facts.length > 0 && !complete ? this.options.gatherFor : 0;
     }
 
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -28,6 +28,7 @@
     FollowDuty,
     logFact,
     peerName,
+    type ReadingKind,
     type ReplicaStatus,
     StoreFollower,
     type StoreFollowerOptions,
@@ -119,11 +120,6 @@
     return fact.kind !== FactKind.Endpoint || fact.endpoint === undefined || fact.endpoint.leaving;
 }
 
-/** A change that the store has just told of. */
-function justNamed(fact: FleetFact): FleetFact {
-    return fact.kind === FactKind.Weights ? { ...fact, age: 0 } : fact;
-}
-
 /** Serves callers of direct routes. */
 export class Gateway {
     private readonly state = new FleetState();
@@ -297,7 +293,7 @@
             logger: logger.scope("store"),
             wait: followWait,
             ...more,
-            onReading: (reading, complete) => this.onReading(scope, reading, complete),
+            onReading: (reading, kind) => this.onReading(scope, reading, kind),
         });
     }
 
@@ -358,15 +354,18 @@
         return route.delivery === Delivery.Whole && route.targetLatency * lateAnswerFactor < left;
     }
 
-    private onReading(scope: FleetScope, reading: FleetReading, complete: boolean): void {
-        if (scope === FleetScope.Endpoints && complete) {
+    private onReading(scope: FleetScope, reading: FleetReading, kind: ReadingKind): void {
+        if (scope === FleetScope.Endpoints && kind.complete) {
             const listed = new Set(
                 reading.facts.flatMap((fact) => fact.kind === FactKind.Endpoint ? [fact.instance] : []),
             );
             this.learn(this.state.missingFrom(listed, reading.revision), storeName);
             this.endpointsKnown = true;
         }
-        this.learn(complete ? reading.facts : reading.facts.map(justNamed), storeName);
+        const { changedWithin } = kind;
+        const { facts } = reading;
+        const dated = changedWithin === undefined ? facts : this.state.dateNewWeights(facts, changedWithin);
+        this.learn(dated, storeName);
         if (scope === FleetScope.Endpoints) {
             this.state.endpointsCompleteTo(reading.revision);
         }
