--- /dev/null
+++ b/packages/gateway/src/__tests__/stallWatch.spec.ts
@@ -0,0 +1,38 @@
+import { FakeClock, type LogFields, silentLogger } from "@redwingpin/common";
+import { expect } from "chai";
+import { watchForStalls } from "../node/stallWatch.js";
+
+function watchFixture() {
+    const clock = new FakeClock();
+    const lines: (LogFields | undefined)[] = [];
+    const logger = {
+        ...silentLogger,
+        warn: (_message: string, fields?: LogFields) => void lines.push(fields),
+    };
+    const progress = { events: 0 };
+    const attempt = { request: "a", endpoint: "i-1", events: () => progress.events };
+    return { clock, lines, progress, cancel: watchForStalls(clock, logger, attempt) };
+}
+
+describe("watch for answers that stand still", () => {
+    it("writes one line for each time that an answer comes to stand still", () => {
+        const { clock, lines, progress } = watchFixture();
+        clock.advance(9_000);
+        expect(lines).to.deep.equal([{ request: "a", endpoint: "i-1", events: 0, after: 2_000 }]);
+        progress.events = 4;
+        clock.advance(9_000);
+        expect(lines).to.have.length(2);
+        expect(lines[1]).to.have.property("events", 4);
+    });
+
+    it("writes nothing while events come or once the attempt is over", () => {
+        const { cancel, clock, lines, progress } = watchFixture();
+        for (let second = 0; second < 20; second++) {
+            progress.events += 1;
+            clock.advance(1_000);
+        }
+        cancel();
+        clock.advance(20_000);
+        expect(lines).to.deep.equal([]);
+    });
+});
--- a/packages/gateway/src/node/requestTask.ts
+++ b/packages/gateway/src/node/requestTask.ts
@@ -38,6 +38,7 @@
 import type { EndpointConnections } from "./endpointConnections.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
 import { type PromptFacts, promptFacts } from "./promptFacts.js";
+import { watchForStalls } from "./stallWatch.js";
 
 /** Time to fetch a token of a cached prefix from a cache store; its link carries 22 Gbit/s. */
 const storeFetchPerToken: Milliseconds = 0.007;
@@ -248,6 +249,11 @@
         const book = openBook(choice);
         let firstAt: Milliseconds | undefined;
         const facts = this.dispatchFacts(choice, sentAt);
+        const endWatch = watchForStalls(clock, this.context.logger, {
+            request: request.facts.attempt,
+            endpoint: endpoint.instance,
+            events: () => this.progress.events,
+        });
         const outcome = await runAttempt({
             clock,
             dialect,
@@ -274,6 +280,7 @@
                 onOtherWeights: (answer) => this.otherWeights(choice.view, answer),
             },
         });
+        endWatch();
         book.close();
         if (outcome.kind === "delivered" && firstAt !== undefined) {
             const speed = this.context.board.speed(request.service.name);
