--- a/platform/src/__tests__/launcher.spec.ts
+++ b/packages/common/src/__tests__/launcher.spec.ts
@@ -2,7 +2,7 @@
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { compileBundle, programFiles, runBundle } from "../launcher.js";
+import { compileBundle, programFiles, runBundle } from "../launch/launcher.js";
 
 describe("launcher of bundled programs", () => {
     let folder: string;
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -30,8 +30,12 @@
 
 for (const [program, main] of Object.entries(programs)) {
     await build({ ...shared, entryPoints: { [`${program}.bundle`]: `platform/dist/${main}.js` } });
-    await build({ ...shared, entryPoints: { [program]: "platform/dist/launchMain.js" } });
+    await build({ ...shared, entryPoints: { [program]: "packages/common/dist/launch/launchMain.js" } });
     // It ends for want of settings, which it says on standard error.
-    const compile = [...flagsOf(program), "platform/dist/compileMain.js", `${folder}/${program}.cjs`];
+    const compile = [
+        ...flagsOf(program),
+        "packages/common/dist/launch/compileMain.js",
+        `${folder}/${program}.cjs`,
+    ];
     execFileSync(process.execPath, compile, { env: {}, stdio: "ignore" });
 }
