fix(platform): programs of the tests get ports that nothing else is given

Cause: the last run of the checks failed once with 'waited 20000 ms in vain until router-2 is ready', with the store up and two routers starting at the same moment. Ports were found by listening on port 0 and closing again; two such searches at once were given the same port in 11 of 20,000 tries, and a replica's stand-in may be given it too. The router that comes second ends with EADDRINUSE, and the fixture waited on without saying so.

The failed run kept no log, so the collision is the cause shown to happen, not one read from that run.

--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -9,6 +9,7 @@
 export * from "./node/engineStandin.js";
 export type { Standin, StandinOptions } from "./node/httpListener.js";
 export * from "./node/networkStandin.js";
+export * from "./node/portAllocator.js";
 export { charactersPerToken } from "./node/prefixBlocks.js";
 export type { SeenReport, SeenRequest } from "./node/seenRequests.js";
 export * from "./node/serviceStandin.js";
--- a/playground/src/networkPlan.ts
+++ b/playground/src/networkPlan.ts
@@ -4,8 +4,7 @@
  *
  * @module
  */
-import type { NetworkLink } from "@redwingpin/standins";
-import type { PortAllocator } from "./ports.js";
+import type { NetworkLink, PortAllocator } from "@redwingpin/standins";
 
 /** Name of the store as the end of a link. */
 export const storeName = "store";
--- a/playground/src/playground.ts
+++ b/playground/src/playground.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { PortAllocator } from "@redwingpin/standins";
 import { execFile } from "node:child_process";
 import { randomBytes } from "node:crypto";
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
@@ -19,7 +20,6 @@
     type DeploymentSize,
 } from "./deployment.js";
 import { viewsOf } from "./networkPlan.js";
-import { PortAllocator } from "./ports.js";
 import {
     planPlayground,
     playgroundHost,
--- a/playground/src/processPlans.ts
+++ b/playground/src/processPlans.ts
@@ -4,12 +4,11 @@
  * @module
  */
 import { EndpointKind } from "@redwingpin/manifest";
-import type { NetworkLink } from "@redwingpin/standins";
+import type { NetworkLink, PortAllocator } from "@redwingpin/standins";
 import { createRequire } from "node:module";
 import { dirname, join } from "node:path";
 import type { Deployment, DeploymentSize } from "./deployment.js";
 import { type NetworkMember, planLinks, storeName } from "./networkPlan.js";
-import type { PortAllocator } from "./ports.js";
 import { PlaygroundRole, type ProcessEnvironment } from "./state.js";
 
 /** Address of everything in a playground. */
