fix(fleet): an exchange that was not due stands for the next one of the pair

Cause: before a request is refused that its account has tokens for, all routers are told at once. Those exchanges, and calls that the other router of a pair made for the same reason, did not move the next regular one, so that a pair talked two or three times within an interval.

Change: the regular exchange follows an interval after the last one of any kind. Which agents look to a router is worked out from a list that the housekeeping makes, not sorted anew for each question.

--- a/packages/fleet/src/__tests__/peerTable.spec.ts
+++ b/packages/fleet/src/__tests__/peerTable.spec.ts
@@ -3,8 +3,9 @@
 import { PeerTable } from "../index.js";
 
 const own = { host: "10.0.0.1", port: 7_600 };
-/** The own process makes the exchanges with it. */
 const other = { host: "10.0.0.2", port: 7_600 };
+/** The own process makes the exchanges with it. */
+const called = { host: "10.0.0.3", port: 7_600 };
 /** It makes the exchanges with the own process. */
 const caller = { host: "10.0.0.4", port: 7_600 };
 const agent = { host: "10.0.1.1", port: 7_600 };
@@ -118,6 +119,23 @@
         expect(dueOf(table, 200)).to.deep.equal([caller]);
     });
 
+    it("waits for the interval after exchanges that were not due, whichever router of the pair made them", () => {
+        const { clock, table } = tableFixture();
+        table.addSeeds([called]);
+        dueOf(table, 400);
+        table.answered(called);
+        clock.advance(300);
+        table.begin(called);
+        table.answered(called);
+        clock.advance(300);
+        expect(dueOf(table, 400)).to.deep.equal([]);
+        table.heardFrom(called);
+        clock.advance(300);
+        expect(dueOf(table, 400)).to.deep.equal([]);
+        clock.advance(100);
+        expect(dueOf(table, 400)).to.deep.equal([called]);
+    });
+
     it("asks agents as often as the caller chooses for each", () => {
         const { clock, table } = tableFixture();
         const second = { host: "10.0.1.2", port: 7_600 };
--- a/packages/fleet/src/decision/peerTable.ts
+++ b/packages/fleet/src/decision/peerTable.ts
@@ -43,7 +43,8 @@
 /** The peers of a process. */
 export class PeerTable {
     private readonly peers = new Map<string, Peer>();
-    private patience = longestPatience;
+    /** Interval of the exchanges with routers; `undefined` before the first. */
+    private routerInterval: Milliseconds | undefined;
 
     constructor(private readonly own: InnerAddress, private readonly clock: Clock) {}
 
@@ -61,7 +62,7 @@
             const peer = this.ensure(address, true);
             if (peer !== undefined) {
                 peer.knownAt = this.clock.now();
-                peer.nextDue += isNew && !peer.isInitiated ? this.patience : 0;
+                peer.nextDue += isNew && !peer.isInitiated ? this.pauseOf(peer) : 0;
             }
         }
     }
@@ -85,15 +86,12 @@
         agentInterval: (address: InnerAddress) => Milliseconds,
     ): InnerAddress[] {
         const now = this.clock.now();
-        this.patience = Math.min(longestPatience, patientIntervals * routerInterval);
+        this.routerInterval = routerInterval;
         this.dropGone(now);
         const due = [...this.peers.values()].filter((peer) => !peer.busy && peer.nextDue <= now);
         for (const peer of due) {
             peer.busy = true;
-            peer.nextDue = now
-                + (peer.isRouter
-                    ? (peer.isInitiated ? routerInterval : this.patience)
-                    : agentInterval(peer.address));
+            peer.nextDue = now + (peer.isRouter ? this.pauseOf(peer) : agentInterval(peer.address));
         }
         return due.map((peer) => peer.address);
     }
@@ -111,11 +109,12 @@
         return due.map((peer) => peer.address);
     }
 
-    /** Notes that an exchange with a peer begins that was not due. */
+    /** Notes that an exchange with a router begins that was not due; it stands for the next one that is. */
     begin(address: InnerAddress): void {
         const peer = this.peers.get(peerName(address));
         if (peer !== undefined) {
             peer.busy = true;
+            peer.nextDue = this.clock.now() + this.pauseOf(peer);
         }
     }
 
@@ -162,8 +161,9 @@
         const peer = this.ensure(address, true);
         if (peer !== undefined) {
             peer.heardAt = this.clock.now();
-            if (!peer.isInitiated && !peer.isLost) {
-                peer.nextDue = Math.max(peer.nextDue, peer.heardAt + this.patience);
+            if (!peer.isLost) {
+                // The answer tells it all that is known here.
+                peer.nextDue = Math.max(peer.nextDue, peer.heardAt + this.pauseOf(peer));
             }
             if (peer.failures > 0) {
                 // It calls, so it can be reached again.
@@ -204,6 +204,17 @@
             .map((peer) => peerName(peer.address));
     }
 
+    /** Time from one exchange with a router to the next one that this process makes. */
+    private pauseOf(peer: Peer): Milliseconds {
+        const { routerInterval } = this;
+        if (peer.isInitiated) {
+            return routerInterval ?? 0;
+        }
+        return routerInterval === undefined
+            ? longestPatience
+            : Math.min(longestPatience, patientIntervals * routerInterval);
+    }
+
     private routers(): Peer[] {
         return [...this.peers.values()].filter((peer) => peer.isRouter);
     }
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -145,6 +145,8 @@
     private bounds: ResolvedGatewayConfig;
     private table: RouteTable | undefined;
     private endpointsKnown = false;
+    /** Names of the routers in touch, this one included, in order; looked up at each housekeeping. */
+    private routersInTouch: readonly string[] = [];
     private stopping = false;
     /** Set once no more connections are taken: when the process ends at the latest. */
     private closingUntil: Milliseconds | undefined;
@@ -380,8 +382,7 @@
     /** True where this router, of all that are in touch, is the one to pass on news to an agent. */
     private isHomeOf(agent: InnerAddress): boolean {
         const own = peerName(this.options.config.inner);
-        const routers = [own, ...this.sync.liveRouterNames()].sort();
-        return this.homesOfAgents.ownerOf(peerName(agent), routers) === own;
+        return this.homesOfAgents.ownerOf(peerName(agent), this.routersInTouch) === own;
     }
 
     /** Takes in facts and acts on those that are news. */
@@ -439,10 +440,9 @@
             this.board.update(this.state);
         }
         this.reports.turn(now);
-        this.ledger.fleetChanged(
-            { live: this.sync.liveRouterNames(), silent: this.sync.silentRouters() },
-            now,
-        );
+        const live = this.sync.liveRouterNames();
+        this.routersInTouch = [peerName(this.options.config.inner), ...live].sort();
+        this.ledger.fleetChanged({ live, silent: this.sync.silentRouters() }, now);
         this.cancelHousekeeping = clock.schedule(housekeepingInterval, () => this.housekeep());
     }
 }
