--- /dev/null
+++ b/packages/gateway/src/decision/prefixPlacement.ts
@@ -0,0 +1,106 @@
+/**
+ * Where the shared prefix of one request is believed to lie, and from where an endpoint can fetch what it lacks.
+ *
+ * @module
+ */
+import type { Milliseconds } from "@redwingpin/common";
+import type { PromptPart } from "../wireDialect.js";
+import type { EndpointView } from "./endpointBoard.js";
+import { type PrefixHomes, prefixNames } from "./prefixHomes.js";
+
+/** Shared prefixes below this size are read again faster than they are looked up elsewhere. */
+const minFetchedTokens = 512;
+
+/** What an endpoint holds of a shared prefix and where it may fetch the rest. */
+export interface PrefixSource {
+    /** Tokens that it is believed to hold. */
+    readonly cached: number;
+    /** Tokens that it can fetch. */
+    readonly fetched: number;
+    readonly source: { readonly address: string; readonly isStore: boolean; } | undefined;
+}
+
+/** Options of {@link PrefixPlacement}. */
+export interface PrefixPlacementOptions {
+    readonly homes: PrefixHomes;
+    /** Endpoints of the request's service. */
+    readonly views: () => readonly EndpointView[];
+    readonly model: string;
+    readonly parts: readonly PromptPart[];
+    /** Text under which prefixes read by weights of a version may be found. */
+    readonly scope: (version: number | undefined) => string;
+}
+
+/** Knows where one request's prefix lies, for each version of the weights. */
+export class PrefixPlacement {
+    private readonly names = new Map<string, readonly string[]>();
+    private readonly sharedTokens: number;
+
+    constructor(private readonly options: PrefixPlacementOptions) {
+        this.sharedTokens = options.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
+    }
+
+    /** What an endpoint need not read, and where it may fetch what it lacks. */
+    sourceFor(view: EndpointView, version: number | undefined, now: Milliseconds): PrefixSource {
+        const { homes, parts } = this.options;
+        const names = this.namesOf(version);
+        const cached = homes.heldTokens(view.endpoint.instance, names, parts);
+        if (this.sharedTokens < minFetchedTokens) {
+            return { cached, fetched: 0, source: undefined };
+        }
+        const store = homes.storeOf(names);
+        if (store === undefined) {
+            return this.fetchFromHome(view, version, cached, now);
+        }
+        const fetched = Math.max(0, homes.savedTokens(names, parts) - cached);
+        return { cached, fetched, source: { address: store, isStore: true } };
+    }
+
+    /** The cache store to which an endpoint should save the prefix; `undefined` where it lies there or is too small. */
+    saveTo(version: number | undefined): string | undefined {
+        const { homes, parts } = this.options;
+        const names = this.namesOf(version);
+        const isWorthSaving = this.sharedTokens >= minFetchedTokens
+            && homes.savedTokens(names, parts) < this.sharedTokens;
+        return isWorthSaving ? homes.storeOf(names) : undefined;
+    }
+
+    /** Names of the nested prefixes as weights of a version read them. */
+    namesOf(version: number | undefined): readonly string[] {
+        const scope = this.options.scope(version);
+        let names = this.names.get(scope);
+        if (names === undefined) {
+            names = prefixNames(scope, this.options.parts);
+            this.names.set(scope, names);
+        }
+        return names;
+    }
+
+    private fetchFromHome(
+        view: EndpointView,
+        version: number | undefined,
+        cached: number,
+        now: Milliseconds,
+    ): PrefixSource {
+        const home = this.homeOf(version, now);
+        if (home === view || home === undefined) {
+            return { cached, fetched: 0, source: undefined };
+        }
+        const address = `${home.endpoint.host}:${home.endpoint.port}`;
+        const fetched = Math.max(0, this.sharedTokens - cached);
+        return { cached, fetched, source: { address, isStore: false } };
+    }
+
+    /** The home of the shared prefix among the endpoints with the same weights. */
+    private homeOf(version: number | undefined, now: Milliseconds): EndpointView | undefined {
+        const { homes, model, views } = this.options;
+        const serving = views().filter((view) =>
+            !view.endpoint.leaving && !view.isDown(now) && view.weightsVersion(model, now) === version
+        );
+        const name = this.namesOf(version).at(-2);
+        const home = name === undefined
+            ? undefined
+            : homes.homeOf(name, serving.map((view) => view.endpoint.instance));
+        return serving.find((view) => view.endpoint.instance === home);
+    }
+}
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -10,6 +10,7 @@
 export * from "./decision/endpointChoice.js";
 export * from "./decision/eventStreamReader.js";
 export * from "./decision/prefixHomes.js";
+export * from "./decision/prefixPlacement.js";
 export * from "./decision/relayBook.js";
 export * from "./decision/retryAllowance.js";
 export * from "./decision/routeTable.js";
--- a/packages/gateway/src/node/requestTask.ts
+++ b/packages/gateway/src/node/requestTask.ts
@@ -28,9 +28,10 @@
     type PromptNeeds,
     type WeightsBounds,
 } from "../decision/endpointChoice.js";
-import { type PrefixHomes, prefixNames } from "../decision/prefixHomes.js";
+import type { PrefixHomes } from "../decision/prefixHomes.js";
+import { PrefixPlacement } from "../decision/prefixPlacement.js";
 import type { RetryAllowance } from "../decision/retryAllowance.js";
-import type { AnswerFacts, DispatchFacts, PromptPart, WireDialect } from "../wireDialect.js";
+import type { AnswerFacts, DispatchFacts, WireDialect } from "../wireDialect.js";
 import { endToEndHeaders, writeOwnAnswer, writeWholeAnswer } from "./answerWriter.js";
 import { notRunStatuses, runAttempt, type StreamProgress } from "./attempt.js";
 import { openBook, recordAttempt } from "./attemptRecord.js";
@@ -46,9 +47,6 @@
 /** Time to fetch a token of a cached prefix from another replica; links between replicas carry 280 Gbit/s. */
 const replicaFetchPerToken: Milliseconds = 0.001;
 
-/** Shared prefixes below this size are read again faster than they are looked up elsewhere. */
-const minFetchedTokens = 512;
-
 /** Part of an engine's cache that all routers together count on. */
 const countedCacheShare = 0.6;
 
@@ -86,24 +84,11 @@
     return task.run();
 }
 
-/** What an endpoint holds of a shared prefix and where it may fetch the rest. */
-interface PrefixSource {
-    /** Tokens that it is believed to hold. */
-    readonly cached: number;
-    /** Tokens that it can fetch. */
-    readonly fetched: number;
-    readonly source: { readonly address: string; readonly isStore: boolean; } | undefined;
-}
-
-function tokensOf(parts: readonly PromptPart[]): number {
-    return parts.reduce((sum, part) => sum + part.tokens, 0);
-}
-
 class RequestTask {
     private readonly tried = new Set<string>();
     private readonly progress: StreamProgress;
     private readonly prompt: PromptFacts | undefined;
-    private readonly names = new Map<string, readonly string[]>();
+    private readonly placement: PrefixPlacement | undefined;
     private attempts = 0;
 
     constructor(
@@ -113,6 +98,13 @@
     ) {
         this.progress = { started: false, lastEvent: request.facts.lastEvent, events: 0 };
         this.prompt = promptFacts(request, context.state);
+        this.placement = this.prompt && new PrefixPlacement({
+            homes: context.homes,
+            views: () => context.board.ofService(request.service.name),
+            model: this.prompt.model,
+            parts: request.facts.parts,
+            scope: this.prompt.scope,
+        });
     }
 
     async run(): Promise<RequestOutcome> {
@@ -157,78 +149,29 @@
             targetLatency: this.request.route.targetLatency,
             elapsed: now - this.request.arrival,
             tried: this.tried,
-            prompt: this.prompt === undefined ? undefined : this.promptNeeds(this.prompt),
+            prompt: this.promptNeeds(now),
             bounds: weightsBounds(),
         });
     }
 
-    private promptNeeds(prompt: PromptFacts): PromptNeeds {
+    private promptNeeds(now: Milliseconds): PromptNeeds | undefined {
+        const { placement, prompt } = this;
+        if (prompt === undefined || placement === undefined) {
+            return undefined;
+        }
         return {
             model: prompt.model,
             named: prompt.named,
             promptTokens: this.request.facts.promptTokens,
             outputTokens: this.request.facts.outputTokens,
             ready: (view, version) => {
-                const { cached, fetched, source } = this.prefixSource(prompt, view, version);
+                const { cached, fetched, source } = placement.sourceFor(view, version, now);
                 const perToken = source?.isStore === true ? storeFetchPerToken : replicaFetchPerToken;
                 return { tokens: cached + fetched, fetchTime: fetched * perToken };
             },
         };
     }
 
-    /** What an endpoint needs not read, and where it may fetch what it lacks. */
-    private prefixSource(prompt: PromptFacts, view: EndpointView, version: number | undefined): PrefixSource {
-        const { homes } = this.context;
-        const { parts } = this.request.facts;
-        const shared = parts.slice(0, -1);
-        const sharedTokens = tokensOf(shared);
-        const names = this.namesIn(prompt.scope(version));
-        const held = homes.heldTokens(view.endpoint.instance, names, parts);
-        if (sharedTokens < minFetchedTokens) {
-            return { cached: held, fetched: 0, source: undefined };
-        }
-        const store = homes.storeOf(names);
-        if (store === undefined) {
-            const home = this.homeOf(prompt, names, version);
-            const address = home && `${home.endpoint.host}:${home.endpoint.port}`;
-            return home === view || address === undefined
-                ? { cached: held, fetched: 0, source: undefined }
-                : {
-                    cached: held,
-                    fetched: Math.max(0, sharedTokens - held),
-                    source: { address, isStore: false },
-                };
-        }
-        const saved = Math.max(0, homes.savedTokens(names, parts) - held);
-        return { cached: held, fetched: saved, source: { address: store, isStore: true } };
-    }
-
-    /** The home of the shared prefix among the endpoints with the same weights. */
-    private homeOf(
-        prompt: PromptFacts,
-        names: readonly string[],
-        version: number | undefined,
-    ): EndpointView | undefined {
-        const now = this.context.clock.now();
-        const views = this.context.board.ofService(this.request.service.name).filter((view) =>
-            !view.endpoint.leaving && !view.isDown(now) && view.weightsVersion(prompt.model, now) === version
-        );
-        const name = names.at(-2);
-        const home = name === undefined
-            ? undefined
-            : this.context.homes.homeOf(name, views.map((view) => view.endpoint.instance));
-        return views.find((view) => view.endpoint.instance === home);
-    }
-
-    private namesIn(scope: string): readonly string[] {
-        let names = this.names.get(scope);
-        if (names === undefined) {
-            names = prefixNames(scope, this.request.facts.parts);
-            this.names.set(scope, names);
-        }
-        return names;
-    }
-
     private takeRetry(reason: RetryReason): boolean {
         const { clock, logger, metrics, retries, routers } = this.context;
         const allowed = retries.tryRetry(this.request.service.name, routers(), clock.now());
@@ -296,7 +239,7 @@
     }
 
     private dispatchFacts(choice: Choice, now: Milliseconds): DispatchFacts {
-        const { request, prompt } = this;
+        const { placement, prompt, request } = this;
         const resumed = this.progress.started ? this.progress.lastEvent : undefined;
         const common: DispatchFacts = {
             instance: choice.view.endpoint.instance,
@@ -305,21 +248,15 @@
             priority: request.account?.priority ?? request.route.priority,
             lastEvent: resumed,
         };
-        if (prompt === undefined) {
+        if (prompt === undefined || placement === undefined) {
             return common;
         }
-        const scope = prompt.scope(choice.version);
-        const { parts } = request.facts;
-        const shared = tokensOf(parts.slice(0, -1));
-        const names = this.namesIn(scope);
-        const saved = this.context.homes.savedTokens(names, parts);
-        const isWorthSaving = shared >= minFetchedTokens && saved < shared;
         return {
             ...common,
-            cacheScope: scope,
+            cacheScope: prompt.scope(choice.version),
             expectedVersion: choice.version,
-            fetchFrom: this.prefixSource(prompt, choice.view, choice.version).source?.address,
-            saveTo: isWorthSaving ? this.context.homes.storeOf(names) : undefined,
+            fetchFrom: placement.sourceFor(choice.view, choice.version, now).source?.address,
+            saveTo: placement.saveTo(choice.version),
         };
     }
 
@@ -347,19 +284,19 @@
         alone: boolean,
     ): void {
         const { board, clock, homes, metrics, routers } = this.context;
-        const { request, prompt } = this;
+        const { placement, prompt, request } = this;
         metrics.firstAnswer(request.route.name, clock.now() - request.arrival);
         if (alone) {
             board.speed(request.service.name).observe(choice.readTokens, latency);
         }
-        if (prompt === undefined) {
+        if (prompt === undefined || placement === undefined) {
             return;
         }
         if (answer.weightsVersion !== undefined) {
             choice.view.observeWeights(prompt.model, answer.weightsVersion, clock.now());
         }
         const { parts } = request.facts;
-        const names = this.namesIn(facts.cacheScope ?? "");
+        const names = placement.namesOf(choice.version);
         const cacheTokens = request.service.engine?.cacheTokens ?? 0;
         homes.recordRead(
             choice.view.endpoint.instance,
