fix(fleet): a configuration is asked of one peer, not sent by all of them

Each of 27 routers that had the configuration sent it to every peer that did not, so a router with a slow link was sent up to 26 copies beside the store's own, and its link was busy for seconds: from second 26 on most requests at those routers were late or unanswered, and bytes between data centres were the largest price.

Ruled out: routers cut from the store (they had its answers); the reading of the configuration (milliseconds).

Change: exchanges only say which version a process has. Who is behind asks one peer at a time, not before the store that answers had 0.9 s to deliver; agents and routers that the store turns away ask at once.

Tests: 26 peers that have it are asked once; one that does not deliver is followed by another; over real connections a router gets it from one of five.

--- a/packages/fleet/src/__tests__/fleetSync.spec.ts
+++ b/packages/fleet/src/__tests__/fleetSync.spec.ts
@@ -1,7 +1,16 @@
 import { silentLogger, systemClock } from "@redwingpin/common";
 import { type InnerAddress, InnerNode, ProcessRole } from "@redwingpin/protocol";
 import { expect } from "chai";
-import { emptyReport, FleetState, FleetSync, peerName, routerInterval } from "../index.js";
+import {
+    emptyReport,
+    FactKind,
+    type FleetFact,
+    FleetState,
+    FleetSync,
+    peerName,
+    routerInterval,
+} from "../index.js";
+import { configurationFixture } from "./fleetFixture.js";
 
 const fleetKeys = [{ identity: "fleet", secret: Buffer.alloc(32, 7) }] as const;
 
@@ -21,6 +30,8 @@
     });
     const port = await innerNode.listen("127.0.0.1", 0);
     const address: InnerAddress = { host: "127.0.0.1", port };
+    const state = new FleetState();
+    const news: FleetFact[] = [];
     const told = new Map<string, number>();
     const heard = new Map<string, number>();
     const start = (seeds: readonly InnerAddress[]) => {
@@ -28,9 +39,10 @@
             clock: systemClock,
             logger: silentLogger,
             innerNode,
-            state: new FleetState(),
+            state,
             address,
             role: ProcessRole.Router,
+            storeAnswers: () => false,
             seeds,
             agents: () => [],
             report: () => ({ ...emptyReport, spent: [{ account: "makers", tokens }] }),
@@ -39,7 +51,10 @@
             onReport: (peer, report) => heard.set(peer.instance, report.spent[0].tokens),
             onReplica: () => {},
             onTold: (_peer, address, report) => told.set(peerName(address), report.spent[0].tokens),
-            onNews: () => {},
+            onNews: (facts) => {
+                news.push(...facts);
+                facts.forEach((fact) => state.learn(fact, 0));
+            },
         });
         sync.start();
         const stop = () => {
@@ -48,7 +63,15 @@
         };
         return { sync, stop };
     };
-    return { address, told, heard, start, connections: () => innerNode.openConnections().length };
+    return {
+        address,
+        told,
+        heard,
+        news,
+        state,
+        start,
+        connections: () => innerNode.openConnections().length,
+    };
 }
 
 async function until(condition: () => boolean): Promise<void> {
@@ -92,6 +115,26 @@
         }
     });
 
+    it("gets a configuration that it lacks from one of the routers that have it", async () => {
+        const routers = await Promise.all([1, 2, 3, 4, 5, 6].map((tokens) => routerFixture(tokens)));
+        const [behind, ...informed] = routers;
+        const fact = {
+            kind: FactKind.Configuration,
+            revision: 9,
+            configuration: configurationFixture(7),
+        } as const;
+        informed.forEach(({ state }) => state.learn(fact, 0));
+        const started = routers.map((router) => router.start([routers[0].address]));
+        try {
+            await until(() => behind.state.configuration?.version === 7);
+            await until(() => started[0].sync.liveRouters() === 5);
+            expect(behind.news).to.deep.equal([fact]);
+        }
+        finally {
+            started.forEach(({ stop }) => stop());
+        }
+    });
+
     it("makes no more exchanges a second in a larger fleet", () => {
         for (const peers of [4, 26, 300]) {
             expect(peers * 1_000 / routerInterval(peers, true), `${peers} peers`).to.be.at.most(41);
--- a/packages/fleet/src/decision/fleetState.ts
+++ b/packages/fleet/src/decision/fleetState.ts
@@ -180,17 +180,17 @@
         return gone;
     }
 
-    /** Facts that a process at `mark` lacks. */
+    /** The configuration, for a process that has `version`; empty where that is not older. */
+    configurationSince(version: number): FleetFact[] {
+        const fact = this.configurationFact;
+        return fact === undefined || fact.value.version <= version
+            ? []
+            : [{ kind: FactKind.Configuration, revision: fact.revision, configuration: fact.value }];
+    }
+
+    /** Facts that a process at `mark` lacks, but for the configuration, which it has to ask for. */
     newsSince(mark: FleetWatermark, now: Milliseconds): FleetFact[] {
         const news: FleetFact[] = [];
-        const configuration = this.configurationFact;
-        if (configuration !== undefined && configuration.value.version > mark.configuration) {
-            news.push({
-                kind: FactKind.Configuration,
-                revision: configuration.revision,
-                configuration: configuration.value,
-            });
-        }
         for (const { model, version, revision, namedAt } of this.weights.values()) {
             if (revision > mark.weights) {
                 const age = Number.isFinite(namedAt) ? now - namedAt : undefined;
--- a/packages/fleet/src/fleetMessages.ts
+++ b/packages/fleet/src/fleetMessages.ts
@@ -137,6 +137,8 @@
     News = "news",
     /** An agent's replica has changed. */
     Replica = "replica",
+    /** Asks for the configuration, answered by {@link ConfigurationReply}. */
+    FetchConfiguration = "fetchConfiguration",
 }
 
 /** What a process says first in an exchange. */
@@ -175,8 +177,21 @@
     readonly replica: ReplicaStatus;
 }
 
-/** Every message on the topic, but for the reply. */
-export type FleetMessage = SyncCall | NewsMessage | ReplicaMessage;
+/** Asks a peer that has a newer configuration for it. */
+export interface FetchConfigurationCall {
+    readonly kind: FleetMessageKind.FetchConfiguration;
+    /** Version that the sender has; 0 for none. */
+    readonly version: number;
+}
+
+/** Answers a {@link FetchConfigurationCall}. */
+export interface ConfigurationReply {
+    /** The configuration; empty where the sender has none that is newer. */
+    readonly news: readonly FleetFact[];
+}
+
+/** Every message on the topic, but for the replies. */
+export type FleetMessage = SyncCall | NewsMessage | ReplicaMessage | FetchConfigurationCall;
 
 const markShape = { configuration: isCount, weights: isCount, endpoints: isCount };
 const isAddress = isShaped({ host: isText, port: isCount });
@@ -208,6 +223,7 @@
         isShaped({ incarnation: isText, age: isAmount, spent: isListOf(isShaped(spendingShape)) }),
     ),
     replica: isOptional(isShaped(replicaShape)),
+    replicas: isListOf(isShaped({ status: isShaped(replicaShape), age: isAmount })),
     service: isOptional(isShaped({ replicas: isListOf(isProgress), spare: isCount })),
 };
 const isFact = isShaped({ kind: isText, revision: isCount });
@@ -219,11 +235,12 @@
 });
 const isNews = isShaped({ news: isListOf(isFact), mark: isShaped(markShape) });
 const isReplicaMessage = isShaped({ replica: isShaped(replicaShape) });
+const isFetch = isShaped({ version: isCount });
+const isConfigurationReply = isShaped({ news: isListOf(isFact) });
 const isReply = isShaped({
     mark: isShaped(markShape),
     news: isListOf(isFact),
     routers: isListOf(isAddress),
-    replicas: isListOf(isShaped({ status: isShaped(replicaShape), age: isAmount })),
     report: isShaped(reportShape),
     number: isCount,
 });
@@ -237,6 +254,8 @@
             return isNews(body) ? body as NewsMessage : undefined;
         case FleetMessageKind.Replica:
             return isReplicaMessage(body) ? body as ReplicaMessage : undefined;
+        case FleetMessageKind.FetchConfiguration:
+            return isFetch(body) ? body as FetchConfigurationCall : undefined;
         default:
             return undefined;
     }
@@ -246,3 +265,8 @@
 export function readSyncReply(body: unknown): SyncReply | undefined {
     return isReply(body) ? body as SyncReply : undefined;
 }
+
+/** Reads the answer to a {@link FetchConfigurationCall}; `undefined` where it has another shape. */
+export function readConfigurationReply(body: unknown): ConfigurationReply | undefined {
+    return isConfigurationReply(body) ? body as ConfigurationReply : undefined;
+}
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * from "./decision/configurationFetch.js";
 export * from "./decision/fleetState.js";
 export * from "./decision/followDuty.js";
 export * from "./decision/peerTable.js";
--- a/packages/fleet/src/node/fleetSync.ts
+++ b/packages/fleet/src/node/fleetSync.ts
@@ -15,11 +15,14 @@
     ProcessRole,
     Topic,
 } from "@redwingpin/protocol";
+import { ConfigurationFetch, fetchTimeout } from "../decision/configurationFetch.js";
 import type { FleetFact, FleetState } from "../decision/fleetState.js";
 import { peerName, PeerTable } from "../decision/peerTable.js";
 import {
+    type ConfigurationReply,
     FleetMessageKind,
     type PeerReport,
+    readConfigurationReply,
     readFleetMessage,
     readSyncReply,
     type ReplicaStatus,
@@ -63,6 +66,8 @@
     /** Where this process listens. */
     readonly address: InnerAddress;
     readonly role: ProcessRole;
+    /** True while the store itself tells this process of configurations. */
+    readonly storeAnswers: () => boolean;
     /** Routers named by the settings. */
     readonly seeds: readonly InnerAddress[];
     /** Agents that this process should talk to. */
@@ -87,6 +92,7 @@
     private readonly peers: PeerTable;
     /** Exchanges under way, by the peer's name. */
     private readonly exchanges = new Map<string, Promise<void>>();
+    private readonly configurationFetch = new ConfigurationFetch<Hello>();
     private settling: Promise<void> = Promise.resolve();
     private nextSettling: Promise<void> | undefined;
     private replies = 0;
@@ -176,12 +182,6 @@
         }
     }
 
-    private tick(): void {
-        if (this.stopped) {
-            return;
-        }
-        this.round();
-        this.cancelTick = this.options.clock.schedule(tickInterval, () => this.tick());
     /** A router whose connection closes may have ended: an agent looks for it, for it may start without knowing anything. */
     connectionClosed(peer: Hello): void {
         const address = this.routerAddresses.get(peer);
@@ -190,6 +190,13 @@
         }
     }
 
+    private tick(): void {
+        if (this.stopped) {
+            return;
+        }
+        this.round();
+        this.fetchConfiguration();
+        this.cancelTick = this.options.clock.schedule(tickInterval, () => this.tick());
     }
 
     private round(): void {
@@ -207,6 +214,43 @@
         }
     }
 
+    private get configurationVersion(): number {
+        return this.options.state.watermark().configuration;
+    }
+
+    /** Notes the configuration that a peer has, and asks for it where it is time to. */
+    private offered(peer: Hello, version: number): void {
+        const now = this.options.clock.now();
+        this.configurationFetch.offered(peer, version, this.configurationVersion, now);
+        this.fetchConfiguration();
+    }
+
+    private fetchConfiguration(): void {
+        const { clock, storeAnswers } = this.options;
+        const peer = this.configurationFetch.next(this.configurationVersion, storeAnswers(), clock.now());
+        if (peer !== undefined && !this.stopped) {
+            void this.fetchFrom(peer);
+        }
+    }
+
+    private async fetchFrom(peer: Hello): Promise<void> {
+        const { innerNode, logger, onNews } = this.options;
+        const version = this.configurationVersion;
+        const connection = innerNode.openConnections().find((candidate) => candidate.peer === peer);
+        const call = { kind: FleetMessageKind.FetchConfiguration, version };
+        const answer = await connection?.call(Topic.Fleet, call, fetchTimeout);
+        const reply = answer?.isOk() ? readConfigurationReply(answer.value) : undefined;
+        const delivered = reply !== undefined && reply.news.length > 0;
+        if (!delivered) {
+            const error = answer?.isErr() ? answer.error.message : "no configuration in the answer";
+            logger.warn("a peer did not deliver its configuration", { peer: peer.instance, version, error });
+        }
+        this.configurationFetch.ended(delivered);
+        if (delivered) {
+            onNews(reply.news, peer);
+        }
+    }
+
     private exchange(address: InnerAddress): Promise<void> {
         const name = peerName(address);
         const exchange = this.callPeer(address).finally(() => {
@@ -255,9 +299,10 @@
             onNews(reply.news, connection.peer);
         }
         state.endpointsCompleteTo(reply.mark.endpoints);
+        this.offered(connection.peer, reply.mark.configuration);
         onReport(connection.peer, reply.report, address);
         const news = state.newsSince(reply.mark, this.options.clock.now());
-        if (news.length > 0) {
+        if (news.length > 0 || reply.mark.configuration < this.configurationVersion) {
             connection.notify(Topic.Fleet, { kind: FleetMessageKind.News, news, mark: state.watermark() });
         }
     }
@@ -268,24 +313,29 @@
         }
     }
 
-    private async answer(body: unknown, from: Hello): Promise<SyncReply | undefined> {
+    private async answer(body: unknown, from: Hello): Promise<SyncReply | ConfigurationReply | undefined> {
         const message = readFleetMessage(body);
         switch (message?.kind) {
             case FleetMessageKind.Sync: {
                 if (message.address !== undefined) {
                     this.peers.heardFrom(message.address);
+                    this.routerAddresses.set(from, message.address);
                     this.options.innerNode.adopt(from, message.address);
                 }
                 this.options.onReport(from, message.report, message.address);
+                this.offered(from, message.mark.configuration);
                 return this.replyTo(message, from);
             }
             case FleetMessageKind.News:
                 this.options.onNews(message.news, from);
                 this.options.state.endpointsCompleteTo(message.mark.endpoints);
+                this.offered(from, message.mark.configuration);
                 return undefined;
             case FleetMessageKind.Replica:
                 this.options.onReplica(message.replica);
                 return undefined;
+            case FleetMessageKind.FetchConfiguration:
+                return { news: this.options.state.configurationSince(message.version) };
             case undefined:
                 this.options.logger.warn("a peer sent a malformed message", { peer: from.instance });
                 return undefined;
@@ -319,7 +369,6 @@
         const routers = this.peers.routersHeard();
         const names = routers.map(peerName).join(" ");
         if (this.sentRouters.get(peer) === names) {
-                    this.routerAddresses.set(from, message.address);
             return [];
         }
         this.sentRouters.set(peer, names);
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -135,6 +135,7 @@
     private readonly innerNode: InnerNode;
     private readonly sync: FleetSync;
     private readonly followers: readonly StoreFollower[];
+    private readonly operatorFollower: StoreFollower;
     private readonly endpointsFollower: StoreFollower;
     private readonly followDuty: FollowDuty;
     private readonly server: DirectServer;
@@ -184,7 +185,8 @@
             isNeeded: () => this.followDuty.isOwn(this.sync.liveRouterNames()),
             knownTo: () => this.state.watermark().endpoints,
         });
-        this.followers = [this.createFollower(FleetScope.Operator, { gatherFor: 0 }), this.endpointsFollower];
+        this.operatorFollower = this.createFollower(FleetScope.Operator, { gatherFor: 0 });
+        this.followers = [this.operatorFollower, this.endpointsFollower];
         this.server = this.createServer();
         this.readiness = createServer((request, response) => {
             const known = request.url === config.readinessPath;
@@ -270,6 +272,7 @@
             state: this.state,
             address: config.inner,
             role: ProcessRole.Router,
+            storeAnswers: () => this.operatorFollower.isReachable,
             seeds: config.seeds,
             agents: () => this.agentAddresses(),
             report: (peer, address) => this.reports.reportFor(peer, address),
@@ -385,9 +388,6 @@
         return this.homesOfAgents.ownerOf(peerName(agent), this.routersInTouch) === own;
     }
 
-    /** Takes in facts and acts on those that are news. */
-    private learn(facts: readonly FleetFact[], from: string): void {
-        const now = this.options.clock.now();
     /** Agents that look to this router since another one came or went are asked at once. */
     private setRoutersInTouch(routers: readonly string[]): void {
         if (routers.join() !== this.routersInTouch.join()) {
@@ -396,6 +396,9 @@
         }
     }
 
+    /** Takes in facts and acts on those that are news. */
+    private learn(facts: readonly FleetFact[], from: string): void {
+        const now = this.options.clock.now();
         const troubledAt = Math.max(...this.followers.map((follower) => follower.lastTrouble));
         const news = facts.filter((fact) => this.state.learn(fact, now, troubledAt));
         if (news.length === 0) {
@@ -453,5 +456,4 @@
         this.ledger.fleetChanged({ live, silent: this.sync.silentRouters() }, now);
         this.cancelHousekeeping = clock.schedule(housekeepingInterval, () => this.housekeep());
     }
-        this.reports.turn(now);
 }
--- a/packages/rollout/src/node/replicaAgent.ts
+++ b/packages/rollout/src/node/replicaAgent.ts
@@ -137,6 +137,7 @@
             state: this.state,
             address: config.inner,
             role: ProcessRole.Agent,
+            storeAnswers: () => false,
             seeds: [],
             agents: () => [],
             report: () => this.peerReport(),
