fix(gateway): of two registrations at one address the later one counts

Cause: after all machines lost power, the replicas start again under new instances at their old addresses, and the registrations of before stay until they lapse, for three heartbeats.

Change: the board offers the latest registration at each address, as agents do when they look for their own replica's.

--- a/packages/gateway/src/decision/endpointBoard.ts
+++ b/packages/gateway/src/decision/endpointBoard.ts
@@ -9,6 +9,7 @@
     DirectEndpoint,
     EndpointLoad,
     FleetState,
+    KnownEndpoint,
     RelayedStatus,
     ReplicaStatus,
 } from "@redwingpin/fleet";
@@ -221,7 +222,7 @@
     update(state: FleetState): void {
         const instances = new Set<string>();
         this.byService.clear();
-        for (const { endpoint } of state.endpoints()) {
+        for (const { endpoint } of latestAtEachAddress(state.endpoints())) {
             instances.add(endpoint.instance);
             const view = this.views.get(endpoint.instance) ?? new EndpointView(endpoint);
             view.endpoint = endpoint;
@@ -282,3 +283,18 @@
             }));
     }
 }
+
+/**
+ * The latest registration at each address: a replica that starts again has a new instance, and the registration of the
+ * one before stays until it lapses.
+ */
+function latestAtEachAddress(endpoints: Iterable<KnownEndpoint>): Iterable<KnownEndpoint> {
+    const latest = new Map<string, KnownEndpoint>();
+    for (const known of endpoints) {
+        const address = `${known.endpoint.host}:${known.endpoint.port}`;
+        if (known.revision > (latest.get(address)?.revision ?? -Infinity)) {
+            latest.set(address, known);
+        }
+    }
+    return latest.values();
+}
