fix(fleet,gateway): agents' words keep their order; they are passed on in large fleets only

A word that a router passed on was dated by its age without its way, so that an earlier word could replace a later one that the agent had pushed itself: a replica that loads weights counted as serving.

Change: each word carries the agent's start and a number; a lower number of the same start is dropped. Agents that look to another router are asked each 1.4 s, as before, as long as that makes ten exchanges a second; only beyond, up to 3 s, their words are passed on.

--- a/packages/fleet/src/__tests__/fleetSync.spec.ts
+++ b/packages/fleet/src/__tests__/fleetSync.spec.ts
@@ -2,6 +2,7 @@
 import { type InnerAddress, InnerNode, ProcessRole } from "@redwingpin/protocol";
 import { expect } from "chai";
 import {
+    agentInterval,
     emptyReport,
     FactKind,
     type FleetFact,
@@ -140,5 +141,6 @@
             expect(peers * 1_000 / routerInterval(peers, true), `${peers} peers`).to.be.at.most(41);
         }
         expect(routerInterval(4, true)).to.equal(150);
+        expect([9, 29, 300].map(agentInterval)).to.deep.equal([1_400, 2_900, 3_000]);
     });
 });
--- a/packages/fleet/src/fleetMessages.ts
+++ b/packages/fleet/src/fleetMessages.ts
@@ -38,6 +38,10 @@
 
 /** What the agent beside a replica says of it. */
 export interface ReplicaStatus {
+    /** Differs for each start of the agent. */
+    readonly start: string;
+    /** Grows with each word of one start, which may come over other routers and out of order. */
+    readonly number: number;
     /** Differs for each start of the replica; absent until the agent has learned it. */
     readonly instance?: string;
     /** `host:port` of the replica. */
@@ -198,6 +202,8 @@
 const isWeights = isShaped({ model: isText, version: isCount });
 const spendingShape = { account: isText, tokens: (value: unknown) => Number.isFinite(value) };
 const replicaShape = {
+    start: isText,
+    number: isCount,
     instance: isOptional(isText),
     address: isText,
     weights: isListOf(isWeights),
--- a/packages/fleet/src/node/fleetSync.ts
+++ b/packages/fleet/src/node/fleetSync.ts
@@ -39,11 +39,16 @@
 /** Exchanges that a router makes with all other routers in a second; a larger fleet is asked less often. */
 const routerExchangesPerSecond = 40;
 
-/**
- * Interval of exchanges with agents that look to another router, which tells the others of their replicas. Shorter than
- * the time for which an agent's word counts, for that router may be out of reach.
- */
-export const agentInterval: Milliseconds = 3_000;
+const millisecondsPerSecond = 1_000;
+
+/** Shortest interval of exchanges with agents that look to another router: half of the time for which a word counts. */
+export const shortestAgentInterval: Milliseconds = 1_400;
+
+/** Longest interval of those exchanges, within that time: the router that an agent looks to may be out of reach. */
+const longestAgentInterval: Milliseconds = 3_000;
+
+/** Exchanges that a router makes with such agents in a second, as far as the longest interval allows. */
+const agentExchangesPerSecond = 10;
 
 /** An agent looks for a router that has been silent for this time; longer than a router's interval. */
 const routerSilence: Milliseconds = 3_800;
@@ -205,10 +210,12 @@
             this.peers.dueSilent(quietInterval, routerSilence).forEach((peer) => void this.exchange(peer));
             return;
         }
-        this.peers.setAgents(this.options.agents());
+        const agents = this.options.agents();
+        this.peers.setAgents(agents);
         const interval = routerInterval(this.peers.liveRouterNames().length, this.options.hasReport());
+        const otherInterval = agentInterval(agents.length);
         const intervalOf = (agent: InnerAddress) =>
-            this.options.isHomeOf(agent) ? quietInterval : agentInterval;
+            this.options.isHomeOf(agent) ? quietInterval : otherInterval;
         for (const peer of this.peers.due(interval, intervalOf)) {
             void this.exchange(peer);
         }
@@ -378,7 +385,15 @@
 
 /** Interval of exchanges with other routers, so many that a router spends no more on them in a larger fleet. */
 export function routerInterval(peers: number, hasReport: boolean): Milliseconds {
-    const millisecondsPerSecond = 1_000;
     const affordable = peers * millisecondsPerSecond / routerExchangesPerSecond;
     return Math.max(hasReport ? busyInterval : quietInterval, affordable);
 }
+
+/**
+ * Interval of exchanges with agents that look to another router. Where it is longer than the shortest, that router tells
+ * the others of their replicas.
+ */
+export function agentInterval(agents: number): Milliseconds {
+    const affordable = agents * millisecondsPerSecond / agentExchangesPerSecond;
+    return Math.min(longestAgentInterval, Math.max(shortestAgentInterval, affordable));
+}
--- a/packages/gateway/src/__tests__/endpointBoard.spec.ts
+++ b/packages/gateway/src/__tests__/endpointBoard.spec.ts
@@ -1,7 +1,7 @@
 import { FactKind, FleetState } from "@redwingpin/fleet";
 import { expect } from "chai";
 import { EndpointBoard } from "../index.js";
-import { viewFixture } from "./gatewayFixture.js";
+import { statusFixture, viewFixture } from "./gatewayFixture.js";
 
 const now = 10_000;
 
@@ -40,6 +40,16 @@
         expect(instances()).to.deep.equal(["after"]);
     });
 
+    it("does not take an agent's earlier word that took long over another router for its latest", () => {
+        const view = viewFixture("i-1");
+        const [before, after] = [statusFixture(1), statusFixture(1, { loading: true })];
+        view.observeStatus(after, now);
+        view.observeStatus(before, now + 50);
+        expect(view.isLoading(now + 50)).to.equal(true);
+        view.observeStatus({ ...before, start: "agent started again" }, now + 60);
+        expect(view.isLoading(now + 60)).to.equal(false);
+    });
+
     it("ends what runs at an endpoint whose address another service has", () => {
         const { board, instances, register } = boardFixture();
         register("before", 10);
--- a/packages/gateway/src/__tests__/gatewayFixture.ts
+++ b/packages/gateway/src/__tests__/gatewayFixture.ts
@@ -30,9 +30,14 @@
     });
 }
 
-/** What the agent beside a replica says. */
+let words = 0;
+
+/** What the agent beside a replica says, later each time. */
 export function statusFixture(version: number, more: Partial<ReplicaStatus> = {}): ReplicaStatus {
+    words += 1;
     return {
+        start: "agent",
+        number: words,
         address: "127.0.0.1:9000",
         weights: [{ model: "drafting", version }],
         loading: false,
--- a/packages/gateway/src/__tests__/peerReports.spec.ts
+++ b/packages/gateway/src/__tests__/peerReports.spec.ts
@@ -13,14 +13,16 @@
     return { kind: MessageKind.Hello, version: 1, role, instance: incarnation, incarnation, revision: 0 };
 }
 
-function reportsFixture(more: { namedVersion?: number; isHome?: boolean; } = {}) {
+function reportsFixture(more: { namedVersion?: number; isHome?: boolean; endpoints?: number; } = {}) {
     const clock = new FakeClock(10_000);
     const ledger = new SharedLedger({ startsFull: true, tolerance: noTolerance });
     ledger.configure([accountFixture(), accountFixture({ name: "shops" })], 10_000);
     const board = new EndpointBoard(() => {});
     const state = new FleetState();
-    const { endpoint } = viewFixture("i-1");
-    state.learn({ kind: FactKind.Endpoint, revision: 1, instance: "i-1", endpoint }, 10_000);
+    for (let index = 1; index <= (more.endpoints ?? 1); index++) {
+        const { endpoint } = viewFixture(`i-${index}`, { port: 8_999 + index });
+        state.learn({ kind: FactKind.Endpoint, revision: index, instance: `i-${index}`, endpoint }, 10_000);
+    }
     board.update(state);
     const reports = new PeerReports({
         clock,
@@ -69,14 +71,15 @@
     });
 
     it("pass on to routers what the agents that look to this one say, with its age, and later words win", () => {
-        const sender = reportsFixture();
-        const receiver = reportsFixture({ isHome: false });
+        const sender = reportsFixture({ endpoints: 29 });
+        const receiver = reportsFixture({ endpoints: 29, isHome: false });
         const viewOf = ({ board }: typeof sender) => board.ofService("drafting")[0];
         const router = helloFixture(ProcessRole.Router, "sender");
-        viewOf(sender).observeStatus(statusFixture(2), 9_000);
+        const word = statusFixture(2);
+        viewOf(sender).observeStatus(word, 9_000);
         sender.reports.turn(10_000);
         const report = sender.reports.reportFor(helloFixture(ProcessRole.Router, "receiver"), peerAddress);
-        expect(report.replicas).to.deep.equal([{ status: statusFixture(2), age: 1_000 }]);
+        expect(report.replicas).to.deep.equal([{ status: word, age: 1_000 }]);
         receiver.reports.observe(router, report, peerAddress);
         expect(viewOf(receiver).statusAge(10_000)).to.equal(1_000);
         expect(viewOf(receiver).weightsVersion("drafting", 10_000)).to.equal(2);
@@ -87,6 +90,14 @@
         expect(receiver.reports.reportFor(router, peerAddress).replicas).to.deep.equal([]);
     });
 
+    it("pass nothing on in a fleet in which every router asks the agents itself", () => {
+        const { board, reports } = reportsFixture({ endpoints: 9 });
+        board.ofService("drafting")[0].observeStatus(statusFixture(2), 9_000);
+        reports.turn(10_000);
+        const peer = helloFixture(ProcessRole.Router, "peer");
+        expect(reports.reportFor(peer, peerAddress).replicas).to.deep.equal([]);
+    });
+
     it("tell an agent of its service while a replica is behind, and from one router only", () => {
         const agent = helloFixture(ProcessRole.Agent, "agent");
         const serviceOf = (more: Parameters<typeof reportsFixture>[0]) =>
--- a/packages/gateway/src/decision/endpointBoard.ts
+++ b/packages/gateway/src/decision/endpointBoard.ts
@@ -113,7 +113,7 @@
     /** Takes in what the agent said at `at`, unless a later word of it is known. */
     observeStatus(status: ReplicaStatus, at: Milliseconds): void {
         const isOwn = status.instance === undefined || status.instance === this.endpoint.instance;
-        if (isOwn && at >= (this.status?.at ?? -Infinity)) {
+        if (isOwn && !this.hasLaterWord(status, at)) {
             this.status = { value: status, at };
             if (status.weights.length === 0) {
                 this.lost();
@@ -121,6 +121,15 @@
         }
     }
 
+    /** Ages of words that other routers pass on include their way, so they do not tell the order. */
+    private hasLaterWord(status: ReplicaStatus, at: Milliseconds): boolean {
+        if (this.status === undefined) {
+            return false;
+        }
+        const { value } = this.status;
+        return value.start === status.start ? value.number > status.number : this.status.at > at;
+    }
+
     /** Calls `listener` once the endpoint is taken to be lost; returns what stops that. */
     onLost(listener: () => void): () => void {
         this.lossListeners.add(listener);
--- a/packages/gateway/src/node/peerReports.ts
+++ b/packages/gateway/src/node/peerReports.ts
@@ -6,6 +6,7 @@
 import type { Clock, Milliseconds } from "@redwingpin/common";
 import {
     type AccountSpending,
+    agentInterval,
     type DirectEndpoint,
     emptyReport,
     type FollowDuty,
@@ -15,6 +16,7 @@
     type ReplicaProgress,
     type SavedPrefix,
     type ServiceProgress,
+    shortestAgentInterval,
 } from "@redwingpin/fleet";
 import { type Hello, type InnerAddress, ProcessRole } from "@redwingpin/protocol";
 import type { CrashBook } from "../decision/crashBook.js";
@@ -189,17 +191,25 @@
      * peer hears of it.
      */
     turn(now: Milliseconds): void {
-        const { agentOf, board, isHomeOf } = this.options;
-        this.ownEndpoints = [...board.all()].filter(({ endpoint }) => {
-            const agent = agentOf(endpoint);
-            return agent !== undefined && isHomeOf(agent);
-        });
+        this.ownEndpoints = this.endpointsToRelay();
         if (now - this.savedLatelyAt >= quietInterval) {
             this.savedLately = this.options.homes.takeSaved();
             this.savedLatelyAt = now;
         }
     }
 
+    /** Endpoints whose agents look to this router, in a fleet in which other routers seldom ask them. */
+    private endpointsToRelay(): EndpointView[] {
+        const { agentOf, board, isHomeOf } = this.options;
+        const agents = [...board.all()].flatMap((view) => {
+            const agent = agentOf(view.endpoint);
+            return agent === undefined ? [] : [{ agent, view }];
+        });
+        return agentInterval(agents.length) > shortestAgentInterval
+            ? agents.filter(({ agent }) => isHomeOf(agent)).map(({ view }) => view)
+            : [];
+    }
+
     /** True for a peer that may take over levels, and for one whose age is not known. */
     private isYoung(peer: Hello | undefined, now: Milliseconds): boolean {
         return peer === undefined || this.relays.ageOf(peer.incarnation, now) <= adoptFor;
--- a/packages/rollout/src/node/replicaAgent.ts
+++ b/packages/rollout/src/node/replicaAgent.ts
@@ -90,6 +90,7 @@
 /** Works beside one replica. */
 export class ReplicaAgent {
     private readonly state = new FleetState();
+    private readonly incarnation = randomUUID();
     private readonly innerNode: InnerNode;
     private readonly sync: FleetSync;
     private readonly loads: Counter<"outcome">;
@@ -99,6 +100,8 @@
     private service: ServiceProgress = { replicas: [], spare: 1 };
     private serviceAt: Milliseconds = -Infinity;
     private told = "";
+    /** Statuses made since the start. */
+    private words = 0;
     /** Time until the expected turn of the replica. */
     private loadsIn: Milliseconds | undefined;
     private looking = false;
@@ -121,7 +124,7 @@
         this.innerNode = new InnerNode({
             role: ProcessRole.Agent,
             instance: config.instance,
-            incarnation: randomUUID(),
+            incarnation: this.incarnation,
             fleetKeys: config.fleetKeys,
             clock,
             logger: logger.scope("inner"),
@@ -365,7 +368,10 @@
 
     private status(): ReplicaStatus {
         const { report } = this;
+        this.words += 1;
         return {
+            start: this.incarnation,
+            number: this.words,
             instance: this.instance(),
             address: this.options.config.replica,
             weights: report?.weights ?? [],
