--- a/packages/fleet/src/decision/peerTable.ts
+++ b/packages/fleet/src/decision/peerTable.ts
@@ -15,7 +15,7 @@
 /** A router that was not heard for this time is missed, in a fleet whose exchanges are more frequent. */
 const missedAfter: Milliseconds = 700;
 
-/** Intervals without a word after which a router is missed, in a fleet whose exchanges are less frequent. */
+/** Intervals without an exchange after which a router is missed, in a fleet whose exchanges are less frequent. */
 const missedIntervals = 1.5;
 
 /** Intervals without a call after which a router makes the exchanges that the other one of the pair should make. */
--- a/packages/fleet/src/fleetMessages.ts
+++ b/packages/fleet/src/fleetMessages.ts
@@ -40,7 +40,7 @@
 export interface ReplicaStatus {
     /** Differs for each start of the agent. */
     readonly start: string;
-    /** Grows with each word of one start, which may come over other routers and out of order. */
+    /** Grows with each status of one start; those that a router relays may arrive out of order. */
     readonly number: number;
     /** Differs for each start of the replica; absent until the agent has learned it. */
     readonly instance?: string;
--- a/packages/fleet/src/node/fleetSync.ts
+++ b/packages/fleet/src/node/fleetSync.ts
@@ -41,7 +41,7 @@
 
 const millisecondsPerSecond = 1_000;
 
-/** Shortest interval of exchanges with agents that look to another router: half of the time for which a word counts. */
+/** Shortest interval of exchanges with agents that look to another router: half of a status's lifetime. */
 export const shortestAgentInterval: Milliseconds = 1_400;
 
 /** Longest interval of those exchanges, within that time: the router that an agent looks to may be out of reach. */
--- a/packages/gateway/src/__tests__/endpointBoard.spec.ts
+++ b/packages/gateway/src/__tests__/endpointBoard.spec.ts
@@ -40,7 +40,7 @@
         expect(instances()).to.deep.equal(["after"]);
     });
 
-    it("does not take an agent's earlier word that took long over another router for its latest", () => {
+    it("does not take an earlier status that another router relayed late for the latest", () => {
         const view = viewFixture("i-1");
         const [before, after] = [statusFixture(1), statusFixture(1, { loading: true })];
         view.observeStatus(after, now);
--- a/packages/gateway/src/__tests__/gatewayFixture.ts
+++ b/packages/gateway/src/__tests__/gatewayFixture.ts
@@ -30,14 +30,14 @@
     });
 }
 
-let words = 0;
+let statuses = 0;
 
 /** What the agent beside a replica says, later each time. */
 export function statusFixture(version: number, more: Partial<ReplicaStatus> = {}): ReplicaStatus {
-    words += 1;
+    statuses += 1;
     return {
         start: "agent",
-        number: words,
+        number: statuses,
         address: "127.0.0.1:9000",
         weights: [{ model: "drafting", version }],
         loading: false,
--- a/packages/gateway/src/__tests__/peerReports.spec.ts
+++ b/packages/gateway/src/__tests__/peerReports.spec.ts
@@ -70,16 +70,16 @@
         expect(levels()).to.equal(0);
     });
 
-    it("pass on to routers what the agents that look to this one say, with its age, and later words win", () => {
+    it("relay the statuses of the agents that look to this router, with their ages, and later ones win", () => {
         const sender = reportsFixture({ endpoints: 29 });
         const receiver = reportsFixture({ endpoints: 29, isHome: false });
         const viewOf = ({ board }: typeof sender) => board.ofService("drafting")[0];
         const router = helloFixture(ProcessRole.Router, "sender");
-        const word = statusFixture(2);
-        viewOf(sender).observeStatus(word, 9_000);
+        const status = statusFixture(2);
+        viewOf(sender).observeStatus(status, 9_000);
         sender.reports.turn(10_000);
         const report = sender.reports.reportFor(helloFixture(ProcessRole.Router, "receiver"), peerAddress);
-        expect(report.replicas).to.deep.equal([{ status: word, age: 1_000 }]);
+        expect(report.replicas).to.deep.equal([{ status, age: 1_000 }]);
         receiver.reports.observe(router, report, peerAddress);
         expect(viewOf(receiver).statusAge(10_000)).to.equal(1_000);
         expect(viewOf(receiver).weightsVersion("drafting", 10_000)).to.equal(2);
@@ -90,7 +90,7 @@
         expect(receiver.reports.reportFor(router, peerAddress).replicas).to.deep.equal([]);
     });
 
-    it("pass nothing on in a fleet in which every router asks the agents itself", () => {
+    it("relay nothing in a fleet in which every router asks the agents itself", () => {
         const { board, reports } = reportsFixture({ endpoints: 9 });
         board.ofService("drafting")[0].observeStatus(statusFixture(2), 9_000);
         reports.turn(10_000);
--- a/packages/gateway/src/decision/endpointBoard.ts
+++ b/packages/gateway/src/decision/endpointBoard.ts
@@ -15,7 +15,7 @@
 } from "@redwingpin/fleet";
 import { HealthRecord } from "./healthRecord.js";
 
-/** An agent's word counts before the registration for this long: one exchange may fail. */
+/** An agent's status counts before the registration for this long: one exchange may fail. */
 const statusLifetime: Milliseconds = 3_500;
 
 /** A router's report of its load counts for this long. */
@@ -110,10 +110,10 @@
         this.avoidUntil = Math.max(this.avoidUntil, now + duration);
     }
 
-    /** Takes in what the agent said at `at`, unless a later word of it is known. */
+    /** Takes in a status that the agent sent at `at`, unless a later one is known. */
     observeStatus(status: ReplicaStatus, at: Milliseconds): void {
         const isOwn = status.instance === undefined || status.instance === this.endpoint.instance;
-        if (isOwn && !this.hasLaterWord(status, at)) {
+        if (isOwn && !this.hasLaterStatus(status, at)) {
             this.status = { value: status, at };
             if (status.weights.length === 0) {
                 this.lost();
@@ -121,8 +121,8 @@
         }
     }
 
-    /** Ages of words that other routers pass on include their way, so they do not tell the order. */
-    private hasLaterWord(status: ReplicaStatus, at: Milliseconds): boolean {
+    /** The age of a relayed status leaves out the time of its transfer, so the order of one start goes by its number. */
+    private hasLaterStatus(status: ReplicaStatus, at: Milliseconds): boolean {
         if (this.status === undefined) {
             return false;
         }
@@ -164,12 +164,12 @@
         }
     }
 
-    /** Age of the agent's last word; infinite without one. */
+    /** Age of the agent's last status; infinite without one. */
     statusAge(now: Milliseconds): Milliseconds {
         return now - (this.status?.at ?? -Infinity);
     }
 
-    /** The agent's last word and its age; `undefined` where it counts no more. */
+    /** The agent's last status and its age; `undefined` where it counts no more. */
     lastStatus(now: Milliseconds): RelayedStatus | undefined {
         const status = this.freshStatus(now);
         return status && { status: status.value, age: now - status.at };
@@ -264,7 +264,7 @@
         return speed;
     }
 
-    /** Takes in an agent's word of its replica, by the replica's address, and when the agent said so. */
+    /** Takes in the status that an agent sent at `at`, by its replica's address. */
     observeStatus(status: ReplicaStatus, at: Milliseconds): void {
         for (const view of this.views.values()) {
             if (`${view.endpoint.host}:${view.endpoint.port}` === status.address) {
--- a/packages/rollout/src/node/replicaAgent.ts
+++ b/packages/rollout/src/node/replicaAgent.ts
@@ -101,7 +101,7 @@
     private serviceAt: Milliseconds = -Infinity;
     private told = "";
     /** Statuses made since the start. */
-    private words = 0;
+    private statuses = 0;
     /** Time until the expected turn of the replica. */
     private loadsIn: Milliseconds | undefined;
     private looking = false;
@@ -368,10 +368,10 @@
 
     private status(): ReplicaStatus {
         const { report } = this;
-        this.words += 1;
+        this.statuses += 1;
         return {
             start: this.incarnation,
-            number: this.words,
+            number: this.statuses,
             instance: this.instance(),
             address: this.options.config.replica,
             weights: report?.weights ?? [],
