perf(gateway): requests for a prefix that nobody has read meet at its home where others wait

Change: all routers work out the same home for a prefix that is not known to be saved. The choice weighs what reading a prompt adds to the requests that wait at an endpoint, beside the request's own time: without a queue nothing changes, with one at every endpoint requests meet at the home. An endpoint's speed is not learned from a prompt that it may have held.

--- a/packages/gateway/src/__tests__/attemptPlan.spec.ts
+++ b/packages/gateway/src/__tests__/attemptPlan.spec.ts
@@ -28,6 +28,8 @@
         version: undefined,
         readTokens: 0,
         latency: 0,
+        hopedTokens: 0,
+        cost: 0,
         worth: 1,
     };
     let dispatches = 0;
--- a/packages/gateway/src/__tests__/gatewayFixture.ts
+++ b/packages/gateway/src/__tests__/gatewayFixture.ts
@@ -69,7 +69,7 @@
             named: undefined,
             promptTokens: 1_000,
             outputTokens: 10,
-            ready: () => ({ tokens: 0, fetchTime: 0 }),
+            ready: () => ({ tokens: 0, hoped: 0, fetchTime: 0 }),
         },
         bounds: { worthLessAfter: 1_500, lostShare: 0.2, forbiddenAfter: 9_500 },
         ...more,
--- a/packages/gateway/src/decision/endpointChoice.ts
+++ b/packages/gateway/src/decision/endpointChoice.ts
@@ -43,6 +43,8 @@
     /** Tokens of the prompt that need no reading at an endpoint, and the time to fetch them. */
     readonly ready: (view: EndpointView, version: number | undefined) => {
         readonly tokens: number;
+        /** Further tokens that the endpoint is likely to have read for another request by then. */
+        readonly hoped: number;
         readonly fetchTime: Milliseconds;
     };
 }
@@ -54,8 +56,12 @@
     readonly version: number | undefined;
     /** Tokens that it must read. */
     readonly readTokens: number;
+    /** Those of them that it is likely to have read for another request by then. */
+    readonly hopedTokens: number;
     /** Predicted time to the first event, from now. */
     readonly latency: Milliseconds;
+    /** Predicted latency, and what reading the prompt adds to that of the requests that wait there. */
+    readonly cost: Milliseconds;
     /** Predicted part of the request's worth, from 0 to 1. */
     readonly worth: number;
 }
@@ -134,22 +140,26 @@
 
 function isBetter(left: Choice, right: Choice): boolean {
     const difference = left.worth - right.worth;
-    return Math.abs(difference) > worthStep ? difference > 0 : left.latency < right.latency;
+    return Math.abs(difference) > worthStep ? difference > 0 : left.cost < right.cost;
 }
 
 function evaluate(view: EndpointView, input: ChoiceInput): Choice {
     const { now, prompt, speed } = input;
     const version = prompt === undefined ? undefined : view.weightsVersion(prompt.model, now);
-    const ready = prompt?.ready(view, version) ?? { tokens: 0, fetchTime: 0 };
+    const ready = prompt?.ready(view, version) ?? { tokens: 0, hoped: 0, fetchTime: 0 };
     const readTokens = Math.max(0, (prompt?.promptTokens ?? 0) - ready.tokens);
     const running = view.totalRunning(now);
+    const waitingTokens = view.totalWaitingTokens(now);
+    const readTime = Math.max(0, readTokens - ready.hoped) / speed.tokensPerMillisecond;
     const place = view.endpoint.dataCentre === input.dataCentre ? 0 : otherDataCentreLatency;
     const latency = prompt === undefined
         ? speed.baseLatency * (1 + running / Math.max(1, view.endpoint.slots)) + place
         : speed.baseLatency + ready.fetchTime + running * perRunningLatency + place
-            + (view.totalWaitingTokens(now) + readTokens) / speed.tokensPerMillisecond;
+            + waitingTokens / speed.tokensPerMillisecond + readTime;
     const worth = timelyWorth(input.elapsed + latency, input.targetLatency) * weightsWorth(version, input);
-    return { view, version, readTokens, latency, worth };
+    const waitingRequests = prompt === undefined ? 0 : waitingTokens / Math.max(1, prompt.promptTokens);
+    const cost = latency + waitingRequests * readTime;
+    return { view, version, readTokens, hopedTokens: ready.hoped, latency, cost, worth };
 }
 
 function timelyWorth(latency: Milliseconds, target: Milliseconds): number {
--- a/packages/gateway/src/decision/prefixPlacement.ts
+++ b/packages/gateway/src/decision/prefixPlacement.ts
@@ -1,6 +1,10 @@
 /**
  * Where the shared prefix of one request is believed to lie, and from where an endpoint can fetch what it lacks.
  *
+ * After new weights are named nothing has been read with them, and a prefix that waits to be read at one endpoint is read
+ * again at every other to which a request for it goes meanwhile. All routers work out the same home for such a prefix, so
+ * that requests can meet there.
+ *
  * @module
  */
 import type { Milliseconds } from "@redwingpin/common";
@@ -17,6 +21,8 @@
     readonly cached: number;
     /** Tokens that it can fetch. */
     readonly fetched: number;
+    /** Further tokens that it is likely to have read for another request: it is the home of the prefix. */
+    readonly hoped: number;
     readonly source: { readonly address: string; readonly isStore: boolean; } | undefined;
 }
 
@@ -35,6 +41,9 @@
 export class PrefixPlacement {
     private readonly names = new Map<string, readonly string[]>();
     private readonly sharedTokens: number;
+    /** Homes by version, worked out at `homesAt`. */
+    private readonly homes = new Map<number | undefined, EndpointView | undefined>();
+    private homesAt: Milliseconds | undefined;
 
     constructor(private readonly options: PrefixPlacementOptions) {
         this.sharedTokens = options.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
@@ -46,14 +55,16 @@
         const names = this.namesOf(version);
         const cached = homes.heldTokens(view.endpoint.instance, names, parts);
         if (this.sharedTokens < minFetchedTokens) {
-            return { cached, fetched: 0, source: undefined };
+            return { cached, fetched: 0, hoped: 0, source: undefined };
         }
         const store = homes.storeOf(names);
         if (store === undefined) {
             return this.fetchFromHome(view, version, cached, now);
         }
         const fetched = Math.max(0, homes.savedTokens(names, parts) - cached);
-        return { cached, fetched, source: { address: store, isStore: true } };
+        const missing = Math.max(0, this.sharedTokens - cached - fetched);
+        const hoped = missing > 0 && this.homeOf(version, now) === view ? missing : 0;
+        return { cached, fetched, hoped, source: { address: store, isStore: true } };
     }
 
     /** The cache store to which an endpoint should save the prefix; `undefined` where it lies there or is too small. */
@@ -83,16 +94,27 @@
         now: Milliseconds,
     ): PrefixSource {
         const home = this.homeOf(version, now);
+        const missing = Math.max(0, this.sharedTokens - cached);
         if (home === view || home === undefined) {
-            return { cached, fetched: 0, source: undefined };
+            return { cached, fetched: 0, hoped: home === view ? missing : 0, source: undefined };
         }
         const address = `${home.endpoint.host}:${home.endpoint.port}`;
-        const fetched = Math.max(0, this.sharedTokens - cached);
-        return { cached, fetched, source: { address, isStore: false } };
+        return { cached, fetched: missing, hoped: 0, source: { address, isStore: false } };
     }
 
-    /** The home of the shared prefix among the endpoints with the same weights. */
+    /** The home of the shared prefix among the endpoints with the same weights; one choice asks for each of them. */
     private homeOf(version: number | undefined, now: Milliseconds): EndpointView | undefined {
+        if (this.homesAt !== now) {
+            this.homesAt = now;
+            this.homes.clear();
+        }
+        if (!this.homes.has(version)) {
+            this.homes.set(version, this.findHome(version, now));
+        }
+        return this.homes.get(version);
+    }
+
+    private findHome(version: number | undefined, now: Milliseconds): EndpointView | undefined {
         const { homes, model, views } = this.options;
         const serving = views().filter((view) =>
             !view.endpoint.leaving && !view.isDown(now) && view.weightsVersion(model, now) === version
--- a/packages/gateway/src/node/requestTask.ts
+++ b/packages/gateway/src/node/requestTask.ts
@@ -165,9 +165,9 @@
             promptTokens: this.request.facts.promptTokens,
             outputTokens: this.request.facts.outputTokens,
             ready: (view, version) => {
-                const { cached, fetched, source } = placement.sourceFor(view, version, now);
+                const { cached, fetched, hoped, source } = placement.sourceFor(view, version, now);
                 const perToken = source?.isStore === true ? storeFetchPerToken : replicaFetchPerToken;
-                return { tokens: cached + fetched, fetchTime: fetched * perToken };
+                return { tokens: cached + fetched, hoped, fetchTime: fetched * perToken };
             },
         };
     }
@@ -286,7 +286,7 @@
         const { board, clock, homes, metrics, routers } = this.context;
         const { placement, prompt, request } = this;
         metrics.firstAnswer(request.route.name, clock.now() - request.arrival);
-        if (alone) {
+        if (alone && choice.hopedTokens === 0) {
             board.speed(request.service.name).observe(choice.readTokens, latency);
         }
         if (prompt === undefined || placement === undefined) {
