perf(gateway): reuse connections for calls that may not be repeated

Only repeatable calls used kept connections, and those closed 400 ms after an answer, since 600 ms of the endpoint's keep-alive time of a second were held back. Ruled out: a limit on idle connections (8 an endpoint, never reached). Change: every call may use a connection that answered at most a second ago; the margin is 300 ms.

--- a/packages/gateway/src/__tests__/rawEndpointFixture.ts
+++ b/packages/gateway/src/__tests__/rawEndpointFixture.ts
@@ -11,9 +11,9 @@
     stop(): void;
 }
 
-/** Starts an endpoint; `answer` answers the n-th request on a connection. */
+/** Starts an endpoint; `answer` answers the n-th request on a connection, whose bytes are `text`. */
 export async function startRawEndpoint(
-    answer: (socket: Socket, request: number) => void,
+    answer: (socket: Socket, request: number, text: string) => void,
 ): Promise<RawEndpoint> {
     let connections = 0;
     const sockets = new Set<Socket>();
@@ -22,7 +22,7 @@
         sockets.add(socket);
         let requests = 0;
         socket.on("error", () => {});
-        socket.on("data", () => answer(socket, requests++));
+        socket.on("data", (data) => answer(socket, requests++, data.toString()));
     });
     await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
     const { port } = server.address() as AddressInfo;
--- a/packages/gateway/src/node/endpointConnections.ts
+++ b/packages/gateway/src/node/endpointConnections.ts
@@ -10,11 +10,14 @@
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 
-/** Idle connections are closed after this time, or earlier if the endpoint states a shorter one. */
-const idleTimeMilliseconds = 3_000;
+/**
+ * Idle connections are closed after this time, or earlier if the endpoint states a shorter one. Calls that may not be
+ * repeated use them too, so a connection has to show that its endpoint was reachable a moment ago.
+ */
+const idleTimeMilliseconds = 1_000;
 
 /** Connections are not reused in this last part of the endpoint's keep-alive time. */
-const idleMarginMilliseconds = 600;
+const idleMarginMilliseconds = 300;
 
 const keepAlivePattern = /timeout=(\d+)/i;
 const millisecondsPerSecond = 1_000;
--- a/packages/gateway/src/node/requestTask.ts
+++ b/packages/gateway/src/node/requestTask.ts
@@ -213,9 +213,7 @@
                 url: request.url,
                 headers: this.endpointHeaders(metadata),
                 body: request.body,
-                agent: request.route.repeatable
-                    ? this.context.connections.agentOf(endpoint, request.service.maxConnections)
-                    : undefined,
+                agent: this.context.connections.agentOf(endpoint, request.service.maxConnections),
             },
             progress: this.progress,
             observer: {
