perf(gateway): transfer times follow from the configured links, and repeated processing has a cost

Cause: the time to fetch a token was that of two sites' links (22 and 280 Gbit/s). On the further site a fetch counted as slower (93 ms) than it is (36 ms) and than processing the prefix (85 ms); the fetch counted as processing when the engines' speed was measured; and a request went to an engine with a slightly shorter queue although the owner of its prefix was about to process it. Ruled out, each tried, measured and dropped (docs/design/platform.md): the wait for links estimated from a router's own transfers; endpoints as sources; owners assumed to still have what they processed; the cost as a loss of worth. Change: transferTime computes from the capacities in the configuration; the speed is measured without the fetch; the cost of an endpoint includes the tokens that the owner processes, too. Tests: prefix placement on fast engines, transfer times, measured speed.

--- a/packages/fleet/src/directConfiguration.ts
+++ b/packages/fleet/src/directConfiguration.ts
@@ -55,6 +55,8 @@
     readonly cacheTokens: number;
     readonly bytesPerToken: number;
     readonly models: readonly string[];
+    /** Capacity of the link over which an endpoint transfers cached prefixes; absent if unknown. */
+    readonly linkMegabitsPerSecond?: number;
 }
 
 export interface DirectService {
@@ -69,6 +71,8 @@
     readonly cacheStoreAddress?: string;
     /** Capacity of a cache store in tokens. */
     readonly cacheTokens?: number;
+    /** Capacity of a cache store's link; absent if unknown. */
+    readonly linkMegabitsPerSecond?: number;
     readonly dataCentre?: string;
 }
 
--- a/packages/gateway/src/__tests__/attemptPlan.spec.ts
+++ b/packages/gateway/src/__tests__/attemptPlan.spec.ts
@@ -33,6 +33,7 @@
         tokensToProcess: 0,
         latency: 0,
         likelyCachedTokens: 0,
+        fetchTime: 0,
         cost: 0,
         worth: 1,
     };
--- a/packages/gateway/src/__tests__/decisions.spec.ts
+++ b/packages/gateway/src/__tests__/decisions.spec.ts
@@ -9,6 +9,7 @@
     prefixNames,
     spareReplicas,
 } from "../index.js";
+import { cacheStoreFixture } from "./gatewayFixture.js";
 
 const parts = [{ identifier: "catalogue", tokens: 2_000 }, { identifier: "maker", tokens: 4_000 }];
 
@@ -121,8 +122,8 @@
         const own = new PrefixIndex();
         const peer = new PrefixIndex();
         const names = prefixNames("s", parts);
-        own.setStores([{ address: "10.0.9.1:8080", tokens: 20_000 }]);
-        peer.setStores([{ address: "10.0.9.1:8080", tokens: 20_000 }]);
+        own.setStores([cacheStoreFixture("10.0.9.1:8080", 20_000)]);
+        peer.setStores([cacheStoreFixture("10.0.9.1:8080", 20_000)]);
         peer.recordSaved(names, parts);
         own.observeSaved(peer.takeUnreported());
         expect(own.savedTokens(names, parts)).to.equal(6_000);
@@ -140,7 +141,7 @@
         ]);
         const savedWith = (stores: readonly string[]) => {
             const index = new PrefixIndex();
-            index.setStores(stores.map((address) => ({ address, tokens: 531_000 })));
+            index.setStores(stores.map((address) => cacheStoreFixture(address, 531_000)));
             prompts.forEach((prompt) => index.recordSaved(prefixNames("s", prompt), prompt));
             return prompts.filter((prompt) => index.savedTokens(prefixNames("s", prompt), prompt) > 6_000)
                 .length;
@@ -150,16 +151,18 @@
     });
 
     it("keeps the contents of a cache store when another is removed, and selects the same store on all routers", () => {
-        const stores = ["10.0.9.1:8080", "10.0.9.2:8080"].map((address) => ({ address, tokens: 50_000 }));
+        const stores = ["10.0.9.1:8080", "10.0.9.2:8080"].map((address) =>
+            cacheStoreFixture(address, 50_000)
+        );
         const index = new PrefixIndex();
         index.setStores(stores);
         const names = prefixNames("s", parts);
         const store = index.storeOf(names);
         const peer = new PrefixIndex();
         peer.setStores([...stores].reverse());
-        expect(peer.storeOf(names)).to.equal(store);
+        expect(peer.storeOf(names)).to.deep.equal(store);
         index.recordSaved(names, parts);
-        index.setStores(stores.filter(({ address }) => address === store));
+        index.setStores(stores.filter(({ address }) => address === store?.address));
         expect(index.savedTokens(names, parts)).to.equal(6_000);
     });
 
--- a/packages/gateway/src/__tests__/endpointChoice.spec.ts
+++ b/packages/gateway/src/__tests__/endpointChoice.spec.ts
@@ -13,7 +13,7 @@
         desiredWeights,
         outputTokens,
         promptTokens: 1_000,
-        reusable: () => ({ tokens: 0, likelyCached: 0, fetchTime: 0 }),
+        reusable: () => ({ tokens: 0, likelyCached: 0, repeated: 0, fetchTime: 0 }),
     };
 }
 
--- a/packages/gateway/src/__tests__/endpointTable.spec.ts
+++ b/packages/gateway/src/__tests__/endpointTable.spec.ts
@@ -1,6 +1,6 @@
 import { FactKind, FleetState } from "@redwingpin/fleet";
 import { expect } from "chai";
-import { EndpointTable } from "../index.js";
+import { EndpointTable, ServiceSpeed } from "../index.js";
 import { endpointStateFixture, statusFixture } from "./gatewayFixture.js";
 
 const now = 10_000;
@@ -63,3 +63,20 @@
         expect([instances(), instances("registry"), notifications]).to.deep.equal([[], ["after"], 1]);
     });
 });
+
+describe("speed of a service", () => {
+    for (const [name, tokensPerMillisecond] of [["slow", 36], ["fast", 157]] as const) {
+        it(`is measured on ${name} engines whether or not they fetch a part of the prompt`, () => {
+            const fetchTime = 72;
+            const read = new ServiceSpeed();
+            const fetched = new ServiceSpeed();
+            for (let index = 0; index < 100; index++) {
+                const latency = read.baseLatency + 3_700 / tokensPerMillisecond;
+                read.observe(3_700, latency, 0);
+                fetched.observe(3_700, latency + fetchTime, fetchTime);
+            }
+            expect(read.tokensPerMillisecond).to.be.closeTo(tokensPerMillisecond, 1);
+            expect(fetched.tokensPerMillisecond).to.be.closeTo(tokensPerMillisecond, 1);
+        });
+    }
+});
--- a/packages/gateway/src/__tests__/gatewayFixture.ts
+++ b/packages/gateway/src/__tests__/gatewayFixture.ts
@@ -1,5 +1,5 @@
 import type { DesiredWeights, DirectAccount, DirectEndpoint, ReplicaStatus } from "@redwingpin/fleet";
-import { type ChoiceInput, EndpointState, ServiceSpeed } from "../index.js";
+import { type CacheStore, type ChoiceInput, EndpointState, ServiceSpeed } from "../index.js";
 
 /** An account with a rate and burst of the given tokens. */
 export function accountFixture(more: Partial<DirectAccount> = {}): DirectAccount {
@@ -30,6 +30,11 @@
     });
 }
 
+/** A cache store whose link has 22 Gbit/s. */
+export function cacheStoreFixture(address: string, tokens: number): CacheStore {
+    return { address, tokens, dataCentre: "hobart", megabitsPerSecond: 22_000 };
+}
+
 let statuses = 0;
 
 /** Status from a replica's agent; each one is later than the previous one. */
@@ -72,7 +77,7 @@
             desiredWeights: undefined,
             promptTokens: 1_000,
             outputTokens: 10,
-            reusable: () => ({ tokens: 0, likelyCached: 0, fetchTime: 0 }),
+            reusable: () => ({ tokens: 0, likelyCached: 0, repeated: 0, fetchTime: 0 }),
         },
         bounds: { reducedWorthAfter: 1_500, worthReduction: 0.2, forbiddenAfter: 9_500 },
         ...more,
--- a/packages/gateway/src/__tests__/prefixPlacement.spec.ts
+++ b/packages/gateway/src/__tests__/prefixPlacement.spec.ts
@@ -1,13 +1,21 @@
 import { expect } from "chai";
-import { chooseEndpoint, PrefixIndex, PrefixPlacement } from "../index.js";
-import { choiceFixture, endpointStateFixture, statusFixture } from "./gatewayFixture.js";
+import {
+    chooseEndpoint,
+    type EndpointState,
+    PrefixIndex,
+    PrefixPlacement,
+    ServiceSpeed,
+    transferTime,
+} from "../index.js";
+import { cacheStoreFixture, choiceFixture, endpointStateFixture, statusFixture } from "./gatewayFixture.js";
 
 const now = 10_000;
 const model = "drafting";
 const outerTokens = 4_000;
 const sharedTokens = 6_300;
 const ownTokens = 2_890;
-const store = { address: "127.0.0.9:9100", tokens: 4_000_000 };
+const store = cacheStoreFixture("127.0.0.9:9100", 4_000_000);
+const bytesPerToken = 18_432;
 
 /** One router's state: eight endpoints and a cache store. */
 function routerFixture(stores = [store]) {
@@ -26,6 +34,8 @@
 function placementFor(router: Router, inner = sharedTokens - outerTokens, prefix = "rules-of-a-maker") {
     return new PrefixPlacement({
         prefixIndex: router.prefixIndex,
+        megabitsPerSecond: 280_000,
+        bytesPerToken,
         endpointStates: () => router.endpointStates,
         model,
         parts: [
@@ -48,8 +58,8 @@
             promptTokens: sharedTokens + ownTokens,
             outputTokens: 10,
             reusable: (endpointState, version) => {
-                const { cached, fetchable, likelyCached } = placement.sourceFor(endpointState, version, now);
-                return { tokens: cached + fetchable, likelyCached, fetchTime: 0 };
+                const { cached, fetchable, ...rest } = placement.sourceFor(endpointState, version, now);
+                return { tokens: cached + fetchable, ...rest };
             },
         },
     }));
@@ -101,18 +111,71 @@
     });
 });
 
+describe("requests for a long prefix to fast engines, whose links are faster than the engines", () => {
+    const longTokens = 13_300;
+    const tokensPerMillisecond = 157;
+    const fastStore = { ...store, megabitsPerSecond: 54_000 };
+
+    /** Chooses among engines, one of them the owner, of which each has a queue. */
+    function choose(queue: { readonly owner: number; readonly others: number; }, isSaved: boolean) {
+        const router = routerFixture([fastStore]);
+        const placement = placementFor(router, longTokens - outerTokens);
+        const names = placement.namesOf(2);
+        const sizes = [outerTokens, longTokens - outerTokens];
+        const isOwner = (endpointState: EndpointState) =>
+            placement.sourceFor(endpointState, 2, now).likelyCached > 0;
+        const owner = router.endpointStates.find(isOwner)!;
+        if (isSaved) {
+            router.prefixIndex.observeSaved(
+                sizes.map((tokens, index) => ({ name: names[index], tokens, store: store.address })),
+            );
+        }
+        router.endpointStates.forEach((endpointState) =>
+            endpointState.waitingTokens = endpointState === owner ? queue.owner : queue.others
+        );
+        const speed = new ServiceSpeed();
+        speed.tokensPerMillisecond = tokensPerMillisecond;
+        const choice = chooseEndpoint(choiceFixture(router.endpointStates, {
+            now,
+            speed,
+            prompt: {
+                model,
+                desiredWeights: undefined,
+                promptTokens: longTokens + ownTokens,
+                outputTokens: 10,
+                reusable: (endpointState, version) => {
+                    const { cached, fetchable, ...rest } = placement.sourceFor(endpointState, version, now);
+                    return { tokens: cached + fetchable, ...rest };
+                },
+            },
+        }));
+        return { isOwner: choice?.endpointState === owner, fetchTime: choice?.fetchTime };
+    }
+
+    it("wait for the owner while that is in time, so that the prefix is not processed twice", () => {
+        expect(choose({ owner: 30_000, others: 8_000 }, false).isOwner).to.equal(true);
+    });
+
+    it("go elsewhere if they would be late at the owner", () => {
+        expect(choose({ owner: 110_000, others: 8_000 }, false).isOwner).to.equal(false);
+    });
+
+    it("go to the engine with the shortest queue once the prefix is saved, since a fetch is faster than the queue", () => {
+        const choice = choose({ owner: 30_000, others: 8_000 }, true);
+        expect(choice.isOwner).to.equal(false);
+        expect(choice.fetchTime).to.be.closeTo(36.3, 0.1);
+        expect(choice.fetchTime).to.be.below(longTokens / tokensPerMillisecond);
+    });
+});
+
 describe("prefix placement", () => {
     it("fetches what was saved to the cache store, and saves what was not", () => {
         const router = routerFixture();
         const placement = placementFor(router);
-        const source = { address: store.address, isStore: true };
+        const unsaved = placement.sourceFor(router.endpointStates[0], 2, now);
         expect(placement.saveTo(2)).to.equal(store.address);
-        expect(placement.sourceFor(router.endpointStates[0], 2, now)).to.deep.equal({
-            cached: 0,
-            fetchable: 0,
-            likelyCached: placement.sourceFor(router.endpointStates[0], 2, now).likelyCached,
-            source,
-        });
+        expect(unsaved).to.deep.include({ cached: 0, fetchable: 0, fetchTime: 0, source: store });
+        expect(unsaved.likelyCached + unsaved.repeated).to.equal(sharedTokens);
         const names = placement.namesOf(2);
         router.prefixIndex.observeSaved([
             { name: names[0], tokens: outerTokens, store: store.address },
@@ -123,7 +186,9 @@
             cached: 0,
             fetchable: sharedTokens,
             likelyCached: 0,
-            source,
+            repeated: 0,
+            fetchTime: transferTime(sharedTokens * bytesPerToken, store, store),
+            source: store,
         });
     });
 
--- a/packages/gateway/src/decision/endpointChoice.ts
+++ b/packages/gateway/src/decision/endpointChoice.ts
@@ -45,6 +45,8 @@
         readonly tokens: number;
         /** Further tokens that the endpoint will probably have processed for another request by then. */
         readonly likelyCached: number;
+        /** Further tokens that the endpoint would process although another one processes them, too. */
+        readonly repeated: number;
         readonly fetchTime: Milliseconds;
     };
 }
@@ -58,9 +60,14 @@
     readonly tokensToProcess: number;
     /** Those of `tokensToProcess` that it will probably have processed for another request by then. */
     readonly likelyCachedTokens: number;
+    /** Predicted time to fetch cached tokens. */
+    readonly fetchTime: Milliseconds;
     /** Predicted time from now to the first event. */
     readonly latency: Milliseconds;
-    /** Predicted latency, plus the delay that processing this prompt adds to the requests queued at the endpoint. */
+    /**
+     * Predicted latency, plus the delay that processing this prompt adds to the requests queued at the endpoint, and to
+     * those that the engine could have served in the time in which it repeats the work of another one.
+     */
     readonly cost: Milliseconds;
     /**
      * Predicted worth of the answer to the caller, from 0 to 1: it decreases with the latency and is lower on superseded
@@ -87,6 +94,11 @@
 /** If the worths of two endpoints differ by less than this, the cost decides. */
 const minWorthDifference = 0.02;
 
+/** Weight of the time in which an engine processes tokens that another one processes, too. */
+const repetitionWeight = 4;
+
+const notReusable = { tokens: 0, likelyCached: 0, repeated: 0, fetchTime: 0 };
+
 /** Selects the best endpoint; `undefined` if none can take the request. */
 export function chooseEndpoint(input: ChoiceInput): Choice | undefined {
     const usable = input.endpointStates.filter((endpointState) =>
@@ -150,7 +162,7 @@
 function evaluate(endpointState: EndpointState, input: ChoiceInput): Choice {
     const { now, prompt, speed } = input;
     const version = prompt === undefined ? undefined : endpointState.weightsVersion(prompt.model, now);
-    const reusable = prompt?.reusable(endpointState, version) ?? { tokens: 0, likelyCached: 0, fetchTime: 0 };
+    const reusable = prompt?.reusable(endpointState, version) ?? notReusable;
     const tokensToProcess = Math.max(0, (prompt?.promptTokens ?? 0) - reusable.tokens);
     const running = endpointState.totalRunning(now);
     const waitingTokens = endpointState.totalWaitingTokens(now);
@@ -165,12 +177,14 @@
     const worth = worthOfLatency(input.elapsed + latency, input.targetLatency)
         * worthOfWeights(version, input);
     const waitingRequests = prompt === undefined ? 0 : waitingTokens / Math.max(1, prompt.promptTokens);
-    const cost = latency + waitingRequests * processingTime;
+    const cost = latency + waitingRequests * processingTime
+        + repetitionWeight * reusable.repeated / speed.tokensPerMillisecond;
     return {
         endpointState,
         version,
         tokensToProcess,
         likelyCachedTokens: reusable.likelyCached,
+        fetchTime: reusable.fetchTime,
         latency,
         cost,
         worth,
--- a/packages/gateway/src/decision/endpointTable.ts
+++ b/packages/gateway/src/decision/endpointTable.ts
@@ -202,14 +202,18 @@
     /** Moving average of the time from one output token to the next. */
     timePerOutputToken = initialTimePerOutputToken;
 
-    /** Applies the time to the first event of a request that had no other request queued before it. */
-    observe(uncachedTokens: number, latency: Milliseconds): void {
-        if (uncachedTokens >= minMeasuredTokens && latency > this.baseLatency) {
-            const speed = uncachedTokens / (latency - this.baseLatency);
+    /**
+     * Applies the time to the first event of a request that had no other request queued before it. `fetchTime` is the
+     * part of it that went by while cached tokens were fetched.
+     */
+    observe(uncachedTokens: number, latency: Milliseconds, fetchTime: Milliseconds): void {
+        const processingLatency = latency - fetchTime;
+        if (uncachedTokens >= minMeasuredTokens && processingLatency > this.baseLatency) {
+            const speed = uncachedTokens / (processingLatency - this.baseLatency);
             this.tokensPerMillisecond += averageWeight * (speed - this.tokensPerMillisecond);
         }
         else if (uncachedTokens < minMeasuredTokens) {
-            const measuredBaseLatency = latency - uncachedTokens / this.tokensPerMillisecond;
+            const measuredBaseLatency = processingLatency - uncachedTokens / this.tokensPerMillisecond;
             this.baseLatency += averageWeight * (Math.max(1, measuredBaseLatency) - this.baseLatency);
         }
     }
--- a/packages/gateway/src/decision/prefixIndex.ts
+++ b/packages/gateway/src/decision/prefixIndex.ts
@@ -61,10 +61,13 @@
     readonly address: string;
     /** Capacity in tokens. */
     readonly tokens: number;
+    readonly dataCentre: string | undefined;
+    /** Capacity of its link; `undefined` if unknown. */
+    readonly megabitsPerSecond: number | undefined;
 }
 
 interface KnownStore {
-    readonly tokens: number;
+    readonly store: CacheStore;
     readonly cache: TokenCache;
 }
 
@@ -86,17 +89,14 @@
      * Cache store of a prompt's shared prefix. A request can name only one store, so all shared parts are saved to the
      * one selected for the innermost of them. Each innermost part is thus saved to one store only.
      */
-    storeOf(names: readonly string[]): string | undefined {
-        const innermost = names.at(-2);
-        return innermost === undefined
-            ? undefined
-            : this.storeOwners.ownerOf(innermost, [...this.stores.keys()]);
+    storeOf(names: readonly string[]): CacheStore | undefined {
+        return this.knownStoreOf(names)?.store;
     }
 
     /** Tokens of the leading parts that their cache store should contain. */
     savedTokens(names: readonly string[], parts: readonly PromptPart[]): number {
-        const store = this.stores.get(this.storeOf(names) ?? "");
-        return store === undefined ? 0 : leadingTokens(names, parts, (name) => store.cache.has(name));
+        const known = this.knownStoreOf(names);
+        return known === undefined ? 0 : leadingTokens(names, parts, (name) => known.cache.has(name));
     }
 
     /** Owner of a prefix among the given endpoints. */
@@ -123,18 +123,18 @@
     setStores(stores: readonly CacheStore[]): void {
         const previous = new Map(this.stores);
         this.stores.clear();
-        for (const { address, tokens } of stores) {
-            const known = previous.get(address);
-            const store = known?.tokens === tokens
-                ? known
-                : { tokens, cache: new TokenCache(tokens * usableStoreShare) };
-            this.stores.set(address, store);
+        for (const store of stores) {
+            const known = previous.get(store.address);
+            const cache = known?.store.tokens === store.tokens
+                ? known.cache
+                : new TokenCache(store.tokens * usableStoreShare);
+            this.stores.set(store.address, { store, cache });
         }
     }
 
     /** Records that a prompt's prefixes were saved to or fetched from their cache store by a request of this router. */
     recordSaved(names: readonly string[], parts: readonly PromptPart[]): void {
-        const store = this.storeOf(names);
+        const store = this.storeOf(names)?.address;
         if (store !== undefined) {
             const saved = names.map((name, index) => ({ name, tokens: parts[index].tokens, store }));
             this.observeSaved(saved);
@@ -152,6 +152,14 @@
         return this.unreported.splice(0, maxPrefixesPerReport);
     }
 
+    private knownStoreOf(names: readonly string[]): KnownStore | undefined {
+        const innermost = names.at(-2);
+        const address = innermost === undefined
+            ? undefined
+            : this.storeOwners.ownerOf(innermost, [...this.stores.keys()]);
+        return address === undefined ? undefined : this.stores.get(address);
+    }
+
     /** Removes the estimated cache contents of an endpoint that no longer exists. */
     removeEndpoint(instance: string): void {
         this.caches.delete(instance);
--- a/packages/gateway/src/decision/prefixPlacement.ts
+++ b/packages/gateway/src/decision/prefixPlacement.ts
@@ -11,6 +11,7 @@
 import type { PromptPart } from "../headerCodec.js";
 import type { EndpointState } from "./endpointTable.js";
 import { type PrefixIndex, prefixNames } from "./prefixIndex.js";
+import { type LinkEnd, transferTime } from "./transferTime.js";
 
 /** Processing a shared prefix below this size again is faster than fetching it. */
 const minFetchedTokens = 512;
@@ -23,7 +24,11 @@
     readonly fetchable: number;
     /** Further tokens that the endpoint will probably have processed for another request, since it owns the prefix. */
     readonly likelyCached: number;
-    readonly source: { readonly address: string; readonly isStore: boolean; } | undefined;
+    /** Further tokens that it would process although the owner processes them, too. */
+    readonly repeated: number;
+    /** Time to fetch what it can fetch. */
+    readonly fetchTime: Milliseconds;
+    readonly source: LinkEnd | undefined;
 }
 
 /** Options of {@link PrefixPlacement}. */
@@ -35,6 +40,10 @@
     readonly parts: readonly PromptPart[];
     /** Cache scope of a version of the weights: a prefix is found only in the scope in which it was processed. */
     readonly scope: (version: number | undefined) => string;
+    /** Capacity of the link of each endpoint; `undefined` if unknown. */
+    readonly megabitsPerSecond: number | undefined;
+    /** Size of a token in a cache. */
+    readonly bytesPerToken: number;
 }
 
 /** Placement of one request's prefix, by version of the weights. */
@@ -55,16 +64,27 @@
         const names = this.namesOf(version);
         const cached = prefixIndex.cachedTokens(endpointState.endpoint.instance, names, parts);
         if (this.sharedTokens < minFetchedTokens) {
-            return { cached, fetchable: 0, likelyCached: 0, source: undefined };
+            return { cached, fetchable: 0, likelyCached: 0, repeated: 0, fetchTime: 0, source: undefined };
         }
+        const owner = this.ownerOf(version, now);
+        const isOwner = owner === endpointState;
         const store = prefixIndex.storeOf(names);
-        if (store === undefined) {
-            return this.fetchFromOwner(endpointState, version, cached, now);
-        }
-        const fetchable = Math.max(0, prefixIndex.savedTokens(names, parts) - cached);
+        // Without a store, what an endpoint lacks is at the owner.
+        const source = store ?? (isOwner || owner === undefined ? undefined : this.linkEndOf(owner));
+        const held = store === undefined ? this.sharedTokens : prefixIndex.savedTokens(names, parts);
+        const fetchable = source === undefined ? 0 : Math.max(0, held - cached);
         const missing = Math.max(0, this.sharedTokens - cached - fetchable);
-        const likelyCached = missing > 0 && this.ownerOf(version, now) === endpointState ? missing : 0;
-        return { cached, fetchable, likelyCached, source: { address: store, isStore: true } };
+        const fetchTime = source === undefined
+            ? 0
+            : transferTime(fetchable * this.options.bytesPerToken, source, this.linkEndOf(endpointState));
+        return {
+            cached,
+            fetchable,
+            likelyCached: isOwner ? missing : 0,
+            repeated: isOwner ? 0 : missing,
+            fetchTime,
+            source,
+        };
     }
 
     /** Cache store to which an endpoint should save the prefix; `undefined` if it is saved already or too small. */
@@ -73,7 +93,7 @@
         const names = this.namesOf(version);
         const isWorthSaving = this.sharedTokens >= minFetchedTokens
             && prefixIndex.savedTokens(names, parts) < this.sharedTokens;
-        return isWorthSaving ? prefixIndex.storeOf(names) : undefined;
+        return isWorthSaving ? prefixIndex.storeOf(names)?.address : undefined;
     }
 
     /** Names of the nested prefixes in the scope of a version of the weights. */
@@ -87,24 +107,12 @@
         return names;
     }
 
-    private fetchFromOwner(
-        endpointState: EndpointState,
-        version: number | undefined,
-        cached: number,
-        now: Milliseconds,
-    ): PrefixSource {
-        const owner = this.ownerOf(version, now);
-        const missing = Math.max(0, this.sharedTokens - cached);
-        if (owner === endpointState || owner === undefined) {
-            return {
-                cached,
-                fetchable: 0,
-                likelyCached: owner === endpointState ? missing : 0,
-                source: undefined,
-            };
-        }
-        const address = `${owner.endpoint.host}:${owner.endpoint.port}`;
-        return { cached, fetchable: missing, likelyCached: 0, source: { address, isStore: false } };
+    private linkEndOf({ endpoint }: EndpointState): LinkEnd {
+        return {
+            address: `${endpoint.host}:${endpoint.port}`,
+            dataCentre: endpoint.dataCentre,
+            megabitsPerSecond: this.options.megabitsPerSecond,
+        };
     }
 
     /**
--- a/packages/gateway/src/decision/routeTable.ts
+++ b/packages/gateway/src/decision/routeTable.ts
@@ -52,9 +52,11 @@
 
     /** Cache stores that engines can use. */
     cacheStores(): CacheStore[] {
-        return this.configuration.services.flatMap(({ cacheStoreAddress: address, cacheTokens }) =>
-            address === undefined ? [] : [{ address, tokens: cacheTokens ?? 0 }]
-        );
+        return this.configuration.services.flatMap((service) => {
+            const { cacheStoreAddress: address, cacheTokens: tokens = 0, dataCentre } = service;
+            const megabitsPerSecond = service.linkMegabitsPerSecond;
+            return address === undefined ? [] : [{ address, tokens, dataCentre, megabitsPerSecond }];
+        });
     }
 
     /** True if accounts are configured: routes that are not open then require a key. */
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -15,5 +15,6 @@
 export * from "./decision/routeTable.js";
 export * from "./decision/sharedLedger.js";
 export * from "./decision/spendingRelay.js";
+export * from "./decision/transferTime.js";
 export * from "./headerCodec.js";
 export * from "./node/gateway.js";
--- a/packages/gateway/src/node/requestTask.ts
+++ b/packages/gateway/src/node/requestTask.ts
@@ -41,12 +41,6 @@
 import { type PromptContext, readPromptContext } from "./promptContext.js";
 import { detectStalls } from "./stallDetector.js";
 
-/** Time to fetch a token of a cached prefix from a cache store, whose link has 22 Gbit/s. */
-const storeFetchTimePerToken: Milliseconds = 0.007;
-
-/** Time to fetch a token of a cached prefix from another replica; links between replicas have 280 Gbit/s. */
-const replicaFetchTimePerToken: Milliseconds = 0.001;
-
 /** Share of an engine's cache that all routers together rely on. */
 const usableCacheShare = 0.6;
 
@@ -104,6 +98,8 @@
             model: this.prompt.model,
             parts: request.metadata.parts,
             scope: this.prompt.scope,
+            megabitsPerSecond: request.service.engine?.linkMegabitsPerSecond,
+            bytesPerToken: request.service.engine?.bytesPerToken ?? 0,
         });
     }
 
@@ -165,13 +161,8 @@
             promptTokens: this.request.metadata.promptTokens,
             outputTokens: this.request.metadata.outputTokens,
             reusable: (endpointState, version) => {
-                const { cached, fetchable, likelyCached, source } = placement.sourceFor(
-                    endpointState,
-                    version,
-                    now,
-                );
-                const perToken = source?.isStore === true ? storeFetchTimePerToken : replicaFetchTimePerToken;
-                return { tokens: cached + fetchable, likelyCached, fetchTime: fetchable * perToken };
+                const { cached, fetchable, ...rest } = placement.sourceFor(endpointState, version, now);
+                return { tokens: cached + fetchable, ...rest };
             },
         };
     }
@@ -289,7 +280,8 @@
         const { placement, prompt, request } = this;
         metrics.recordFirstAnswer(request.route.name, clock.now() - request.arrival);
         if (hadNoQueue && choice.likelyCachedTokens === 0) {
-            endpointTable.speed(request.service.name).observe(choice.tokensToProcess, latency);
+            const speed = endpointTable.speed(request.service.name);
+            speed.observe(choice.tokensToProcess, latency, choice.fetchTime);
         }
         if (prompt === undefined || placement === undefined) {
             return;
