fix(fleet): sound routers stay live when the interval of exchanges is long

Cause: with 67 peers a router makes an exchange with each every 1,675 ms, but counted it as not live after 1,500 ms; the other router of a pair took over after 1,400 ms, so pairs exchanged more often than the bound on the rate allows. The set of live routers changed all the time, and with it the owners of agents, the shares of accounts and the interval itself. Change: the time for which a router counts as live, the takeover and the removal are at least multiples of the interval. Test: fleets of 5, 30, 68 and 120 peer tables with exchanges of up to 200 ms.

--- a/packages/fleet/src/__tests__/peerTable.spec.ts
+++ b/packages/fleet/src/__tests__/peerTable.spec.ts
@@ -1,6 +1,6 @@
-import { FakeClock } from "@redwingpin/common";
+import { FakeClock, seededRandom } from "@redwingpin/common";
 import { expect } from "chai";
-import { PeerTable } from "../index.js";
+import { PeerTable, routerInterval } from "../index.js";
 
 const own = { host: "10.0.0.1", port: 7_600 };
 const other = { host: "10.0.0.2", port: 7_600 };
@@ -164,3 +164,50 @@
         expect(takeDue(table, 1_000)).to.deep.equal([]);
     });
 });
+
+/** Plays exchanges between all routers of a fleet; each takes up to 200 ms, as between busy routers, and none fails. */
+function playFleet(size: number) {
+    const maxExchangeTime = 200;
+    const random = seededRandom(20_261_204);
+    const clock = new FakeClock(1_000);
+    const addresses = Array.from({ length: size }, (_, index) => ({ host: `10.0.0.${index}`, port: 7_600 }));
+    const tables = new Map(addresses.map((address) => [address.host, new PeerTable(address, clock)]));
+    tables.forEach((table) => table.addSeeds(addresses));
+    const warmUp = 10_000;
+    const end = 22_000;
+    let exchanges = 0;
+    let fewestLive = Infinity;
+    for (let time = 0; time < end; time += 50) {
+        for (const address of addresses) {
+            const table = tables.get(address.host)!;
+            const due = table.takeDue(routerInterval(table.liveRouterNames().length, true), () => 0);
+            for (const peer of due) {
+                const called = tables.get(peer.host)!;
+                clock.schedule(maxExchangeTime * random.unit(), () => {
+                    called.recordCall(address);
+                    table.recordAnswer(peer);
+                });
+                exchanges += time >= warmUp ? 1 : 0;
+            }
+        }
+        clock.advance(50);
+        if (time >= warmUp) {
+            const live = [...tables.values()].map((table) => table.liveRouterNames().length);
+            fewestLive = Math.min(fewestLive, ...live);
+        }
+    }
+    return { fewestLive, exchangesPerSecond: 1_000 * exchanges / (end - warmUp) / size };
+}
+
+describe("a fleet without faults", () => {
+    for (const size of [5, 30, 68, 120]) {
+        it(`of ${size} routers counts every router as live at all times`, () => {
+            expect(playFleet(size).fewestLive).to.equal(size - 1);
+        });
+    }
+
+    it("starts no more exchanges per router and second in a larger fleet", () => {
+        const [small, ...larger] = [30, 68, 120].map((size) => playFleet(size).exchangesPerSecond);
+        larger.forEach((rate) => expect(rate).to.be.at.most(1.1 * small));
+    });
+});
--- a/packages/fleet/src/decision/peerTable.ts
+++ b/packages/fleet/src/decision/peerTable.ts
@@ -6,24 +6,36 @@
 import { type Clock, type Milliseconds, rendezvousScore } from "@redwingpin/common";
 import type { InnerAddress } from "@redwingpin/protocol";
 
-/** A reachable router counts as live for this time after its last contact. */
-const liveTime: Milliseconds = 1_500;
+/** A reachable router counts as live for at least this time after its last contact. */
+const minLiveTime: Milliseconds = 1_500;
+
+/** That time is at least this multiple of the interval of exchanges, which is long in a large fleet. */
+const liveIntervals = 2;
 
 /** A router counts as removed after this time without contact; the platform replaces machines within seconds. */
-const removalTimeout: Milliseconds = 12_000;
+const minRemovalTimeout: Milliseconds = 12_000;
+
+/** That timeout is at least this multiple of the interval of exchanges. */
+const removalIntervals = 4;
 
 /** Minimum time without contact after which a router is reported as unheard. */
 const minUnheardTime: Milliseconds = 700;
 
-/** That time is at least this multiple of the interval of exchanges, which is long in a large fleet. */
+/** That time is at least this multiple of the interval of exchanges. */
 const unheardIntervals = 1.5;
 
 /** After this many intervals without a call, a router starts the exchanges that the other one of the pair should start. */
 const takeoverIntervals = 3;
 
-/** Maximum time without a call before a router does so, so that it detects an unresponsive peer in time. */
+/**
+ * Maximum time without a call before a router does so, so that it detects an unresponsive peer in time; longer only in a
+ * fleet whose interval of exchanges requires it.
+ */
 const maxTakeoverDelay: Milliseconds = 1_400;
 
+/** In such a fleet, a router waits for this many intervals: less than the time for which the peer counts as live. */
+const minTakeoverIntervals = 1.5;
+
 /** Maximum delay between attempts to reach a peer that does not answer. */
 const maxRetryDelay: Milliseconds = 2_000;
 
@@ -199,13 +211,13 @@
 
     /** Routers that called or answered recently. */
     recentRouters(): InnerAddress[] {
-        const since = this.clock.now() - removalTimeout;
+        const since = this.clock.now() - this.removalTimeout;
         return this.routers().filter((peer) => peer.lastContactAt > since).map((peer) => peer.address);
     }
 
     liveRouters(): InnerAddress[] {
         const now = this.clock.now();
-        return this.routers().filter((peer) => isLive(peer, now)).map((peer) => peer.address);
+        return this.routers().filter((peer) => this.isLive(peer, now)).map((peer) => peer.address);
     }
 
     liveRouterNames(): string[] {
@@ -215,7 +227,7 @@
     unresponsiveRouterCount(): number {
         const now = this.clock.now();
         return this.routers().filter((peer) =>
-            !isLive(peer, now) && peer.lastContactAt > now - removalTimeout
+            !this.isLive(peer, now) && peer.lastContactAt > now - this.removalTimeout
         ).length;
     }
 
@@ -228,7 +240,8 @@
         const timeout = Math.max(minUnheardTime, unheardIntervals * (this.routerInterval ?? 0));
         return this.routers()
             .filter(({ lastContactAt, lastListedAt }) =>
-                now - lastContactAt > timeout && now - Math.max(lastContactAt, lastListedAt) < removalTimeout
+                now - lastContactAt > timeout
+                && now - Math.max(lastContactAt, lastListedAt) < this.removalTimeout
             )
             .map((peer) => formatAddress(peer.address));
     }
@@ -239,9 +252,21 @@
         if (peer.isInitiatedHere) {
             return routerInterval ?? 0;
         }
-        return routerInterval === undefined
-            ? maxTakeoverDelay
-            : Math.min(maxTakeoverDelay, takeoverIntervals * routerInterval);
+        if (routerInterval === undefined) {
+            return maxTakeoverDelay;
+        }
+        const maxDelay = Math.max(maxTakeoverDelay, minTakeoverIntervals * routerInterval);
+        return Math.min(maxDelay, takeoverIntervals * routerInterval);
+    }
+
+    private get removalTimeout(): Milliseconds {
+        return Math.max(minRemovalTimeout, removalIntervals * (this.routerInterval ?? 0));
+    }
+
+    /** An unreachable router is not live, however recently it has called, since it gets no reports. */
+    private isLive(peer: Peer, now: Milliseconds): boolean {
+        const liveTime = Math.max(minLiveTime, liveIntervals * (this.routerInterval ?? 0));
+        return !peer.isUnreachable && peer.lastContactAt > now - liveTime;
     }
 
     private routers(): Peer[] {
@@ -274,12 +299,13 @@
         return peer;
     }
 
-    /** Removes routers without contact for five times {@link removalTimeout}; a peer that lists one adds it again. */
+    /** Removes routers without contact for five times the removal timeout; a peer that lists one adds it again. */
     private removeExpired(now: Milliseconds): void {
         for (const [name, peer] of this.peers) {
             const hadContact = peer.lastContactAt !== -Infinity;
             if (
-                peer.isRouter && !peer.isBusy && hadContact && peer.lastContactAt < now - 5 * removalTimeout
+                peer.isRouter && !peer.isBusy && hadContact
+                && peer.lastContactAt < now - 5 * this.removalTimeout
             ) {
                 this.peers.delete(name);
             }
@@ -287,11 +313,6 @@
     }
 }
 
-/** An unreachable router is not live, however recently it has called, since it gets no reports. */
-function isLive(peer: Peer, now: Milliseconds): boolean {
-    return !peer.isUnreachable && peer.lastContactAt > now - liveTime;
-}
-
 /** True if `own` starts the exchanges of a pair of routers. Both compute the same; each starts about half of its pairs. */
 function isInitiator(own: string, other: string): boolean {
     const [first, second] = own < other ? [own, other] : [other, own];
