test(standins): the network stand-in's test takes a port from the allocator

Cause: the test listened on the port after the service's, in the range for outgoing connections. The allocator's ports lie below that range. The checks are the same.

--- a/packages/standins/src/__tests__/networkStandin.spec.ts
+++ b/packages/standins/src/__tests__/networkStandin.spec.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 import { request } from "undici";
 import { PartitionDirection, startNetworkStandin } from "../node/networkStandin.js";
+import { PortAllocator } from "../node/portAllocator.js";
 import { startServiceStandin } from "../node/serviceStandin.js";
 
 describe("standins: network", () => {
@@ -8,7 +9,7 @@
         it(`buffers data on a partitioned link (${direction}) and delivers it once healed`, async () => {
             const service = await startServiceStandin();
             const targetPort = Number(new URL(service.address).port);
-            const port = targetPort + 1;
+            const port = await new PortAllocator("127.0.0.1").allocate();
             const network = await startNetworkStandin({ links: [{ from: "a", to: "b", port, targetPort }] });
             const executions = async () =>
                 await (await request(`${service.controlAddress}/control/executions`)).body.json() as object[];
