test(gateway): bytes without end in a head, a body, a chunk or informational heads end the call

Looked for on the users' word: an endpoint in trouble sends bytes that are no answer until the caller closes. Each of five forms ends with an unknown outcome, four at once by the limits on heads and answers, informational heads at the route's timeout, and the connection is closed.

--- a/packages/gateway/src/__tests__/requestTask.spec.ts
+++ b/packages/gateway/src/__tests__/requestTask.spec.ts
@@ -160,3 +160,40 @@
         expect(received).to.deep.equal(["first", "second"]);
     });
 });
+
+describe("bytes without end from an endpoint", () => {
+    const bytesPerWrite = 65_536;
+    const cases = [
+        { where: "in a head", first: "HTTP/1.1 200 OK\r\nx-filler: ", filler: "x" },
+        { where: "in a body", first: "HTTP/1.1 200 OK\r\n\r\n", filler: "x" },
+        {
+            where: "in a chunk",
+            first: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\n",
+            filler: "x",
+        },
+        { where: "in informational heads", first: "", filler: "HTTP/1.1 103 Early Hints\r\n\r\n" },
+        { where: "before any head", first: "", filler: "x" },
+    ];
+    for (const { where, first, filler } of cases) {
+        it(`${where} end the call with an unknown outcome and close the connection`, async () => {
+            let closed: Promise<void> | undefined;
+            const endpoint = await startRawEndpoint((socket) => {
+                const bytes = filler.repeat(Math.ceil(bytesPerWrite / filler.length));
+                const write = () => {
+                    if (!socket.destroyed) {
+                        socket.write(bytes, () => setImmediate(write));
+                    }
+                };
+                closed = new Promise((resolve) => socket.once("close", () => resolve()));
+                socket.write(first, write);
+            });
+            const router = await routerFixture(endpoint);
+            const { status, text } = await router.call("endless");
+            expect(status).to.be.oneOf([502, 504]);
+            expect(text).to.include("may have run");
+            await closed;
+            router.stop();
+            endpoint.stop();
+        });
+    }
+});
