--- a/packages/gateway/src/node/endpointConnections.ts
+++ b/packages/gateway/src/node/endpointConnections.ts
@@ -11,8 +11,8 @@
 import type { Duplex } from "node:stream";
 
 /**
- * Idle connections are closed after this time, or earlier if the endpoint states a shorter one. Calls that may not be
- * repeated use them too, so a connection has to show that its endpoint was reachable a moment ago.
+ * Idle connections are closed after this time, or earlier if the endpoint states a shorter one. The time is short since a
+ * call that may not be repeated is lost if its endpoint died while the connection was idle.
  */
 const idleTimeMilliseconds = 1_000;
 
