feat(gateway): log which prompt parts the requests had whose endpoint crashed

Callers saw: nothing changes for them.

An attempt that was closed without an answer now asks once whether the endpoint still accepts connections; requests that are interrupted at the same endpoint share that probe. Its log line gets crashed, begun, fingerprint and parts.

--- a/packages/gateway/src/__tests__/attemptPlan.spec.ts
+++ b/packages/gateway/src/__tests__/attemptPlan.spec.ts
@@ -9,7 +9,7 @@
     reached: true,
 };
 const unreached: AttemptOutcome = { kind: "notRun", retryReason: RetryReason.ConnectFailed, reached: false };
-const broken: AttemptOutcome = { kind: "broken", detail: "reset" };
+const broken: AttemptOutcome = { kind: "broken", detail: "reset", hasHead: false, isClosed: true };
 const failed: AttemptOutcome = {
     kind: "failed",
     answer: { status: 500, rawHeaders: [], body: Buffer.alloc(0) },
--- a/packages/gateway/src/__tests__/requestTask.spec.ts
+++ b/packages/gateway/src/__tests__/requestTask.spec.ts
@@ -20,6 +20,7 @@
     PrefixIndex,
     RouteTable,
 } from "../index.js";
+import { CrashProbe } from "../node/crashProbe.js";
 import { EndpointConnections } from "../node/endpointConnections.js";
 import { GatewayMetrics } from "../node/gatewayMetrics.js";
 import { serveRequest } from "../node/requestTask.js";
@@ -78,6 +79,7 @@
         endpointTable,
         prefixIndex: new PrefixIndex(),
         connections,
+        crashProbe: new CrashProbe(),
         retryBudget: new FleetRetryBudget({ ratio: 0.2, window: 10_000, slack: 10 }),
         crashTracker: new CrashTracker(),
         demandTracker: new DemandTracker(),
--- a/packages/gateway/src/decision/attemptPlan.ts
+++ b/packages/gateway/src/decision/attemptPlan.ts
@@ -32,8 +32,16 @@
     | { readonly kind: "notRun"; readonly retryReason: RetryReason; readonly reached: boolean; }
     /** The endpoint sent a complete error answer. */
     | { readonly kind: "failed"; readonly answer: FailedAnswer; }
-    /** The answer is missing, incomplete or invalid; the request may have run. */
-    | { readonly kind: "broken"; readonly detail: string; }
+    /**
+     * The answer is missing, incomplete or invalid; the request may have run. `hasHead` is true if the head of an answer
+     * arrived, `isClosed` if the endpoint closed the connection before the answer was complete.
+     */
+    | {
+        readonly kind: "broken";
+        readonly detail: string;
+        readonly hasHead: boolean;
+        readonly isClosed: boolean;
+    }
     /** The deadline of the request passed. */
     | { readonly kind: "timedOut"; }
     /** The caller closed its connection. */
--- a/packages/gateway/src/node/attempt.ts
+++ b/packages/gateway/src/node/attempt.ts
@@ -93,7 +93,7 @@
         this.cancelDeadline = clock.schedule(left, () => this.finish({ kind: "timedOut" }));
         if (request.route.repeatable) {
             this.removeLossListener = this.context.choice.endpointState.onLost(() =>
-                this.finish({ kind: "broken", detail: "the endpoint was declared lost" })
+                this.finish(this.invalid("the endpoint was declared lost"))
             );
         }
         this.exchange = new EndpointExchange(this.context.exchange, {
@@ -126,7 +126,7 @@
         this.metadata = this.context.headerCodec.readAnswer(rawHeaders);
         const problem = this.findHeadProblem();
         if (problem !== undefined) {
-            this.finish({ kind: "broken", detail: problem });
+            this.finish(this.invalid(problem));
             return;
         }
         this.isStreaming = status === okStatus
@@ -159,7 +159,7 @@
         }
         this.bytes += chunk.length;
         if (this.bytes > maxAnswerBytes) {
-            this.finish({ kind: "broken", detail: `the answer has more than ${maxAnswerBytes} bytes` });
+            this.finish(this.invalid(`the answer has more than ${maxAnswerBytes} bytes`));
             return true;
         }
         this.chunks.push(chunk);
@@ -186,7 +186,7 @@
             writable = response.write(event.bytes);
         }
         if (this.reader.isOverlong) {
-            this.finish({ kind: "broken", detail: "an event exceeds the maximum size" });
+            this.finish(this.invalid("an event exceeds the maximum size"));
         }
         return writable;
     }
@@ -208,10 +208,10 @@
     private endStream(): AttemptOutcome {
         const { progress, response } = this.context;
         if (this.reader.hasPartialEvent) {
-            return { kind: "broken", detail: "the stream ended in the middle of an event" };
+            return this.closed("the stream ended in the middle of an event");
         }
         if (!progress.started) {
-            return { kind: "broken", detail: "the stream ended before its first event" };
+            return this.closed("the stream ended before its first event");
         }
         response.end();
         return { kind: "delivered" };
@@ -230,17 +230,27 @@
             return { kind: "failed", answer: { status, rawHeaders: this.rawHeaders, body } };
         }
         if (this.context.progress.started) {
-            return { kind: "broken", detail: `a resumed stream was answered with status ${status}` };
+            return this.invalid(`a resumed stream was answered with status ${status}`);
         }
         this.context.observer.onFirstAnswer(metadata);
         writeWholeAnswer(this.context.response, status, this.rawHeaders, body);
         return { kind: "delivered" };
     }
 
+    /** Outcome if the answer can't be used although the endpoint did not close the connection. */
+    private invalid(detail: string): AttemptOutcome {
+        return { kind: "broken", detail, hasHead: this.status > 0, isClosed: false };
+    }
+
+    /** Outcome if the endpoint closed the connection before the answer was complete. */
+    private closed(detail: string): AttemptOutcome {
+        return { kind: "broken", detail, hasHead: this.status > 0, isClosed: true };
+    }
+
     private onBroken(detail: string, isSent: boolean): void {
         this.finish(
             isSent
-                ? { kind: "broken", detail }
+                ? this.closed(detail)
                 : { kind: "notRun", retryReason: RetryReason.ConnectFailed, reached: false },
         );
     }
--- a/packages/gateway/src/node/attemptRecord.ts
+++ b/packages/gateway/src/node/attemptRecord.ts
@@ -30,6 +30,8 @@
 export interface AttemptDetails {
     readonly number: number;
     readonly sentAt: Milliseconds;
+    /** True if the endpoint crashed before it answered. */
+    readonly hasCrashedEndpoint: boolean;
     /** Number of events that were sent to the caller. */
     readonly events: number;
     /** Version of the weights that is desired. */
@@ -65,6 +67,7 @@
         endpoint: endpointState.endpoint.instance,
         outcome: outcome.kind,
         detail: outcomeDetail(outcome),
+        ...details.hasCrashedEndpoint && describeSuspect(request, outcome),
         took: Math.round(now - details.sentAt),
         predicted: Math.round(choice.latency),
         worth: Number(choice.worth.toFixed(2)),
@@ -121,6 +124,16 @@
     };
 }
 
+/** Log fields of a request that may have crashed its endpoint. */
+function describeSuspect(request: DirectRequest, outcome: AttemptOutcome): Record<string, unknown> {
+    return {
+        crashed: true,
+        begun: outcome.kind === "broken" && outcome.hasHead,
+        fingerprint: request.fingerprint,
+        parts: request.metadata.parts.map((part) => part.identifier).join(","),
+    };
+}
+
 function outcomeDetail(outcome: AttemptOutcome): string | undefined {
     switch (outcome.kind) {
         case "notRun":
--- a/packages/gateway/src/node/endpointExchange.ts
+++ b/packages/gateway/src/node/endpointExchange.ts
@@ -7,7 +7,7 @@
 import { type Agent, type ClientRequest, type IncomingMessage, request as httpRequest } from "node:http";
 
 /** A live endpoint accepts a connection within milliseconds; one without power never answers. */
-const connectTimeoutMilliseconds = 350;
+export const connectTimeoutMilliseconds = 350;
 
 /** The request to send. */
 export interface ExchangeRequest {
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -46,6 +46,7 @@
 import { RouteTable } from "../decision/routeTable.js";
 import { type RateTolerance, SharedLedger } from "../decision/sharedLedger.js";
 import type { HeaderCodec } from "../headerCodec.js";
+import { CrashProbe } from "./crashProbe.js";
 import { DirectServer } from "./directServer.js";
 import { EndpointConnections } from "./endpointConnections.js";
 import { GatewayMetrics } from "./gatewayMetrics.js";
@@ -320,6 +321,7 @@
             endpointTable: this.endpointTable,
             prefixIndex: this.prefixIndex,
             connections: this.connections,
+            crashProbe: new CrashProbe(),
             retryBudget: this.retryBudget,
             crashTracker: this.crashTracker,
             demandTracker: this.demandTracker,
--- a/packages/gateway/src/node/requestTask.ts
+++ b/packages/gateway/src/node/requestTask.ts
@@ -36,6 +36,7 @@
 import { notRunStatuses, runAttempt, type StreamProgress } from "./attempt.js";
 import { recordAttempt, trackLoad } from "./attemptRecord.js";
 import type { DirectRequest } from "./callerRequest.js";
+import type { CrashProbe } from "./crashProbe.js";
 import type { EndpointConnections } from "./endpointConnections.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
 import { type PromptContext, readPromptContext } from "./promptContext.js";
@@ -57,6 +58,7 @@
     readonly endpointTable: EndpointTable;
     readonly prefixIndex: PrefixIndex;
     readonly connections: EndpointConnections;
+    readonly crashProbe: CrashProbe;
     readonly retryBudget: FleetRetryBudget;
     readonly crashTracker: CrashTracker;
     readonly demandTracker: DemandTracker;
@@ -185,6 +187,7 @@
         this.context.demandTracker.record(request.service.name, choice.tokensToProcess, sentAt);
         const tokensAhead = choice.endpointState.waitingTokens;
         const load = trackLoad(choice);
+        const eventsBefore = this.progress.events;
         let firstAnswerAt: Milliseconds | undefined;
         const metadata = this.createDispatchMetadata(choice, sentAt);
         const stopStallDetection = detectStalls(clock, this.context.logger, {
@@ -222,9 +225,12 @@
             const speed = this.context.endpointTable.speed(request.service.name);
             speed.observeStream(request.metadata.outputTokens, clock.now() - firstAnswerAt);
         }
+        const isUnanswered = outcome.kind === "broken" && outcome.isClosed
+            && this.progress.events === eventsBefore;
         recordAttempt(this.context, request, choice, outcome, {
             number: this.attempts,
             sentAt,
+            hasCrashedEndpoint: isUnanswered && await this.context.crashProbe.hasCrashed(endpoint),
             events: this.progress.events,
             desiredVersion: this.prompt?.desiredWeights?.version,
         });
