fix(gateway): a prompt part that crashes engines is refused, not only a request that is sent again

Callers saw: streams of sound requests cut off, one engine after the other, as long as prompts with the part came.

Cause: crashes were counted by a digest of account, path and body. Requests that share only a part of their prompts have different digests, so no count reached its limit. Of what the requests had in common nothing was kept. The same design took any broken answer for a crash, and each report repeated up to 2,000 counts for a minute.

Fix: suspects are requests whose endpoint refuses connections after it closed theirs unanswered. A part (or a request) is refused after three crashes in succession without an answer to a request with it. Routers share suspects and answers, each once; an answer releases the part. This works since the cause is never answered, while its company is.

Ruled out: counting how often a part is present at crashes (the route's common first part is in most of them); refusing at the second crash (an innocent request that waited at two endpoints).

--- a/packages/fleet/src/fleetMessages.ts
+++ b/packages/fleet/src/fleetMessages.ts
@@ -40,10 +40,43 @@
     readonly running: number;
 }
 
-/** Number of endpoints that a request has crashed, as the sender itself has counted. */
-export interface CrashCount {
-    readonly fingerprint: string;
-    readonly crashes: number;
+/** A request whose endpoint crashed before it began to answer, as the sender itself has observed. */
+export interface CrashSuspect {
+    /** Fingerprint of the request. */
+    readonly request: string;
+    /** Parts that its prompt may share with others, outermost first. */
+    readonly parts: readonly string[];
+    /** Instance of the endpoint. */
+    readonly endpoint: string;
+    /** Milliseconds since the request was sent to the endpoint. */
+    readonly sentAge: number;
+    /** Milliseconds since the endpoint crashed. */
+    readonly crashAge: number;
+}
+
+/** A part of prompts with which an endpoint has begun to answer a request. */
+export interface AnsweredPart {
+    readonly part: string;
+    /** Milliseconds since the last such answer began. */
+    readonly age: number;
+}
+
+/** A request or a part of prompts that is refused, since it crashes endpoints. */
+export interface QuarantinedCause {
+    /** `request` or `part`. */
+    readonly kind: string;
+    readonly name: string;
+    readonly firstCrashAge: number;
+    readonly lastCrashAge: number;
+}
+
+/** What a router reports of crashes: the changes that the receiver does not have yet. */
+export interface CrashReport {
+    /** Number of the sender's last change that the report and earlier ones contain. */
+    readonly lastChange: number;
+    readonly suspects: readonly CrashSuspect[];
+    readonly answered: readonly AnsweredPart[];
+    readonly quarantined: readonly QuarantinedCause[];
 }
 
 /** Status of a replica, as its agent reports it. */
@@ -123,7 +156,10 @@
     /** Spending of the sender that has not been delivered to the receiver. */
     readonly spent: readonly AccountSpending[];
     readonly load: readonly EndpointLoad[];
-    readonly crashes: readonly CrashCount[];
+    /** Always empty; required by routers of earlier releases. */
+    readonly crashes: readonly never[];
+    /** Absent if there is nothing new, and from earlier releases. */
+    readonly crashReport?: CrashReport;
     /** Level of each account's token bucket, for peers that have just started. */
     readonly levels: readonly AccountSpending[];
     /** Status of the sender's replica, if the sender is an agent. */
@@ -234,7 +270,24 @@
     load: isListOf(
         isShaped({ instance: isString, waitingTokens: isNonNegativeNumber, running: isNonNegativeNumber }),
     ),
-    crashes: isListOf(isShaped({ fingerprint: isString, crashes: isNonNegativeInteger })),
+    crashes: isListOf(isShaped({})),
+    crashReport: isOptional(isShaped({
+        lastChange: isNonNegativeInteger,
+        suspects: isListOf(isShaped({
+            request: isString,
+            parts: isListOf(isString),
+            endpoint: isString,
+            sentAge: isNonNegativeNumber,
+            crashAge: isNonNegativeNumber,
+        })),
+        answered: isListOf(isShaped({ part: isString, age: isNonNegativeNumber })),
+        quarantined: isListOf(isShaped({
+            kind: isString,
+            name: isString,
+            firstCrashAge: isNonNegativeNumber,
+            lastCrashAge: isNonNegativeNumber,
+        })),
+    })),
     levels: isListOf(isShaped(spendingShape)),
     demand: isListOf(isShaped({ service: isString, tokensPerMillisecond: isNonNegativeNumber })),
     saved: isListOf(isShaped({ name: isString, tokens: isNonNegativeInteger, store: isString })),
--- /dev/null
+++ b/packages/gateway/src/decision/crashEvidence.ts
@@ -0,0 +1,136 @@
+/**
+ * Judges which of the requests that were at an endpoint when it crashed, or which part that prompts share, is the cause.
+ *
+ * Most requests that are at an endpoint when it crashes are innocent. The evidence against a cause is conclusive once
+ * endpoints have crashed under it several times in succession, each time under a request that was sent after the previous
+ * crash, and no endpoint has begun to answer a request with it since. A crash that another part explains does not count.
+ *
+ * @module
+ */
+import type { Milliseconds } from "@redwingpin/common";
+
+/** Number of successive crashes after which a cause is quarantined. */
+export const crashesBeforeQuarantine = 3;
+
+/** A part is quarantined only if requests with different content crashed under it: otherwise one request is the cause. */
+const minRequestsOfPart = 2;
+
+/** Routers notice the same crash at different times, at most this far apart; an endpoint takes longer to restart. */
+const sameCrashTolerance: Milliseconds = 1_000;
+
+/** What crashes endpoints. */
+export type CrashCause =
+    /** A request, by its fingerprint. */
+    | { readonly kind: "request"; readonly name: string; }
+    /** A part that prompts share. */
+    | { readonly kind: "part"; readonly name: string; };
+
+/** A request whose endpoint crashed before it began to answer. */
+export interface UnansweredRequest {
+    readonly fingerprint: string;
+    /** See {@link sharedParts}. */
+    readonly parts: readonly string[];
+    readonly endpoint: string;
+    readonly sentAt: Milliseconds;
+}
+
+/** A request that was not answered when its endpoint crashed. */
+export interface Suspect extends UnansweredRequest {
+    readonly crashedAt: Milliseconds;
+    /** Number of the change; absent if a peer has reported it. */
+    readonly change?: number;
+}
+
+/** Evidence against a cause. */
+export interface Evidence {
+    readonly cause: CrashCause;
+    readonly isConclusive: boolean;
+    readonly wasAnswered: boolean;
+    /** Position of the part in its prompts; -1 for a request. */
+    readonly depth: number;
+    readonly firstCrashAt: Milliseconds;
+    readonly lastCrashAt: Milliseconds;
+}
+
+/** What {@link collectEvidence} needs to know besides the suspects. */
+export interface EvidenceContext {
+    /** When an endpoint last began to answer a request with the cause; -Infinity if that is not known. */
+    readonly answeredAt: (cause: CrashCause) => Milliseconds;
+    readonly isQuarantined: (cause: CrashCause) => boolean;
+}
+
+/** Collects the evidence against a cause. */
+export function collectEvidence(
+    cause: CrashCause,
+    suspects: readonly Suspect[],
+    context: EvidenceContext,
+): Evidence {
+    const answeredAt = context.answeredAt(cause);
+    const explained = suspects.filter(({ parts }) =>
+        parts.some((name) => context.isQuarantined({ kind: "part", name }))
+    );
+    const counted = suspects.filter((suspect) =>
+        isSuspectOf(suspect, cause) && suspect.crashedAt > answeredAt
+        && !explained.some((other) => isSameCrash(suspect, other))
+    );
+    const crashTimes = counted.map((suspect) => suspect.crashedAt);
+    const requests = new Set(counted.map((suspect) => suspect.fingerprint));
+    const minRequests = cause.kind === "part" ? minRequestsOfPart : 1;
+    return {
+        cause,
+        isConclusive: successiveCrashes(counted) >= crashesBeforeQuarantine && requests.size >= minRequests,
+        wasAnswered: answeredAt > -Infinity,
+        depth: cause.kind === "part"
+            ? Math.max(-1, ...counted.map(({ parts }) => parts.indexOf(cause.name)))
+            : -1,
+        firstCrashAt: Math.min(...crashTimes),
+        lastCrashAt: Math.max(...crashTimes),
+    };
+}
+
+/** Every possible cause of a crash under a request. */
+export function causesOf(fingerprint: string, parts: readonly string[]): CrashCause[] {
+    return [
+        { kind: "request", name: fingerprint },
+        ...parts.map((name): CrashCause => ({ kind: "part", name })),
+    ];
+}
+
+/** Key of a cause in a map. */
+export function keyOf(cause: CrashCause): string {
+    return `${cause.kind}:${cause.name}`;
+}
+
+function isSuspectOf(suspect: Suspect, cause: CrashCause): boolean {
+    return cause.kind === "part"
+        ? suspect.parts.includes(cause.name)
+        : suspect.fingerprint === cause.name;
+}
+
+function isSameCrash(left: Suspect, right: Suspect): boolean {
+    return left.endpoint === right.endpoint
+        && Math.abs(left.crashedAt - right.crashedAt) <= sameCrashTolerance;
+}
+
+/** Length of the longest series of crashes in which each request was sent after the previous crash. */
+function successiveCrashes(suspects: readonly Suspect[]): number {
+    let crashes = 0;
+    let lastCrashAt: Milliseconds = -Infinity;
+    for (const suspect of [...suspects].sort((left, right) => left.crashedAt - right.crashedAt)) {
+        if (suspect.sentAt >= lastCrashAt) {
+            crashes += 1;
+            lastCrashAt = suspect.crashedAt;
+        }
+    }
+    return crashes;
+}
+
+/**
+ * Orders the most likely cause first: a part rather than one request, a part without any known answer, and of those the
+ * innermost one, since outer parts are shared by more requests.
+ */
+export function compareLikelihood(left: Evidence, right: Evidence): number {
+    return Number(right.cause.kind === "part") - Number(left.cause.kind === "part")
+        || Number(left.wasAnswered) - Number(right.wasAnswered)
+        || right.depth - left.depth;
+}
--- a/packages/gateway/src/decision/crashTracker.ts
+++ b/packages/gateway/src/decision/crashTracker.ts
@@ -1,85 +1,335 @@
 /**
- * Counts the endpoints that crashed while they ran a request. If several did, the request is assumed to be the cause and
- * is refused for a time. Routers share their counts.
+ * Finds out which requests crash endpoints, and refuses them for a time. The cause may be one request that is sent again
+ * and again, or a part that many requests have in common.
+ *
+ * A request is a suspect if its endpoint crashed before it began to answer. A cause is quarantined once the evidence
+ * against it is conclusive (crashEvidence.ts), and released if an endpoint begins to answer a request with it after all.
+ * Routers share suspects and answers, so that all of them come to the same conclusion.
  *
  * @module
  */
-import type { Milliseconds } from "@redwingpin/common";
-import type { CrashCount } from "@redwingpin/fleet";
+import { digestOf, type Milliseconds } from "@redwingpin/common";
+import type { AnsweredPart, CrashReport, CrashSuspect, QuarantinedCause } from "@redwingpin/fleet";
+import type { PromptPart } from "../headerCodec.js";
+import {
+    causesOf,
+    collectEvidence,
+    compareLikelihood,
+    type CrashCause,
+    keyOf,
+    type Suspect,
+    type UnansweredRequest,
+} from "./crashEvidence.js";
+
+/** A suspect expires this long after its crash. */
+const suspectLifetime: Milliseconds = 60_000;
+
+/** A cause is quarantined until this long after its last crash. */
+export const quarantineDuration: Milliseconds = 300_000;
+
+const maxSuspects = 300;
+const maxQuarantines = 1_000;
+const maxAnsweredParts = 4_000;
 
-/** Number of crashed endpoints after which a request is refused. */
-export const crashesBeforeRefusal = 3;
+/** Maximum number of entries of each kind in one report; the others follow in the next one. */
+const maxReportedEntries = 50;
 
-/** A count expires this long after the last crash. */
-const crashLifetime: Milliseconds = 60_000;
+/** Maximum number of parts of a prompt that are examined. */
+const maxParts = 64;
 
-const maxEntries = 2_000;
+/** Longer identifiers of parts are replaced by a digest. */
+const maxIdentifierLength = 32;
 
-interface Entry {
-    readonly instances: Set<string>;
-    /** Largest count that any peer has reported. */
-    maxPeerCount: number;
+interface Quarantine {
+    readonly cause: CrashCause;
+    readonly firstCrashAt: Milliseconds;
     lastCrashAt: Milliseconds;
+    readonly change: number;
 }
 
-/** Crash counts of one router, by fingerprint of the request. */
+/** The last known answer to a request with a part. */
+interface Answered {
+    readonly at: Milliseconds;
+    /** True if this router has received such an answer itself. */
+    readonly isOwn: boolean;
+    /** Number of the change; absent if peers need not know. */
+    change?: number;
+}
+
+/**
+ * Names of the parts that a prompt may have in common with others: all but the last, which belongs to the request itself.
+ */
+export function sharedParts(parts: readonly PromptPart[]): string[] {
+    return parts.slice(0, -1).slice(0, maxParts).map(({ identifier }) =>
+        identifier.length <= maxIdentifierLength
+            ? identifier
+            : digestOf(identifier).slice(0, maxIdentifierLength)
+    );
+}
+
+/** Suspects and quarantines of one router. */
 export class CrashTracker {
-    private readonly entries = new Map<string, Entry>();
+    private suspects: Suspect[] = [];
+    private readonly quarantines = new Map<string, Quarantine>();
+    /** When an endpoint last began to answer a request with a part; the latest answers come last. */
+    private readonly answeredParts = new Map<string, Answered>();
+    private readonly answeredRequests = new Map<string, Milliseconds>();
+    private changes = 0;
+    private lastChangeAt: Milliseconds = -Infinity;
 
-    /** Records that the connection to an endpoint broke while the endpoint ran the request. */
-    recordCrash(fingerprint: string, instance: string, now: Milliseconds): void {
-        const entry = this.findOrCreate(fingerprint, now);
-        entry.instances.add(instance);
-        entry.lastCrashAt = now;
+    constructor(private readonly onQuarantined: (cause: CrashCause) => void = () => {}) {}
+
+    /** True if there was a change for peers within the given time. */
+    hasChangedWithin(duration: Milliseconds, now: Milliseconds): boolean {
+        return now - this.lastChangeAt <= duration;
     }
 
-    /** Removes the count of a request that was served. */
-    recordSuccess(fingerprint: string): void {
-        this.entries.delete(fingerprint);
+    /** Records that an endpoint crashed before it began to answer a request. */
+    recordCrash(request: UnansweredRequest, now: Milliseconds): void {
+        this.addSuspects([{ ...request, crashedAt: now, change: this.nextChange(now) }], now);
     }
 
-    /** Number of endpoints that crashed while they ran the request. */
-    crashCount(fingerprint: string, now: Milliseconds): number {
-        const entry = this.entries.get(fingerprint);
-        if (entry === undefined || now - entry.lastCrashAt > crashLifetime) {
-            return 0;
+    /** Records that an endpoint has begun to answer a request. */
+    recordAnswer(fingerprint: string, parts: readonly string[], now: Milliseconds): void {
+        if (this.suspects.some((suspect) => suspect.fingerprint === fingerprint)) {
+            this.answeredRequests.set(fingerprint, now);
         }
-        return entry.instances.size + entry.maxPeerCount;
+        for (const part of parts) {
+            const previous = this.answeredParts.get(part);
+            const answered: Answered = { at: now, isOwn: true, change: previous?.change };
+            if (this.isSuspectSince(part, previous?.at ?? -Infinity)) {
+                answered.change = this.nextChange(now);
+            }
+            this.setAnswered(part, answered);
+        }
+        this.liftQuarantines(parts, now);
     }
 
-    isRefused(fingerprint: string, now: Milliseconds): boolean {
-        return this.crashCount(fingerprint, now) >= crashesBeforeRefusal;
+    /** Time until which a request is refused; `undefined` if it is not. */
+    refusedUntil(fingerprint: string, parts: readonly string[], now: Milliseconds): Milliseconds | undefined {
+        if (this.quarantines.size === 0) {
+            return undefined;
+        }
+        const ends = causesOf(fingerprint, parts).flatMap((cause) => {
+            const quarantine = this.quarantineOf(cause, now);
+            return quarantine === undefined ? [] : [quarantine.lastCrashAt + quarantineDuration];
+        });
+        return ends.length === 0 ? undefined : Math.max(...ends);
     }
 
-    /** This router's own counts, for its peers. */
-    report(now: Milliseconds): CrashCount[] {
-        return [...this.entries]
-            .filter(([, entry]) => now - entry.lastCrashAt <= crashLifetime && entry.instances.size > 0)
-            .map(([fingerprint, entry]) => ({ fingerprint, crashes: entry.instances.size }));
+    /**
+     * The changes that a peer does not have yet, which has received those up to `delivered`; `undefined` if there are none.
+     */
+    report(delivered: number, now: Milliseconds): CrashReport | undefined {
+        if (delivered >= this.changes) {
+            return undefined;
+        }
+        this.expire(now);
+        const isNew = ({ change }: { readonly change?: number; }) =>
+            change !== undefined && change > delivered;
+        const suspects = this.suspects.filter(isNew).slice(0, maxReportedEntries);
+        const answered = [...this.answeredParts].filter(([, entry]) => isNew(entry))
+            .sort(([, left], [, right]) => left.change! - right.change!)
+            .slice(0, maxReportedEntries);
+        const quarantined = [...this.quarantines.values()].filter(isNew).slice(0, maxReportedEntries);
+        const isFull = [suspects, answered, quarantined].some((list) => list.length === maxReportedEntries);
+        return {
+            suspects: suspects.map((suspect) => ({
+                request: suspect.fingerprint,
+                parts: suspect.parts,
+                endpoint: suspect.endpoint,
+                sentAge: now - suspect.sentAt,
+                crashAge: now - suspect.crashedAt,
+            })),
+            answered: answered.map(([part, { at }]) => ({ part, age: now - at })),
+            quarantined: quarantined.map(({ cause, firstCrashAt, lastCrashAt }) => ({
+                ...cause,
+                firstCrashAge: now - firstCrashAt,
+                lastCrashAge: now - lastCrashAt,
+            })),
+            lastChange: isFull
+                ? lastCompleteChange(suspects, answered.map(([, entry]) => entry), quarantined)
+                : this.changes,
+        };
     }
 
-    /** Applies the counts that a peer has reported. */
-    observe(counts: readonly CrashCount[], now: Milliseconds): void {
-        for (const { fingerprint, crashes } of counts) {
-            const entry = this.findOrCreate(fingerprint, now);
-            if (crashes > entry.maxPeerCount) {
-                entry.maxPeerCount = crashes;
-                entry.lastCrashAt = now;
+    /** Applies a peer's report. */
+    observe({ answered, quarantined, suspects }: CrashReport, now: Milliseconds): void {
+        answered.forEach((entry) => this.observeAnswered(entry, now));
+        quarantined.forEach((entry) => this.observeQuarantined(entry, now));
+        this.addSuspects(suspects.map((suspect) => readSuspect(suspect, now)), now);
+    }
+
+    private observeAnswered({ age, part }: AnsweredPart, now: Milliseconds): void {
+        const at = now - age;
+        const known = this.answeredParts.get(part);
+        if (known === undefined || known.at < at) {
+            this.setAnswered(part, { at, isOwn: known?.isOwn ?? false, change: known?.change });
+            this.liftQuarantines([part], now);
+        }
+    }
+
+    /** Adopts a peer's quarantine, unless this router knows of an answer to a request with the part. */
+    private observeQuarantined(entry: QuarantinedCause, now: Milliseconds): void {
+        const cause: CrashCause = { kind: entry.kind === "part" ? "part" : "request", name: entry.name };
+        const known = this.quarantines.get(keyOf(cause));
+        const lastCrashAt = now - entry.lastCrashAge;
+        if (known !== undefined) {
+            known.lastCrashAt = Math.max(known.lastCrashAt, lastCrashAt);
+        }
+        else if (this.answeredAt(cause) === -Infinity) {
+            this.quarantine(cause, now - entry.firstCrashAge, lastCrashAt, now);
+        }
+    }
+
+    private addSuspects(added: readonly Suspect[], now: Milliseconds): void {
+        if (added.length === 0) {
+            return;
+        }
+        this.expire(now);
+        this.suspects = [...this.suspects, ...added].slice(-maxSuspects);
+        for (const { crashedAt, fingerprint, parts } of added) {
+            for (const cause of causesOf(fingerprint, parts)) {
+                const quarantine = this.quarantineOf(cause, now);
+                if (quarantine !== undefined) {
+                    quarantine.lastCrashAt = Math.max(quarantine.lastCrashAt, crashedAt);
+                }
+            }
+            // Peers may not know that endpoints have answered requests with these parts before.
+            for (const part of parts) {
+                const answered = this.answeredParts.get(part);
+                if (answered?.isOwn === true) {
+                    answered.change ??= this.nextChange(now);
+                }
             }
         }
+        this.assess(added, now);
     }
 
-    private findOrCreate(fingerprint: string, now: Milliseconds): Entry {
-        const existing = this.entries.get(fingerprint);
-        if (existing !== undefined && now - existing.lastCrashAt <= crashLifetime) {
-            return existing;
+    /** Quarantines the causes of the suspects whose evidence is conclusive, the most likely one first. */
+    private assess(suspects: readonly Suspect[], now: Milliseconds): void {
+        const causes = new Map(
+            suspects.flatMap(({ fingerprint, parts }) => causesOf(fingerprint, parts))
+                .map((cause) => [keyOf(cause), cause]),
+        );
+        const context = {
+            answeredAt: (cause: CrashCause) => this.answeredAt(cause),
+            isQuarantined: (cause: CrashCause) => this.quarantineOf(cause, now) !== undefined,
+        };
+        for (;;) {
+            const conclusive = [...causes.values()]
+                .filter((cause) => this.quarantineOf(cause, now) === undefined)
+                .map((cause) => collectEvidence(cause, this.suspects, context))
+                .filter((evidence) => evidence.isConclusive)
+                .sort(compareLikelihood);
+            if (conclusive.length === 0) {
+                return;
+            }
+            const { cause, firstCrashAt, lastCrashAt } = conclusive[0];
+            this.quarantine(cause, firstCrashAt, lastCrashAt, now);
         }
-        const entry: Entry = { instances: new Set(), maxPeerCount: 0, lastCrashAt: now };
-        this.entries.delete(fingerprint);
-        this.entries.set(fingerprint, entry);
-        if (this.entries.size > maxEntries) {
-            this.entries.delete(this.entries.keys().next().value!);
+    }
+
+    private quarantine(
+        cause: CrashCause,
+        firstCrashAt: Milliseconds,
+        lastCrashAt: Milliseconds,
+        now: Milliseconds,
+    ): void {
+        if (now - lastCrashAt >= quarantineDuration) {
+            return;
         }
-        return entry;
+        const change = this.nextChange(now);
+        this.quarantines.set(keyOf(cause), { cause, firstCrashAt, lastCrashAt, change });
+        dropOldest(this.quarantines, maxQuarantines);
+        this.onQuarantined(cause);
+    }
+
+    /** Ends the quarantine of parts with which a request was answered, and looks for another cause of the crashes. */
+    private liftQuarantines(parts: readonly string[], now: Milliseconds): void {
+        if (this.quarantines.size === 0) {
+            return;
+        }
+        for (const name of parts) {
+            const cause: CrashCause = { kind: "part", name };
+            const quarantine = this.quarantines.get(keyOf(cause));
+            if (quarantine !== undefined && this.answeredAt(cause) > quarantine.firstCrashAt) {
+                this.quarantines.delete(keyOf(cause));
+                this.assess(this.suspects, now);
+            }
+        }
+    }
+
+    private quarantineOf(cause: CrashCause, now: Milliseconds): Quarantine | undefined {
+        const quarantine = this.quarantines.get(keyOf(cause));
+        return quarantine !== undefined && now - quarantine.lastCrashAt < quarantineDuration
+            ? quarantine
+            : undefined;
+    }
+
+    private answeredAt(cause: CrashCause): Milliseconds {
+        const at = cause.kind === "part"
+            ? this.answeredParts.get(cause.name)?.at
+            : this.answeredRequests.get(cause.name);
+        return at ?? -Infinity;
+    }
+
+    private setAnswered(part: string, answered: Answered): void {
+        this.answeredParts.delete(part);
+        this.answeredParts.set(part, answered);
+        dropOldest(this.answeredParts, maxAnsweredParts);
+    }
+
+    /** True if an endpoint crashed under a request with the part at or after the given time. */
+    private isSuspectSince(part: string, since: Milliseconds): boolean {
+        return this.suspects.some((suspect) => suspect.crashedAt >= since && suspect.parts.includes(part))
+            || this.quarantines.has(keyOf({ kind: "part", name: part }));
+    }
+
+    private nextChange(now: Milliseconds): number {
+        this.lastChangeAt = now;
+        this.changes += 1;
+        return this.changes;
+    }
+
+    private expire(now: Milliseconds): void {
+        if (this.suspects.some((suspect) => now - suspect.crashedAt > suspectLifetime)) {
+            this.suspects = this.suspects.filter((suspect) => now - suspect.crashedAt <= suspectLifetime);
+            const fingerprints = new Set(this.suspects.map((suspect) => suspect.fingerprint));
+            for (const fingerprint of this.answeredRequests.keys()) {
+                if (!fingerprints.has(fingerprint)) {
+                    this.answeredRequests.delete(fingerprint);
+                }
+            }
+        }
+        for (const [key, quarantine] of this.quarantines) {
+            if (now - quarantine.lastCrashAt >= quarantineDuration) {
+                this.quarantines.delete(key);
+            }
+        }
+    }
+}
+
+/** Number up to which the lists contain all changes, if some of them were shortened. */
+function lastCompleteChange(...lists: readonly (readonly { readonly change?: number; }[])[]): number {
+    const lastOfFull = lists.filter((list) => list.length === maxReportedEntries).map((list) =>
+        Math.max(...list.map(({ change }) => change ?? 0))
+    );
+    return Math.min(...lastOfFull);
+}
+
+function readSuspect(suspect: CrashSuspect, now: Milliseconds): Suspect {
+    return {
+        fingerprint: suspect.request,
+        parts: suspect.parts,
+        endpoint: suspect.endpoint,
+        sentAt: now - suspect.sentAge,
+        crashedAt: now - suspect.crashAge,
+    };
+}
+
+function dropOldest<T>(map: Map<string, T>, maxSize: number): void {
+    while (map.size > maxSize) {
+        map.delete(map.keys().next().value!);
     }
 }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -4,6 +4,7 @@
  * @module
  */
 export * from "./decision/attemptPlan.js";
+export * from "./decision/crashEvidence.js";
 export * from "./decision/crashTracker.js";
 export * from "./decision/demandTracker.js";
 export * from "./decision/endpointChoice.js";
--- a/packages/gateway/src/node/attempt.ts
+++ b/packages/gateway/src/node/attempt.ts
@@ -38,7 +38,9 @@
 
 /** Notifications of a running attempt. */
 export interface AttemptObserver {
-    /** The first event or the whole answer has arrived. */
+    /** The first event of this attempt or the whole answer has arrived. */
+    onBegin(): void;
+    /** The first event that the caller receives or the whole answer has arrived. */
     onFirstAnswer(metadata: AnswerMetadata): void;
     /** The endpoint serves another version of the weights than expected. */
     onWeightsMismatch(metadata: AnswerMetadata): void;
@@ -69,6 +71,7 @@
     private rawHeaders: readonly string[] = [];
     private metadata: AnswerMetadata = { sealed: false, notRun: false };
     private isStreaming = false;
+    private hasBegun = false;
     private isOver = false;
     private exchange: EndpointExchange | undefined;
     private cancelDeadline: CancelTimer = () => {};
@@ -171,6 +174,10 @@
         const { progress, response } = this.context;
         let writable = true;
         for (const event of this.reader.read(chunk)) {
+            if (!this.hasBegun) {
+                this.hasBegun = true;
+                this.context.observer.onBegin();
+            }
             if (this.isRepeated(event.identifier)) {
                 continue;
             }
@@ -232,6 +239,7 @@
         if (this.context.progress.started) {
             return this.invalid(`a resumed stream was answered with status ${status}`);
         }
+        this.context.observer.onBegin();
         this.context.observer.onFirstAnswer(metadata);
         writeWholeAnswer(this.context.response, status, this.rawHeaders, body);
         return { kind: "delivered" };
--- a/packages/gateway/src/node/attemptRecord.ts
+++ b/packages/gateway/src/node/attemptRecord.ts
@@ -6,7 +6,6 @@
 import type { Clock, Logger, Milliseconds } from "@redwingpin/common";
 import type { FleetState } from "@redwingpin/fleet";
 import type { AttemptOutcome } from "../decision/attemptPlan.js";
-import type { CrashTracker } from "../decision/crashTracker.js";
 import type { Choice } from "../decision/endpointChoice.js";
 import type { EndpointState, EndpointTable } from "../decision/endpointTable.js";
 import type { DirectRequest } from "./callerRequest.js";
@@ -22,7 +21,6 @@
     readonly clock: Clock;
     readonly logger: Logger;
     readonly endpointTable: EndpointTable;
-    readonly crashTracker: CrashTracker;
     readonly state: FleetState;
 }
 
@@ -46,7 +44,7 @@
     outcome: AttemptOutcome,
     details: AttemptDetails,
 ): void {
-    const { endpointTable, clock, crashTracker, logger, state } = context;
+    const { endpointTable, clock, logger, state } = context;
     const { endpointState } = choice;
     const now = clock.now();
     recordHealth(endpointState, outcome, now);
@@ -58,9 +56,6 @@
             failing: endpointState.health.failureRate,
         });
     }
-    if (outcome.kind === "broken") {
-        crashTracker.recordCrash(request.fingerprint, endpointState.endpoint.instance, now);
-    }
     logger.info("attempt", {
         request: request.metadata.attempt,
         attempt: details.number,
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -27,6 +27,7 @@
     FleetState,
     FleetSync,
     formatAddress,
+    idleInterval,
     logFact,
     type ReplicaStatus,
     StoreWatcher,
@@ -129,7 +130,9 @@
     private readonly prefixIndex = new PrefixIndex();
     private readonly agentOwners = new RendezvousOwnerCache();
     private readonly connections = new EndpointConnections();
-    private readonly crashTracker = new CrashTracker();
+    private readonly crashTracker = new CrashTracker((cause) =>
+        this.options.logger.warn("quarantined", { cause: cause.kind, name: cause.name })
+    );
     private readonly demandTracker = new DemandTracker();
     private readonly retryBudget: FleetRetryBudget;
     private readonly endpointTable: EndpointTable;
@@ -281,7 +284,8 @@
             seeds: config.seeds,
             agents: () => this.agentAddresses(),
             report: (peer, address) => this.reports.reportFor(peer, address),
-            hasPendingReport: () => this.ledger.hasUnreported(),
+            hasPendingReport: () =>
+                this.ledger.hasUnreported() || this.crashTracker.hasChangedWithin(idleInterval, clock.now()),
             isOwnerOf: (agent) => this.isOwnerOf(agent),
             onReport: (peer, report, address) => this.reports.observe(peer, report, address),
             onReplicaStatus: (replica) => this.onReplicaStatus(replica),
--- a/packages/gateway/src/node/peerReports.ts
+++ b/packages/gateway/src/node/peerReports.ts
@@ -63,6 +63,8 @@
     private readonly spendingRelay = new SpendingRelay();
     /** Spending that was delivered to each router incarnation, by account; the latest deliveries come last. */
     private readonly deliveredSpending = new Map<string, Map<string, number>>();
+    /** Number of the last change of the crash tracker that was delivered to each router incarnation. */
+    private readonly deliveredCrashChanges = new Map<string, number>();
     private savedToReport: readonly SavedPrefix[] = [];
     private savedTakenAt: Milliseconds = -Infinity;
     /** Endpoints whose agents this router owns. */
@@ -83,7 +85,8 @@
             age: now - this.startedAt,
             spent: this.unreportedSpending(peer),
             load: this.options.endpointTable.ownLoads(),
-            crashes: this.options.crashTracker.report(now),
+            crashes: [],
+            crashReport: this.options.crashTracker.report(this.deliveredCrashChange(peer), now),
             levels: this.hasReliableLevels(now) && this.mayAdoptLevels(peer, now)
                 ? this.options.ledger.levels(now)
                 : [],
@@ -153,15 +156,18 @@
             return;
         }
         const delivered = this.deliveredSpending.get(peer.incarnation) ?? new Map<string, number>();
-        this.deliveredSpending.delete(peer.incarnation);
-        this.deliveredSpending.set(peer.incarnation, delivered);
         report.spent.forEach(({ account, tokens }) => delivered.set(account, tokens));
-        if (this.deliveredSpending.size > maxRememberedPeers) {
-            this.deliveredSpending.delete(this.deliveredSpending.keys().next().value!);
+        remember(this.deliveredSpending, peer.incarnation, delivered);
+        if (report.crashReport !== undefined) {
+            remember(this.deliveredCrashChanges, peer.incarnation, report.crashReport.lastChange);
         }
         this.options.ledger.recordDelivery(formatAddress(address), report.spent);
     }
 
+    private deliveredCrashChange(peer: Hello | undefined): number {
+        return peer === undefined ? 0 : this.deliveredCrashChanges.get(peer.incarnation) ?? 0;
+    }
+
     /** Applies a report of a peer. */
     observe(peer: Hello, report: PeerReport, address: InnerAddress | undefined): void {
         const now = this.options.clock.now();
@@ -187,7 +193,9 @@
             this.options.ledger.observeRelayed(relayed, spent, now);
         }
         this.options.endpointTable.observeLoads(peer.instance, report.load, now);
-        this.options.crashTracker.observe(report.crashes, now);
+        if (report.crashReport !== undefined) {
+            this.options.crashTracker.observe(report.crashReport, now);
+        }
         this.options.demandTracker.observe(peer.instance, report.demand, now);
         this.options.prefixIndex.observeSaved(report.saved);
         report.replicas.forEach(({ age, status }) =>
@@ -236,3 +244,12 @@
         return this.options.isFirstStart || now - this.startedAt > adoptionPeriod;
     }
 }
+
+/** Sets the entry of a peer's incarnation, as the latest one; the oldest entries are dropped. */
+function remember<T>(entries: Map<string, T>, incarnation: string, value: T): void {
+    entries.delete(incarnation);
+    entries.set(incarnation, value);
+    if (entries.size > maxRememberedPeers) {
+        entries.delete(entries.keys().next().value!);
+    }
+}
--- a/packages/gateway/src/node/requestTask.ts
+++ b/packages/gateway/src/node/requestTask.ts
@@ -40,6 +40,7 @@
 import type { EndpointConnections } from "./endpointConnections.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
 import { type PromptContext, readPromptContext } from "./promptContext.js";
+import { RequestCrashes } from "./requestCrashes.js";
 import { detectStalls } from "./stallDetector.js";
 
 /** Share of an engine's cache that all routers together rely on. */
@@ -83,6 +84,7 @@
 class RequestTask {
     private readonly tried = new Set<string>();
     private readonly progress: StreamProgress;
+    private readonly crashes: RequestCrashes;
     private readonly prompt: PromptContext | undefined;
     private readonly placement: PrefixPlacement | undefined;
     private attempts = 0;
@@ -93,6 +95,7 @@
         private readonly response: ServerResponse,
     ) {
         this.progress = { started: false, lastEvent: request.metadata.lastEvent, events: 0 };
+        this.crashes = new RequestCrashes(context, request);
         this.prompt = readPromptContext(request, context.state);
         this.placement = this.prompt && new PrefixPlacement({
             prefixIndex: context.prefixIndex,
@@ -108,12 +111,10 @@
     async run(): Promise<RequestOutcome> {
         const { context, request } = this;
         const now = context.clock.now();
-        if (context.crashTracker.isRefused(request.fingerprint, now)) {
-            return this.answer({
-                kind: "refused",
-                reason: RefusalReason.Quarantined,
-                retryAfter: request.deadline - now,
-            });
+        const refusedUntil = this.crashes.refusedUntil(now);
+        if (refusedUntil !== undefined) {
+            const retryAfter = refusedUntil - now;
+            return this.answer({ kind: "refused", reason: RefusalReason.Quarantined, retryAfter });
         }
         context.retryBudget.recordRequest(request.service.name, now);
         const { repeatable, attempts } = request.route;
@@ -139,6 +140,9 @@
         const { endpointTable, clock, dataCentre, weightsBounds } = this.context;
         const { service } = this.request;
         const now = clock.now();
+        if (this.crashes.refusedUntil(now) !== undefined) {
+            return undefined;
+        }
         return chooseEndpoint({
             endpointStates: endpointTable.ofService(service.name),
             now,
@@ -187,7 +191,6 @@
         this.context.demandTracker.record(request.service.name, choice.tokensToProcess, sentAt);
         const tokensAhead = choice.endpointState.waitingTokens;
         const load = trackLoad(choice);
-        const eventsBefore = this.progress.events;
         let firstAnswerAt: Milliseconds | undefined;
         const metadata = this.createDispatchMetadata(choice, sentAt);
         const stopStallDetection = detectStalls(clock, this.context.logger, {
@@ -211,6 +214,7 @@
             },
             progress: this.progress,
             observer: {
+                onBegin: () => this.crashes.recordAnswer(),
                 onFirstAnswer: (answer) => {
                     load.recordAnswer();
                     firstAnswerAt = clock.now();
@@ -225,12 +229,10 @@
             const speed = this.context.endpointTable.speed(request.service.name);
             speed.observeStream(request.metadata.outputTokens, clock.now() - firstAnswerAt);
         }
-        const isUnanswered = outcome.kind === "broken" && outcome.isClosed
-            && this.progress.events === eventsBefore;
         recordAttempt(this.context, request, choice, outcome, {
             number: this.attempts,
             sentAt,
-            hasCrashedEndpoint: isUnanswered && await this.context.crashProbe.hasCrashed(endpoint),
+            hasCrashedEndpoint: await this.crashes.recordEnd(endpoint, outcome, sentAt),
             events: this.progress.events,
             desiredVersion: this.prompt?.desiredWeights?.version,
         });
