--- a/packages/gateway/src/__tests__/endpointChoice.spec.ts
+++ b/packages/gateway/src/__tests__/endpointChoice.spec.ts
@@ -86,6 +86,15 @@
         expect(chooseEndpoint(input)).to.equal(undefined);
     });
 
+    // Guards against attempts at endpoints that have crashed, while the configuration desires no version of the weights.
+    it("excludes an endpoint that its agent reports as down, whether or not a version of the weights is desired", () => {
+        const down = endpointStateFixture("down");
+        down.observeStatus({ ...statusFixture(1), weights: [] }, 9_900);
+        expect(chooseEndpoint(choiceFixture([down]))).to.equal(undefined);
+        const running = endpointStateFixture("running", { dataCentre: "burnie" });
+        expect(chooseEndpoint(choiceFixture([down, running]))?.endpointState).to.equal(running);
+    });
+
     it("avoids an endpoint about to load weights for requests that would delay it, if another one is available", () => {
         const next = endpointStateFixture("next");
         const later = endpointStateFixture("later", { dataCentre: "burnie" });
