fix(gateway): a stopping router does not close a connection on which the next request has arrived

Cause: an answer that began before the stop has no Connection: close, so the router ended the connection right after it. A request that had arrived meanwhile was read from the half-closed connection, passed on, and could not be answered. A router whose processor share is used up reads in batches, so answer and next request often fall into one turn.

Evidence: SIGTERM at 9.000 s, the connection closed at 9.354 s, the request sent at 9.349 s reached an endpoint at 9.358 s. Ruled out: closing idle connections at the end of the drain (2.9 s after the signal).

Fix: such a connection stays open; its next request is answered with Connection: close, and without one it is closed with the other idle connections once no more are accepted. The spec has two requests on one connection and failed before: one answer of two.

--- a/packages/gateway/src/__tests__/directServer.spec.ts
+++ b/packages/gateway/src/__tests__/directServer.spec.ts
@@ -3,6 +3,7 @@
 import { expect } from "chai";
 import { ok } from "neverthrow";
 import { request as httpRequest } from "node:http";
+import { connect } from "node:net";
 import { Registry } from "prom-client";
 import { type HeaderCodec, noTolerance, RouteTable, SharedLedger } from "../index.js";
 import { DirectServer } from "../node/directServer.js";
@@ -47,6 +48,8 @@
 /** A server that counts the requests that passed its checks. */
 async function serverFixture(accepts: boolean, more: Partial<DirectConfiguration> = {}) {
     let served = 0;
+    let isStopping = !accepts;
+    let answersAllowed = Promise.resolve();
     const table = new RouteTable({ ...configuration, ...more });
     const ledger = new SharedLedger({ startsFull: true, tolerance: noTolerance });
     ledger.configure(table.configuration.accounts, 0);
@@ -57,13 +60,14 @@
         metrics: new GatewayMetrics(new Registry()),
         headerCodec,
         checks: { headerCodec, ledger, table: () => table, now: () => 0, random: () => 0 },
-        isStopping: () => !accepts,
+        isStopping: () => isStopping,
         accepts: () => accepts,
         maxBufferedBytes: 1_000,
-        serve: (_request, response) => {
+        serve: async (_request, response) => {
             served += 1;
+            await answersAllowed;
             response.end("served");
-            return Promise.resolve({ kind: "delivered" });
+            return { kind: "delivered" };
         },
         deliverReports: () => {
             ["b", "c", "d"].forEach((peer) => ledger.recordDelivery(peer, ledger.spent()));
@@ -72,7 +76,14 @@
         refund: () => {},
     });
     const port = await server.listen("127.0.0.1", 0);
-    return { server, port, served: () => served };
+    return {
+        server,
+        port,
+        served: () => served,
+        beginStop: () => isStopping = true,
+        /** Delays all answers until the given promise resolves. */
+        delayAnswers: (until: Promise<void>) => answersAllowed = until,
+    };
 }
 
 function send(
@@ -92,6 +103,12 @@
     });
 }
 
+async function until(condition: () => boolean): Promise<void> {
+    while (!condition()) {
+        await new Promise((resolve) => setImmediate(resolve));
+    }
+}
+
 describe("direct server", () => {
     let server: DirectServer | undefined;
     afterEach(() => server?.stop());
@@ -113,6 +130,28 @@
         expect(fixture.served()).to.equal(1);
     });
 
+    // Guards against requests that are run but never answered, since their connection was closed after an earlier answer.
+    it("answers every request that it runs on a connection whose first answer began before the stop", async () => {
+        const fixture = await serverFixture(true);
+        server = fixture.server;
+        let allowAnswers = () => {};
+        fixture.delayAnswers(new Promise((resolve) => allowAnswers = resolve));
+        const socket = connect(fixture.port, "127.0.0.1");
+        let received = "";
+        socket.on("data", (data) => received += data.toString());
+        const closed = new Promise<void>((resolve) => socket.once("close", () => resolve()));
+        const post = "POST / HTTP/1.1\r\nHost: site.example\r\nContent-Length: 0\r\n\r\n";
+        socket.write(post);
+        await until(() => fixture.served() === 1);
+        fixture.beginStop();
+        socket.write(post);
+        await until(() => fixture.served() === 2);
+        allowAnswers();
+        await closed;
+        expect(received.match(/HTTP\/1.1 200 OK/g)?.length).to.equal(2);
+        expect(received).to.match(/^connection: close/im);
+    });
+
     it("reports to the other routers before it refuses a request for which the account has enough tokens", async () => {
         const account = accountFixture({
             keyDigests: [sha256Hex("key")],
--- a/packages/gateway/src/node/directServer.ts
+++ b/packages/gateway/src/node/directServer.ts
@@ -103,6 +103,8 @@
     private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
         const arrival = this.context.clock.now();
         response.on("error", () => response.destroy());
+        // An answer that began before the stop leaves its connection open for one more request: closing it here could cut
+        // off a request that has already arrived.
         if (this.context.isStopping()) {
             response.setHeader("connection", "close");
         }
@@ -116,24 +118,6 @@
         }
         finally {
             this.running -= 1;
-            this.closeIfStopping(request, response);
-        }
-    }
-
-    /**
-     * An answer that began before the stop has no `Connection: close`, so its connection is closed after the answer.
-     */
-    private closeIfStopping(request: IncomingMessage, response: ServerResponse): void {
-        if (!this.context.isStopping()) {
-            return;
-        }
-        // A response drops its reference to the socket once it is finished; the request keeps it.
-        const { socket } = request;
-        if (response.writableFinished) {
-            socket.end();
-        }
-        else {
-            response.once("finish", () => socket.end());
         }
     }
 
