fix(gateway): on a reused connection an answer must state its request, a refusal too

Callers could see: 503, 'not run', for a call that an endpoint had run or was running, or a second run of it at another endpoint.

Cause: the identifier of an answer was compared only if the answer had one. A second copy of an earlier refusal without an identifier, on a connection that is in use again, counted as the refusal of the next call.

Fix: without an identifier, an answer on a reused connection is not used (the outcome is unknown); on a new connection it can only belong to its request.

--- /dev/null
+++ b/packages/gateway/src/__tests__/faultyAnswers.spec.ts
@@ -0,0 +1,133 @@
+import { expect } from "chai";
+import type { Socket } from "node:net";
+import { exchange, type RawEndpoint, startRawEndpoint } from "./rawEndpointFixture.js";
+import { answer, resumableRoute, routerFixture } from "./routerFixture.js";
+
+const streamHead = "HTTP/1.1 200 OK\r\nx-attempt: a\r\ncontent-type: text/event-stream\r\n";
+
+function event(identifier: number): string {
+    return `id: ${identifier}\ndata: ${identifier}\n\n`;
+}
+
+function refusal(attempt?: string): string {
+    const identifier = attempt === undefined ? "" : `x-attempt: ${attempt}\r\n`;
+    return `HTTP/1.1 503 Full\r\n${identifier}x-not-run: 1\r\nContent-Length: 0\r\n\r\n`;
+}
+
+function attemptIn(request: string): string {
+    return /x-attempt: (\w+)/i.exec(request)?.[1] ?? "";
+}
+
+describe("faulty answers of endpoints", () => {
+    const started: { stop(): void; }[] = [];
+    afterEach(() => started.splice(0).forEach(({ stop }) => stop()));
+
+    /** Endpoints that answer all requests in their order of arrival, whichever of them receives a request. */
+    async function start(
+        count: number,
+        script: (socket: Socket, request: number, text: string) => void,
+        more: Parameters<typeof routerFixture>[1] = {},
+    ) {
+        let requests = 0;
+        const endpoints: RawEndpoint[] = [];
+        for (let index = 0; index < count; index++) {
+            endpoints.push(
+                await startRawEndpoint((socket, _number, text) => script(socket, requests++, text)),
+            );
+        }
+        const router = await routerFixture(endpoints, more);
+        started.push(...endpoints, router);
+        return { router, requests: () => requests };
+    }
+
+    describe("that repeat an earlier refusal on a kept connection", () => {
+        // Guards against "not run" for a call that an endpoint has run or still runs.
+        for (const identified of [true, false]) {
+            const which = identified ? "with the identifier of the earlier call" : "without an identifier";
+            it(`${which} are not taken for a refusal of the next call, which may have run`, async () => {
+                const { requests, router } = await start(2, (socket, request, text) => {
+                    const first = identified ? "first" : undefined;
+                    socket.write(request === 0 ? answer(attemptIn(text), "served") : refusal(first));
+                });
+                expect((await router.call("first")).status).to.equal(200);
+                const second = await router.call("second");
+                expect(second.status).to.equal(502);
+                expect(second.text).to.include("may have run");
+                expect(requests()).to.equal(2);
+            });
+        }
+
+        it("together with the first copy do not answer the next call", async () => {
+            const { router } = await start(1, (socket, _request, text) => {
+                const attempt = attemptIn(text);
+                socket.write(attempt === "first" ? refusal("first").repeat(2) : answer(attempt, "served"));
+            });
+            expect((await router.call("first")).status).to.equal(503);
+            await new Promise((resolve) => setTimeout(resolve, 400));
+            expect(await router.call("second")).to.include({ status: 200, text: "served" });
+        });
+    });
+
+    it("without an identifier are accepted on a new connection, where no earlier call can be meant", async () => {
+        const { router } = await start(1, (socket) => socket.write(refusal()));
+        const refused = await router.call("first");
+        expect(refused.status).to.equal(503);
+        expect(refused.text).to.include("not run");
+    });
+
+    describe("that follow a stream that has broken off", () => {
+        const nextAnswers = [
+            ["an error", "HTTP/1.1 500 Failed\r\nx-attempt: a\r\nContent-Length: 9\r\n\r\nan error\n"],
+            ["an error in the form of events", `HTTP/1.1 500 Failed\r\nx-attempt: a\r\n\r\n${event(2)}`],
+            ["a refusal", refusal("a")],
+            ["a client error", "HTTP/1.1 404 Missing\r\nx-attempt: a\r\nContent-Length: 9\r\n\r\nan error\n"],
+            ["a text instead of events", `${streamHead}Content-Length: 9\r\n\r\nan error\n`],
+            ["bytes that are no answer", "an error\r\n\r\n"],
+            ["half an event", `${streamHead}\r\nid: 2\ndata`],
+        ];
+        // Guards against the next endpoint's error in the middle of a stream, and against a broken stream that looks complete.
+        for (const [what, next] of nextAnswers) {
+            it(`end the stream visibly incomplete if the next endpoint sends ${what}`, async () => {
+                const { router } = await start(3, (socket, request) => {
+                    if (request === 0) {
+                        socket.write(
+                            `${streamHead}Transfer-Encoding: chunked\r\n\r\nf\r\n${event(1)}\r\n`,
+                            () => socket.destroy(),
+                        );
+                    }
+                    else {
+                        socket.end(next);
+                    }
+                }, resumableRoute);
+                const received = await router.call("a");
+                expect(received).to.deep.equal({ status: 200, text: event(1), isComplete: false });
+            });
+        }
+    });
+
+    // Guards against an empty or short success that is framed as whole.
+    it("that stop anywhere before their end are never complete", async () => {
+        const whole = "HTTP/1.1 200 OK\r\nx-attempt: a\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody";
+        for (let length = 0; length < whole.length; length++) {
+            const endpoint = await startRawEndpoint((socket) => socket.end(whole.slice(0, length)));
+            const { kind } = await exchange(endpoint.endpoint);
+            endpoint.stop();
+            expect(kind, JSON.stringify(whole.slice(0, length))).to.equal("broken");
+        }
+    });
+
+    it("that stop in their head end the call with an unknown outcome", async () => {
+        for (
+            const head of [
+                "HTTP/1.1 200 OK\r\nx-att",
+                "HTTP/1.1 200 OK\r\nx-attempt: a\r\n",
+                "HTTP/1.1 200 OK\r\n\r",
+            ]
+        ) {
+            const { router } = await start(1, (socket) => socket.end(head));
+            const { status, text } = await router.call("a");
+            expect(status).to.equal(502);
+            expect(text).to.include("may have run");
+        }
+    });
+});
--- a/packages/gateway/src/node/attempt.ts
+++ b/packages/gateway/src/node/attempt.ts
@@ -100,7 +100,7 @@
             );
         }
         this.exchange = new EndpointExchange(this.context.exchange, {
-            onHead: (status, rawHeaders) => this.onHead(status, rawHeaders),
+            onHead: (status, rawHeaders, isReused) => this.onHead(status, rawHeaders, isReused),
             onData: (chunk) => this.onData(chunk),
             onEnd: () => this.onEnd(),
             onBroken: (detail, isSent) => this.onBroken(detail, isSent),
@@ -122,12 +122,12 @@
         this.resolve(outcome);
     }
 
-    private onHead(status: number, rawHeaders: readonly string[]): void {
+    private onHead(status: number, rawHeaders: readonly string[], isReused: boolean): void {
         this.context.choice.endpointState.recordConnectResult(true);
         this.status = status;
         this.rawHeaders = rawHeaders;
         this.metadata = this.context.headerCodec.readAnswer(rawHeaders);
-        const problem = this.findHeadProblem();
+        const problem = this.findHeadProblem(isReused);
         if (problem !== undefined) {
             this.finish(this.invalid(problem));
             return;
@@ -137,11 +137,14 @@
     }
 
     /** Reason why the answer can't be accepted for this request; `undefined` if there is none. */
-    private findHeadProblem(): string | undefined {
+    private findHeadProblem(isReused: boolean): string | undefined {
         const { metadata } = this;
         if (metadata.attempt !== undefined && metadata.attempt !== this.context.request.metadata.attempt) {
             return `the answer belongs to request "${metadata.attempt}"`;
         }
+        if (metadata.attempt === undefined && isReused) {
+            return "the answer on a reused connection does not state its request";
+        }
         if (metadata.notRun) {
             return undefined;
         }
--- a/packages/gateway/src/node/endpointExchange.ts
+++ b/packages/gateway/src/node/endpointExchange.ts
@@ -24,7 +24,8 @@
 
 /** Receives the parts of an answer as they arrive. */
 export interface ExchangeListener {
-    onHead(status: number, rawHeaders: readonly string[]): void;
+    /** `isReused` is true if the connection may have carried earlier answers. */
+    onHead(status: number, rawHeaders: readonly string[], isReused: boolean): void;
     /** Returns false to pause the answer until {@link EndpointExchange.resume}. */
     onData(chunk: Buffer): boolean;
     /** The answer is complete. */
@@ -40,6 +41,7 @@
     private readonly request: ClientRequest;
     private answer: IncomingMessage | undefined;
     private isSent = false;
+    private isReused = false;
     private isOver = false;
 
     constructor(options: ExchangeRequest, private readonly listener: ExchangeListener) {
@@ -64,6 +66,7 @@
             }
             else {
                 this.isSent = true;
+                this.isReused = true;
             }
         });
         this.request.once("response", (answer) => this.onResponse(answer));
@@ -106,7 +109,7 @@
             }
         });
         answer.on("close", () => this.fail("the connection closed in the middle of the answer"));
-        this.listener.onHead(answer.statusCode ?? 0, answer.rawHeaders);
+        this.listener.onHead(answer.statusCode ?? 0, answer.rawHeaders, this.isReused);
     }
 
     /**
