fix(gateway): a continued stream without a length that ends before any event is not complete

Callers could see: a stream that broke off and whose continuation stopped right after its head, ended as if it were whole.

Cause: at the end of a continuation only the state of the whole stream was checked (some event had been sent, none is incomplete), not whether this endpoint had sent anything. An answer may have neither a length nor chunks and end with its connection; then a head followed by a close looks like a stream with nothing left.

Fix: such a continuation counts as broken. One with a length or chunks and no event is complete, since its end is stated: the first endpoint may have broken off after its last event.

--- a/packages/gateway/src/__tests__/faultyAnswers.spec.ts
+++ b/packages/gateway/src/__tests__/faultyAnswers.spec.ts
@@ -83,6 +83,7 @@
             ["a client error", "HTTP/1.1 404 Missing\r\nx-attempt: a\r\nContent-Length: 9\r\n\r\nan error\n"],
             ["a text instead of events", `${streamHead}Content-Length: 9\r\n\r\nan error\n`],
             ["bytes that are no answer", "an error\r\n\r\n"],
+            ["a head that ends with its connection", `${streamHead}\r\n`],
             ["half an event", `${streamHead}\r\nid: 2\ndata`],
         ];
         // Guards against the next endpoint's error in the middle of a stream, and against a broken stream that looks complete.
--- a/packages/gateway/src/node/attempt.ts
+++ b/packages/gateway/src/node/attempt.ts
@@ -220,7 +220,9 @@
         if (this.reader.hasPartialEvent) {
             return this.closed("the stream ended in the middle of an event");
         }
-        if (!progress.started) {
+        // An endpoint that stops right after the head of an answer without a length looks the same as one that has no further
+        // events.
+        if (!progress.started || (!this.hasBegun && !hasLength(this.rawHeaders))) {
             return this.closed("the stream ended before its first event");
         }
         response.end();
@@ -267,6 +269,12 @@
     }
 }
 
+/** True if the end of the answer's body can be told from the end of its connection. */
+function hasLength(rawHeaders: readonly string[]): boolean {
+    return headerValue(rawHeaders, "content-length") !== undefined
+        || headerValue(rawHeaders, "transfer-encoding") !== undefined;
+}
+
 function notRunReason(status: number): RetryReason {
     return status === misdirectedStatus
         ? RetryReason.AgentDeclinedVersion
