fix(gateway): a stream is sent to callers without the first endpoint's length

Callers could see: a stream that another endpoint continued did not end, or had bytes after its stated end, on a connection that then carries the next answer.

Cause: the head of the first endpoint's stream was passed on with its Content-Length, although the continuation may have a different number of bytes.

Evidence: the spec (a stream of a stated length that breaks off, continued by one of another length) failed before: never complete.

Fix: streams have no length towards callers; the end is stated by chunks.

--- a/packages/gateway/src/__tests__/faultyAnswers.spec.ts
+++ b/packages/gateway/src/__tests__/faultyAnswers.spec.ts
@@ -104,6 +104,22 @@
                 expect(received).to.deep.equal({ status: 200, text: event(1), isComplete: false });
             });
         }
+
+        it("continue it whole, also if the first endpoint stated a length and the next one has fewer bytes left", async () => {
+            const { router } = await start(2, (socket, request) => {
+                if (request === 0) {
+                    socket.write(
+                        `${streamHead}Content-Length: 1000\r\n\r\n${event(1)}`,
+                        () => socket.destroy(),
+                    );
+                }
+                else {
+                    socket.end(`${streamHead}\r\n${event(2)}`);
+                }
+            }, resumableRoute);
+            const received = await router.call("a");
+            expect(received).to.deep.equal({ status: 200, text: event(1) + event(2), isComplete: true });
+        });
     });
 
     // Guards against an empty or short success that is framed as whole.
--- a/packages/gateway/src/node/answerWriter.ts
+++ b/packages/gateway/src/node/answerWriter.ts
@@ -19,6 +19,8 @@
     "upgrade",
 ]);
 
+const lengthHeader = "content-length";
+
 const millisecondsPerSecond = 1_000;
 
 /** Removes hop-by-hop fields, including those that the `Connection` field lists. */
@@ -95,17 +97,22 @@
     response.end(body);
 }
 
-/** Sends the head of an endpoint's stream. */
+/**
+ * Sends the head of an endpoint's stream, without its length: another endpoint may continue the stream with a different
+ * number of bytes.
+ */
 export function writeStreamHead(response: ServerResponse, status: number, rawHeaders: RawHeaders): void {
-    writeHead(response, status, rawHeaders);
+    writeHead(response, status, rawHeaders, lengthHeader);
     response.flushHeaders();
 }
 
 /** Sets the fields one by one, since `writeHead` with a list drops the fields that `setHeader` set before. */
-function writeHead(response: ServerResponse, status: number, rawHeaders: RawHeaders): void {
+function writeHead(response: ServerResponse, status: number, rawHeaders: RawHeaders, omitted?: string): void {
     const fields = endToEndHeaders(rawHeaders);
     for (let index = 0; index < fields.length; index += 2) {
-        response.appendHeader(fields[index], fields[index + 1]);
+        if (fields[index].toLowerCase() !== omitted) {
+            response.appendHeader(fields[index], fields[index + 1]);
+        }
     }
     response.writeHead(status);
 }
