fix(fleet): what is quarantined outlives a restart of all routers

Callers saw: after all routers were killed at once, four to seven further engines crashed under a part that was quarantined before.

Cause: only routers knew what is quarantined; one that starts asks its peers, and none was left.

Ruled out: peers that are not asked in time (they have just started as well).

Fix: routers tell agents what is quarantined and released; an agent holds a crash tracker and reports to routers as they do to each other. Tracker and evidence move to the fleet package, which both use; the tracker itself keeps what was delivered to whom.

--- a/packages/gateway/src/__tests__/crashTracker.spec.ts
+++ b/packages/fleet/src/__tests__/crashTracker.spec.ts
@@ -1,22 +1,20 @@
 import type { Milliseconds } from "@redwingpin/common";
 import { expect } from "chai";
-import { CrashTracker, quarantineDuration, sharedParts } from "../index.js";
+import { CrashTracker, quarantineDuration } from "../index.js";
 
 /** Routers that share their reports when told to. */
 function fleetFixture(size: number) {
     const routers = Array.from({ length: size }, () => new CrashTracker());
-    const delivered = new Map<string, number>();
     return {
         routers,
         /** Delivers the report of every router to every other one. */
         exchange: (now: Milliseconds) => {
             routers.forEach((sender, from) =>
                 routers.forEach((receiver, to) => {
-                    const pair = `${from} ${to}`;
-                    const report = from === to ? undefined : sender.report(delivered.get(pair) ?? 0, now);
+                    const report = from === to ? undefined : sender.reportFor(`router ${to}`, now);
                     if (report !== undefined) {
                         receiver.observe(report, now);
-                        delivered.set(pair, report.lastChange);
+                        sender.recordDelivery(`router ${to}`, report);
                     }
                 })
             );
@@ -147,35 +145,29 @@
         const tracker = new CrashTracker();
         crash(tracker, { parts: ["cause"], at: [1_000, 2_000, 3_000] });
         const started = new CrashTracker();
-        started.observe(tracker.report(0, 100_000)!, 100_000);
+        started.observe(tracker.reportFor("started", 100_000)!, 100_000);
         expect(isRefused(started, ["cause"], 100_000)).to.equal(true);
     });
 
     it("reports a change to each peer once, in reports of bounded size", () => {
         const tracker = new CrashTracker();
-        expect(tracker.report(0, 1_000)).to.equal(undefined);
+        expect(tracker.reportFor("peer", 1_000)).to.equal(undefined);
         for (let index = 0; index < 10_000; index++) {
             crash(tracker, { parts: [`part ${index}`], at: [1_000 + index] });
         }
-        let delivered = 0;
+        let lastChange = 0;
         let reports = 0;
         for (
-            let report = tracker.report(0, 11_000);
+            let report = tracker.reportFor("peer", 11_000);
             report !== undefined;
-            report = tracker.report(delivered, 11_000)
+            report = tracker.reportFor("peer", 11_000)
         ) {
             expect(report.suspects.length).to.be.at.most(50);
-            expect(report.lastChange).to.be.greaterThan(delivered);
-            delivered = report.lastChange;
+            expect(report.lastChange).to.be.greaterThan(lastChange);
+            lastChange = report.lastChange;
             reports += 1;
+            tracker.recordDelivery("peer", report);
         }
         expect(reports).to.be.at.most(10);
     });
-
-    it("examines all parts but the last, which belongs to the request itself", () => {
-        const parts = ["outer", "inner", "own"].map((identifier) => ({ identifier, tokens: 10 }));
-        expect(sharedParts(parts)).to.deep.equal(["outer", "inner"]);
-        const [long] = sharedParts([{ identifier: "x".repeat(5_000), tokens: 10 }, ...parts]);
-        expect(long.length).to.be.at.most(32);
-    });
 });
--- a/packages/gateway/src/decision/crashTracker.ts
+++ b/packages/fleet/src/decision/crashTracker.ts
@@ -8,9 +8,8 @@
  *
  * @module
  */
-import { digestOf, type Milliseconds } from "@redwingpin/common";
-import type { AnsweredPart, CrashReport, CrashSuspect, QuarantinedCause } from "@redwingpin/fleet";
-import type { PromptPart } from "../headerCodec.js";
+import type { Milliseconds } from "@redwingpin/common";
+import type { AnsweredPart, CrashReport, CrashSuspect, QuarantinedCause } from "../fleetMessages.js";
 import {
     causesOf,
     collectEvidence,
@@ -30,16 +29,11 @@
 const maxSuspects = 300;
 const maxQuarantines = 1_000;
 const maxAnsweredParts = 4_000;
+const maxRememberedPeers = 2_000;
 
 /** Maximum number of entries of each kind in one report; the others follow in the next one. */
 const maxReportedEntries = 50;
 
-/** Maximum number of parts of a prompt that are examined. */
-const maxParts = 64;
-
-/** Longer identifiers of parts are replaced by a digest. */
-const maxIdentifierLength = 32;
-
 interface Quarantine {
     readonly cause: CrashCause;
     readonly firstCrashAt: Milliseconds;
@@ -56,24 +50,15 @@
     change?: number;
 }
 
-/**
- * Names of the parts that a prompt may have in common with others: all but the last, which belongs to the request itself.
- */
-export function sharedParts(parts: readonly PromptPart[]): string[] {
-    return parts.slice(0, -1).slice(0, maxParts).map(({ identifier }) =>
-        identifier.length <= maxIdentifierLength
-            ? identifier
-            : digestOf(identifier).slice(0, maxIdentifierLength)
-    );
-}
-
-/** Suspects and quarantines of one router. */
+/** Suspects and quarantines as known to one router, or to an agent that keeps them for routers that start. */
 export class CrashTracker {
     private suspects: Suspect[] = [];
     private readonly quarantines = new Map<string, Quarantine>();
     /** When an endpoint last began to answer a request with a part; the latest answers come last. */
     private readonly answeredParts = new Map<string, Answered>();
     private readonly answeredRequests = new Map<string, Milliseconds>();
+    /** Number of the last change that was delivered to each incarnation of a peer. */
+    private readonly delivered = new Map<string, number>();
     private changes = 0;
     private lastChangeAt: Milliseconds = -Infinity;
 
@@ -117,10 +102,9 @@
         return ends.length === 0 ? undefined : Math.max(...ends);
     }
 
-    /**
-     * The changes that a peer does not have yet, which has received those up to `delivered`; `undefined` if there are none.
-     */
-    report(delivered: number, now: Milliseconds): CrashReport | undefined {
+    /** The changes that were not delivered to a peer's incarnation yet; `undefined` if there are none. */
+    reportFor(peer: string | undefined, now: Milliseconds): CrashReport | undefined {
+        const delivered = peer === undefined ? 0 : this.delivered.get(peer) ?? 0;
         if (delivered >= this.changes) {
             return undefined;
         }
@@ -153,6 +137,13 @@
         };
     }
 
+    /** Records that a report was delivered to a peer's incarnation. */
+    recordDelivery(peer: string, { lastChange }: CrashReport): void {
+        this.delivered.delete(peer);
+        this.delivered.set(peer, lastChange);
+        dropOldest(this.delivered, maxRememberedPeers);
+    }
+
     /** Applies a peer's report. */
     observe({ answered, quarantined, suspects }: CrashReport, now: Milliseconds): void {
         answered.forEach((entry) => this.observeAnswered(entry, now));
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -4,6 +4,8 @@
  * @module
  */
 export * from "./decision/configurationFetch.js";
+export * from "./decision/crashEvidence.js";
+export * from "./decision/crashTracker.js";
 export * from "./decision/fleetState.js";
 export * from "./decision/peerTable.js";
 export * from "./decision/watcherSelection.js";
--- a/packages/gateway/src/__tests__/decisions.spec.ts
+++ b/packages/gateway/src/__tests__/decisions.spec.ts
@@ -6,6 +6,7 @@
     FleetRetryBudget,
     PrefixIndex,
     prefixNames,
+    sharedParts,
     spareReplicas,
 } from "../index.js";
 import { cacheStoreFixture } from "./gatewayFixture.js";
@@ -55,6 +56,15 @@
     });
 });
 
+describe("parts that prompts share", () => {
+    it("are all parts but the last, which belongs to the request itself", () => {
+        const parts = ["outer", "inner", "own"].map((identifier) => ({ identifier, tokens: 10 }));
+        expect(sharedParts(parts)).to.deep.equal(["outer", "inner"]);
+        const [long] = sharedParts([{ identifier: "x".repeat(5_000), tokens: 10 }, ...parts]);
+        expect(long.length).to.be.at.most(32);
+    });
+});
+
 describe("event stream reader", () => {
     it("returns complete events only, wherever the received bytes are split", () => {
         const bytes = Buffer.from("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda");
--- a/packages/gateway/src/__tests__/peerReports.spec.ts
+++ b/packages/gateway/src/__tests__/peerReports.spec.ts
@@ -1,15 +1,8 @@
 import { FakeClock } from "@redwingpin/common";
-import { FactKind, FleetState, WatcherSelection } from "@redwingpin/fleet";
+import { CrashTracker, FactKind, FleetState, WatcherSelection } from "@redwingpin/fleet";
 import { type Hello, MessageKind, ProcessRole } from "@redwingpin/protocol";
 import { expect } from "chai";
-import {
-    CrashTracker,
-    DemandTracker,
-    EndpointTable,
-    noTolerance,
-    PrefixIndex,
-    SharedLedger,
-} from "../index.js";
+import { DemandTracker, EndpointTable, noTolerance, PrefixIndex, SharedLedger } from "../index.js";
 import { PeerReports } from "../node/peerReports.js";
 import { accountFixture, endpointStateFixture, statusFixture } from "./gatewayFixture.js";
 
@@ -92,6 +85,24 @@
         expect(receiver.crashTracker.refusedUntil("another", ["cause"], 10_000)).to.be.greaterThan(10_000);
     });
 
+    // Guards against engines that crash anew under a known part after all routers have restarted at the same time.
+    it("leave quarantines with agents, from which routers that have just started receive them", () => {
+        const before = reportsFixture();
+        for (const sentAt of [6_000, 7_000, 8_000]) {
+            const crashed = { fingerprint: `sent at ${sentAt}`, parts: ["cause"], endpoint: "i-1", sentAt };
+            before.crashTracker.recordCrash(crashed, sentAt + 100);
+        }
+        const agent = helloFixture(ProcessRole.Agent, "agent");
+        const report = before.reports.reportFor(agent, agentAddress);
+        expect(report.crashReport?.quarantined.map(({ name }) => name)).to.deep.equal(["cause"]);
+        expect(report.crashReport?.suspects).to.deep.equal([]);
+        before.reports.recordDelivery(agent, agentAddress, report);
+        expect(before.reports.reportFor(agent, agentAddress).crashReport).to.equal(undefined);
+        const started = reportsFixture();
+        started.reports.observe(agent, report, agentAddress);
+        expect(started.crashTracker.refusedUntil("another", ["cause"], 10_000)).to.be.greaterThan(10_000);
+    });
+
     it("contain levels only for a router that has just started", () => {
         const { clock, reports } = reportsFixture();
         const peer = helloFixture(ProcessRole.Router, "a");
--- a/packages/gateway/src/__tests__/routerFixture.ts
+++ b/packages/gateway/src/__tests__/routerFixture.ts
@@ -1,5 +1,6 @@
 import { listenOn, silentLogger, systemClock } from "@redwingpin/common";
 import {
+    CrashTracker,
     Delivery,
     type DirectConfiguration,
     type DirectRoute,
@@ -12,7 +13,6 @@
 import type { AddressInfo } from "node:net";
 import { Registry } from "prom-client";
 import {
-    CrashTracker,
     DemandTracker,
     EndpointTable,
     FleetRetryBudget,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -4,8 +4,6 @@
  * @module
  */
 export * from "./decision/attemptPlan.js";
-export * from "./decision/crashEvidence.js";
-export * from "./decision/crashTracker.js";
 export * from "./decision/demandTracker.js";
 export * from "./decision/endpointChoice.js";
 export * from "./decision/endpointTable.js";
@@ -15,6 +13,7 @@
 export * from "./decision/prefixPlacement.js";
 export * from "./decision/routeTable.js";
 export * from "./decision/sharedLedger.js";
+export * from "./decision/sharedParts.js";
 export * from "./decision/spendingRelay.js";
 export * from "./decision/transferTime.js";
 export * from "./headerCodec.js";
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -15,6 +15,7 @@
     sleep,
 } from "@redwingpin/common";
 import {
+    CrashTracker,
     Delivery,
     type DirectEndpoint,
     type DirectRoute,
@@ -38,7 +39,6 @@
 import { randomInt, randomUUID } from "node:crypto";
 import { createServer, type Server } from "node:http";
 import type { Registry } from "prom-client";
-import { CrashTracker } from "../decision/crashTracker.js";
 import { DemandTracker } from "../decision/demandTracker.js";
 import type { WeightsBounds } from "../decision/endpointChoice.js";
 import { EndpointTable } from "../decision/endpointTable.js";
--- a/packages/gateway/src/node/peerReports.ts
+++ b/packages/gateway/src/node/peerReports.ts
@@ -8,6 +8,8 @@
 import {
     type AccountSpending,
     agentInterval,
+    type CrashReport,
+    type CrashTracker,
     type DirectEndpoint,
     emptyReport,
     formatAddress,
@@ -20,7 +22,6 @@
     type WatcherSelection,
 } from "@redwingpin/fleet";
 import { type Hello, type InnerAddress, ProcessRole } from "@redwingpin/protocol";
-import type { CrashTracker } from "../decision/crashTracker.js";
 import { type DemandTracker, spareReplicas } from "../decision/demandTracker.js";
 import type { EndpointState, EndpointTable } from "../decision/endpointTable.js";
 import type { PrefixIndex } from "../decision/prefixIndex.js";
@@ -63,8 +64,6 @@
     private readonly spendingRelay = new SpendingRelay();
     /** Spending that was delivered to each router incarnation, by account; the latest deliveries come last. */
     private readonly deliveredSpending = new Map<string, Map<string, number>>();
-    /** Number of the last change of the crash tracker that was delivered to each router incarnation. */
-    private readonly deliveredCrashChanges = new Map<string, number>();
     private savedToReport: readonly SavedPrefix[] = [];
     private savedTakenAt: Milliseconds = -Infinity;
     /** Endpoints whose agents this router owns. */
@@ -79,14 +78,18 @@
         const now = this.options.clock.now();
         if (peer?.role === ProcessRole.Agent) {
             const isOwned = address !== undefined && this.options.isOwnerOf(address);
-            return { ...emptyReport, service: isOwned ? this.serviceOfAgent(address, now) : undefined };
+            return {
+                ...emptyReport,
+                service: isOwned ? this.serviceOfAgent(address, now) : undefined,
+                crashReport: this.crashReportForAgent(peer, now),
+            };
         }
         return {
             age: now - this.startedAt,
             spent: this.unreportedSpending(peer),
             load: this.options.endpointTable.ownLoads(),
             crashes: [],
-            crashReport: this.options.crashTracker.report(this.deliveredCrashChange(peer), now),
+            crashReport: this.options.crashTracker.reportFor(peer?.incarnation, now),
             levels: this.hasReliableLevels(now) && this.mayAdoptLevels(peer, now)
                 ? this.options.ledger.levels(now)
                 : [],
@@ -150,22 +153,30 @@
         );
     }
 
-    /** Records that a report was delivered to a router. */
+    /** Records that a report was delivered to a router or an agent. */
     recordDelivery(peer: Hello, address: InnerAddress, report: PeerReport): void {
+        if (report.crashReport !== undefined) {
+            this.options.crashTracker.recordDelivery(peer.incarnation, report.crashReport);
+        }
         if (peer.role !== ProcessRole.Router) {
             return;
         }
         const delivered = this.deliveredSpending.get(peer.incarnation) ?? new Map<string, number>();
+        this.deliveredSpending.delete(peer.incarnation);
+        this.deliveredSpending.set(peer.incarnation, delivered);
         report.spent.forEach(({ account, tokens }) => delivered.set(account, tokens));
-        remember(this.deliveredSpending, peer.incarnation, delivered);
-        if (report.crashReport !== undefined) {
-            remember(this.deliveredCrashChanges, peer.incarnation, report.crashReport.lastChange);
+        if (this.deliveredSpending.size > maxRememberedPeers) {
+            this.deliveredSpending.delete(this.deliveredSpending.keys().next().value!);
         }
         this.options.ledger.recordDelivery(formatAddress(address), report.spent);
     }
 
-    private deliveredCrashChange(peer: Hello | undefined): number {
-        return peer === undefined ? 0 : this.deliveredCrashChanges.get(peer.incarnation) ?? 0;
+    /** Agents keep what is quarantined for routers that start while no other router is left that knows it. */
+    private crashReportForAgent(agent: Hello, now: Milliseconds): CrashReport | undefined {
+        const report = this.options.crashTracker.reportFor(agent.incarnation, now);
+        return report === undefined || report.quarantined.length + report.answered.length === 0
+            ? undefined
+            : { ...report, suspects: [] };
     }
 
     /** Applies a report of a peer. */
@@ -174,6 +185,9 @@
         if (report.replica !== undefined) {
             this.options.endpointTable.observeStatus(report.replica, now);
         }
+        if (report.crashReport !== undefined) {
+            this.options.crashTracker.observe(report.crashReport, now);
+        }
         if (peer.role !== ProcessRole.Router) {
             return;
         }
@@ -193,9 +207,6 @@
             this.options.ledger.observeRelayed(relayed, spent, now);
         }
         this.options.endpointTable.observeLoads(peer.instance, report.load, now);
-        if (report.crashReport !== undefined) {
-            this.options.crashTracker.observe(report.crashReport, now);
-        }
         this.options.demandTracker.observe(peer.instance, report.demand, now);
         this.options.prefixIndex.observeSaved(report.saved);
         report.replicas.forEach(({ age, status }) =>
@@ -244,12 +255,3 @@
         return this.options.isFirstStart || now - this.startedAt > adoptionPeriod;
     }
 }
-
-/** Sets the entry of a peer's incarnation, as the latest one; the oldest entries are dropped. */
-function remember<T>(entries: Map<string, T>, incarnation: string, value: T): void {
-    entries.delete(incarnation);
-    entries.set(incarnation, value);
-    if (entries.size > maxRememberedPeers) {
-        entries.delete(entries.keys().next().value!);
-    }
-}
--- a/packages/gateway/src/node/requestCrashes.ts
+++ b/packages/gateway/src/node/requestCrashes.ts
@@ -4,9 +4,9 @@
  * @module
  */
 import type { Clock, Milliseconds } from "@redwingpin/common";
-import type { DirectEndpoint } from "@redwingpin/fleet";
+import type { CrashTracker, DirectEndpoint } from "@redwingpin/fleet";
 import type { AttemptOutcome } from "../decision/attemptPlan.js";
-import { type CrashTracker, sharedParts } from "../decision/crashTracker.js";
+import { sharedParts } from "../decision/sharedParts.js";
 import type { DirectRequest } from "./callerRequest.js";
 import type { CrashProbe } from "./crashProbe.js";
 
--- a/packages/gateway/src/node/requestTask.ts
+++ b/packages/gateway/src/node/requestTask.ts
@@ -11,7 +11,7 @@
     type RetryReason,
     runDecision,
 } from "@redwingpin/common";
-import type { FleetState } from "@redwingpin/fleet";
+import type { CrashTracker, FleetState } from "@redwingpin/fleet";
 import type { ServerResponse } from "node:http";
 import {
     type AttemptEffect,
@@ -19,7 +19,6 @@
     planAttempts,
     type RequestOutcome,
 } from "../decision/attemptPlan.js";
-import type { CrashTracker } from "../decision/crashTracker.js";
 import type { DemandTracker } from "../decision/demandTracker.js";
 import {
     type Choice,
--- a/packages/rollout/src/__tests__/replicaAgent.spec.ts
+++ b/packages/rollout/src/__tests__/replicaAgent.spec.ts
@@ -1,5 +1,5 @@
 import { FakeClock, silentLogger } from "@redwingpin/common";
-import { emptyReport, FactKind, FleetMessageKind, type SyncCall } from "@redwingpin/fleet";
+import { emptyReport, FactKind, FleetMessageKind, readSyncReply, type SyncCall } from "@redwingpin/fleet";
 import { InnerNode, parseFleetKeys, ProcessRole, Topic } from "@redwingpin/protocol";
 import { expect } from "chai";
 import { errAsync, okAsync, type ResultAsync } from "neverthrow";
@@ -74,16 +74,13 @@
     await new Promise((resolve) => setTimeout(resolve, 3));
 }
 
-/** Sends newer weights to an agent and advances the time by 1,200 ms; returns the orders that its replica received. */
-async function ordersWith(answer: () => ResultAsync<OrderAnswer, string>) {
-    const clock = new FakeClock(1_000);
-    const { control, orders } = replicaFixture(clock, answer);
-    const inner = { host: "127.0.0.1", port: 0 };
+/** A running agent, and routers that connect to it. */
+async function agentFixture(clock: FakeClock, control: ReplicaControl) {
     const agent = new ReplicaAgent({
         config: {
             instance: "agent",
             fleetKeys,
-            inner,
+            inner: { host: "127.0.0.1", port: 0 },
             replica,
             service: "engines",
             loadFallbackAfter: 4_800,
@@ -95,19 +92,37 @@
         control,
     });
     const port = await agent.start();
-    const router = new InnerNode({
-        role: ProcessRole.Router,
-        instance: "router",
-        incarnation: "1",
-        fleetKeys,
-        clock,
-        logger: silentLogger,
-        revision: () => 0,
-        onRevision: () => {},
-        onMessage: () => {},
-        onClosed: () => {},
-    });
-    const connection = (await router.connect({ host: "127.0.0.1", port }))._unsafeUnwrap();
+    const routers: InnerNode[] = [];
+    return {
+        connect: async (incarnation: string) => {
+            const router = new InnerNode({
+                role: ProcessRole.Router,
+                instance: "router",
+                incarnation,
+                fleetKeys,
+                clock,
+                logger: silentLogger,
+                revision: () => 0,
+                onRevision: () => {},
+                onMessage: () => {},
+                onClosed: () => {},
+            });
+            routers.push(router);
+            return (await router.connect({ host: "127.0.0.1", port }))._unsafeUnwrap();
+        },
+        stop: () => {
+            agent.stop();
+            routers.forEach((router) => router.stop());
+        },
+    };
+}
+
+/** Sends newer weights to an agent and advances the time by 1,200 ms; returns the orders that its replica received. */
+async function ordersWith(answer: () => ResultAsync<OrderAnswer, string>) {
+    const clock = new FakeClock(1_000);
+    const { control, orders } = replicaFixture(clock, answer);
+    const agent = await agentFixture(clock, control);
+    const connection = await agent.connect("1");
     await connection.call(Topic.Fleet, syncCall(), 1_000);
     connection.notify(Topic.Fleet, {
         kind: FleetMessageKind.Facts,
@@ -123,7 +138,6 @@
         clock.advance(20);
     }
     agent.stop();
-    router.stop();
     return orders;
 }
 
@@ -145,4 +159,24 @@
     it("waits for the effect of an accepted order", async () => {
         expect(await ordersWith(() => okAsync(OrderAnswer.Accepted))).to.have.length(1);
     });
+
+    // Guards against engines that crash anew under a known part after all routers have restarted at the same time.
+    it("tells routers that have just started what earlier ones have quarantined", async () => {
+        const clock = new FakeClock(10_000);
+        const { control } = replicaFixture(clock, () => okAsync(OrderAnswer.Accepted));
+        const agent = await agentFixture(clock, control);
+        const quarantined = [{ kind: "part", name: "cause", firstCrashAge: 3_000, lastCrashAge: 1_000 }];
+        const call = syncCall();
+        await (await agent.connect("before")).call(Topic.Fleet, {
+            ...call,
+            report: {
+                ...call.report,
+                crashReport: { lastChange: 1, suspects: [], answered: [], quarantined },
+            },
+        }, 1_000);
+        const answer = await (await agent.connect("after the restart")).call(Topic.Fleet, syncCall(), 1_000);
+        agent.stop();
+        const reply = readSyncReply(answer._unsafeUnwrap());
+        expect(reply?.report.crashReport?.quarantined).to.deep.equal(quarantined);
+    });
 });
--- a/packages/rollout/src/node/replicaAgent.ts
+++ b/packages/rollout/src/node/replicaAgent.ts
@@ -6,6 +6,7 @@
  */
 import type { CancelTimer, Clock, Logger, Milliseconds } from "@redwingpin/common";
 import {
+    CrashTracker,
     type DesiredWeights,
     emptyReport,
     FactKind,
@@ -97,6 +98,8 @@
     private readonly incarnation = randomUUID();
     private readonly innerNode: InnerNode;
     private readonly sync: FleetSync;
+    /** What routers have quarantined, kept for routers that start. */
+    private readonly crashTracker = new CrashTracker();
     private readonly loadCounter: Counter<"outcome">;
     private report: ReplicaReport | undefined;
     private failureCount = 0;
@@ -147,12 +150,16 @@
             isStoreReachable: () => false,
             seeds: [],
             agents: () => [],
-            report: () => this.peerReport(),
+            report: (peer) => this.peerReport(peer),
             hasPendingReport: () => false,
             isOwnerOf: () => false,
             onReport: (peer, report) => this.onReport(peer, report),
             onReplicaStatus: () => {},
-            onReportDelivered: () => {},
+            onReportDelivered: ({ incarnation }, _address, { crashReport }) => {
+                if (crashReport !== undefined) {
+                    this.crashTracker.recordDelivery(incarnation, crashReport);
+                }
+            },
             onFacts: (facts, peer) => this.applyFacts(facts, peer.instance),
         });
     }
@@ -357,6 +364,9 @@
     }
 
     private onReport(peer: Hello, report: PeerReport): void {
+        if (report.crashReport !== undefined) {
+            this.crashTracker.observe(report.crashReport, this.options.clock.now());
+        }
         if (peer.role === ProcessRole.Router && report.service !== undefined) {
             this.service = report.service;
             this.serviceReceivedAt = this.options.clock.now();
@@ -366,8 +376,9 @@
         }
     }
 
-    private peerReport(): PeerReport {
-        return { ...emptyReport, replica: this.status() };
+    private peerReport(peer: Hello | undefined): PeerReport {
+        const crashReport = this.crashTracker.reportFor(peer?.incarnation, this.options.clock.now());
+        return { ...emptyReport, replica: this.status(), crashReport };
     }
 
     private status(): ReplicaStatus {
