test(proofs): requests through agents that share only a part of their prompts crash engine after engine (known red)

The cause of the incident elsewhere: routes through agents know suspects by a digest of account and body, too.

--- a/packages/proofs/src/__tests__/crashingRequests.spec.ts
+++ b/packages/proofs/src/__tests__/crashingRequests.spec.ts
@@ -4,6 +4,12 @@
 
 const crashMarker = "this prompt crashes engines";
 
+/** Text of several prefix blocks. */
+const commonRules = "a rule that all of these prompts contain; ".repeat(1_000);
+
+/** Five crashes to find the common part, and at most three requests that reach an engine later (users' target). */
+const maxCrashes = 5 + 3;
+
 /** Starts engines that restart with an empty cache at the same address after a crash. */
 class CrashingEngines {
     crashes = 0;
@@ -73,4 +79,14 @@
         expect(engines.crashes).to.be.at.most(2);
         expect((await complete(site, "query afterwards")).status).to.equal(200);
     });
+
+    // Guards against requests that crash one engine after the other because no two of them are alike.
+    it("are refused if they share only a part of their prompts", async () => {
+        const crashesBefore = engines.crashes;
+        for (let index = 0; index < 12; index++) {
+            await complete(site, `${crashMarker} ${commonRules} ${index}`);
+        }
+        expect((await complete(site, "query beside them")).status).to.equal(200);
+        expect(engines.crashes - crashesBefore).to.be.at.most(maxCrashes);
+    });
 });
