--- a/packages/fleet/src/__tests__/crashTracker.spec.ts
+++ b/packages/fleet/src/__tests__/crashTracker.spec.ts
@@ -149,6 +149,14 @@
         expect(isRefused(started, ["cause"], 100_000)).to.equal(true);
     });
 
+    it("does not tell a router that has just started about answers that no longer matter", () => {
+        const tracker = new CrashTracker();
+        tracker.recordAnswer("sound request", ["sound"], 500);
+        crash(tracker, { parts: ["sound"], at: [1_000] });
+        expect(tracker.reportFor("started", 1_100)?.answered.length).to.equal(1);
+        expect(tracker.reportFor("started", 500 + quarantineDuration)?.answered.length).to.equal(0);
+    });
+
     it("reports a change to each peer once, in reports of bounded size", () => {
         const tracker = new CrashTracker();
         expect(tracker.reportFor("peer", 1_000)).to.equal(undefined);
--- a/packages/fleet/src/decision/crashEvidence.ts
+++ b/packages/fleet/src/decision/crashEvidence.ts
@@ -28,7 +28,7 @@
 /** A request whose endpoint crashed before it began to answer. */
 export interface UnansweredRequest {
     readonly fingerprint: string;
-    /** See {@link sharedParts}. */
+    /** Names of the parts that its prompt may share with others, outermost first. */
     readonly parts: readonly string[];
     readonly endpoint: string;
     readonly sentAt: Milliseconds;
@@ -52,26 +52,28 @@
     readonly lastCrashAt: Milliseconds;
 }
 
-/** What {@link collectEvidence} needs to know besides the suspects. */
-export interface EvidenceContext {
-    /** When an endpoint last began to answer a request with the cause; -Infinity if that is not known. */
-    readonly answeredAt: (cause: CrashCause) => Milliseconds;
-    readonly isQuarantined: (cause: CrashCause) => boolean;
+/** The suspects of those crashes that no quarantined part explains. */
+export function unexplainedSuspects(
+    suspects: readonly Suspect[],
+    isQuarantined: (part: string) => boolean,
+): readonly Suspect[] {
+    const explained = suspects.filter(({ parts }) => parts.some(isQuarantined));
+    return explained.length === 0
+        ? suspects
+        : suspects.filter((suspect) => !explained.some((other) => isSameCrash(suspect, other)));
 }
 
-/** Collects the evidence against a cause. */
+/**
+ * Collects the evidence against a cause. `answeredAt` is the time at which an endpoint last began to answer a request with
+ * it; -Infinity if there is no known answer.
+ */
 export function collectEvidence(
     cause: CrashCause,
     suspects: readonly Suspect[],
-    context: EvidenceContext,
+    answeredAt: Milliseconds,
 ): Evidence {
-    const answeredAt = context.answeredAt(cause);
-    const explained = suspects.filter(({ parts }) =>
-        parts.some((name) => context.isQuarantined({ kind: "part", name }))
-    );
     const counted = suspects.filter((suspect) =>
         isSuspectOf(suspect, cause) && suspect.crashedAt > answeredAt
-        && !explained.some((other) => isSameCrash(suspect, other))
     );
     const crashTimes = counted.map((suspect) => suspect.crashedAt);
     const requests = new Set(counted.map((suspect) => suspect.fingerprint));
--- a/packages/fleet/src/decision/crashTracker.ts
+++ b/packages/fleet/src/decision/crashTracker.ts
@@ -18,6 +18,7 @@
     keyOf,
     type Suspect,
     type UnansweredRequest,
+    unexplainedSuspects,
 } from "./crashEvidence.js";
 
 /** A suspect expires this long after its crash. */
@@ -112,7 +113,8 @@
         const isNew = ({ change }: { readonly change?: number; }) =>
             change !== undefined && change > delivered;
         const suspects = this.suspects.filter(isNew).slice(0, maxReportedEntries);
-        const answered = [...this.answeredParts].filter(([, entry]) => isNew(entry))
+        const answered = [...this.answeredParts]
+            .filter(([, entry]) => isNew(entry) && now - entry.at < quarantineDuration)
             .sort(([, left], [, right]) => left.change! - right.change!)
             .slice(0, maxReportedEntries);
         const quarantined = [...this.quarantines.values()].filter(isNew).slice(0, maxReportedEntries);
@@ -203,14 +205,14 @@
             suspects.flatMap(({ fingerprint, parts }) => causesOf(fingerprint, parts))
                 .map((cause) => [keyOf(cause), cause]),
         );
-        const context = {
-            answeredAt: (cause: CrashCause) => this.answeredAt(cause),
-            isQuarantined: (cause: CrashCause) => this.quarantineOf(cause, now) !== undefined,
-        };
         for (;;) {
+            const unexplained = unexplainedSuspects(
+                this.suspects,
+                (name) => this.quarantineOf({ kind: "part", name }, now) !== undefined,
+            );
             const conclusive = [...causes.values()]
                 .filter((cause) => this.quarantineOf(cause, now) === undefined)
-                .map((cause) => collectEvidence(cause, this.suspects, context))
+                .map((cause) => collectEvidence(cause, unexplained, this.answeredAt(cause)))
                 .filter((evidence) => evidence.isConclusive)
                 .sort(compareLikelihood);
             if (conclusive.length === 0) {
