test(gateway): a request whose caller has left is passed on if the router reads it before it reads the close (known red)

Callers saw: nothing; endpoints worked on requests that nobody waited for.

Cause, shown by the spec: a request and the close of its connection that arrive together are read one after the other, and the request is dispatched in between. A router that gets no processor time for a while is in that position.

--- a/packages/gateway/src/__tests__/directServer.spec.ts
+++ b/packages/gateway/src/__tests__/directServer.spec.ts
@@ -152,6 +152,22 @@
         expect(received).to.match(/^connection: close/im);
     });
 
+    // Guards against requests that reach endpoints long after their callers have left, when a router was short of processor time.
+    it("does not run a request whose caller had left before the router read it", async () => {
+        const fixture = await serverFixture(true);
+        server = fixture.server;
+        const leave = () =>
+            new Promise<void>((resolve) => {
+                const socket = connect(fixture.port, "127.0.0.1", () => {
+                    socket.write("POST / HTTP/1.1\r\nHost: site.example\r\nContent-Length: 0\r\n\r\n");
+                    socket.end();
+                });
+                socket.resume().once("close", () => resolve());
+            });
+        await leave();
+        expect(fixture.served()).to.equal(0);
+    });
+
     it("reports to the other routers before it refuses a request for which the account has enough tokens", async () => {
         const account = accountFixture({
             keyDigests: [sha256Hex("key")],
