--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -1,62 +1,122 @@
 /**
- * Replicas serve two models. New weights of one are named, and new weights of the other half a second later, before the
- * first ones are in place everywhere.
+ * Three of four routers are partitioned from the store. A replica of the fourth one's service leaves: it reports that it
+ * drains, and ends three seconds after the store has accepted that.
  */
 import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
-import { configuration, hasTrouble, runCase, sleep, until, untilReady } from "../support/site.mjs";
+import { streamEvents } from "../support/replica.mjs";
+import {
+    clientHeaders,
+    configuration,
+    hasTrouble,
+    runCase,
+    send,
+    sleep,
+    until,
+    untilReady,
+} from "../support/site.mjs";
 
-const models = ["alpha", "beta"];
-const routers = ["127.0.0.11", "127.0.0.12"];
-const replicas = 3;
+const hosts = ["127.0.0.11", "127.0.0.12", "127.0.0.13", "127.0.0.14"];
+const replicas = 4;
 
-/** Time between the two versions with the disruption. */
-const gap = 500;
-const limit = 40_000;
+/** Bounds of the pages. */
+const contactTime = 3_000;
+const drainTime = 2_000;
+
+/** The replica serves a little longer than it must. */
+const leavesAfter = 3_000;
+const cutTime = 5_500;
+const events = 58;
+const eventInterval = 25;
+
+/** Streams that the clients of the fourth router start together. */
+const streams = 16;
 
 await runCase(dirname(fileURLToPath(import.meta.url)), play);
 
 async function play(site, record) {
-    site.store.write("op/config", configuration(models));
-    for (const model of models) {
-        site.store.write(`op/version/${model}`, { model, version: 1 });
-    }
+    site.store.write("op/config", configuration());
     for (let index = 1; index <= replicas; index++) {
-        const replica = await site.addReplica({
+        await site.addReplica({
             instance: `i-${index}`,
             service: "engines",
             host: `127.0.0.${30 + index}`,
-            models: models.map((name) => ({ name, version: 1 })),
+            models: [{ name: "drafting", version: 1 }],
+            serve: serveStream,
+            events,
+            eventInterval,
         });
-        await site.startAgent(`side-hobart-${index}`, replica);
+        await site.startAgent(`side-hobart-${index}`, site.replicas.at(-1));
     }
-    for (const [index, host] of routers.entries()) {
-        const router = await site.startRouter(`frontend-hobart-${index + 1}`, host, routers);
-        await untilReady(router);
+    const routers = [];
+    for (const [index, host] of hosts.entries()) {
+        routers.push(await site.startRouter(`frontend-hobart-${index + 1}`, host, hosts.slice(0, 3)));
+        await untilReady(routers.at(-1));
     }
-    await sleep(4_000);
-    nameVersion(site, record, "beta");
-    await (hasTrouble ? sleep(gap) : untilInPlace(site, "beta"));
-    nameVersion(site, record, "alpha");
-    await untilInPlace(site, "beta");
-    await untilInPlace(site, "alpha");
-    await sleep(1_000);
-    return site.replicas.flatMap(findOldOrders);
-}
+    await sleep(contactTime + 3_000);
+    const isWatching = ({ name }) => site.store.isWatchedBy(name, "servers/");
+    await until("three routers watch the replicas", () => routers.filter(isWatching).length === 3);
+    const calm = routers.find((router) => !isWatching(router));
+    const others = routers.filter((router) => router !== calm);
+    record.write("router in touch", { name: calm.name });
+    // Every replica has served the router before.
+    await startStreams(calm, replicas * 4, record);
+    await sleep(contactTime);
 
-function nameVersion(site, record, model) {
-    const revision = site.store.write(`op/version/${model}`, { model, version: 2 });
-    record.write("version named", { model, version: 2, revision });
+    if (hasTrouble) {
+        others.forEach(({ name }) => {
+            site.store.cut(name);
+            record.write("partitioned from the store", { name });
+        });
+    }
+    const leaving = site.replicas[0];
+    leaving.state = "draining";
+    leaving.register();
+    const acknowledgedAt = Date.now();
+    record.write("leaving is acknowledged", { replica: leaving.instance });
+    await sleep(drainTime + 300);
+    const running = startStreams(calm, streams, record);
+    await sleep(acknowledgedAt + leavesAfter - Date.now());
+    site.store.remove(`servers/${leaving.instance}`);
+    leaving.isRemoved = true;
+    leaving.crash();
+    record.write("the replica has left", { replica: leaving.instance });
+    const answers = await running;
+    await sleep(acknowledgedAt + cutTime - Date.now());
+    others.forEach(({ name }) => site.store.heal(name));
+    record.write("streams that were not served whole", {
+        count: answers.filter(({ isWhole }) => !isWhole).length,
+    });
+    return leaving.runs.filter(({ at }) => at - acknowledgedAt > drainTime)
+        .map(({ at, id }) => ({ id, replica: leaving.instance, after: at - acknowledgedAt }));
 }
 
-function untilInPlace(site, model) {
-    const isInPlace = (replica) => replica.models.find(({ name }) => name === model).version === 2;
-    return until(`all have ${model}`, () => site.replicas.every(isInPlace), limit);
+/** Streams, and states in the answer that the replica leaves once it does. */
+function serveStream(run, response) {
+    if (run.replica.state === "draining") {
+        response.setHeader("Server-Leaving", "1");
+    }
+    streamEvents(run, response);
 }
 
-/** The orders that a replica carried out with a lower generation number than an order before. */
-function findOldOrders({ instance, orders }) {
-    return orders.filter(({ fencingToken }, index) =>
-        orders.slice(0, index).some((earlier) => earlier.fencingToken > fencingToken)
-    ).map(({ fencingToken, holder, model }) => ({ replica: instance, holder, model, fencingToken }));
+function startStreams(router, count, record) {
+    return Promise.all(Array.from({ length: count }, async (_, index) => {
+        const headers = clientHeaders(12_000, {
+            "redwingpin-model": "drafting",
+            "redwingpin-token-counts": "826,58",
+            "redwingpin-prompt-prefix": `a0${index % 4}:198,b0${index}:628`,
+        });
+        const id = headers["redwingpin-request-attempt-id"];
+        record.write("sent", { id, router: router.name });
+        const answer = await send({
+            headers,
+            host: router.host,
+            port: router.callers,
+            path: "/draft/1",
+            body: `a query ${index}`,
+        });
+        const isWhole = answer.isComplete && answer.text.includes(`id: ${events}\n`);
+        record.write("answered", { id, status: answer.status, isWhole });
+        return { id, isWhole };
+    }));
 }
