--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -41,9 +41,8 @@
             const time = Date.now() - startedAt;
             const isImpaired = time >= spoiledFrom && time < spoiledFrom + spoiledFor;
             answers += isImpaired ? 1 : 0;
-            const isSpoiled = hasTrouble && run.replica.instance === spoiledInstance && isImpaired
-                && answers % oneIn === 0;
-            writeAnswer(run, response, isSpoiled ? "000" : "200", record);
+            const isSpoiled = hasTrouble && isImpaired && answers % oneIn === 0;
+            (isSpoiled ? writeSpoiledAnswer : writeAnswer)(run, response, record);
         }, workTime);
     };
     for (const instance of ["i-1", "i-2", "i-3"]) {
@@ -63,20 +62,29 @@
     return sent.flat().filter(({ id, isKept, status }) => isKept && status === undefined && sound.has(id));
 }
 
-/** Writes the whole answer of a replica to its channel. */
-function writeAnswer({ id, replica, request }, response, status, record) {
-    const body = `${replica.instance} has run ${id}`;
-    if (status !== "200") {
-        record.write("spoiled answer", { replica: replica.instance, id, status });
-    }
+function writeAnswer(run, response) {
+    const body = bodyOf(run);
+    response.writeHead(200, { "content-length": Buffer.byteLength(body) });
+    response.end(body);
+}
+
+/** Writes the same answer with another status to the replica's channel. */
+function writeSpoiledAnswer(run, response, record) {
+    const { id, replica, request } = run;
+    const body = bodyOf(run);
+    record.write("spoiled answer", { replica: replica.instance, id });
     response.detachSocket(request.socket);
     request.socket.end(
-        `HTTP/1.1 ${status} OK\r\nRedwingpin-Request-Attempt-Id: ${id}\r\n`
+        `HTTP/1.1 000 OK\r\nRedwingpin-Request-Attempt-Id: ${id}\r\n`
             + `Redwingpin-Response-Seal: ${replica.instance}.${id}\r\n`
-            + `Content-Length: ${Buffer.byteLength(body)}\r\nConnection: close\r\n\r\n${body}`,
+            + `Content-Length: ${Buffer.byteLength(body)}\r\n\r\n${body}`,
     );
 }
 
+function bodyOf({ id, replica }) {
+    return `${replica.instance} has run ${id}`;
+}
+
 /** Sends one request after the other on a channel that is kept, and opens a new one if it ends. */
 async function runClient(router, client, startedAt, record) {
     const sent = [];
--- a/review/support/site.mjs
+++ b/review/support/site.mjs
@@ -62,11 +62,17 @@
     const record = new Record(join(folder, "record.txt"));
     const site = new Site(record);
     let code = couldNotRun;
-    const timer = setTimeout(() => {
-        record.write("end", { error: "the case took too long" });
+    const giveUp = (error) => {
+        record.write("end", { error: String(error) });
+        console.error(error);
         site.kill();
+        rmSync(site.folder, { recursive: true, force: true });
         process.exit(couldNotRun);
-    }, maxDuration);
+    };
+    process.on("uncaughtException", giveUp);
+    process.on("SIGTERM", () => giveUp("stopped"));
+    process.on("SIGINT", () => giveUp("stopped"));
+    const timer = setTimeout(() => giveUp("the case took too long"), maxDuration);
     try {
         await site.start();
         const breaks = await play(site, record);
