--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -94,6 +94,7 @@
         const path = client % 2 === 0 ? "/stamp/1" : "/status/1";
         const headers = clientHeaders(1_500);
         const id = headers["redwingpin-request-attempt-id"];
+        record.write("sent", { client, id, path });
         const { status } = await send({
             agent,
             headers,
