--- a/review/support/site.mjs
+++ b/review/support/site.mjs
@@ -18,6 +18,9 @@
 /** A case that takes longer could not run. */
 const maxDuration = 115_000;
 
+/** Size of the end of a program's output that is recorded if it ends by itself. */
+const maxKeptOutput = 1_000;
+
 /** Exit codes of a case. */
 const held = 0;
 const broken = 1;
@@ -96,12 +99,18 @@
     return { run, key };
 }
 
+/** Ports below those that outgoing connections get. No port is given twice; cases that run side by side start apart. */
+const firstPort = 16_000;
+const portCount = 12_000;
+let portOffset = process.pid * 101 % portCount;
+
 /** A port that is free on every one of the hosts. */
 async function freePort(hosts) {
     for (;;) {
-        const port = await bind(hosts[0], 0);
-        const others = await Promise.all(hosts.slice(1).map((host) => bind(host, port).catch(() => 0)));
-        if (others.every((other) => other === port)) {
+        portOffset = (portOffset + 1) % portCount;
+        const port = firstPort + portOffset;
+        const bound = await Promise.all(hosts.map((host) => bind(host, port).catch(() => 0)));
+        if (bound.every((other) => other === port)) {
             return port;
         }
     }
@@ -223,12 +232,14 @@
                 },
                 stdio: ["ignore", "pipe", "inherit"],
             });
-            program.child.stdout.on("data", (chunk) => program.onOutput?.(chunk.toString()));
+            let output = "";
+            program.child.stdout.on("data", (chunk) => output = (output + chunk).slice(-maxKeptOutput));
             program.exited = new Promise((resolve) =>
                 program.child.once("exit", (code, signal) => {
                     resolve();
                     this.record.write("process ended", { name: program.name, code, signal });
                     if (!this.isEnding) {
+                        this.record.write("last output", { name: program.name, output });
                         program.ends += 1;
                         writeFileSync(file, text.replace("firstStart = true", "firstStart = false"));
                         setTimeout(() => this.isEnding || start(), 500);
