fix(gateway): reject answers whose status is not a final status of HTTP

Callers saw all requests of a router fail at once, most of them at sound endpoints: its process had ended.

Cause: Node's parser accepts any three digits as a status, and `writeHead` throws a RangeError for one below 100. It is called from the "end" event of the endpoint's answer, where nothing catches it.

Evidence: the new spec failed with this RangeError for 000, 042 and 099 before the change; 600 and 999 were passed on to callers.

Ruled out: the clients of agents and of the store. Undici fails the one request for such a status; callers of an agent's endpoint never receive one.

Why it works: the head is checked before anything of it is used, so no status reaches `writeHead` that it can't write, and the attempt ends as broken: repeatable requests go on elsewhere, others are answered 502 "may have run".

--- a/packages/gateway/src/__tests__/faultyAnswers.spec.ts
+++ b/packages/gateway/src/__tests__/faultyAnswers.spec.ts
@@ -122,6 +122,50 @@
         });
     });
 
+    describe("whose status is not one of HTTP's final statuses", () => {
+        const statuses = ["000", "042", "099", "600", "999"];
+        const whole = (status: string, attempt: string) =>
+            answer(attempt, "spoiled").replace("200 OK", `${status} Odd`);
+
+        // Guards against an exception outside of any request, which ends the process and all its requests.
+        for (const status of statuses) {
+            it(`${status}: end only their own call, with an unknown outcome`, async () => {
+                const { requests, router } = await start(2, (socket, _request, text) => {
+                    const attempt = attemptIn(text);
+                    if (attempt === "spoiled") {
+                        socket.write(whole(status, attempt));
+                    }
+                    else {
+                        setTimeout(() => socket.write(answer(attempt, "served")), 50);
+                    }
+                });
+                const sound = router.call("sound");
+                const spoiled = await router.call("spoiled");
+                expect(spoiled.status).to.equal(502);
+                expect(spoiled.text).to.include("may have run");
+                expect(await sound).to.include({ status: 200, text: "served" });
+                expect(requests()).to.equal(2);
+            });
+        }
+
+        it("make a call that may be repeated go on at another endpoint", async () => {
+            for (const status of statuses) {
+                const { router } = await start(2, (socket, request, text) => {
+                    const attempt = attemptIn(text);
+                    socket.write(request === 0 ? whole(status, attempt) : answer(attempt, "served"));
+                }, { repeatable: true, attempts: 2 });
+                expect(await router.call("a"), status).to.include({ status: 200, text: "served" });
+            }
+        });
+
+        it("are not taken for a proof that the call has not run", async () => {
+            const { router } = await start(1, (socket) => socket.write(refusal("a").replace("503", "099")));
+            const { status, text } = await router.call("a");
+            expect(status).to.equal(502);
+            expect(text).to.include("may have run");
+        });
+    });
+
     // Guards against an empty or short success that is framed as whole.
     it("that stop anywhere before their end are never complete", async () => {
         const whole = "HTTP/1.1 200 OK\r\nx-attempt: a\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody";
--- a/packages/gateway/src/node/attempt.ts
+++ b/packages/gateway/src/node/attempt.ts
@@ -20,6 +20,8 @@
 /** Maximum size of a whole answer. */
 const maxAnswerBytes = 16_777_216;
 
+const firstFinalStatus = 200;
+const lastFinalStatus = 599;
 const firstErrorStatus = 400;
 const firstServerErrorStatus = 500;
 const okStatus = 200;
@@ -148,6 +150,10 @@
     /** Reason why the answer can't be accepted for this request; `undefined` if there is none. */
     private findHeadProblem(isReused: boolean): string | undefined {
         const { metadata } = this;
+        // The HTTP parser accepts any three digits, and `writeHead` throws for a status below 100.
+        if (this.status < firstFinalStatus || this.status > lastFinalStatus) {
+            return `${this.status} is not the status of an answer`;
+        }
         if (metadata.attempt !== undefined && metadata.attempt !== this.context.request.metadata.attempt) {
             return `the answer belongs to request "${metadata.attempt}"`;
         }
