fix(fleet, gateway): a router watches the store itself once the watchers' answers are too old

Callers' streams were lost at an endpoint that had left: one router kept sending to it, although the store, which that router reached, had known for seconds that the endpoint leaves.

Cause: three routers watch the registrations for all. The others began only when these had not been answered for 4 s, twice the time within which the leaving of an endpoint has to be known.

Ruled out: the router's own contact with the store; Server-Leaving, which comes too late for requests that are already on their way, and not at all to a router that has sent the endpoint nothing.

Why it works: the latest answer to any other router bounds how old a router's knowledge can be. Routers relay it, numbered, so that relays can't make it younger.

--- a/packages/fleet/src/__tests__/storeWatcher.spec.ts
+++ b/packages/fleet/src/__tests__/storeWatcher.spec.ts
@@ -1,4 +1,4 @@
-import { FakeClock, seededRandom, silentLogger } from "@redwingpin/common";
+import { FakeClock, type Milliseconds, seededRandom, silentLogger } from "@redwingpin/common";
 import { expect } from "chai";
 import { errAsync, okAsync, ResultAsync } from "neverthrow";
 import {
@@ -13,22 +13,27 @@
 /** A source that answers from a list and records its calls. */
 function scriptedSource(answers: ResultAsync<FactBatch, SourceError>[]) {
     const calls: string[] = [];
+    const waits: Milliseconds[] = [];
     const next = () => answers.shift() ?? new ResultAsync<FactBatch, SourceError>(new Promise(() => {}));
     const source: FleetSource = {
         read: () => {
             calls.push("read");
             return next();
         },
-        watch: (_scope, after) => {
+        watch: (_scope, after, wait) => {
             calls.push(`watch ${after}`);
+            waits.push(wait);
             return next();
         },
     };
-    return { source, calls };
+    return { source, calls, waits };
 }
 
-function startWatcher(answers: ResultAsync<FactBatch, SourceError>[]) {
-    const { source, calls } = scriptedSource(answers);
+function startWatcher(
+    answers: ResultAsync<FactBatch, SourceError>[],
+    isNeeded: () => boolean = () => true,
+) {
+    const { source, calls, waits } = scriptedSource(answers);
     const clock = new FakeClock();
     const contexts: FactBatchContext[] = [];
     const watcher = new StoreWatcher({
@@ -39,10 +44,11 @@
         logger: silentLogger,
         wait: () => 3_000,
         batchDelay: 0,
+        isNeeded,
         onBatch: (_batch, context) => contexts.push(context),
     });
     watcher.start();
-    return { watcher, clock, calls, contexts };
+    return { watcher, clock, calls, contexts, waits };
 }
 
 async function settle(): Promise<void> {
@@ -88,6 +94,24 @@
         expect(calls).to.deep.equal(["read", "watch 5", "watch 5"]);
     });
 
+    // Guards against a router that relies on watchers which are cut off, and then waits for the next change.
+    it("asks without waiting once it is needed again, and only then waits for changes", async () => {
+        let isNeeded = false;
+        const { calls, clock, waits } = startWatcher([
+            okAsync({ facts: [], revision: 5 }),
+            okAsync({ facts: [], revision: 8 }),
+        ], () => isNeeded);
+        await settle();
+        clock.advance(400);
+        await settle();
+        expect(calls).to.deep.equal(["read"]);
+        isNeeded = true;
+        clock.advance(50);
+        await settle();
+        expect(calls).to.deep.equal(["read", "watch 5", "watch 8"]);
+        expect(waits).to.deep.equal([0, 3_000]);
+    });
+
     // Regression test: newer weights became the desired ones while the store dropped its history. Since their age was
     // unknown, routers excluded every replica that did not serve them yet.
     it("reports the maximum age of changes, also after a lost history or failed calls", async () => {
--- a/packages/fleet/src/node/storeWatcher.ts
+++ b/packages/fleet/src/node/storeWatcher.ts
@@ -11,7 +11,7 @@
 const firstRetryDelay: Milliseconds = 100;
 
 /** Interval at which a process that does not watch the store checks whether it has to. */
-const idlePollInterval: Milliseconds = 200;
+const idlePollInterval: Milliseconds = 50;
 
 /** Maximum delay after errors, and thus about the time after which a store that is reachable again is used. */
 const maxRetryDelay: Milliseconds = 1_000;
@@ -61,6 +61,8 @@
     /** Number of calls that have failed since the last answer. */
     private failures = 0;
     private answeredAt: Milliseconds = -Infinity;
+    /** True while other routers watch. */
+    private isIdle = false;
 
     constructor(private readonly options: StoreWatcherOptions) {}
 
@@ -102,12 +104,16 @@
         const { knownRevision, scope, source, wait } = this.options;
         const complete = this.revision === undefined;
         if (!complete && !this.isNeeded()) {
+            this.isIdle = true;
             return idlePollInterval;
         }
+        // What changed while the others watched is needed immediately, and so is an answer for them.
+        const waitTime = this.isIdle ? 0 : wait();
+        this.isIdle = false;
         const calledAt = this.options.clock.now();
         const result = this.revision === undefined
             ? await source.read(scope)
-            : await source.watch(scope, Math.max(this.revision, knownRevision?.() ?? 0), wait());
+            : await source.watch(scope, Math.max(this.revision, knownRevision?.() ?? 0), waitTime);
         if (this.stopped) {
             return 0;
         }
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -368,6 +368,7 @@
         this.applyFacts(datedFacts, storeName);
         if (scope === FleetScope.Endpoints) {
             this.state.recordEndpointsRevision(batch.revision);
+            this.watcherSelection.recordOwnAnswer();
         }
     }
 
--- a/packages/gateway/src/node/peerReports.ts
+++ b/packages/gateway/src/node/peerReports.ts
@@ -19,6 +19,7 @@
     type ReplicaProgress,
     type SavedPrefix,
     type ServiceProgress,
+    type StoreAnswer,
     type WatcherSelection,
 } from "@redwingpin/fleet";
 import { type Hello, type InnerAddress, ProcessRole } from "@redwingpin/protocol";
@@ -31,6 +32,9 @@
 /** A router adopts the levels of its peers during this time after its start. */
 const adoptionPeriod: Milliseconds = 2_500;
 
+/** Minimum interval of reports with the latest answer of the store, so that their cost does not grow with the fleet. */
+const minAnswerInterval: Milliseconds = 100;
+
 /** Maximum number of router incarnations whose delivered reports are remembered. */
 const maxRememberedPeers = 2_000;
 
@@ -66,6 +70,7 @@
     private readonly deliveredSpending = new Map<string, Map<string, number>>();
     private savedToReport: readonly SavedPrefix[] = [];
     private savedTakenAt: Milliseconds = -Infinity;
+    private answerReportedAt: Milliseconds = -Infinity;
     /** Endpoints whose agents this router owns. */
     private ownedEndpoints: readonly EndpointState[] = [];
 
@@ -96,6 +101,7 @@
             demand: this.options.demandTracker.report(now),
             saved: this.savedToReport,
             followedAge: this.options.storeAnswerAge(),
+            latestAnswer: this.takeLatestAnswer(now),
             missing: this.options.unheardRouterNames(),
             relayed: this.spendingRelay.spendingFor(
                 peer?.incarnation,
@@ -106,6 +112,14 @@
         };
     }
 
+    private takeLatestAnswer(now: Milliseconds): StoreAnswer | undefined {
+        if (now - this.answerReportedAt < minAnswerInterval) {
+            return undefined;
+        }
+        this.answerReportedAt = now;
+        return this.options.watcherSelection.latestAnswer();
+    }
+
     /**
      * Progress of the service whose replica has its agent at the given address; `undefined` if no replica is behind.
      */
@@ -195,6 +209,9 @@
         if (address !== undefined) {
             const { age, missing } = report;
             this.options.watcherSelection.observe(formatAddress(address), report.followedAge);
+            if (report.latestAnswer !== undefined) {
+                this.options.watcherSelection.observeAnswer(report.latestAnswer, formatAddress(address));
+            }
             this.spendingRelay.recordReport(
                 formatAddress(address),
                 { incarnation: peer.incarnation, age, missing },
