--- a/packages/common/src/__tests__/launcher.spec.ts
+++ b/packages/common/src/__tests__/launcher.spec.ts
@@ -1,4 +1,6 @@
 import { expect } from "chai";
+import { spawn } from "node:child_process";
+import { once } from "node:events";
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -29,6 +31,24 @@
         expect(launched()).to.deep.equal(["program.bundle.cjs", folder, true]);
     });
 
+    // Guards against a program that ends by itself when the settings change while it starts.
+    it("survives a reload signal while the bundle loads", async () => {
+        const exitCode = 7;
+        writeFileSync(
+            join(folder, "program.bundle.cjs"),
+            `process.stdout.write("loading"); setTimeout(() => process.exit(${exitCode}), 300);`,
+        );
+        const launcher = new URL("../launch/launchMain.js", import.meta.url).href;
+        const program = join(folder, "program.mjs");
+        const path = JSON.stringify(join(folder, "program.cjs"));
+        writeFileSync(program, `process.argv[1] = ${path}; await import(${JSON.stringify(launcher)});`);
+        const child = spawn(process.execPath, [program], { stdio: ["ignore", "pipe", "inherit"] });
+        const exited = once(child, "exit");
+        await once(child.stdout, "data");
+        child.kill("SIGHUP");
+        expect(await exited).to.deep.equal([exitCode, null]); // eslint-disable-line no-restricted-syntax -- ChildProcess states null
+    });
+
     it("runs a bundle that has changed since its code cache was written", () => {
         const files = programFiles(join(folder, "program.cjs"));
         writeFileSync(files.compiledCode, compileBundle(files).createCachedData());
--- a/packages/common/src/launch/launchMain.ts
+++ b/packages/common/src/launch/launchMain.ts
@@ -5,6 +5,9 @@
  */
 import { compileBundle, programFiles, runBundle } from "./launcher.js";
 
+// By default, a reload signal ends the process. The program reads its settings later, so nothing is missed.
+process.on("SIGHUP", () => {});
+
 const files = programFiles(process.argv[1]);
 const script = compileBundle(files);
 if (script.cachedDataRejected === true) {
