fix(common, gateway, protocol): programs wait for a port that another process still uses

Cause: opening a port was tried once, and its failure ended the process. A predecessor that still drains, an outgoing connection with the same local port, or an address that the VM does not have yet are enough.

Why it works: such errors pass, so the program logs the reason once and tries again each 200 ms, for 30 s; then it ends with a message that names the address. After a server listens, a connection that it cannot accept is logged: the second such error would have ended the process.

--- a/packages/common/src/httpService.ts
+++ b/packages/common/src/httpService.ts
@@ -1,11 +1,34 @@
 /**
- * Handles `/health`, `/ready` and `/metrics`, and runs an HTTP server for them whose port is not the one for callers.
+ * Handles `/health`, `/ready` and `/metrics`, and runs an HTTP server for them whose port is not the one for callers. Opens
+ * the ports of servers.
  *
  * @module
  */
-import { createServer, type Server, type ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
+import { createServer, type Server as HttpServer, type ServerResponse } from "node:http";
+import type { AddressInfo, Server } from "node:net";
 import type { Registry } from "prom-client";
+import { type Clock, type Milliseconds, sleep } from "./clock.js";
+import type { Logger } from "./logger.js";
+
+/** Interval at which an address that is in use is tried again. */
+const listenRetryInterval: Milliseconds = 200;
+
+/** Time for which a server waits for its address by default. */
+const defaultListenTimeout: Milliseconds = 30_000;
+
+/** Errors that pass: another process still uses the address, or the VM does not have it yet. */
+const passingListenErrors: Readonly<Record<string, string>> = {
+    EADDRINUSE: "address in use by another process",
+    EADDRNOTAVAIL: "address not available on this VM",
+};
+
+/** How long a server waits for an address that it can't listen on yet. */
+export interface ListenWait {
+    readonly clock: Clock;
+    readonly logger: Logger;
+    /** @default 30000 */
+    readonly timeout?: Milliseconds;
+}
 
 /** State that the health paths report. */
 export interface HealthSource {
@@ -34,21 +57,78 @@
 }
 
 /** Starts a separate HTTP server for health and metrics. */
-export async function startHealthServer(host: string, port: number, source: HealthSource): Promise<Server> {
+export async function startHealthServer(
+    host: string,
+    port: number,
+    source: HealthSource,
+    wait?: ListenWait,
+): Promise<HttpServer> {
     const server = createServer((request, response) => {
         if (!answerHealthRequest(request.url ?? "", response, source)) {
             answerText(response, 404, "not found\n");
         }
     });
-    await listenOn(server, host, port);
+    await listenOn(server, host, port, wait);
     return server;
 }
 
-/** Starts listening and resolves with the port. If `port` is 0, the operating system selects it. */
-export function listenOn(server: Server, host: string, port: number): Promise<number> {
-    return new Promise((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(port, host, () => resolve((server.address() as AddressInfo).port));
+/**
+ * Starts listening and resolves with the port. If `port` is 0, the operating system selects it. Without `wait`, it fails
+ * immediately if the address can't be used.
+ */
+export async function listenOn(
+    server: Server,
+    host: string,
+    port: number,
+    wait?: ListenWait,
+): Promise<number> {
+    const timeout = wait?.timeout ?? defaultListenTimeout;
+    for (let waited = 0;; waited += listenRetryInterval) {
+        const error = await tryListening(server, host, port);
+        if (error === undefined) {
+            // A connection that can't be accepted does not concern the others.
+            server.on(
+                "error",
+                (failure) =>
+                    wait?.logger.error("connection not accepted", { host, port, error: String(failure) }),
+            );
+            return (server.address() as AddressInfo).port;
+        }
+        const reason = passingListenErrors[error.code ?? ""];
+        if (wait === undefined || reason === undefined) {
+            throw error;
+        }
+        if (waited >= timeout) {
+            throw new Error(
+                `${host}:${port}: ${reason} for ${timeout} ms; stop that process or change the settings`,
+                { cause: error },
+            );
+        }
+        if (waited === 0) {
+            wait.logger.warn("waiting to listen", { host, port, reason });
+        }
+        await sleep(wait.clock, listenRetryInterval);
+    }
+}
+
+/** Resolves with the error, or `undefined` once the server listens. */
+function tryListening(
+    server: Server,
+    host: string,
+    port: number,
+): Promise<NodeJS.ErrnoException | undefined> {
+    return new Promise((resolve) => {
+        const onListening = () => {
+            server.off("error", onError);
+            resolve(undefined);
+        };
+        const onError = (error: NodeJS.ErrnoException) => {
+            server.off("listening", onListening);
+            resolve(error);
+        };
+        server.once("error", onError);
+        server.once("listening", onListening);
+        server.listen(port, host);
     });
 }
 
--- a/packages/gateway/src/node/directServer.ts
+++ b/packages/gateway/src/node/directServer.ts
@@ -94,7 +94,7 @@
 
     /** Starts listening; resolves with the port, which differs from the given one only if that is 0. */
     listen(host: string, port: number): Promise<number> {
-        return listenOn(this.server, host, port);
+        return listenOn(this.server, host, port, this.context);
     }
 
     /** Stops accepting connections and closes the idle ones. */
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -178,7 +178,7 @@
     async start(): Promise<void> {
         const { config } = this.options;
         await this.innerNode.listen(config.inner.host, config.inner.port);
-        await listenOn(this.readiness, config.readiness.host, config.readiness.port);
+        await listenOn(this.readiness, config.readiness.host, config.readiness.port, this.options);
         await this.server.listen(config.callers.host, config.callers.port);
         this.watchers.forEach((watcher) => watcher.start());
         this.sync.start();
--- a/packages/protocol/src/node/innerNode.ts
+++ b/packages/protocol/src/node/innerNode.ts
@@ -3,9 +3,8 @@
  *
  * @module
  */
-import type { Clock, Logger } from "@redwingpin/common";
+import { type Clock, listenOn, type Logger } from "@redwingpin/common";
 import { err, ok, type Result, ResultAsync } from "neverthrow";
-import type { AddressInfo } from "node:net";
 import type { Server } from "node:tls";
 import {
     type Hello,
@@ -88,10 +87,7 @@
             void Connection.start(socket, this.context).map((connection) => this.register(connection));
         });
         this.server = server;
-        return new Promise((resolve, reject) => {
-            server.once("error", reject);
-            server.listen(port, host, () => resolve((server.address() as AddressInfo).port));
-        });
+        return listenOn(server, host, port, this.options);
     }
 
     /** Returns the connection to an address, and opens one if there is none. */
--- a/packages/router/src/node/router.ts
+++ b/packages/router/src/node/router.ts
@@ -152,7 +152,12 @@
         this.orderLeader.start();
         this.membership.start(innerPort);
         void this.quarantine.start();
-        const listenPort = await listenOn(this.callerServer, config.listenHost, config.listenPort);
+        const listenPort = await listenOn(
+            this.callerServer,
+            config.listenHost,
+            config.listenPort,
+            this.options,
+        );
         return { listenPort, innerPort };
     }
 
