fix(gateway, platform): all answers that a router buffers share one limit of memory

What was seen: one of three endpoints answers without end, 48 callers: a router reaches 285 to 314 MB of its 200 (users); here 332 to 397 MB.

Cause: each whole answer may have 16 MB, and nothing bounded all of them together.

Ruled out: heads, informational heads, trailers and chunk extensions (16 KB in Node.js); bodies of requests (a common limit).

Why it works: the answers share 5% of the machine's memory. When that is full, the largest answer gives way, so the endless one ends its own calls, and sound answers, which are small, stay. What states more than the limit is not read.

--- a/packages/gateway/src/__tests__/routerFixture.ts
+++ b/packages/gateway/src/__tests__/routerFixture.ts
@@ -13,6 +13,7 @@
 import type { AddressInfo } from "node:net";
 import { Registry } from "prom-client";
 import {
+    AnswerBuffers,
     DemandTracker,
     EndpointTable,
     FleetRetryBudget,
@@ -78,6 +79,9 @@
     readonly isComplete: boolean;
 }
 
+/** Limit of the answers that a router buffers. */
+const maxAnswerBytes = 30_000_000;
+
 /** A router before the given endpoints; `call` resolves with the caller's answer. */
 export async function routerFixture(endpoints: readonly RawEndpoint[], more: Partial<DirectRoute> = {}) {
     const route = { ...unrepeatableRoute, ...more };
@@ -119,6 +123,7 @@
             unresponsiveRouterCount: () => 0,
             askRouter: () => Promise.resolve(undefined),
         }),
+        answerBuffers: new AnswerBuffers(maxAnswerBytes),
         crashProbe: new CrashProbe(),
         retryBudget: new FleetRetryBudget({ ratio: 0.2, window: 10_000, slack: 10 }),
         crashTracker: new CrashTracker(),
--- a/packages/gateway/src/decision/eventStreamReader.ts
+++ b/packages/gateway/src/decision/eventStreamReader.ts
@@ -40,14 +40,19 @@
         return events;
     }
 
+    /** Size of the incomplete event that is buffered. */
+    get bufferedBytes(): number {
+        return this.incompleteEvent.length;
+    }
+
     /** True while an incomplete event is buffered. */
     get hasPartialEvent(): boolean {
-        return this.incompleteEvent.length > 0;
+        return this.bufferedBytes > 0;
     }
 
     /** True if the buffered event exceeds the maximum size. */
     get isOverlong(): boolean {
-        return this.incompleteEvent.length > maxEventBytes;
+        return this.bufferedBytes > maxEventBytes;
     }
 }
 
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * from "./decision/answerBuffers.js";
 export * from "./decision/attemptPlan.js";
 export * from "./decision/demandTracker.js";
 export * from "./decision/endpointChoice.js";
--- a/packages/gateway/src/node/attempt.ts
+++ b/packages/gateway/src/node/attempt.ts
@@ -9,6 +9,7 @@
 import { type CancelTimer, type Clock, RetryReason } from "@redwingpin/common";
 import { Delivery } from "@redwingpin/fleet";
 import type { ServerResponse } from "node:http";
+import type { AnswerBuffer, AnswerBuffers } from "../decision/answerBuffers.js";
 import type { AttemptOutcome } from "../decision/attemptPlan.js";
 import type { Choice } from "../decision/endpointChoice.js";
 import { EventStreamReader } from "../decision/eventStreamReader.js";
@@ -25,6 +26,7 @@
 const firstErrorStatus = 400;
 const firstServerErrorStatus = 500;
 const okStatus = 200;
+const notModifiedStatus = 304;
 const misdirectedStatus = 421;
 
 /** Statuses by which callers know that a request has not run. */
@@ -65,6 +67,8 @@
     readonly choice: Choice;
     readonly exchange: ExchangeRequest;
     readonly progress: StreamProgress;
+    /** Bounds what all attempts buffer together. */
+    readonly answerBuffers: AnswerBuffers;
     readonly observer: AttemptObserver;
 }
 
@@ -76,6 +80,7 @@
 class Attempt {
     private readonly reader = new EventStreamReader();
     private readonly chunks: Buffer[] = [];
+    private readonly buffer: AnswerBuffer;
     private bytes = 0;
     private status = 0;
     private rawHeaders: readonly string[] = [];
@@ -92,7 +97,13 @@
     constructor(
         private readonly context: AttemptContext,
         private readonly resolve: (outcome: AttemptOutcome) => void,
-    ) {}
+    ) {
+        this.buffer = context.answerBuffers.open(() =>
+            this.finish(
+                this.invalid("the answers that are buffered exceed their limit, and this one is the largest"),
+            )
+        );
+    }
 
     start(): void {
         const { clock, request, response } = this.context;
@@ -129,9 +140,23 @@
         if (outcome.kind !== "delivered" && outcome.kind !== "failed" && outcome.kind !== "notRun") {
             this.exchange?.abort();
         }
+        this.releaseBuffer(outcome);
         this.resolve(outcome);
     }
 
+    /** A whole answer is buffered until the caller has received it. */
+    private releaseBuffer(outcome: AttemptOutcome): void {
+        const { response } = this.context;
+        const isWhole = outcome.kind === "failed" || (outcome.kind === "delivered" && !this.isStreaming);
+        if (isWhole && !response.destroyed) {
+            this.buffer.onEvict(() => response.destroy());
+            response.once("close", () => this.buffer.release());
+        }
+        else {
+            this.buffer.release();
+        }
+    }
+
     private onHead(status: number, rawHeaders: readonly string[], isReused: boolean): void {
         this.context.choice.endpointState.recordConnectResult(true);
         this.status = status;
@@ -160,6 +185,10 @@
         if (metadata.attempt === undefined && isReused) {
             return "the answer on a reused connection does not state its request";
         }
+        const statedBytes = this.statedBodyBytes();
+        if (statedBytes > maxAnswerBytes) {
+            return `the answer states ${statedBytes} bytes, more than ${maxAnswerBytes}`;
+        }
         if (metadata.notRun) {
             return undefined;
         }
@@ -171,6 +200,14 @@
             : "the answer has a content encoding that was not requested";
     }
 
+    /** Size of the body to buffer, as far as the head states it. */
+    private statedBodyBytes(): number {
+        const { request } = this.context;
+        const isBuffered = request.method !== "HEAD" && this.status !== notModifiedStatus
+            && request.route.delivery !== Delivery.EventStream;
+        return isBuffered ? Number(headerValue(this.rawHeaders, "content-length") ?? 0) : 0;
+    }
+
     private onData(chunk: Buffer): boolean {
         if (this.isOver) {
             return true;
@@ -184,6 +221,7 @@
             return true;
         }
         this.chunks.push(chunk);
+        this.buffer.resize(this.bytes);
         return true;
     }
 
@@ -210,6 +248,7 @@
             progress.lastEvent = event.identifier ?? progress.lastEvent;
             writable = response.write(event.bytes);
         }
+        this.buffer.resize(this.reader.bufferedBytes);
         if (this.reader.isOverlong) {
             this.finish(this.invalid("an event exceeds the maximum size"));
         }
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -37,6 +37,7 @@
 import { randomInt, randomUUID } from "node:crypto";
 import { createServer, type Server } from "node:http";
 import type { Registry } from "prom-client";
+import { AnswerBuffers } from "../decision/answerBuffers.js";
 import { DemandTracker } from "../decision/demandTracker.js";
 import { EndpointTable } from "../decision/endpointTable.js";
 import { FleetRetryBudget } from "../decision/fleetRetryBudget.js";
@@ -302,6 +303,7 @@
             prefixIndex: this.prefixIndex,
             connections: this.connections,
             permits: this.permits,
+            answerBuffers: new AnswerBuffers(config.maxAnswerBytes),
             crashProbe: new CrashProbe(),
             retryBudget: this.retryBudget,
             crashTracker: this.crashTracker,
--- a/packages/gateway/src/node/requestTask.ts
+++ b/packages/gateway/src/node/requestTask.ts
@@ -13,6 +13,7 @@
 } from "@redwingpin/common";
 import type { CrashTracker, FleetState } from "@redwingpin/fleet";
 import type { ServerResponse } from "node:http";
+import type { AnswerBuffers } from "../decision/answerBuffers.js";
 import {
     type AttemptEffect,
     type AttemptEvent,
@@ -60,6 +61,7 @@
     readonly prefixIndex: PrefixIndex;
     readonly connections: EndpointConnections;
     readonly permits: EndpointPermits;
+    readonly answerBuffers: AnswerBuffers;
     readonly crashProbe: CrashProbe;
     readonly retryBudget: FleetRetryBudget;
     readonly crashTracker: CrashTracker;
@@ -244,6 +246,7 @@
                 agent: this.context.connections.agentOf(endpoint, request.service.maxConnections),
             },
             progress: this.progress,
+            answerBuffers: this.context.answerBuffers,
             observer: {
                 onHead: (status, answer) =>
                     recordSignals(this.context, request, choice.endpointState, { status, answer, sentAt }),
--- a/packages/outside/src/jsonHttpClient.ts
+++ b/packages/outside/src/jsonHttpClient.ts
@@ -24,6 +24,11 @@
     readonly address: string;
     readonly clock: Clock;
     readonly requestTimeoutMilliseconds: Milliseconds;
+    /**
+     * Maximum size of an answer. A larger one is not read to its end.
+     * @default 67108864
+     */
+    readonly maxAnswerBytes?: number;
 }
 
 /** Request of one call. */
@@ -90,7 +95,7 @@
     private createAgent(): Agent {
         const agent = new Agent({
             connections: maximumConnections,
-            maxResponseSize: maximumAnswerBytes,
+            maxResponseSize: this.options.maxAnswerBytes ?? maximumAnswerBytes,
             connect: { timeout: this.options.requestTimeoutMilliseconds },
             headersTimeout: 0,
             bodyTimeout: 0,
