fix(common): a repeated stop signal does not cut off the requests that still run

What was seen: a router ended with exit code 1, and requests that endpoints were running ended without an answer.

Cause: the second SIGTERM ended a program immediately, whatever it still served. A supervisor and its process group, or a platform that repeats its signal, send it twice.

Why it works: SIGTERM is a request to drain, and draining is under way. SIGINT, which a person sends, still ends a program that is stopping at once; the platform has SIGKILL for this.

--- a/packages/common/src/processLifecycle.ts
+++ b/packages/common/src/processLifecycle.ts
@@ -15,17 +15,21 @@
     return `${program}: the settings have ${findings.length} finding(s)\n${formatFindings(findings)}\n`;
 }
 
-/** Resolves when the process receives SIGTERM or SIGINT. A second signal ends the process immediately. */
+/**
+ * Resolves when the process receives SIGTERM or SIGINT. Further SIGTERMs are ignored, since supervisors and process groups
+ * may send it several times; SIGINT, which a person sends, ends a process that is stopping immediately.
+ */
 export function waitForStopSignal(logger: Logger): Promise<void> {
     return new Promise((resolve) => {
         let isStopping = false;
         const onSignal = (signal: NodeJS.Signals) => {
-            if (isStopping) {
-                logger.warn("received a second stop signal, exiting immediately", { signal });
+            if (isStopping && signal === "SIGINT") {
+                logger.warn("interrupted while stopping, exiting immediately", { signal });
                 process.exit(1);
             }
+            const message = isStopping ? "already draining" : "received a stop signal, draining";
             isStopping = true;
-            logger.info("received a stop signal, draining", { signal });
+            logger.info(message, { signal });
             resolve();
         };
         process.on("SIGTERM", onSignal);
