fix(fleet): crashes count also if copies of the crashing request overlapped

Callers saw streams break off for longer than need be: a request that crashes endpoints 1.5 s after its first event, sent again each 1.5 s, was refused only after ten crashes.

Cause: a crash counts only if its request was sent after the previous crash, so that a loss of power counts once. With copies that overlap, every second crash was left out.

The new spec failed before.

Why it works: one request is seldom at several endpoints at once, so two crashes under it that are over a second apart are two crashes. Parts, which many requests share, are judged as before.

--- a/packages/fleet/src/__tests__/crashTracker.spec.ts
+++ b/packages/fleet/src/__tests__/crashTracker.spec.ts
@@ -84,6 +84,20 @@
         }
     });
 
+    // Guards against a request that is sent again before its earlier copy has crashed an endpoint.
+    it("counts crashes under copies of a request that overlap, but crashes at the same time once", () => {
+        const crashTimes = [1_500, 3_000, 4_500, 6_000, 7_500];
+        const overlapping = new CrashTracker();
+        const simultaneous = new CrashTracker();
+        for (const at of crashTimes) {
+            const suspect = { fingerprint: "request", parts: [], hasSurvived: true };
+            overlapping.recordCrash({ ...suspect, endpoint: `i-${at}`, sentAt: at - 1_600 }, at);
+            simultaneous.recordCrash({ ...suspect, endpoint: `i-${at}`, sentAt: 0 }, 1_000 + at / 100);
+        }
+        expect(overlapping.refusedUntil("request", [], 7_501)).to.equal(7_500 + quarantineDuration);
+        expect(simultaneous.refusedUntil("request", [], 7_501)).to.equal(undefined);
+    });
+
     it("does not count a crash against the parts of answers that had lasted", () => {
         const tracker = new CrashTracker();
         crash(tracker, {
--- a/packages/fleet/src/decision/crashEvidence.ts
+++ b/packages/fleet/src/decision/crashEvidence.ts
@@ -95,7 +95,7 @@
     const minRequests = cause.kind === "part" ? minRequestsOfPart : 1;
     return {
         cause,
-        isConclusive: requests.size >= minRequests && hasEnoughCrashes(counted),
+        isConclusive: requests.size >= minRequests && hasEnoughCrashes(counted, cause),
         hasSurvivor: survivedAt > -Infinity,
         depth: cause.kind === "part"
             ? Math.max(-1, ...counted.map(({ parts }) => parts.indexOf(cause.name)))
@@ -129,18 +129,22 @@
         && Math.abs(left.crashedAt - right.crashedAt) <= sameCrashTolerance;
 }
 
-function hasEnoughCrashes(suspects: readonly Suspect[]): boolean {
+function hasEnoughCrashes(suspects: readonly Suspect[], cause: CrashCause): boolean {
     const early = suspects.filter((suspect) => !suspect.hasSurvived);
-    return successiveCrashes(early) >= crashesBeforeQuarantine
-        || successiveCrashes(suspects) >= lateCrashesBeforeQuarantine;
+    return successiveCrashes(early, cause) >= crashesBeforeQuarantine
+        || successiveCrashes(suspects, cause) >= lateCrashesBeforeQuarantine;
 }
 
-/** Length of the longest series of crashes in which each request was sent after the previous crash. */
-function successiveCrashes(suspects: readonly Suspect[]): number {
+/**
+ * Length of the longest series of crashes in which each request was sent after the previous crash. Copies of one request may
+ * overlap: few requests are at several endpoints at once, unlike those that share a part.
+ */
+function successiveCrashes(suspects: readonly Suspect[], { kind }: CrashCause): number {
     let crashes = 0;
     let lastCrashAt: Milliseconds = -Infinity;
     for (const suspect of [...suspects].sort((left, right) => left.crashedAt - right.crashedAt)) {
-        if (suspect.sentAt >= lastCrashAt) {
+        const isLater = kind === "request" && suspect.crashedAt - lastCrashAt > sameCrashTolerance;
+        if (suspect.sentAt >= lastCrashAt || isLater) {
             crashes += 1;
             lastCrashAt = suspect.crashedAt;
         }
