--- a/packages/fleet/src/decision/watcherSelection.ts
+++ b/packages/fleet/src/decision/watcherSelection.ts
@@ -43,7 +43,7 @@
 export const otherWatchWait: Milliseconds = 3_000;
 
 /** An answer of the store to a router that watches it. */
-export interface StoreAnswer {
+export interface WatcherAnswer {
     /** Address of the router, as `host:port`. */
     readonly router: string;
     /** Increases with each answer to the router since its start. */
@@ -85,7 +85,7 @@
     }
 
     /** Records an answer to any router, as reported by `sender`. */
-    observeAnswer({ age, number, router }: StoreAnswer, sender: string): void {
+    observeAnswer({ age, number, router }: WatcherAnswer, sender: string): void {
         const at = this.clock.now() - age;
         const known = this.answers.get(router);
         // Each relay makes an answer look younger by its latency, so an answer that is known is not taken again. The number
@@ -98,7 +98,7 @@
     }
 
     /** The latest answer that this router knows of. */
-    latestAnswer(): StoreAnswer | undefined {
+    latestAnswer(): WatcherAnswer | undefined {
         let latest: (KnownAnswer & { readonly router: string; }) | undefined;
         for (const [router, answer] of this.answers) {
             if (latest === undefined || answer.at > latest.at) {
--- a/packages/fleet/src/fleetMessages.ts
+++ b/packages/fleet/src/fleetMessages.ts
@@ -16,7 +16,7 @@
 } from "@redwingpin/common";
 import type { InnerAddress } from "@redwingpin/protocol";
 import type { FleetFact, FleetWatermark } from "./decision/fleetState.js";
-import type { StoreAnswer } from "./decision/watcherSelection.js";
+import type { WatcherAnswer } from "./decision/watcherSelection.js";
 import type { ModelWeights } from "./directConfiguration.js";
 
 /** Tokens that a router has spent for an account since its start. */
@@ -178,7 +178,7 @@
     /** Milliseconds since the store last answered the sender; absent unless it watches the endpoints' registrations. */
     readonly followedAge?: number;
     /** The latest answer of the store to any router that watches the registrations, as far as the sender knows. */
-    readonly latestAnswer?: StoreAnswer;
+    readonly latestAnswer?: WatcherAnswer;
     /** Addresses, as `host:port`, of known routers with which the sender has had no contact for some time. */
     readonly missing: readonly string[];
     /** Spending, as known to the sender, of routers with which the receiver has had no contact for some time. */
--- a/packages/gateway/src/__tests__/routerFixture.ts
+++ b/packages/gateway/src/__tests__/routerFixture.ts
@@ -80,7 +80,7 @@
 }
 
 /** Limit of the answers that a router buffers. */
-const maxAnswerBytes = 30_000_000;
+const maxBufferedAnswerBytes = 30_000_000;
 
 /** A router before the given endpoints; `call` resolves with the caller's answer. */
 export async function routerFixture(endpoints: readonly RawEndpoint[], more: Partial<DirectRoute> = {}) {
@@ -123,7 +123,7 @@
             unresponsiveRouterCount: () => 0,
             askRouter: () => Promise.resolve(undefined),
         }),
-        answerBuffers: new AnswerBuffers(maxAnswerBytes),
+        answerBuffers: new AnswerBuffers(maxBufferedAnswerBytes),
         crashProbe: new CrashProbe(),
         retryBudget: new FleetRetryBudget({ ratio: 0.2, window: 10_000, slack: 10 }),
         crashTracker: new CrashTracker(),
--- a/packages/gateway/src/gatewayConfig.ts
+++ b/packages/gateway/src/gatewayConfig.ts
@@ -37,6 +37,6 @@
     readonly stopTimeout: Milliseconds;
     /** Maximum total size of buffered request bodies, in bytes. */
     readonly maxBufferedBytes: number;
-    /** Maximum total size of buffered answers, in bytes. */
-    readonly maxAnswerBytes: number;
+    /** Maximum total size of the answers that are buffered, in bytes. */
+    readonly maxBufferedAnswerBytes: number;
 }
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -303,7 +303,7 @@
             prefixIndex: this.prefixIndex,
             connections: this.connections,
             permits: this.permits,
-            answerBuffers: new AnswerBuffers(config.maxAnswerBytes),
+            answerBuffers: new AnswerBuffers(config.maxBufferedAnswerBytes),
             crashProbe: new CrashProbe(),
             retryBudget: this.retryBudget,
             crashTracker: this.crashTracker,
--- a/packages/gateway/src/node/peerReports.ts
+++ b/packages/gateway/src/node/peerReports.ts
@@ -19,7 +19,7 @@
     type ReplicaProgress,
     type SavedPrefix,
     type ServiceProgress,
-    type StoreAnswer,
+    type WatcherAnswer,
     type WatcherSelection,
 } from "@redwingpin/fleet";
 import { type Hello, type InnerAddress, ProcessRole } from "@redwingpin/protocol";
@@ -112,7 +112,7 @@
         };
     }
 
-    private takeLatestAnswer(now: Milliseconds): StoreAnswer | undefined {
+    private takeLatestAnswer(now: Milliseconds): WatcherAnswer | undefined {
         if (now - this.answerReportedAt < minAnswerInterval) {
             return undefined;
         }
