fix(gateway): the removal of a registration ends no running request

Seen by callers: nothing.

Cause: EndpointTable.update declared each endpoint lost that was no longer registered and had not said that it leaves. Endpoints may leave without saying so, and then serve on.

Ruled out: connections closed by the endpoint (its record shows the close coming from the router); time limits (the streams had 2.5 s left).

Change: removal ends new requests only.

--- a/packages/gateway/src/__tests__/endpointTable.spec.ts
+++ b/packages/gateway/src/__tests__/endpointTable.spec.ts
@@ -19,9 +19,13 @@
         state.applyFact({ kind: FactKind.Endpoint, revision, instance, endpoint }, now);
         endpointTable.update(state);
     };
+    const unregister = (instance: string, revision: number) => {
+        state.applyFact({ kind: FactKind.Endpoint, revision, instance, endpoint: undefined }, now);
+        endpointTable.update(state);
+    };
     const instances = (service = "drafting") =>
         endpointTable.ofService(service).map((endpointState) => endpointState.endpoint.instance);
-    return { endpointTable, removed, instances, register };
+    return { endpointTable, removed, instances, register, unregister };
 }
 
 describe("endpoint table", () => {
@@ -72,6 +76,44 @@
         expect(endpointState.isLoading(now + 60)).to.equal(false);
     });
 
+    // Regression test: the removal of a registration ended the requests at an endpoint that served on.
+    it("does not declare an endpoint lost when its registration is removed, but when another one is at its address", () => {
+        const { endpointTable, instances, register, unregister } = endpointTableFixture();
+        register("before", 10, { startedAt: 1_000 });
+        const [before] = endpointTable.ofService("drafting");
+        before.running = 1;
+        let lost = 0;
+        before.onLost(() => lost++);
+        unregister("before", 11);
+        expect([instances(), endpointTable.runningUnregistered(), lost]).to.deep.equal([[], [before], 0]);
+        register("before", 12, { startedAt: 1_000 });
+        expect([endpointTable.ofService("drafting"), endpointTable.runningUnregistered(), lost])
+            .to.deep.equal([[before], [], 0]);
+        unregister("before", 13);
+        register("after", 14, { startedAt: 2_000 });
+        expect([instances(), endpointTable.runningUnregistered(), lost]).to.deep.equal([["after"], [], 1]);
+    });
+
+    it("declares an unregistered endpoint lost when it has started again or its agent cannot reach it", () => {
+        for (const isRestarted of [true, false]) {
+            const { endpointTable, register, unregister } = endpointTableFixture();
+            register("i-1", 10, { startedAt: 1_000 });
+            const [before] = endpointTable.ofService("drafting");
+            before.running = 1;
+            let lost = 0;
+            before.onLost(() => lost++);
+            unregister("i-1", 11);
+            if (isRestarted) {
+                register("i-1", 12, { startedAt: 2_000 });
+                expect(endpointTable.ofService("drafting")).not.to.include(before);
+            }
+            else {
+                endpointTable.observeStatus(statusFixture(1, { weights: [] }), now);
+            }
+            expect(lost).to.equal(1);
+        }
+    });
+
     it("declares an endpoint lost when another service registers at its address", () => {
         const { endpointTable, instances, register } = endpointTableFixture();
         register("before", 10);
--- a/packages/gateway/src/__tests__/rawEndpointFixture.ts
+++ b/packages/gateway/src/__tests__/rawEndpointFixture.ts
@@ -8,6 +8,8 @@
 export interface RawEndpoint {
     readonly endpoint: DirectEndpoint;
     readonly connections: () => number;
+    /** Accepts no more connections; the open ones stay open. */
+    closePort(): void;
     stop(): void;
 }
 
@@ -29,6 +31,7 @@
     return {
         endpoint: endpointStateFixture("raw", { host: "127.0.0.1", port }).endpoint,
         connections: () => connections,
+        closePort: () => void server.close(),
         stop: () => {
             sockets.forEach((socket) => socket.destroy());
             server.close();
--- a/packages/gateway/src/__tests__/routerFixture.ts
+++ b/packages/gateway/src/__tests__/routerFixture.ts
@@ -26,6 +26,7 @@
 import { EndpointConnections } from "../node/endpointConnections.js";
 import { EndpointPermits } from "../node/endpointPermits.js";
 import { GatewayMetrics } from "../node/gatewayMetrics.js";
+import { LossProbe } from "../node/lossProbe.js";
 import { serveRequest } from "../node/requestTask.js";
 import type { RawEndpoint } from "./rawEndpointFixture.js";
 
@@ -104,6 +105,7 @@
         );
     });
     endpointTable.update(state);
+    const lossProbe = new LossProbe({ clock: systemClock, logger: silentLogger, endpointTable });
     const table = new RouteTable(configuration);
     const context = {
         clock: systemClock,
@@ -156,6 +158,17 @@
     const { port } = server.address() as AddressInfo;
     return {
         call: (attempt: string) => callRouter(port, attempt),
+        /** Applies the removal of an endpoint's registration, as the gateway does. */
+        unregister: (index: number) => {
+            state.applyFact({
+                kind: FactKind.Endpoint,
+                revision: endpoints.length + 1 + index,
+                instance: `raw-${index}`,
+                endpoint: undefined,
+            }, systemClock.now());
+            endpointTable.update(state);
+            lossProbe.run();
+        },
         stop: () => {
             connections.stop();
             server.close();
--- a/packages/gateway/src/decision/endpointTable.ts
+++ b/packages/gateway/src/decision/endpointTable.ts
@@ -60,6 +60,7 @@
     private readonly loads = new Map<string, Reported<EndpointLoad>>();
     private readonly lossListeners = new Set<() => void>();
     private consecutiveConnectFailures = 0;
+    private answeredAt: Milliseconds = -Infinity;
     /** Set after the endpoint refused a request or could not be reached. */
     private avoidedUntil: Milliseconds = -Infinity;
 
@@ -163,6 +164,16 @@
         }
     }
 
+    /** Records that a part of an answer has arrived from the endpoint. */
+    recordAnswerPart(now: Milliseconds): void {
+        this.answeredAt = now;
+    }
+
+    /** True if a part of an answer has arrived since the given time. */
+    hasAnsweredSince(time: Milliseconds): boolean {
+        return this.answeredAt >= time;
+    }
+
     observeWeights(model: string, version: number, now: Milliseconds): void {
         this.observedWeights = { value: { model, version }, at: now };
     }
@@ -240,17 +251,27 @@
     private readonly endpointStates = new Map<string, EndpointState>();
     private readonly byService = new Map<string, EndpointState[]>();
     private readonly speeds = new Map<string, ServiceSpeed>();
+    /** Endpoints that are no longer registered, and at which requests of this router may still run. */
+    private readonly unregistered = new Set<EndpointState>();
 
     constructor(private readonly onRemoved: (instance: string) => void) {}
 
-    /** Applies the endpoints of the fleet's state. */
+    /**
+     * Applies the endpoints of the fleet's state. An endpoint whose registration is removed receives no new requests. It
+     * may be serving on without having reported that it leaves, so its running requests continue until there is evidence
+     * that it is gone.
+     */
     update(state: FleetState): void {
         const instances = new Set<string>();
+        const addresses = new Set<string>();
         this.byService.clear();
         for (const { endpoint } of latestAtEachAddress(state.endpoints())) {
             instances.add(endpoint.instance);
+            addresses.add(addressOf(endpoint));
             this.removeEarlierStart(endpoint);
-            const endpointState = this.endpointStates.get(endpoint.instance) ?? new EndpointState(endpoint);
+            const endpointState = this.endpointStates.get(endpoint.instance)
+                ?? this.takeUnregistered(endpoint)
+                ?? new EndpointState(endpoint);
             endpointState.endpoint = endpoint;
             this.endpointStates.set(endpoint.instance, endpointState);
             this.byService.set(endpoint.service, [
@@ -262,21 +283,49 @@
             if (!instances.has(instance)) {
                 this.endpointStates.delete(instance);
                 this.onRemoved(instance);
-                if (!endpointState.isLeaving) {
-                    endpointState.declareLost();
-                }
+                this.unregistered.add(endpointState);
+            }
+        }
+        for (const endpointState of this.unregistered) {
+            if (addresses.has(addressOf(endpointState.endpoint))) {
+                this.unregistered.delete(endpointState);
+                endpointState.declareLost();
+            }
+        }
+    }
+
+    /** Endpoints that are no longer registered, and at which requests of this router still run. */
+    runningUnregistered(): readonly EndpointState[] {
+        for (const endpointState of this.unregistered) {
+            if (endpointState.running === 0) {
+                this.unregistered.delete(endpointState);
             }
         }
+        return [...this.unregistered];
+    }
+
+    /** Returns the state of an endpoint that registers again; one of an earlier start is lost. */
+    private takeUnregistered(endpoint: DirectEndpoint): EndpointState | undefined {
+        const earlier = [...this.unregistered].find((state) => state.endpoint.instance === endpoint.instance);
+        if (earlier === undefined) {
+            return undefined;
+        }
+        this.unregistered.delete(earlier);
+        if (isSameStart(earlier.endpoint, endpoint)) {
+            return earlier;
+        }
+        earlier.declareLost();
+        return undefined;
     }
 
     /** Removes the state of an endpoint that has started again under the same instance: nothing of it holds any more. */
-    private removeEarlierStart({ instance, startedAt }: DirectEndpoint): void {
+    private removeEarlierStart(endpoint: DirectEndpoint): void {
+        const { instance } = endpoint;
         const earlier = this.endpointStates.get(instance);
-        const earlierStart = earlier?.endpoint.startedAt;
-        if (earlierStart !== undefined && startedAt !== undefined && earlierStart !== startedAt) {
+        if (earlier !== undefined && !isSameStart(earlier.endpoint, endpoint)) {
             this.endpointStates.delete(instance);
             this.onRemoved(instance);
-            earlier?.declareLost();
+            earlier.declareLost();
         }
     }
 
@@ -297,8 +346,8 @@
 
     /** Applies a status that an agent sent at `at` to the replica at the status's address. */
     observeStatus(status: ReplicaStatus, at: Milliseconds): void {
-        for (const endpointState of this.endpointStates.values()) {
-            if (`${endpointState.endpoint.host}:${endpointState.endpoint.port}` === status.address) {
+        for (const endpointState of [...this.endpointStates.values(), ...this.unregistered]) {
+            if (addressOf(endpointState.endpoint) === status.address) {
                 endpointState.observeStatus(status, at);
             }
         }
@@ -331,10 +380,20 @@
 function latestAtEachAddress(endpoints: Iterable<KnownEndpoint>): Iterable<KnownEndpoint> {
     const latest = new Map<string, KnownEndpoint>();
     for (const known of endpoints) {
-        const address = `${known.endpoint.host}:${known.endpoint.port}`;
+        const address = addressOf(known.endpoint);
         if (known.revision > (latest.get(address)?.revision ?? -Infinity)) {
             latest.set(address, known);
         }
     }
     return latest.values();
 }
+
+function addressOf({ host, port }: DirectEndpoint): string {
+    return `${host}:${port}`;
+}
+
+/** False if both state their start, and it is not the same one. */
+function isSameStart(earlier: DirectEndpoint, later: DirectEndpoint): boolean {
+    return earlier.startedAt === undefined || later.startedAt === undefined
+        || earlier.startedAt === later.startedAt;
+}
--- a/packages/gateway/src/node/attempt.ts
+++ b/packages/gateway/src/node/attempt.ts
@@ -158,7 +158,9 @@
     }
 
     private onHead(status: number, rawHeaders: readonly string[], isReused: boolean): void {
-        this.context.choice.endpointState.recordConnectResult(true);
+        const { choice, clock } = this.context;
+        choice.endpointState.recordConnectResult(true);
+        choice.endpointState.recordAnswerPart(clock.now());
         this.status = status;
         this.rawHeaders = rawHeaders;
         this.metadata = this.context.headerCodec.readAnswer(rawHeaders);
@@ -212,6 +214,7 @@
         if (this.isOver) {
             return true;
         }
+        this.context.choice.endpointState.recordAnswerPart(this.context.clock.now());
         if (this.isStreaming) {
             return this.forwardEvents(chunk);
         }
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -52,6 +52,7 @@
 import { EndpointConnections } from "./endpointConnections.js";
 import { EndpointPermits } from "./endpointPermits.js";
 import { GatewayMetrics } from "./gatewayMetrics.js";
+import { LossProbe } from "./lossProbe.js";
 import { PeerReports } from "./peerReports.js";
 import { serveRequest } from "./requestTask.js";
 
@@ -102,6 +103,7 @@
     private readonly demandTracker = new DemandTracker();
     private readonly retryBudget: FleetRetryBudget;
     private readonly endpointTable: EndpointTable;
+    private readonly lossProbe: LossProbe;
     private readonly ledger: SharedLedger;
     private readonly reports: PeerReports;
     private readonly innerNode: InnerNode;
@@ -139,6 +141,11 @@
             askRouter: (owner, request) => this.sync.requestPermit(owner, request),
         });
         this.endpointTable = new EndpointTable((instance) => this.onEndpointRemoved(instance));
+        this.lossProbe = new LossProbe({
+            clock,
+            logger: options.logger.scope("endpoints"),
+            endpointTable: this.endpointTable,
+        });
         this.ledger = new SharedLedger({
             startsFull: config.isFirstStart,
             tolerance: config.rateTolerance,
@@ -412,6 +419,7 @@
         if (newFacts.some((fact) => fact.kind === FactKind.Endpoint)) {
             this.areEndpointsKnown = true;
             this.endpointTable.update(this.state);
+            this.lossProbe.run();
         }
         if (from === storeName && newFacts.some(isUrgent)) {
             // Facts from a peer are not passed on immediately, since that peer sends them to every router itself.
@@ -451,6 +459,7 @@
         if (this.state.expire(now).length > 0) {
             this.endpointTable.update(this.state);
         }
+        this.lossProbe.run();
         const live = this.sync.liveRouterNames();
         this.setLiveRouterNames([formatAddress(this.options.config.inner), ...live].sort());
         this.reports.prepareReports(now);
