--- a/packages/fleet/src/decision/fleetState.ts
+++ b/packages/fleet/src/decision/fleetState.ts
@@ -80,6 +80,23 @@
     readonly removedAt?: Milliseconds;
 }
 
+/**
+ * True if `candidate` is the endpoint at an address that `other` also names. The later start is: the registration of an
+ * earlier one remains until it expires. The times of the registrations decide only if both lack their start, since anyone
+ * may write a registration again.
+ */
+export function supersedes(candidate: KnownEndpoint, other: KnownEndpoint): boolean {
+    const start = candidate.endpoint.startedAt;
+    const otherStart = other.endpoint.startedAt;
+    if (start === undefined && otherStart === undefined) {
+        return candidate.revision > other.revision;
+    }
+    if (start !== otherStart) {
+        return (start ?? -Infinity) > (otherStart ?? -Infinity);
+    }
+    return candidate.endpoint.instance < other.endpoint.instance;
+}
+
 /** Time within which the endpoint of a removed registration may register again after the store was unreachable. */
 export const registrationGraceMilliseconds: Milliseconds = 1_800;
 
--- a/packages/gateway/src/__tests__/endpointTable.spec.ts
+++ b/packages/gateway/src/__tests__/endpointTable.spec.ts
@@ -48,6 +48,16 @@
         expect(instances()).to.deep.equal(["after"]);
     });
 
+    // Regression test: whoever wrote an entry last at an address replaced the endpoint there.
+    it("uses the later start at an address, whichever was registered last", () => {
+        const { instances, register } = endpointTableFixture();
+        register("after", 10, { startedAt: 2_000 });
+        register("before", 30, { startedAt: 1_000 });
+        register("unknown", 40);
+        register("copy", 50, { startedAt: 2_000 });
+        expect(instances()).to.deep.equal(["after"]);
+    });
+
     // Regression test: an endpoint that started again under its instance was still taken for leaving, and for one that has
     // cached what it had cached before.
     it("keeps nothing of an endpoint that starts again under its instance", () => {
--- a/packages/gateway/src/decision/endpointTable.ts
+++ b/packages/gateway/src/decision/endpointTable.ts
@@ -5,13 +5,14 @@
  * @module
  */
 import type { Milliseconds } from "@redwingpin/common";
-import type {
-    DirectEndpoint,
-    EndpointLoad,
-    FleetState,
-    KnownEndpoint,
-    RelayedStatus,
-    ReplicaStatus,
+import {
+    type DirectEndpoint,
+    type EndpointLoad,
+    type FleetState,
+    type KnownEndpoint,
+    type RelayedStatus,
+    type ReplicaStatus,
+    supersedes,
 } from "@redwingpin/fleet";
 import { EndpointSignals } from "@redwingpin/scheduling";
 import { EndpointHealth } from "./endpointHealth.js";
@@ -374,14 +375,15 @@
 }
 
 /**
- * The latest registration at each address. A restarted replica has a new instance, while the registration of the
- * previous instance remains until it expires.
+ * The registration of the latest start at each address. A restarted replica has a new instance, while the registration of
+ * the previous instance remains until it expires.
  */
 function latestAtEachAddress(endpoints: Iterable<KnownEndpoint>): Iterable<KnownEndpoint> {
     const latest = new Map<string, KnownEndpoint>();
     for (const known of endpoints) {
         const address = addressOf(known.endpoint);
-        if (known.revision > (latest.get(address)?.revision ?? -Infinity)) {
+        const other = latest.get(address);
+        if (other === undefined || supersedes(known, other)) {
             latest.set(address, known);
         }
     }
--- a/packages/rollout/src/node/replicaAgent.ts
+++ b/packages/rollout/src/node/replicaAgent.ts
@@ -18,6 +18,7 @@
     type PeerReport,
     type ReplicaStatus,
     type ServiceProgress,
+    supersedes,
 } from "@redwingpin/fleet";
 import { type FleetKeys, type Hello, type InnerAddress, InnerNode, ProcessRole } from "@redwingpin/protocol";
 import { randomUUID } from "node:crypto";
@@ -341,15 +342,20 @@
         }
     }
 
-    /** Identifier of the replica from its newest registration; `undefined` if it has none or is leaving. */
+    /**
+     * Identifier of the replica from its registration; `undefined` if it has none or is leaving. Of several at its address,
+     * it is the one of the start that the replica reports, else the one of the latest start.
+     */
     private registeredInstance(): string | undefined {
         const { replica, service } = this.options.config;
         const registered = [...this.state.endpoints()].filter(({ endpoint, removedAt }) =>
             removedAt === undefined && endpoint.service === service
             && `${endpoint.host}:${endpoint.port}` === replica
         );
-        const newest = registered.sort((left, right) => right.revision - left.revision)[0];
-        return newest === undefined || newest.endpoint.leaving ? undefined : newest.endpoint.instance;
+        const current = registered.filter(({ endpoint }) => endpoint.startedAt === this.report?.startedAt);
+        const candidates = current.length > 0 ? current : registered;
+        const own = candidates.sort((left, right) => supersedes(left, right) ? -1 : 1)[0];
+        return own === undefined || own.endpoint.leaving ? undefined : own.endpoint.instance;
     }
 
     private applyFacts(facts: readonly FleetFact[], from: string): void {
