fix(rollout): fencing numbers never fall over all models of a replica

Cause: the number was the revision of the record of the order's own model, and models are taken in the order of the replica's report.

Change: the number is the highest revision at which weights of any model were named, as far as the agent knows, and never lower than that of an earlier order. Two models may share a number; replicas refuse lower ones only.

Evidence: the new spec fails with the old number (12, then 9) and passes now. Remains: an agent that restarts and first hears from a router that lacks the latest weights may begin with a lower number.

--- a/packages/rollout/src/__tests__/replicaAgent.spec.ts
+++ b/packages/rollout/src/__tests__/replicaAgent.spec.ts
@@ -1,5 +1,12 @@
 import { FakeClock, silentLogger } from "@redwingpin/common";
-import { emptyReport, FactKind, FleetMessageKind, readSyncReply, type SyncCall } from "@redwingpin/fleet";
+import {
+    emptyReport,
+    FactKind,
+    FleetMessageKind,
+    type ModelWeights,
+    readSyncReply,
+    type SyncCall,
+} from "@redwingpin/fleet";
 import { InnerNode, parseFleetKeys, ProcessRole, Topic } from "@redwingpin/protocol";
 import { expect } from "chai";
 import { errAsync, okAsync, type ResultAsync } from "neverthrow";
@@ -10,13 +17,17 @@
 const replica = "127.0.0.1:9000";
 
 /** A replica that answers every order alike, never loads weights, and records the orders with their time. */
-function replicaFixture(clock: FakeClock, answer: () => ResultAsync<OrderAnswer, string>) {
+function replicaFixture(
+    clock: FakeClock,
+    answer: () => ResultAsync<OrderAnswer, string>,
+    weights: () => ModelWeights[] = () => [{ model: "drafting", version: 1 }],
+) {
     const orders: { readonly order: LoadOrder; readonly at: number; }[] = [];
     const control: ReplicaControl = {
         report: () =>
             okAsync({
                 startedAt: 1,
-                weights: [{ model: "drafting", version: 1 }],
+                weights: weights(),
                 busy: false,
                 orders: 0,
                 running: 0,
@@ -74,6 +85,14 @@
     await new Promise((resolve) => setTimeout(resolve, 3));
 }
 
+/** Advances the time by 1,200 ms. */
+async function advance(clock: FakeClock): Promise<void> {
+    for (let step = 0; step < 60; step++) {
+        await waitForEvents();
+        clock.advance(20);
+    }
+}
+
 /** A running agent, and routers that connect to it. */
 async function agentFixture(clock: FakeClock, control: ReplicaControl) {
     const agent = new ReplicaAgent({
@@ -133,10 +152,7 @@
             { kind: FactKind.Weights, revision: 9, model: "drafting", version: 2, age: 0 },
         ],
     });
-    for (let step = 0; step < 60; step++) {
-        await waitForEvents();
-        clock.advance(20);
-    }
+    await advance(clock);
     agent.stop();
     return orders;
 }
@@ -160,6 +176,36 @@
         expect(await ordersWith(() => okAsync(OrderAnswer.Accepted))).to.have.length(1);
     });
 
+    // Regression test: after an order for one model, a replica got one with a lower number for its other model.
+    it("numbers the orders for all models of a replica so that the numbers never fall", async () => {
+        const clock = new FakeClock(1_000);
+        const { control, orders } = replicaFixture(
+            clock,
+            () => okAsync(OrderAnswer.WrongInstance),
+            () => [{ model: "drafting", version: orders.length === 0 ? 2 : 1 }, {
+                model: "review",
+                version: 1,
+            }],
+        );
+        const agent = await agentFixture(clock, control);
+        const connection = await agent.connect("1");
+        await connection.call(Topic.Fleet, syncCall(), 1_000);
+        connection.notify(Topic.Fleet, {
+            kind: FleetMessageKind.Facts,
+            mark: { configuration: 0, weights: 12, endpoints: 5 },
+            news: [
+                endpointFact("after", 5),
+                { kind: FactKind.Weights, revision: 9, model: "drafting", version: 2, age: 0 },
+                { kind: FactKind.Weights, revision: 12, model: "review", version: 2, age: 0 },
+            ],
+        });
+        await advance(clock);
+        agent.stop();
+        expect(orders.slice(0, 2).map(({ order }) => order.model)).to.deep.equal(["review", "drafting"]);
+        const fences = orders.map(({ order }) => order.fence);
+        expect(fences).to.deep.equal([...fences].sort((left, right) => left - right));
+    });
+
     // Guards against engines that crash anew under a known part after all routers have restarted at the same time.
     it("tells routers that have just started what earlier ones have quarantined", async () => {
         const clock = new FakeClock(10_000);
--- a/packages/rollout/src/node/replicaAgent.ts
+++ b/packages/rollout/src/node/replicaAgent.ts
@@ -113,6 +113,8 @@
     /** Time until the replica's turn is expected; absent unless that is soon. */
     private loadsIn: Milliseconds | undefined;
     private isPolling = false;
+    /** Fencing number of the last order. */
+    private fence = 0;
     /** No order is sent before this time. */
     private nextOrderAt: Milliseconds = -Infinity;
     private stopped = false;
@@ -304,13 +306,14 @@
         this.load = { target, since: now, orderedAt: undefined, timeout: acceptedOrderTimeout };
         this.notifyRouters();
         await new Promise<void>((resolve) => void clock.schedule(announcementDelay, resolve));
+        const fence = this.nextFence();
         const answer = await control.load({
             instance,
             model: target.model,
             version: target.version,
             expectedOrders: report.orders,
             holder: config.instance,
-            fence: target.revision,
+            fence,
         });
         const outcome = answer.isOk() ? answer.value : "unanswered";
         this.loadCounter.inc({ outcome });
@@ -318,7 +321,7 @@
             endpoint: instance,
             model: target.model,
             version: target.version,
-            fence: target.revision,
+            fence,
             orders: report.orders,
             running: report.running,
             spare: this.service.spare,
@@ -332,6 +335,15 @@
         this.nextOrderAt = mayHaveEffect ? -Infinity : clock.now() + refusedOrderDelay;
     }
 
+    /**
+     * Fencing number of an order: the highest revision at which weights of any model were named, as far as known. A revision
+     * of the order's own model could be lower than that of an earlier order for another model of the replica.
+     */
+    private nextFence(): number {
+        this.fence = Math.max(this.fence, ...this.state.desiredWeights().map(({ revision }) => revision));
+        return this.fence;
+    }
+
     private finishLoad(report: ReplicaReport): void {
         if (this.load !== undefined) {
             this.options.logger.info("weights loaded", {
