--- a/packages/rollout/src/node/replicaAgent.ts
+++ b/packages/rollout/src/node/replicaAgent.ts
@@ -18,6 +18,7 @@
     type PeerReport,
     type ReplicaStatus,
     type ServiceProgress,
+    supersedes,
 } from "@redwingpin/fleet";
 import { type FleetKeys, type Hello, type InnerAddress, InnerNode, ProcessRole } from "@redwingpin/protocol";
 import { randomUUID } from "node:crypto";
@@ -112,6 +113,8 @@
     /** Time until the replica's turn is expected; absent unless that is soon. */
     private loadsIn: Milliseconds | undefined;
     private isPolling = false;
+    /** Fencing number of the last order. */
+    private fence = 0;
     /** No order is sent before this time. */
     private nextOrderAt: Milliseconds = -Infinity;
     private stopped = false;
@@ -303,13 +306,14 @@
         this.load = { target, since: now, orderedAt: undefined, timeout: acceptedOrderTimeout };
         this.notifyRouters();
         await new Promise<void>((resolve) => void clock.schedule(announcementDelay, resolve));
+        const fence = this.nextFence();
         const answer = await control.load({
             instance,
             model: target.model,
             version: target.version,
             expectedOrders: report.orders,
             holder: config.instance,
-            fence: target.revision,
+            fence,
         });
         const outcome = answer.isOk() ? answer.value : "unanswered";
         this.loadCounter.inc({ outcome });
@@ -317,7 +321,7 @@
             endpoint: instance,
             model: target.model,
             version: target.version,
-            fence: target.revision,
+            fence,
             orders: report.orders,
             running: report.running,
             spare: this.service.spare,
@@ -331,6 +335,15 @@
         this.nextOrderAt = mayHaveEffect ? -Infinity : clock.now() + refusedOrderDelay;
     }
 
+    /**
+     * Fencing number of an order: the highest revision at which weights of any model were named, as far as known. A revision
+     * of the order's own model could be lower than that of an earlier order for another model of the replica.
+     */
+    private nextFence(): number {
+        this.fence = Math.max(this.fence, ...this.state.desiredWeights().map(({ revision }) => revision));
+        return this.fence;
+    }
+
     private finishLoad(report: ReplicaReport): void {
         if (this.load !== undefined) {
             this.options.logger.info("weights loaded", {
@@ -341,15 +354,20 @@
         }
     }
 
-    /** Identifier of the replica from its newest registration; `undefined` if it has none or is leaving. */
+    /**
+     * Identifier of the replica from its registration; `undefined` if it has none or is leaving. Of several at its address,
+     * it is the one of the start that the replica reports, else the one of the latest start.
+     */
     private registeredInstance(): string | undefined {
         const { replica, service } = this.options.config;
         const registered = [...this.state.endpoints()].filter(({ endpoint, removedAt }) =>
             removedAt === undefined && endpoint.service === service
             && `${endpoint.host}:${endpoint.port}` === replica
         );
-        const newest = registered.sort((left, right) => right.revision - left.revision)[0];
-        return newest === undefined || newest.endpoint.leaving ? undefined : newest.endpoint.instance;
+        const current = registered.filter(({ endpoint }) => endpoint.startedAt === this.report?.startedAt);
+        const candidates = current.length > 0 ? current : registered;
+        const own = candidates.sort((left, right) => supersedes(left, right) ? -1 : 1)[0];
+        return own === undefined || own.endpoint.leaving ? undefined : own.endpoint.instance;
     }
 
     private applyFacts(facts: readonly FleetFact[], from: string): void {
