feat(common, gateway, platform): metrics of memory against the machine's limit, and a line when it is close

A process that exceeds its machine's memory is ended and leaves no line. Resident memory, heap, external memory, array buffers, buffered request bodies and buffered answers are metrics of their own now, next to the machine's limit, and a line `memory is close to the limit` says them from 85% of it, at most once in ten seconds.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -10,6 +10,7 @@
 export * from "./httpService.js";
 export * from "./lineWriter.js";
 export * from "./logger.js";
+export * from "./memoryWatch.js";
 export * from "./metrics.js";
 export * from "./processLifecycle.js";
 export * from "./random.js";
--- a/packages/gateway/src/node/directServer.ts
+++ b/packages/gateway/src/node/directServer.ts
@@ -86,6 +86,11 @@
         return this.running;
     }
 
+    /** Size in bytes of the request bodies that are buffered. */
+    get bufferedBodyBytes(): number {
+        return this.bufferedBytes;
+    }
+
     /** Applies the limits of a configuration. */
     setLimits(limits: CallerLimits): void {
         this.server.headersTimeout = limits.headerTimeout;
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -51,7 +51,7 @@
 import { DirectServer } from "./directServer.js";
 import { EndpointConnections } from "./endpointConnections.js";
 import { EndpointPermits } from "./endpointPermits.js";
-import { GatewayMetrics } from "./gatewayMetrics.js";
+import { type BufferedBytes, GatewayMetrics } from "./gatewayMetrics.js";
 import { PeerReports } from "./peerReports.js";
 import { serveRequest } from "./requestTask.js";
 
@@ -100,6 +100,7 @@
         this.options.logger.warn("quarantined", { cause: cause.kind, name: cause.name })
     );
     private readonly demandTracker = new DemandTracker();
+    private readonly answerBuffers: AnswerBuffers;
     private readonly retryBudget: FleetRetryBudget;
     private readonly endpointTable: EndpointTable;
     private readonly ledger: SharedLedger;
@@ -168,6 +169,7 @@
         });
         this.operatorWatcher = this.createWatcher(FleetScope.Operator, { batchDelay: 0 });
         this.watchers = [this.operatorWatcher, this.endpointsWatcher];
+        this.answerBuffers = new AnswerBuffers(options.config.maxBufferedAnswerBytes);
         this.server = this.createServer();
         this.readiness = createServer((request, response) => {
             const isReadinessPath = request.url === config.readinessPath;
@@ -220,6 +222,11 @@
         this.stop();
     }
 
+    /** Sizes of what this router buffers for requests. */
+    bufferedBytes(): BufferedBytes {
+        return { bodies: this.server.bufferedBodyBytes, answers: this.answerBuffers.totalBytes };
+    }
+
     /** Closes everything immediately. */
     stop(): void {
         this.cancelHousekeeping();
@@ -303,7 +310,7 @@
             prefixIndex: this.prefixIndex,
             connections: this.connections,
             permits: this.permits,
-            answerBuffers: new AnswerBuffers(config.maxBufferedAnswerBytes),
+            answerBuffers: this.answerBuffers,
             crashProbe: new CrashProbe(),
             retryBudget: this.retryBudget,
             crashTracker: this.crashTracker,
@@ -313,6 +320,7 @@
             routerCount: () => 1 + this.sync.liveRouterCount(),
             random,
         };
+        metrics.registerBuffers(registry, () => this.bufferedBytes());
         return new DirectServer({
             clock,
             logger: context.logger,
--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -8,6 +8,7 @@
     type Milliseconds,
     type ReasonCounters,
     type RefusalReason,
+    registerGauge,
     type RetryReason,
 } from "@redwingpin/common";
 import { Counter, Histogram, type Registry } from "prom-client";
@@ -15,6 +16,13 @@
 const millisecondsPerSecond = 1_000;
 const latencyBuckets = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8];
 
+/** Sizes in bytes of what a router buffers for requests. */
+export interface BufferedBytes {
+    readonly [name: string]: number;
+    readonly bodies: number;
+    readonly answers: number;
+}
+
 /** Metrics of the requests on direct routes. */
 export class GatewayMetrics {
     private readonly reasons: ReasonCounters;
@@ -61,6 +69,14 @@
         });
     }
 
+    /** Registers the gauges of what is buffered. */
+    registerBuffers(registry: Registry, read: () => BufferedBytes): void {
+        const register = (name: string, help: string, size: () => number) =>
+            registerGauge(registry, `redwingpin_buffered_${name}_bytes`, help, size);
+        register("body", "Size of the request bodies that are buffered", () => read().bodies);
+        register("answer", "Size of the answers of endpoints that are buffered", () => read().answers);
+    }
+
     recordRefusal(reason: RefusalReason): void {
         this.reasons.countRefusal(reason);
     }
