fix(gateway): request bodies are held in reused blocks with one limit, and refused callers get their answer

Callers saw: a router that is ended by its memory, with the requests of all its callers, though each request was allowed; and callers of refused requests whose connection was reset before the answer (EPIPE, ECONNRESET).

Cause: the limit on bodies (30 MB of 200) counted each byte once. The process held it twice, since the chunks stayed referenced after `Buffer.concat` until the request ended, and held what the collector had not freed: array buffers reached 124 MB with a heap of 31 MB.

All collections in a trace were for external memory. Ruled out: the heap's limit (31 MB used of 110; 40 MB allowed: 223 MB), the young generation (1 MB instead of 4: 224 MB), glibc's dynamic threshold (fixed at 128 KB: 231 MB).

Now each body is copied on arrival into blocks of a pool whose size is the limit, and written from there to the endpoint; blocks are reused once the request has ended and no connection can still read them. The parser's chunks are garbage at once. A size that is stated is reserved before the body is read, or the request is refused; as much stays free as the largest body has, so smaller ones are served beside it. The rest of a refused request is read and dropped, so that the connection isn't reset under the answer.

--- a/packages/common/src/digest.ts
+++ b/packages/common/src/digest.ts
@@ -9,15 +9,26 @@
 import { map, sort, toArray } from "fp-ts/lib/ReadonlyArray.js";
 import { createHash } from "node:crypto";
 
+/** A value to hash that is stored in several pieces; `length` is that of the whole value. */
+export interface PiecewiseValue {
+    readonly length: number;
+    parts(): readonly Uint8Array[];
+}
+
 /**
  * SHA-256 of the parts as 64 hex digits. The length of each part is hashed before it, so that the digest of `"ab"`
  * differs from that of `"a"` and `"b"`.
  */
-export function digestOf(...parts: readonly (string | Uint8Array)[]): string {
+export function digestOf(...parts: readonly (string | Uint8Array | PiecewiseValue)[]): string {
     const hash = createHash("sha256");
     for (const part of parts) {
         hash.update(`${part.length}:`);
-        hash.update(part);
+        if (typeof part === "string" || part instanceof Uint8Array) {
+            hash.update(part);
+        }
+        else {
+            part.parts().forEach((piece) => hash.update(piece));
+        }
     }
     return hash.digest("hex");
 }
--- a/packages/gateway/src/__tests__/gatewayFixture.ts
+++ b/packages/gateway/src/__tests__/gatewayFixture.ts
@@ -1,5 +1,13 @@
 import type { DesiredWeights, DirectAccount, DirectEndpoint, ReplicaStatus } from "@redwingpin/fleet";
 import { type CacheStore, type ChoiceInput, EndpointState, ServiceSpeed } from "../index.js";
+import { type BlockBody, BlockPool } from "../node/blockPool.js";
+
+/** A body in blocks of a pool of its own. */
+export function bodyFixture(contents = ""): BlockBody {
+    const body = new BlockPool(10_000_000).open(0)!;
+    body.append(Buffer.from(contents));
+    return body;
+}
 
 /** An account with a rate and burst of the given tokens. */
 export function accountFixture(more: Partial<DirectAccount> = {}): DirectAccount {
--- a/packages/gateway/src/__tests__/rawEndpointFixture.ts
+++ b/packages/gateway/src/__tests__/rawEndpointFixture.ts
@@ -2,7 +2,7 @@
 import type { Agent } from "node:http";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
 import { EndpointExchange } from "../node/endpointExchange.js";
-import { endpointStateFixture } from "./gatewayFixture.js";
+import { bodyFixture, endpointStateFixture } from "./gatewayFixture.js";
 
 /** An endpoint that answers over a raw socket, as scripted. */
 export interface RawEndpoint {
@@ -48,7 +48,7 @@
     return new Promise((resolve) => {
         let text = "";
         new EndpointExchange(
-            { endpoint, method: "GET", url: "/", headers: ["Host", "site"], body: Buffer.alloc(0), agent },
+            { endpoint, method: "GET", url: "/", headers: ["Host", "site"], body: bodyFixture(), agent },
             {
                 onHead: () => {},
                 onData: (chunk) => {
--- a/packages/gateway/src/__tests__/routerFixture.ts
+++ b/packages/gateway/src/__tests__/routerFixture.ts
@@ -27,6 +27,7 @@
 import { EndpointPermits } from "../node/endpointPermits.js";
 import { GatewayMetrics } from "../node/gatewayMetrics.js";
 import { serveRequest } from "../node/requestTask.js";
+import { bodyFixture } from "./gatewayFixture.js";
 import type { RawEndpoint } from "./rawEndpointFixture.js";
 
 function fieldOf(headers: RawHeaders, name: string): string | undefined {
@@ -145,7 +146,7 @@
             method: "GET",
             url: "/",
             rawHeaders: ["x-attempt", attempt],
-            body: Buffer.alloc(0),
+            body: bodyFixture(),
             arrival,
             deadline: arrival + route.timeout,
             fingerprint: attempt,
--- a/packages/gateway/src/node/answerWriter.ts
+++ b/packages/gateway/src/node/answerWriter.ts
@@ -65,8 +65,11 @@
     readonly headers: Readonly<Record<string, string>>;
 }
 
-/** Sends an answer of the gateway itself, unless the caller disconnected or already received the head of an answer. */
-export function writeOwnAnswer(response: ServerResponse, answer: OwnAnswer): void {
+/**
+ * Sends an answer of the gateway itself, unless the caller disconnected or already received the head of an answer.
+ * `end` is called instead of ending the answer immediately.
+ */
+export function writeOwnAnswer(response: ServerResponse, answer: OwnAnswer, end?: () => void): void {
     if (response.headersSent || response.destroyed) {
         return;
     }
@@ -80,7 +83,13 @@
         "content-type": "application/json",
         "content-length": Buffer.byteLength(body),
     });
-    response.end(body);
+    if (end === undefined) {
+        response.end(body);
+    }
+    else {
+        response.write(body);
+        end();
+    }
 }
 
 /** Sends an endpoint's complete answer. */
--- a/packages/gateway/src/node/callerChecks.ts
+++ b/packages/gateway/src/node/callerChecks.ts
@@ -10,6 +10,7 @@
 import { chooseTarget, type RouteTable } from "../decision/routeTable.js";
 import type { SharedLedger } from "../decision/sharedLedger.js";
 import type { CallerMetadata, HeaderCodec } from "../headerCodec.js";
+import type { BlockBody } from "./blockPool.js";
 import type { DirectRequest } from "./callerRequest.js";
 
 /** A failed check; the request has not run. */
@@ -115,7 +116,7 @@
     context: CheckContext,
     head: CheckedHead,
     request: IncomingMessage,
-    body: Buffer,
+    body: BlockBody,
     arrival: Milliseconds,
 ): Result<DirectRequest, CheckFailure> {
     const { account, metadata, route, table } = head;
--- a/packages/gateway/src/node/callerRequest.ts
+++ b/packages/gateway/src/node/callerRequest.ts
@@ -7,6 +7,7 @@
 import type { DirectAccount, DirectRoute, DirectService } from "@redwingpin/fleet";
 import type { RouteTable } from "../decision/routeTable.js";
 import type { CallerMetadata } from "../headerCodec.js";
+import type { BlockBody } from "./blockPool.js";
 
 /** A request that may be sent to endpoints. */
 export interface DirectRequest {
@@ -18,7 +19,7 @@
     readonly method: string;
     readonly url: string;
     readonly rawHeaders: readonly string[];
-    readonly body: Buffer;
+    readonly body: BlockBody;
     readonly arrival: Milliseconds;
     /** Time by which the caller must have an answer. */
     readonly deadline: Milliseconds;
--- a/packages/gateway/src/node/endpointExchange.ts
+++ b/packages/gateway/src/node/endpointExchange.ts
@@ -5,6 +5,7 @@
  */
 import type { DirectEndpoint } from "@redwingpin/fleet";
 import { type Agent, type ClientRequest, type IncomingMessage, request as httpRequest } from "node:http";
+import type { BlockBody } from "./blockPool.js";
 
 /** A live endpoint accepts a connection within milliseconds; one without power never answers. */
 export const connectTimeoutMilliseconds = 350;
@@ -17,7 +18,7 @@
     readonly url: string;
     /** Name, value, name, value. */
     readonly headers: readonly string[];
-    readonly body: Buffer;
+    readonly body: BlockBody;
     /** Pool of connections; if absent, a new connection is opened and closed after the answer. */
     readonly agent: Agent | undefined;
 }
@@ -40,6 +41,8 @@
 export class EndpointExchange {
     private readonly request: ClientRequest;
     private answer: IncomingMessage | undefined;
+    private releaseBody: () => void = () => {};
+    private hasSocket = false;
     private isSent = false;
     private isReused = false;
     private isOver = false;
@@ -55,6 +58,7 @@
             setHost: false,
         });
         this.request.once("socket", (socket) => {
+            this.hasSocket = true;
             if (socket.connecting) {
                 const timer = setTimeout(
                     () => this.fail(`no connection within ${connectTimeoutMilliseconds} ms`),
@@ -71,7 +75,33 @@
         });
         this.request.once("response", (answer) => this.onResponse(answer));
         this.request.on("error", (error) => this.fail(error.message));
-        this.request.end(options.body);
+        this.sendBody(options.body);
+    }
+
+    /** Sends the body and holds it until it has been written, also if the endpoint answers earlier, or can't be any more. */
+    private sendBody(body: BlockBody): void {
+        const { request } = this;
+        body.hold();
+        this.releaseBody = () => {
+            this.releaseBody = () => {};
+            body.release();
+        };
+        request.once("finish", () => this.releaseBody());
+        request.once("close", () => this.releaseBody());
+        const parts = body.parts();
+        const last = parts.pop();
+        request.cork();
+        parts.forEach((part) => request.write(part));
+        request.end(last);
+        request.uncork();
+    }
+
+    /** Destroys the request. One that still waits for a connection writes nothing, and closes only when it gets one. */
+    private destroyRequest(): void {
+        this.request.destroy();
+        if (!this.hasSocket) {
+            this.releaseBody();
+        }
     }
 
     /** Continues a paused answer. */
@@ -82,7 +112,7 @@
     /** Closes the connection; the listener is not called any more. */
     abort(): void {
         this.isOver = true;
-        this.request.destroy();
+        this.destroyRequest();
     }
 
     private onResponse(answer: IncomingMessage): void {
@@ -126,7 +156,7 @@
     private fail(detail: string): void {
         if (!this.isOver) {
             this.isOver = true;
-            this.request.destroy();
+            this.destroyRequest();
             this.listener.onBroken(detail, this.isSent);
         }
     }
