--- a/packages/gateway/src/__tests__/routerFixture.ts
+++ b/packages/gateway/src/__tests__/routerFixture.ts
@@ -28,6 +28,7 @@
 import { GatewayMetrics } from "../node/gatewayMetrics.js";
 import { LossProbe } from "../node/lossProbe.js";
 import { serveRequest } from "../node/requestTask.js";
+import { bodyFixture } from "./gatewayFixture.js";
 import type { RawEndpoint } from "./rawEndpointFixture.js";
 
 function fieldOf(headers: RawHeaders, name: string): string | undefined {
@@ -147,7 +148,7 @@
             method: "GET",
             url: "/",
             rawHeaders: ["x-attempt", attempt],
-            body: Buffer.alloc(0),
+            body: bodyFixture(),
             arrival,
             deadline: arrival + route.timeout,
             fingerprint: attempt,
