feat(common, platform): a process that ends says why in its log

What was seen: programs that ended by themselves left no cause. The last line existed for exceptions only, once the logger had been created, without uptime and without what was being served; every other exit left nothing.

Cause: the handler was installed after the settings had been read, and an exit that is no exception had no line. A line whose write was cut short was lost in part.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -11,6 +11,7 @@
 export * from "./lineWriter.js";
 export * from "./logger.js";
 export * from "./metrics.js";
+export * from "./processEnd.js";
 export * from "./processLifecycle.js";
 export * from "./random.js";
 export * from "./reasons.js";
--- a/packages/common/src/lineWriter.ts
+++ b/packages/common/src/lineWriter.ts
@@ -11,6 +11,9 @@
 /** File descriptor of standard output. */
 export const standardOutput = 1;
 
+/** File descriptor of standard error. */
+export const standardError = 2;
+
 /** Time for which lines are collected before they are written together. */
 const flushDelay: Milliseconds = 40;
 
@@ -56,7 +59,9 @@
     flushSync(): void {
         const bytes = this.takePending();
         try {
-            writeSync(this.options.descriptor, bytes);
+            for (let written = 0; written < bytes.length;) {
+                written += writeSync(this.options.descriptor, bytes, written);
+            }
         }
         catch {
             // The reader has closed its end or does not read, and there is no other output to report this to.
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -191,6 +191,11 @@
         return !this.isStopping && this.table !== undefined && this.areEndpointsKnown;
     }
 
+    /** Number of requests that are being served. */
+    get runningRequests(): number {
+        return this.server.runningRequests;
+    }
+
     /** Applies the settings that can change at run time; addresses and names require a restart. */
     reconfigure(config: ResolvedGatewayConfig): void {
         this.settings = config;
