fix(common): signals without a meaning neither end a program nor open a debugger port

What was seen: SIGUSR2, SIGALRM or SIGQUIT end a serving router at once, with the requests of all its callers; SIGUSR1 opens a debugger on 127.0.0.1:9229.

Cause: the default effect of these signals. Only SIGTERM, SIGINT and SIGHUP had handlers.

Signals sent to a bare Node.js 20.19 end it: SIGUSR2, SIGALRM, SIGQUIT, SIGVTALRM, SIGPROF, SIGXCPU, SIGIO, SIGPWR and SIGSTKFLT (exit status 128 and the signal's number). SIGPIPE, SIGXFSZ, SIGWINCH, SIGURG and SIGCHLD have no effect there.

Faults, aborts, real-time signals and those of a terminal keep their effect; so does each signal before the launcher runs, while Node.js itself starts.

--- a/packages/common/src/__tests__/launcher.spec.ts
+++ b/packages/common/src/__tests__/launcher.spec.ts
@@ -31,23 +31,28 @@
         expect(launched()).to.deep.equal(["program.bundle.cjs", folder, true]);
     });
 
-    // Guards against a program that ends by itself when the settings change while it starts.
-    it("survives a reload signal while the bundle loads", async () => {
-        const exitCode = 7;
-        writeFileSync(
-            join(folder, "program.bundle.cjs"),
-            `process.stdout.write("loading"); setTimeout(() => process.exit(${exitCode}), 300);`,
-        );
-        const launcher = new URL("../launch/launchMain.js", import.meta.url).href;
-        const program = join(folder, "program.mjs");
-        const path = JSON.stringify(join(folder, "program.cjs"));
-        writeFileSync(program, `process.argv[1] = ${path}; await import(${JSON.stringify(launcher)});`);
-        const child = spawn(process.execPath, [program], { stdio: ["ignore", "pipe", "inherit"] });
-        const exited = once(child, "exit");
-        await once(child.stdout, "data");
-        child.kill("SIGHUP");
-        expect(await exited).to.deep.equal([exitCode, null]); // eslint-disable-line no-restricted-syntax -- ChildProcess states null
-    });
+    // Guards against a program that ends by itself, or opens a debugger port, because of a signal while it starts.
+    for (const signal of ["SIGHUP", "SIGUSR1", "SIGUSR2", "SIGALRM", "SIGVTALRM", "SIGXCPU"] as const) {
+        it(`survives ${signal} while the bundle loads`, async () => {
+            const exitCode = 7;
+            writeFileSync(
+                join(folder, "program.bundle.cjs"),
+                `process.stdout.write("loading"); setTimeout(() => process.exit(${exitCode}), 300);`,
+            );
+            const launcher = new URL("../launch/launchMain.js", import.meta.url).href;
+            const program = join(folder, "program.mjs");
+            const path = JSON.stringify(join(folder, "program.cjs"));
+            writeFileSync(program, `process.argv[1] = ${path}; await import(${JSON.stringify(launcher)});`);
+            const child = spawn(process.execPath, [program], { stdio: ["ignore", "pipe", "pipe"] });
+            let errors = "";
+            child.stderr.on("data", (chunk: Buffer) => errors += chunk.toString());
+            const closed = once(child, "close");
+            await once(child.stdout, "data");
+            child.kill(signal);
+            expect(await closed).to.deep.equal([exitCode, null]); // eslint-disable-line no-restricted-syntax -- ChildProcess states null
+            expect(errors).to.equal("");
+        });
+    }
 
     it("runs a bundle that has changed since its code cache was written", () => {
         const files = programFiles(join(folder, "program.cjs"));
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -13,6 +13,7 @@
 export * from "./metrics.js";
 export * from "./processEnd.js";
 export * from "./processLifecycle.js";
+export * from "./processSignals.js";
 export * from "./random.js";
 export * from "./reasons.js";
 export * from "./settings.js";
--- a/packages/common/src/launch/launchMain.ts
+++ b/packages/common/src/launch/launchMain.ts
@@ -3,10 +3,12 @@
  *
  * @module
  */
+import { ignoreMeaninglessSignals } from "../processSignals.js";
 import { compileBundle, programFiles, runBundle } from "./launcher.js";
 
 // By default, a reload signal ends the process. The program reads its settings later, so nothing is missed.
 process.on("SIGHUP", () => {});
+ignoreMeaninglessSignals(() => {});
 
 const files = programFiles(process.argv[1]);
 const script = compileBundle(files);
