fix(gateway): an endpoint's answer without a body can't end the router

Cause: an answer without a length is taken for one that ends with its connection, and the end of that connection is checked for a reset. Answers of status 204 and 304 have no length either, but no body: they release their connection at once, and Node.js detaches it from the answer. When the endpoint closed the idle connection, within the second for which routers keep one, the check read a property of null in an event handler. Each such answer also left a listener.

Evidence: deterministic. TypeError: Cannot read properties of null (reading 'write') at EndpointExchange.checkForReset.

Why it works: the check holds the socket itself and is removed with the answer; an exchange that is over checks nothing.

--- a/packages/gateway/src/__tests__/endpointExchange.spec.ts
+++ b/packages/gateway/src/__tests__/endpointExchange.spec.ts
@@ -65,6 +65,47 @@
         });
     }
 
+    // Guards against a router that ends by itself because an endpoint closes an idle connection whose last answer had neither
+    // a body nor a length.
+    for (
+        const [status, method] of [["204 No Content", "POST"], ["304 Not Modified", "GET"], [
+            "200 OK",
+            "HEAD",
+        ]]
+    ) {
+        for (const delay of [0, 1, 20]) {
+            it(`survives a connection that ends ${delay} ms after ${status} to ${method}`, async () => {
+                const endpoint = await startRawEndpoint((socket) => {
+                    socket.write(`HTTP/1.1 ${status}\r\n\r\n`);
+                    setTimeout(() => socket.end(), delay);
+                });
+                running = endpoint;
+                const agent = new EndpointConnections().agentOf(endpoint.endpoint, 8);
+                const result = await exchange(endpoint.endpoint, agent, method);
+                expect(result).to.deep.equal({ kind: "ended", text: "", sent: true });
+                await endpoint.allClosed();
+            });
+        }
+    }
+
+    it("leaves no listeners on a connection that carries many answers without a body", async () => {
+        const endpoint = await startRawEndpoint((socket) => socket.write("HTTP/1.1 204 No Content\r\n\r\n"));
+        running = endpoint;
+        const agent = new EndpointConnections().agentOf(endpoint.endpoint, 8);
+        const counts: number[] = [];
+        for (let answers = 0; answers < 12; answers++) {
+            await exchange(endpoint.endpoint, agent);
+            await new Promise((resolve) => setImmediate(resolve));
+            counts.push(
+                ...Object.values(agent.freeSockets).flatMap((sockets) =>
+                    sockets?.[0].listenerCount("end") ?? []
+                ),
+            );
+        }
+        expect(endpoint.connections()).to.equal(1);
+        expect(new Set(counts).size).to.equal(1);
+    });
+
     it("reports that nothing was sent if nothing listens at the endpoint", async () => {
         running = await startRawEndpoint(() => {});
         running.stop();
--- a/packages/gateway/src/__tests__/rawEndpointFixture.ts
+++ b/packages/gateway/src/__tests__/rawEndpointFixture.ts
@@ -1,4 +1,5 @@
 import type { DirectEndpoint } from "@redwingpin/fleet";
+import { once } from "node:events";
 import type { Agent } from "node:http";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
 import { EndpointExchange } from "../node/endpointExchange.js";
@@ -8,6 +9,8 @@
 export interface RawEndpoint {
     readonly endpoint: DirectEndpoint;
     readonly connections: () => number;
+    /** Resolves when all connections that were opened have closed. */
+    allClosed(): Promise<void>;
     stop(): void;
 }
 
@@ -29,6 +32,11 @@
     return {
         endpoint: endpointStateFixture("raw", { host: "127.0.0.1", port }).endpoint,
         connections: () => connections,
+        allClosed: async () => {
+            await Promise.all(
+                [...sockets].filter(({ closed }) => !closed).map((socket) => once(socket, "close")),
+            );
+        },
         stop: () => {
             sockets.forEach((socket) => socket.destroy());
             server.close();
@@ -44,11 +52,11 @@
 }
 
 /** Sends a request without a body. */
-export function exchange(endpoint: DirectEndpoint, agent?: Agent): Promise<ExchangeResult> {
+export function exchange(endpoint: DirectEndpoint, agent?: Agent, method = "GET"): Promise<ExchangeResult> {
     return new Promise((resolve) => {
         let text = "";
         new EndpointExchange(
-            { endpoint, method: "GET", url: "/", headers: ["Host", "site"], body: Buffer.alloc(0), agent },
+            { endpoint, method, url: "/", headers: ["Host", "site"], body: Buffer.alloc(0), agent },
             {
                 onHead: () => {},
                 onData: (chunk) => {
--- a/packages/gateway/src/node/endpointExchange.ts
+++ b/packages/gateway/src/node/endpointExchange.ts
@@ -5,6 +5,7 @@
  */
 import type { DirectEndpoint } from "@redwingpin/fleet";
 import { type Agent, type ClientRequest, type IncomingMessage, request as httpRequest } from "node:http";
+import type { Socket } from "node:net";
 
 /** A live endpoint accepts a connection within milliseconds; one without power never answers. */
 export const connectTimeoutMilliseconds = 350;
@@ -91,7 +92,11 @@
         }
         this.answer = answer;
         if (endsWithConnection(answer)) {
-            answer.socket.prependOnceListener("end", () => this.checkForReset(answer));
+            // Answers without a body release the connection for further exchanges, and have no socket from then on.
+            const { socket } = answer;
+            const onConnectionEnd = () => this.checkForReset(socket);
+            socket.prependOnceListener("end", onConnectionEnd);
+            answer.once("close", () => socket.off("end", onConnectionEnd));
         }
         answer.on("data", (chunk: Buffer) => {
             if (!this.isOver && !this.listener.onData(chunk)) {
@@ -116,9 +121,12 @@
      * A reset that arrives together with data is reported as a normal end of the connection. Writing to the socket
      * reveals it: the write fails immediately if the connection was reset.
      */
-    private checkForReset(answer: IncomingMessage): void {
-        answer.socket.write("\r\n");
-        if (answer.socket.errored) {
+    private checkForReset(socket: Socket): void {
+        if (this.isOver) {
+            return;
+        }
+        socket.write("\r\n");
+        if (socket.errored) {
             this.fail("the connection was reset in the middle of an answer without a length");
         }
     }
