--- a/packages/gateway/src/__tests__/rawEndpointFixture.ts
+++ b/packages/gateway/src/__tests__/rawEndpointFixture.ts
@@ -1,4 +1,5 @@
 import type { DirectEndpoint } from "@redwingpin/fleet";
+import { once } from "node:events";
 import type { Agent } from "node:http";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
 import { EndpointExchange } from "../node/endpointExchange.js";
@@ -10,6 +11,8 @@
     readonly connections: () => number;
     /** Accepts no more connections; the open ones stay open. */
     closePort(): void;
+    /** Resolves when all connections that were opened have closed. */
+    allClosed(): Promise<void>;
     stop(): void;
 }
 
@@ -32,6 +35,11 @@
         endpoint: endpointStateFixture("raw", { host: "127.0.0.1", port }).endpoint,
         connections: () => connections,
         closePort: () => void server.close(),
+        allClosed: async () => {
+            await Promise.all(
+                [...sockets].filter(({ closed }) => !closed).map((socket) => once(socket, "close")),
+            );
+        },
         stop: () => {
             sockets.forEach((socket) => socket.destroy());
             server.close();
@@ -47,11 +55,11 @@
 }
 
 /** Sends a request without a body. */
-export function exchange(endpoint: DirectEndpoint, agent?: Agent): Promise<ExchangeResult> {
+export function exchange(endpoint: DirectEndpoint, agent?: Agent, method = "GET"): Promise<ExchangeResult> {
     return new Promise((resolve) => {
         let text = "";
         new EndpointExchange(
-            { endpoint, method: "GET", url: "/", headers: ["Host", "site"], body: bodyFixture(), agent },
+            { endpoint, method, url: "/", headers: ["Host", "site"], body: bodyFixture(), agent },
             {
                 onHead: () => {},
                 onData: (chunk) => {
