--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -6,6 +6,7 @@
 export * from "./clock.js";
 export * from "./decision.js";
 export * from "./digest.js";
+export * from "./eventLoopMonitor.js";
 export * from "./finding.js";
 export * from "./httpService.js";
 export * from "./lineWriter.js";
--- a/packages/gateway/src/node/directServer.ts
+++ b/packages/gateway/src/node/directServer.ts
@@ -75,6 +75,7 @@
             connectionsCheckingInterval: timeoutCheckInterval,
             requestTimeout,
         }, (request, response) => void this.handle(request, response));
+        this.server.on("connection", () => context.metrics.recordConnection());
         this.server.on(
             "clientError",
             (error: NodeJS.ErrnoException, socket) => answerClientError(error, socket as Socket),
--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -21,6 +21,7 @@
     private readonly requests: Counter<"route" | "outcome">;
     private readonly deniedRetries: Counter<"reason">;
     private readonly signals: Counter<"signal">;
+    private readonly connections: Counter;
     private readonly duration: Histogram<"route">;
     private readonly firstAnswer: Histogram<"route">;
 
@@ -45,6 +46,11 @@
             labelNames: ["signal"],
             registers,
         });
+        this.connections = new Counter({
+            name: "redwingpin_direct_connections_total",
+            help: "Connections of callers that were accepted",
+            registers,
+        });
         this.duration = new Histogram({
             name: "redwingpin_direct_request_seconds",
             help: "Time from a request's arrival to its end, by route",
@@ -61,6 +67,10 @@
         });
     }
 
+    recordConnection(): void {
+        this.connections.inc();
+    }
+
     recordRefusal(reason: RefusalReason): void {
         this.reasons.countRefusal(reason);
     }
