--- a/packages/gateway/src/node/endpointExchange.ts
+++ b/packages/gateway/src/node/endpointExchange.ts
@@ -5,8 +5,8 @@
  */
 import type { DirectEndpoint } from "@redwingpin/fleet";
 import { type Agent, type ClientRequest, type IncomingMessage, request as httpRequest } from "node:http";
-import type { BlockBody } from "./blockPool.js";
 import type { Socket } from "node:net";
+import type { BlockBody } from "./blockPool.js";
 
 /** A live endpoint accepts a connection within milliseconds; one without power never answers. */
 export const connectTimeoutMilliseconds = 350;
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -35,7 +35,7 @@
 } from "@redwingpin/fleet";
 import { type InnerAddress, InnerNode, ProcessRole } from "@redwingpin/protocol";
 import { randomInt, randomUUID } from "node:crypto";
-import { createServer, type Server } from "node:http";
+import type { Server } from "node:http";
 import type { Registry } from "prom-client";
 import { AnswerBuffers } from "../decision/answerBuffers.js";
 import { DemandTracker } from "../decision/demandTracker.js";
@@ -54,6 +54,7 @@
 import { type BufferedBytes, GatewayMetrics } from "./gatewayMetrics.js";
 import { LossProbe } from "./lossProbe.js";
 import { PeerReports } from "./peerReports.js";
+import { createReadinessServer } from "./readinessServer.js";
 import { serveRequest } from "./requestTask.js";
 
 /** Options of {@link Gateway}. */
@@ -178,11 +179,7 @@
         this.watchers = [this.operatorWatcher, this.endpointsWatcher];
         this.answerBuffers = new AnswerBuffers(options.config.maxBufferedAnswerBytes);
         this.server = this.createServer();
-        this.readiness = createServer((request, response) => {
-            const isReadinessPath = request.url === config.readinessPath;
-            response.writeHead(isReadinessPath ? (this.isReady() ? 200 : 503) : 404, { "content-length": 0 });
-            response.end();
-        });
+        this.readiness = createReadinessServer(config.readinessPath, () => this.isReady());
     }
 
     async start(): Promise<void> {
@@ -456,14 +453,7 @@
     }
 
     private agentAddresses(): InnerAddress[] {
-        const addresses: InnerAddress[] = [];
-        for (const endpointState of this.endpointTable.all()) {
-            const address = this.options.agentOf(endpointState.endpoint);
-            if (address !== undefined) {
-                addresses.push(address);
-            }
-        }
-        return addresses;
+        return [...this.endpointTable.all()].flatMap(({ endpoint }) => this.options.agentOf(endpoint) ?? []);
     }
 
     private housekeep(): void {
--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -29,6 +29,7 @@
     private readonly requests: Counter<"route" | "outcome">;
     private readonly deniedRetries: Counter<"reason">;
     private readonly signals: Counter<"signal">;
+    private readonly connections: Counter;
     private readonly duration: Histogram<"route">;
     private readonly firstAnswer: Histogram<"route">;
 
@@ -53,6 +54,11 @@
             labelNames: ["signal"],
             registers,
         });
+        this.connections = new Counter({
+            name: "redwingpin_direct_connections_total",
+            help: "Connections of callers that were accepted",
+            registers,
+        });
         this.duration = new Histogram({
             name: "redwingpin_direct_request_seconds",
             help: "Time from a request's arrival to its end, by route",
@@ -77,6 +83,10 @@
         register("answer", "Size of the answers of endpoints that are buffered", () => read().answers);
     }
 
+    recordConnection(): void {
+        this.connections.inc();
+    }
+
     recordRefusal(reason: RefusalReason): void {
         this.reasons.countRefusal(reason);
     }
