fix(rollout, gateway): turns pass on from replicas that make no progress

Cause: rolloutStep waited for each replica that is behind and earlier in the order, whether or not it moved.

Ruled out: refused orders (the script's record has none at all), missing reports (agents without reports load by themselves after a time).

Change: routers leave out of an agent's report the replicas whose agents they have not heard for 3.5 s.

--- a/packages/gateway/src/__tests__/peerReports.spec.ts
+++ b/packages/gateway/src/__tests__/peerReports.spec.ts
@@ -115,6 +115,26 @@
         expect(started.crashTracker.refusedUntil("another", ["cause"], 10_000)).to.be.greaterThan(10_000);
     });
 
+    // Regression test: agents waited without end for the turn of a replica beside which no agent runs.
+    it("leave out replicas whose agents have not been heard for some time", () => {
+        const { clock, endpointTable, reports } = reportsFixture({ desiredVersion: 2, endpoints: 3 });
+        const agent = helloFixture(ProcessRole.Agent, "agent");
+        const addresses = () =>
+            reports.reportFor(agent, agentAddress).service?.replicas.map(({ address }) => address);
+        const all = [9_000, 9_001, 9_002].map((port) => `127.0.0.1:${port}`);
+        reports.prepareReports(clock.now());
+        expect(addresses()).to.deep.equal(all);
+        clock.advance(3_000);
+        [0, 1].forEach((index) =>
+            endpointTable.observeStatus(statusFixture(1, { address: all[index] }), clock.now())
+        );
+        expect(addresses()).to.deep.equal(all);
+        clock.advance(600);
+        expect(addresses()).to.deep.equal(all.slice(0, 2));
+        endpointTable.observeStatus(statusFixture(1, { address: all[2] }), clock.now());
+        expect(addresses()).to.deep.equal(all);
+    });
+
     it("contain levels only for a router that has just started", () => {
         const { clock, reports } = reportsFixture();
         const peer = helloFixture(ProcessRole.Router, "a");
--- a/packages/gateway/src/node/peerReports.ts
+++ b/packages/gateway/src/node/peerReports.ts
@@ -35,6 +35,12 @@
 /** Minimum interval of reports with the latest answer of the store, so that their cost does not grow with the fleet. */
 const minAnswerInterval: Milliseconds = 100;
 
+/**
+ * Time without a status of its agent after which an endpoint counts as one without an agent. Agents report at least every
+ * 3 s.
+ */
+const maxStatusAge: Milliseconds = 3_500;
+
 /** Maximum number of router incarnations whose delivered reports are remembered. */
 const maxRememberedPeers = 2_000;
 
@@ -71,6 +77,8 @@
     private savedToReport: readonly SavedPrefix[] = [];
     private savedTakenAt: Milliseconds = -Infinity;
     private answerReportedAt: Milliseconds = -Infinity;
+    /** When each endpoint became known. */
+    private readonly knownSince = new WeakMap<EndpointState, Milliseconds>();
     /** Endpoints whose agents this router owns. */
     private ownedEndpoints: readonly EndpointState[] = [];
 
@@ -121,7 +129,8 @@
     }
 
     /**
-     * Progress of the service whose replica has its agent at the given address; `undefined` if no replica is behind.
+     * Progress of the service whose replica has its agent at the given address; `undefined` if no replica is behind. Replicas
+     * whose agents are not heard are left out, since nothing makes them load weights in their turn.
      */
     private serviceOfAgent(address: InnerAddress, now: Milliseconds): ServiceProgress | undefined {
         const ownEndpoint = [...this.options.endpointTable.all()].find(({ endpoint }) => {
@@ -135,7 +144,8 @@
         const serving = this.options.endpointTable.ofService(service).filter((endpointState) =>
             !endpointState.isLeaving && !endpointState.isDown(now)
         );
-        const replicas = serving.map((endpointState) => ({
+        const heard = serving.filter((endpointState) => !this.lacksAgent(endpointState, now));
+        const replicas = heard.map((endpointState) => ({
             address: `${endpointState.endpoint.host}:${endpointState.endpoint.port}`,
             weights: endpointState.endpoint.weights.map(({ model, version }) => ({
                 model,
@@ -153,6 +163,12 @@
         };
     }
 
+    /** True if no status of an endpoint's agent has arrived for some time, although the endpoint is known. */
+    private lacksAgent(endpointState: EndpointState, now: Milliseconds): boolean {
+        const knownFor = now - (this.knownSince.get(endpointState) ?? now);
+        return knownFor > maxStatusAge && endpointState.statusAge(now) > maxStatusAge;
+    }
+
     private isBehind(replica: ReplicaProgress): boolean {
         return replica.weights.some(({ model, version }) =>
             version < (this.options.desiredVersion(model) ?? 0)
@@ -244,6 +260,11 @@
      */
     prepareReports(now: Milliseconds): void {
         this.ownedEndpoints = this.endpointsToRelay();
+        for (const endpointState of this.options.endpointTable.all()) {
+            if (!this.knownSince.has(endpointState)) {
+                this.knownSince.set(endpointState, now);
+            }
+        }
         if (now - this.savedTakenAt >= idleInterval) {
             this.savedToReport = this.options.prefixIndex.takeUnreported();
             this.savedTakenAt = now;
--- a/packages/rollout/src/__tests__/rolloutTurn.spec.ts
+++ b/packages/rollout/src/__tests__/rolloutTurn.spec.ts
@@ -1,6 +1,6 @@
 import type { DesiredWeights, ReplicaProgress } from "@redwingpin/fleet";
 import { expect } from "chai";
-import { type RolloutStep, rolloutStep, type TurnInput } from "../index.js";
+import { type RolloutStep, rolloutStep, type TurnInput, TurnProgress } from "../index.js";
 
 const target: DesiredWeights = {
     model: "drafting",
@@ -32,6 +32,7 @@
         now: 1_200,
         fallbackAfter: 5_000,
         allowed: 9_500,
+        progress: new TurnProgress(),
         ...more,
     }).kind;
 }
--- a/packages/rollout/src/decision/rolloutTurn.ts
+++ b/packages/rollout/src/decision/rolloutTurn.ts
@@ -12,6 +12,7 @@
     type ServiceProgress,
     supersededAt,
 } from "@redwingpin/fleet";
+import type { TurnProgress } from "./turnProgress.js";
 
 /** Number of groups, approximately, in which replicas load; with fewer, concurrent loads would slow each other down. */
 export const rolloutGroups = 4;
@@ -55,6 +56,8 @@
     readonly fallbackAfter: Milliseconds;
     /** Time within which every replica should have loaded the weights. */
     readonly allowed: Milliseconds;
+    /** What this agent has observed of the turns of the replicas. */
+    readonly progress: TurnProgress;
 }
 
 /** A router's report of the service expires after this time. */
@@ -71,11 +74,11 @@
         const loadAfter = input.fallbackAfter + fallbackGroup(address) * groupTime;
         return now - supersededSince >= loadAfter ? { kind: "load" } : { kind: "wait" };
     }
-    const before = service.replicas.filter((replica) =>
-        replica.address !== address && precedes(replica, target, { address, version })
-    );
+    const others = service.replicas.filter((replica) => replica.address !== address);
     const behind = service.replicas.filter((replica) => isBehind(replica, target)).length;
     const groupSize = concurrentLoads(service, behind, input.allowed - (now - supersededSince));
+    const awaited = input.progress.observe(inTurnOrder(others, target), target, groupSize, now);
+    const before = awaited.filter((replica) => precedes(replica, target, { address, version }));
     const group = Math.floor(before.length / groupSize);
     if (group === 0) {
         return { kind: "load" };
@@ -95,6 +98,24 @@
     return version !== undefined && version < target.version;
 }
 
+/** Replicas for whose turn others may wait: those that load come first, then those that are furthest behind. */
+function inTurnOrder(replicas: readonly ReplicaProgress[], target: DesiredWeights): ReplicaProgress[] {
+    const versionOf = (replica: ReplicaProgress) =>
+        replica.weights.find((entry) => entry.model === target.model)?.version;
+    return replicas
+        .flatMap((replica) => {
+            const version = versionOf(replica);
+            const isAwaited = version !== undefined && (replica.loading || version < target.version);
+            return isAwaited ? [{ replica, version }] : [];
+        })
+        .sort((left, right) =>
+            Number(right.replica.loading) - Number(left.replica.loading)
+            || left.version - right.version
+            || (left.replica.address < right.replica.address ? -1 : 1)
+        )
+        .map(({ replica }) => replica);
+}
+
 /** Group of an agent without a recent report. */
 function fallbackGroup(address: string): number {
     // "blind" is part of the score: agents of all versions must compute the same groups.
--- a/packages/rollout/src/index.ts
+++ b/packages/rollout/src/index.ts
@@ -4,5 +4,6 @@
  * @module
  */
 export * from "./decision/rolloutTurn.js";
+export * from "./decision/turnProgress.js";
 export * from "./node/replicaAgent.js";
 export * from "./replicaControl.js";
--- a/packages/rollout/src/node/replicaAgent.ts
+++ b/packages/rollout/src/node/replicaAgent.ts
@@ -24,6 +24,7 @@
 import { randomUUID } from "node:crypto";
 import { Counter, type Registry } from "prom-client";
 import { type RolloutStep, rolloutStep } from "../decision/rolloutTurn.js";
+import { TurnProgress } from "../decision/turnProgress.js";
 import { OrderAnswer, type ReplicaControl, type ReplicaReport } from "../replicaControl.js";
 
 /** Settings of an agent. */
@@ -105,6 +106,7 @@
     private report: ReplicaReport | undefined;
     private failureCount = 0;
     private load: RunningLoad | undefined;
+    private readonly turnProgress = new TurnProgress();
     private service: ServiceProgress = { replicas: [], spare: 1 };
     private serviceReceivedAt: Milliseconds = -Infinity;
     private lastSentState = "";
@@ -277,6 +279,7 @@
             now,
             fallbackAfter: this.currentConfig.loadFallbackAfter,
             allowed: this.currentConfig.loadAllowed,
+            progress: this.turnProgress,
         });
         this.loadsIn = step.kind === "prepare" ? step.loadsIn : undefined;
         if (step.kind === "load" && now >= this.nextOrderAt) {
