fix(scheduling): an endpoint's wait is kept for up to ten minutes

Cause: waits were cut to 30 s, a bound that no page of the platform states.

Evidence: the new spec fails with 30 s for 31, 120 and 600 s. The spec of a year's wait, which is cut, stays as it was.

Why this works: the endpoint's word is kept for any time that it may need; ten minutes bound what a wrong value costs.

--- a/packages/scheduling/src/decision/__tests__/endpointSignals.spec.ts
+++ b/packages/scheduling/src/decision/__tests__/endpointSignals.spec.ts
@@ -38,6 +38,16 @@
         expect(signals.nextRequestAt(2_000 + maxRefusalTime - 1)).to.equal(2_000 + maxRefusalTime);
     });
 
+    // Regression test: requests came 30, 60 and 90 s after an endpoint had asked for none within 120 s.
+    it("refuse requests for the whole stated time if it is at most ten minutes", () => {
+        for (const retryAfter of [31_000, 120_000, 600_000]) {
+            const signals = new EndpointSignals();
+            signals.observe(statedFixture({ retryAfter }), refused(0), 1_000);
+            expect(signals.nextRequestAt(1_000 + retryAfter - 1)).to.equal(1_000 + retryAfter);
+            expect(signals.nextRequestAt(1_000 + retryAfter)).to.equal(undefined);
+        }
+    });
+
     it("keep the last limit until an answer to a later request states none", () => {
         const signals = new EndpointSignals();
         expect(signals.observe(statedFixture({ limit: 2.6 }), accepted(0), 10))
--- a/packages/scheduling/src/decision/endpointSignals.ts
+++ b/packages/scheduling/src/decision/endpointSignals.ts
@@ -54,8 +54,11 @@
     };
 }
 
-/** Longest time for which an endpoint can refuse requests in advance. */
-export const maxRefusalTime: Milliseconds = 30_000;
+/**
+ * Longest time for which an endpoint can refuse requests in advance. The platform sets no bound; this one limits what a wrong
+ * value costs.
+ */
+export const maxRefusalTime: Milliseconds = 600_000;
 
 /** Lowest limit that is applied: with some requests, the end of the limit is noticed. */
 export const minRequestLimit = 0.1;
