fix(gateway): saved prefixes that wait for a report are bounded

Seen by callers: nothing. Under more than some 90 saved prefixes a second, a router's memory grew without bound (found by the review, by reading).

Cause: PrefixIndex.unreported was filled by each request and emptied by 64 a report.

Change: the latest 1,024 are kept; dropped ones are counted in redwingpin_saved_prefixes_dropped_total. A router that isn't told of a prefix computes it again, nothing else.

Evidence: the new spec saves 200,000 distinct prefixes; all were kept before, 1,024 are now.

--- a/packages/gateway/src/__tests__/decisions.spec.ts
+++ b/packages/gateway/src/__tests__/decisions.spec.ts
@@ -4,6 +4,7 @@
     DemandTracker,
     EventStreamReader,
     FleetRetryBudget,
+    maxUnreportedPrefixes,
     PrefixIndex,
     prefixNames,
     sharedParts,
@@ -118,6 +119,29 @@
         expect(own.savedTokens(names, parts)).to.equal(0);
     });
 
+    // Regression test: saved prefixes that waited for a report grew without bound under a flood of distinct prompts.
+    it("keeps a bounded number of saved prefixes for reports, the latest ones, and counts the others", () => {
+        let dropped = 0;
+        const index = new PrefixIndex((prefixes) => dropped += prefixes);
+        index.setStores([cacheStoreFixture("10.0.9.1:8080", 20_000)]);
+        const prompts = 100_000;
+        for (let prompt = 0; prompt < prompts; prompt++) {
+            const distinct = [{ identifier: `prompt-${prompt}`, tokens: 10 }, {
+                identifier: "query",
+                tokens: 1,
+            }];
+            index.recordSaved(prefixNames("s", distinct), distinct);
+        }
+        const reported: string[] = [];
+        for (let report = index.takeUnreported(); report.length > 0; report = index.takeUnreported()) {
+            reported.push(...report.map(({ name }) => name));
+        }
+        expect(reported.length).to.equal(maxUnreportedPrefixes);
+        expect(dropped).to.equal(2 * prompts - maxUnreportedPrefixes);
+        const last = prefixNames("s", [{ identifier: `prompt-${prompts - 1}`, tokens: 10 }]);
+        expect(reported).to.include(last[0]);
+    });
+
     it("spreads prefixes over the cache stores, so that together they contain more than one could", () => {
         const addresses = ["10.0.9.1:8080", "10.0.9.2:8080", "10.0.9.3:8080"];
         const prompts = Array.from({ length: 120 }, (_, index) => [
--- a/packages/gateway/src/decision/prefixIndex.ts
+++ b/packages/gateway/src/decision/prefixIndex.ts
@@ -18,6 +18,9 @@
 /** Maximum number of saved prefixes in one report; the rest is sent with the next reports. */
 const maxPrefixesPerReport = 64;
 
+/** Maximum number of saved prefixes that wait for a report: those of some seconds of reports. */
+export const maxUnreportedPrefixes = 1_024;
+
 const nameDigits = 16;
 
 /** Names of the nested prefixes of a prompt, outermost first. */
@@ -79,6 +82,9 @@
     private readonly storeOwners = new RendezvousOwnerCache();
     private unreported: SavedPrefix[] = [];
 
+    /** `onDropped` receives the number of saved prefixes that are not reported, since too many wait. */
+    constructor(private readonly onDropped: (prefixes: number) => void = () => {}) {}
+
     /** Tokens of the leading parts that the endpoint should have cached, because this router sent them there. */
     cachedTokens(instance: string, names: readonly string[], parts: readonly PromptPart[]): number {
         const cache = this.caches.get(instance);
@@ -139,6 +145,16 @@
             const saved = names.map((name, index) => ({ name, tokens: parts[index].tokens, store }));
             this.observeSaved(saved);
             this.unreported.push(...saved);
+            this.boundUnreported();
+        }
+    }
+
+    /** The oldest prefixes are dropped: their cache store is the first to have evicted them. */
+    private boundUnreported(): void {
+        const excess = this.unreported.length - maxUnreportedPrefixes;
+        if (excess > 0) {
+            this.unreported.splice(0, excess);
+            this.onDropped(excess);
         }
     }
 
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -93,7 +93,8 @@
 /** Serves the callers of direct routes. */
 export class Gateway {
     private readonly state = new FleetState();
-    private readonly prefixIndex = new PrefixIndex();
+    private readonly metrics: GatewayMetrics;
+    private readonly prefixIndex = new PrefixIndex((count) => this.metrics.recordDroppedPrefixes(count));
     private readonly agentOwners = new RendezvousOwnerCache();
     private readonly permits: EndpointPermits;
     private readonly connections = new EndpointConnections();
@@ -130,6 +131,7 @@
     constructor(private readonly options: GatewayOptions) {
         const { clock, config } = options;
         this.settings = config;
+        this.metrics = new GatewayMetrics(options.registry);
         this.retryBudget = new FleetRetryBudget(config.retryBudget);
         this.permits = new EndpointPermits({
             clock,
@@ -141,11 +143,8 @@
             askRouter: (owner, request) => this.sync.requestPermit(owner, request),
         });
         this.endpointTable = new EndpointTable((instance) => this.onEndpointRemoved(instance));
-        this.lossProbe = new LossProbe({
-            clock,
-            logger: options.logger.scope("endpoints"),
-            endpointTable: this.endpointTable,
-        });
+        const endpointsLogger = options.logger.scope("endpoints");
+        this.lossProbe = new LossProbe({ clock, logger: endpointsLogger, endpointTable: this.endpointTable });
         this.ledger = new SharedLedger({
             startsFull: config.isFirstStart,
             tolerance: config.rateTolerance,
@@ -296,8 +295,8 @@
     }
 
     private createServer(): DirectServer {
-        const { clock, config, headerCodec, logger, registry } = this.options;
-        const metrics = new GatewayMetrics(registry);
+        const { clock, config, headerCodec, logger } = this.options;
+        const { metrics } = this;
         const now = () => clock.now();
         const random = () => this.random.unit();
         const context = {
--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -21,6 +21,7 @@
     private readonly requests: Counter<"route" | "outcome">;
     private readonly deniedRetries: Counter<"reason">;
     private readonly signals: Counter<"signal">;
+    private readonly droppedPrefixes: Counter;
     private readonly duration: Histogram<"route">;
     private readonly firstAnswer: Histogram<"route">;
 
@@ -45,6 +46,12 @@
             labelNames: ["signal"],
             registers,
         });
+        this.droppedPrefixes = new Counter({
+            name: "redwingpin_saved_prefixes_dropped_total",
+            help:
+                "Prefixes saved to cache stores that were not reported to other routers, since too many waited",
+            registers,
+        });
         this.duration = new Histogram({
             name: "redwingpin_direct_request_seconds",
             help: "Time from a request's arrival to its end, by route",
@@ -74,6 +81,10 @@
         }
     }
 
+    recordDroppedPrefixes(prefixes: number): void {
+        this.droppedPrefixes.inc(prefixes);
+    }
+
     recordSignal(signal: string): void {
         this.signals.inc({ signal });
     }
