fix(gateway): prefixes without tokens no longer fill the estimates of caches

Seen by callers: nothing. Prompts whose parts state 0 tokens made a router's memory grow without bound, and parts of 1 token up to some 540,000 entries a cache store.

Cause: TokenCache removes prefixes by their tokens only.

Change: a prefix counts with at least 16 tokens; caches hold blocks of that order.

Evidence: the new spec, 20,000 distinct prompts of two parts without tokens: 80,000 prefixes held before, at most 1,875 now.

--- a/packages/gateway/src/__tests__/decisions.spec.ts
+++ b/packages/gateway/src/__tests__/decisions.spec.ts
@@ -142,6 +142,19 @@
         expect(reported).to.include(last[0]);
     });
 
+    // Regression test: prefixes of parts that state no tokens were never removed from the estimates.
+    it("holds a bounded number of prefixes under a flood of distinct parts without tokens", () => {
+        const index = new PrefixIndex();
+        index.setStores([cacheStoreFixture("10.0.9.1:8080", 20_000)]);
+        for (let prompt = 0; prompt < 20_000; prompt++) {
+            const empty = ["part", "query"].map((name) => ({ identifier: `${name}-${prompt}`, tokens: 0 }));
+            const names = prefixNames("s", empty);
+            index.recordProcessed("a", names, empty, 10_000);
+            index.recordSaved(names, empty);
+        }
+        expect(index.prefixCount).to.be.at.most((10_000 + 20_000) / 16);
+    });
+
     it("spreads prefixes over the cache stores, so that together they contain more than one could", () => {
         const addresses = ["10.0.9.1:8080", "10.0.9.2:8080", "10.0.9.3:8080"];
         const prompts = Array.from({ length: 120 }, (_, index) => [
--- a/packages/gateway/src/decision/prefixIndex.ts
+++ b/packages/gateway/src/decision/prefixIndex.ts
@@ -29,6 +29,9 @@
     return parts.map((part) => name = digestOf(name, part.identifier).slice(0, nameDigits));
 }
 
+/** Caches hold blocks of some tokens, so a prefix takes at least this many; it bounds their number, too. */
+const minPrefixTokens = 16;
+
 /** An LRU cache of prefixes with a capacity in tokens. */
 class TokenCache {
     private readonly entries = new Map<string, number>();
@@ -36,11 +39,16 @@
 
     constructor(private readonly capacity: number) {}
 
+    get size(): number {
+        return this.entries.size;
+    }
+
     has(name: string): boolean {
         return this.entries.has(name);
     }
 
-    touch(name: string, tokens: number): void {
+    touch(name: string, statedTokens: number): void {
+        const tokens = Math.max(minPrefixTokens, statedTokens);
         const before = this.entries.get(name);
         if (before !== undefined) {
             this.entries.delete(name);
@@ -85,6 +93,12 @@
     /** `onDropped` receives the number of saved prefixes that are not reported, since too many wait. */
     constructor(private readonly onDropped: (prefixes: number) => void = () => {}) {}
 
+    /** Number of prefixes that are held for endpoints and cache stores. */
+    get prefixCount(): number {
+        const caches = [...this.caches.values(), ...[...this.stores.values()].map(({ cache }) => cache)];
+        return caches.reduce((sum, cache) => sum + cache.size, 0);
+    }
+
     /** Tokens of the leading parts that the endpoint should have cached, because this router sent them there. */
     cachedTokens(instance: string, names: readonly string[], parts: readonly PromptPart[]): number {
         const cache = this.caches.get(instance);
