fix(common): a damaged code cache does not crash a program at its start

What was seen: a program whose code cache (target/*.code) has other bytes than the build wrote ends at each start, with SIGTRAP or SIGSEGV and without a line of its own; if the file can't be read, with exit code 1.

Cause: V8 checks version, flags, length and source of a code cache, but not its content, and the file was expected to be readable. A loss of power after the build leaves a file of the right length with blocks of zeros.

Evidence: trials with a bundled agent. Fifty inverted bytes: exit status 133; zeros from half on: 139; a folder in its place: 1.

Ruled out: a cache that is empty, cut or of random bytes, and other flags of Node.js: V8 rejected these before, too.

Why it works: the file begins with a digest over the code, the version of Node.js and the kind of machine; without it the bundle is compiled.

--- a/packages/common/src/__tests__/launcher.spec.ts
+++ b/packages/common/src/__tests__/launcher.spec.ts
@@ -1,10 +1,16 @@
 import { expect } from "chai";
 import { spawn } from "node:child_process";
 import { once } from "node:events";
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { mkdirSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { compileBundle, programFiles, runBundle } from "../launch/launcher.js";
+import {
+    CodeCacheState,
+    compileBundle,
+    programFiles,
+    runBundle,
+    writeCodeCache,
+} from "../launch/launcher.js";
 
 describe("launcher of bundled programs", () => {
     let folder: string;
@@ -22,12 +28,13 @@
     it("runs a bundle like a CommonJS module, with and without a code cache", () => {
         const files = programFiles(join(folder, "program.cjs"));
         const first = compileBundle(files);
-        runBundle(first, files);
+        expect(first.codeCache).to.equal(CodeCacheState.Absent);
+        runBundle(first.script, files);
         expect(launched()).to.deep.equal(["program.bundle.cjs", folder, true]);
-        writeFileSync(files.compiledCode, first.createCachedData());
+        writeCodeCache(first.script, files);
         const second = compileBundle(files);
-        expect(second.cachedDataRejected).to.equal(false);
-        runBundle(second, files);
+        expect(second.codeCache).to.equal(CodeCacheState.Used);
+        runBundle(second.script, files);
         expect(launched()).to.deep.equal(["program.bundle.cjs", folder, true]);
     });
 
@@ -56,11 +63,40 @@
 
     it("runs a bundle that has changed since its code cache was written", () => {
         const files = programFiles(join(folder, "program.cjs"));
-        writeFileSync(files.compiledCode, compileBundle(files).createCachedData());
+        writeCodeCache(compileBundle(files).script, files);
         writeFileSync(files.bundle, "globalThis.launched = 'changed';");
-        const script = compileBundle(files);
-        expect(script.cachedDataRejected).to.equal(true);
+        const { codeCache, script } = compileBundle(files);
+        expect(codeCache).to.equal(CodeCacheState.Rejected);
         runBundle(script, files);
         expect(launched()).to.equal("changed");
     });
+
+    // Guards against programs that crash at their start, with SIGSEGV or SIGTRAP, because their code cache is damaged.
+    const damages: readonly (readonly [string, (code: Buffer) => Buffer])[] = [
+        ["is empty", () => Buffer.alloc(0)],
+        ["is cut at half", (code) => code.subarray(0, code.length / 2)],
+        ["is zero from half on", (code) => Buffer.concat([code.subarray(0, code.length / 2)], code.length)],
+        [
+            "has other bytes in it",
+            (code) => Buffer.from(code.map((byte, index) => index % 50 === 40 ? byte ^ 255 : byte)),
+        ],
+        ["consists of other bytes", (code) => Buffer.alloc(code.length, 0x55)],
+    ];
+    for (const [description, damage] of damages) {
+        it(`runs a bundle whose code cache ${description}`, () => {
+            const files = programFiles(join(folder, "program.cjs"));
+            writeCodeCache(compileBundle(files).script, files);
+            writeFileSync(files.compiledCode, damage(readFileSync(files.compiledCode)));
+            const { codeCache, script } = compileBundle(files);
+            expect(codeCache).to.equal(CodeCacheState.Rejected);
+            runBundle(script, files);
+            expect(launched()).to.deep.equal(["program.bundle.cjs", folder, true]);
+        });
+    }
+
+    it("runs a bundle whose code cache is no file", () => {
+        const files = programFiles(join(folder, "program.cjs"));
+        mkdirSync(files.compiledCode);
+        expect(compileBundle(files).codeCache).to.equal(CodeCacheState.Rejected);
+    });
 });
--- a/packages/common/src/launch/compileMain.ts
+++ b/packages/common/src/launch/compileMain.ts
@@ -6,15 +6,15 @@
  *
  * @module
  */
-import { rmSync, writeFileSync } from "node:fs";
+import { rmSync } from "node:fs";
 import { resolve } from "node:path";
-import { compileBundle, programFiles, runBundle } from "./launcher.js";
+import { compileBundle, programFiles, runBundle, writeCodeCache } from "./launcher.js";
 
 const files = programFiles(resolve(process.argv[2]));
 rmSync(files.compiledCode, { force: true });
-const script = compileBundle(files);
+const { script } = compileBundle(files);
 process.once("exit", () => {
-    writeFileSync(files.compiledCode, script.createCachedData());
+    writeCodeCache(script, files);
     process.exitCode = 0;
 });
 runBundle(script, files);
--- a/packages/common/src/launch/launcher.ts
+++ b/packages/common/src/launch/launcher.ts
@@ -4,7 +4,8 @@
  *
  * @module
  */
-import { existsSync, readFileSync } from "node:fs";
+import { createHash } from "node:crypto";
+import { existsSync, readFileSync, writeFileSync } from "node:fs";
 import Module, { createRequire } from "node:module";
 import { basename, dirname, join } from "node:path";
 import { Script } from "node:vm";
@@ -25,17 +26,63 @@
     readonly compiledCode: string;
 }
 
+/** Size of the digest at the beginning of a code cache. */
+const digestBytes = 32;
+
 /** Returns the files of the program whose launcher is `NAME.cjs`. */
 export function programFiles(launcher: string): ProgramFiles {
     const stem = join(dirname(launcher), basename(launcher, ".cjs"));
     return { bundle: `${stem}.bundle.cjs`, compiledCode: `${stem}.code` };
 }
 
-/** Compiles a bundle. Uses its code cache if that exists and matches this version of Node.js and its flags. */
-export function compileBundle({ bundle, compiledCode }: ProgramFiles): Script {
+/** What became of the code cache of a bundle. */
+export enum CodeCacheState {
+    Absent = "absent",
+    Used = "used",
+    /** It was damaged, or written by another version of Node.js, on another kind of machine or with other flags. */
+    Rejected = "rejected",
+}
+
+/** A compiled bundle. */
+export interface CompiledBundle {
+    readonly script: Script;
+    readonly codeCache: CodeCacheState;
+}
+
+/** Compiles a bundle, with its code cache if that is sound. */
+export function compileBundle({ bundle, compiledCode }: ProgramFiles): CompiledBundle {
     const source = Module.wrap(readFileSync(bundle, "utf8"));
-    const cachedData = existsSync(compiledCode) ? readFileSync(compiledCode) : undefined;
-    return new Script(source, { filename: bundle, cachedData });
+    const cachedData = readCodeCache(compiledCode);
+    const script = new Script(source, { filename: bundle, cachedData });
+    if (cachedData !== undefined) {
+        const isRejected = script.cachedDataRejected === true;
+        return { script, codeCache: isRejected ? CodeCacheState.Rejected : CodeCacheState.Used };
+    }
+    return { script, codeCache: existsSync(compiledCode) ? CodeCacheState.Rejected : CodeCacheState.Absent };
+}
+
+/** Writes the code cache of a bundle. */
+export function writeCodeCache(script: Script, { compiledCode }: ProgramFiles): void {
+    const code = script.createCachedData();
+    writeFileSync(compiledCode, Buffer.concat([digestOf(code), code]));
+}
+
+/** Returns `undefined` if the cache cannot be read or its digest is wrong: V8 crashes on damaged code. */
+function readCodeCache(compiledCode: string): Buffer | undefined {
+    try {
+        const bytes = readFileSync(compiledCode);
+        const code = bytes.subarray(digestBytes);
+        return digestOf(code).equals(bytes.subarray(0, digestBytes)) ? code : undefined;
+    }
+    catch {
+        return undefined;
+    }
+}
+
+/** Digest of compiled code and of what it was compiled for. */
+function digestOf(code: Buffer): Buffer {
+    const machine = `${process.version} ${process.platform} ${process.arch} `;
+    return createHash("sha256").update(machine).update(code).digest();
 }
 
 /** Runs a compiled bundle as a CommonJS module. */
