--- a/packages/common/src/__tests__/processEnd.spec.ts
+++ b/packages/common/src/__tests__/processEnd.spec.ts
@@ -5,11 +5,11 @@
 const common = new URL("../index.js", import.meta.url).href;
 
 /** Runs a program that reports its end, followed by `code`; resolves with its exit code and its last lines. */
-async function runProgram(code: string, describe = "() => ({ runningRequests: 3 })") {
+async function runProgram(code: string, describe = "() => ({ runningRequests: 3 })", abandon = "undefined") {
     const text = `
         import { LineWriter, reportProcessEnd, systemClock } from ${JSON.stringify(common)};
         const lines = new LineWriter({ clock: systemClock, descriptor: 1 });
-        reportProcessEnd({ scope: "program", clock: systemClock, lines, describe: ${describe} });
+        reportProcessEnd({ scope: "program", clock: systemClock, lines, describe: ${describe}, abandon: ${abandon} });
         ${code}`;
     const child = spawn(process.execPath, ["--input-type=module", "--eval", text], {
         stdio: ["ignore", "pipe", "inherit"],
@@ -66,4 +66,22 @@
         expect(exitCode).to.equal(1);
         expect(log[0]).to.include({ error: "an error that cannot be described", description: "failed: 3" });
     });
+
+    const abandons = [
+        ["is over", "async () => console.log('{}')", ["unexpected error", undefined, "process ends"]],
+        ["takes too long", "() => new Promise(() => {})", ["unexpected error", "process ends"]],
+        [
+            "fails",
+            "async () => { throw new Error('again'); }",
+            ["unexpected error", "unexpected error", "process ends"],
+        ],
+    ] as const;
+    for (const [state, abandon, messages] of abandons) {
+        it(`after an error comes when its last step ${state}`, async () => {
+            const code = "setTimeout(() => { throw new Error('broken'); }); setInterval(() => {}, 1_000);";
+            const { exitCode, log } = await runProgram(code, undefined, abandon);
+            expect(exitCode).to.equal(1);
+            expect(log.map(({ message }) => message)).to.deep.equal(messages);
+        });
+    }
 });
--- a/packages/common/src/processEnd.ts
+++ b/packages/common/src/processEnd.ts
@@ -12,6 +12,9 @@
 /** Exit code of a process that ends because of an unexpected error. */
 export const unexpectedErrorExitCode = 1;
 
+/** Maximum time between an unexpected error and the exit. */
+const abandonTimeout: Milliseconds = 500;
+
 /** Options of {@link reportProcessEnd}. */
 export interface ProcessEndOptions {
     /** Scope of the lines. */
@@ -20,6 +23,12 @@
     readonly lines: LineWriter;
     /** Fields that say what the process is and does, for example the number of requests that are being served. */
     readonly describe: () => LogFields;
+    /**
+     * Called after an unexpected error, to answer those who wait for this process. It has 500 ms, and a second error ends
+     * the process immediately.
+     * @default the process exits immediately
+     */
+    readonly abandon?: () => Promise<void>;
 }
 
 /**
@@ -34,9 +43,17 @@
         options.lines.write(`${JSON.stringify({ ...line, timestamp })}\n`);
         options.lines.flushSync();
     };
+    let isAbandoned = false;
     process.on("uncaughtException", (error, origin) => {
         write(LogLevel.Error, "unexpected error", { error: describeError(error), origin });
-        process.exit(unexpectedErrorExitCode);
+        if (isAbandoned || options.abandon === undefined) {
+            process.exit(unexpectedErrorExitCode);
+        }
+        isAbandoned = true;
+        const exit = () => process.exit(unexpectedErrorExitCode);
+        options.clock.schedule(abandonTimeout, exit);
+        // An error here arrives as a second unexpected one.
+        void options.abandon().then(exit);
     });
     process.on("exit", (exitCode) => {
         const uptime: Milliseconds = Math.round(options.clock.now() - start);
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -225,6 +225,18 @@
         this.stop();
     }
 
+    /**
+     * Ends after an unexpected error: accepts nothing more, and answers the running requests whose answer has not begun.
+     * They may have run.
+     */
+    async abandon(): Promise<void> {
+        this.isStopping = true;
+        this.drainDeadline = this.options.clock.now();
+        this.server.closeIdle();
+        await this.server.answerRunning(stopMargin);
+        this.stop();
+    }
+
     /** Closes everything immediately. */
     stop(): void {
         this.cancelHousekeeping();
