--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -235,6 +235,18 @@
         return { bodies: this.server.bufferedBodyBytes, answers: this.answerBuffers.totalBytes };
     }
 
+    /**
+     * Ends after an unexpected error: accepts nothing more, and answers the running requests whose answer has not begun.
+     * They may have run.
+     */
+    async abandon(): Promise<void> {
+        this.isStopping = true;
+        this.drainDeadline = this.options.clock.now();
+        this.server.closeIdle();
+        await this.server.answerRunning(stopMargin);
+        this.stop();
+    }
+
     /** Closes everything immediately. */
     stop(): void {
         this.cancelHousekeeping();
@@ -328,7 +340,7 @@
             routerCount: () => 1 + this.sync.liveRouterCount(),
             random,
         };
-        metrics.registerBuffers(registry, () => this.bufferedBytes());
+        metrics.registerBuffers(this.options.registry, () => this.bufferedBytes());
         return new DirectServer({
             clock,
             logger: context.logger,
