fix(gateway): answers in small chunks can't end a router

Callers saw: a router that ends by itself, code 134, with the requests of all its callers, within three seconds after an endpoint begins to answer in chunks of one byte without end.

Cause: a whole answer was kept as a list of the parser's chunks. Each is an object of some hundred bytes, but the limit on buffered answers counted one byte; V8 ended the process at the heap's limit ("heap out of memory").

Now small chunks are copied together, and a whole answer is written from its parts, not concatenated. What is received of answers counts toward the collection of received bytes as well.

--- a/packages/gateway/src/__tests__/attemptPlan.spec.ts
+++ b/packages/gateway/src/__tests__/attemptPlan.spec.ts
@@ -12,7 +12,7 @@
 const broken: AttemptOutcome = { kind: "broken", detail: "reset", hasHead: false, isClosed: true };
 const failed: AttemptOutcome = {
     kind: "failed",
-    answer: { status: 500, rawHeaders: [], body: Buffer.alloc(0) },
+    answer: { status: 500, rawHeaders: [], body: [] },
 };
 
 interface Script {
--- a/packages/gateway/src/decision/attemptPlan.ts
+++ b/packages/gateway/src/decision/attemptPlan.ts
@@ -21,7 +21,7 @@
 export interface FailedAnswer {
     readonly status: number;
     readonly rawHeaders: readonly string[];
-    readonly body: Buffer;
+    readonly body: readonly Buffer[];
 }
 
 /** How an attempt ended. */
--- a/packages/gateway/src/node/answerWriter.ts
+++ b/packages/gateway/src/node/answerWriter.ts
@@ -92,18 +92,21 @@
     }
 }
 
-/** Sends an endpoint's complete answer. */
+/** Sends an endpoint's complete answer, whose body is given in parts. */
 export function writeWholeAnswer(
     response: ServerResponse,
     status: number,
     rawHeaders: RawHeaders,
-    body: Buffer,
+    body: readonly Buffer[],
 ): void {
     if (response.destroyed) {
         return;
     }
     writeHead(response, status, rawHeaders);
-    response.end(body);
+    response.cork();
+    body.slice(0, -1).forEach((part) => response.write(part));
+    response.end(body.at(-1));
+    response.uncork();
 }
 
 /**
--- a/packages/gateway/src/node/attempt.ts
+++ b/packages/gateway/src/node/attempt.ts
@@ -14,9 +14,11 @@
 import type { Choice } from "../decision/endpointChoice.js";
 import { EventStreamReader } from "../decision/eventStreamReader.js";
 import type { AnswerMetadata, HeaderCodec } from "../headerCodec.js";
+import { AnswerBody } from "./answerBody.js";
 import { headerValue, writeStreamHead, writeWholeAnswer } from "./answerWriter.js";
 import type { DirectRequest } from "./callerRequest.js";
 import { EndpointExchange, type ExchangeRequest } from "./endpointExchange.js";
+import { recordReceivedBytes } from "./receivedBytes.js";
 
 /** Maximum size of a whole answer. */
 const maxAnswerBytes = 16_777_216;
@@ -79,9 +81,8 @@
 
 class Attempt {
     private readonly reader = new EventStreamReader();
-    private readonly chunks: Buffer[] = [];
+    private readonly body = new AnswerBody();
     private readonly buffer: AnswerBuffer;
-    private bytes = 0;
     private status = 0;
     private rawHeaders: readonly string[] = [];
     private metadata: AnswerMetadata = noMetadata;
@@ -209,19 +210,19 @@
     }
 
     private onData(chunk: Buffer): boolean {
+        recordReceivedBytes(chunk.length);
         if (this.isOver) {
             return true;
         }
         if (this.isStreaming) {
             return this.forwardEvents(chunk);
         }
-        this.bytes += chunk.length;
-        if (this.bytes > maxAnswerBytes) {
+        this.body.append(chunk);
+        if (this.body.length > maxAnswerBytes) {
             this.finish(this.invalid(`the answer has more than ${maxAnswerBytes} bytes`));
             return true;
         }
-        this.chunks.push(chunk);
-        this.buffer.resize(this.bytes);
+        this.buffer.resize(this.body.length);
         return true;
     }
 
@@ -291,7 +292,7 @@
             }
             return { kind: "notRun", retryReason: notRunReason(status), reached: true };
         }
-        const body = Buffer.concat(this.chunks);
+        const body = this.body.parts();
         if (status >= firstServerErrorStatus || notRunStatuses.has(status)) {
             return { kind: "failed", answer: { status, rawHeaders: this.rawHeaders, body } };
         }
--- a/packages/gateway/src/node/requestTask.ts
+++ b/packages/gateway/src/node/requestTask.ts
@@ -397,7 +397,11 @@
     }
 
     private forwardFailure(
-        answer: { readonly status: number; readonly rawHeaders: readonly string[]; readonly body: Buffer; },
+        answer: {
+            readonly status: number;
+            readonly rawHeaders: readonly string[];
+            readonly body: readonly Buffer[];
+        },
         headers: Record<string, string>,
     ): void {
         if (this.progress.started) {
