fix(gateway): serve requests in slices, so that new connections are accepted under load

What callers saw: while 300 kept connections kept a router busy, 47 of 100 new connections were not read within 6 s, none of 100 requests with a time limit of 1.5 s was answered in time, and 22 of them reached a replica up to 7.3 s after they had been sent, when their callers had left. Readiness checks took 269 ms (median).

Cause: libuv accepts one connection in each turn of the event loop (1.46 in Node.js 20.19), and a turn did the work of all connections that were ready. A bare server whose turns take 10 ms needed 100 turns for 100 connections, one in each.

Ruled out: several listeners on one port (a second listener with reusePort fails with EADDRINUSE on this Node.js).

Requests that have arrived completely wait in a queue, first come first served, which each turn serves for 4 ms, or with one request in four turns while connections are accepted. So a turn no longer grows with the number of ready connections. A request is served in the second turn at the earliest, when the end of its connection would have been read; one whose caller has left is not run, one whose time limit has passed or will pass in the queue is refused as not run.

--- a/packages/gateway/src/node/callerChecks.ts
+++ b/packages/gateway/src/node/callerChecks.ts
@@ -110,6 +110,11 @@
         : ok(account);
 }
 
+/** Time by which the caller of a request must have an answer. */
+export function requestDeadline({ metadata, route }: CheckedHead, arrival: Milliseconds): Milliseconds {
+    return arrival + Math.min(metadata.maxWait ?? Infinity, route.timeout) - answerMargin;
+}
+
 /** Runs the remaining checks once the body has arrived, and charges the account. */
 export function checkComplete(
     context: CheckContext,
@@ -150,7 +155,6 @@
         });
     }
     const url = request.url ?? "/";
-    const timeLimit = Math.min(metadata.maxWait ?? Infinity, route.timeout) - answerMargin;
     return ok({
         metadata,
         table,
@@ -162,7 +166,7 @@
         rawHeaders: request.rawHeaders,
         body,
         arrival,
-        deadline: arrival + timeLimit,
+        deadline: requestDeadline(head, arrival),
         fingerprint: digestOf(account?.name ?? "", url, body).slice(0, fingerprintDigits),
         tokens,
     });
--- a/packages/gateway/src/node/directServer.ts
+++ b/packages/gateway/src/node/directServer.ts
@@ -16,6 +16,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { RequestOutcome } from "../decision/attemptPlan.js";
+import type { Admission } from "../decision/requestQueue.js";
 import type { RequestTimeLimits } from "../decision/stopPolicy.js";
 import type { HeaderCodec } from "../headerCodec.js";
 import { writeOwnAnswer } from "./answerWriter.js";
@@ -25,9 +26,11 @@
     type CheckedHead,
     type CheckFailure,
     checkHead,
+    requestDeadline,
 } from "./callerChecks.js";
 import type { DirectRequest } from "./callerRequest.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
+import { RequestTurns } from "./requestTurns.js";
 
 /** Maximum header size of the HTTP parser; the limit of the configuration is checked afterwards. */
 const maxHeaderBytes = 65_536;
@@ -66,16 +69,22 @@
     private readonly server: Server;
     /** The caller's attempt of each request that is being served, by its answer. */
     private readonly pendingAnswers = new Map<ServerResponse, string>();
+    private readonly turns: RequestTurns;
     private bufferedBytes = 0;
     private running = 0;
 
     constructor(private readonly context: DirectServerContext) {
+        this.turns = new RequestTurns(context.clock);
         this.server = createServer({
             maxHeaderSize: maxHeaderBytes,
             connectionsCheckingInterval: timeoutCheckInterval,
             requestTimeout,
         }, (request, response) => void this.handle(request, response));
-        this.server.on("connection", () => context.metrics.recordConnection());
+        context.metrics.observeWaiting(() => this.turns.waiting);
+        this.server.on("connection", () => {
+            context.metrics.recordConnection();
+            this.turns.recordConnection();
+        });
         this.server.on(
             "clientError",
             (error: NodeJS.ErrnoException, socket) => answerClientError(error, socket as Socket),
@@ -107,12 +116,15 @@
     }
 
     /**
-     * Answers the requests that are still running and whose answer has not begun: they may have run. Resolves when these
-     * answers have been sent, or after `timeout`.
+     * Answers the requests that are still running and whose answer has not begun: they may have run. Those that still wait
+     * to be served are refused. Resolves when the answers to running ones have been sent, or after `timeout`.
      */
     async answerRunning(timeout: Milliseconds): Promise<void> {
         const { clock, headerCodec, logger, metrics } = this.context;
         const sent: Promise<unknown>[] = [];
+        this.turns.stop();
+        // The refusals are written by then.
+        await new Promise((resolve) => setImmediate(resolve));
         for (const [response, attempt] of this.pendingAnswers) {
             if (response.headersSent || response.destroyed) {
                 continue;
@@ -189,13 +201,43 @@
             return;
         }
         try {
-            await this.serveComplete(head.value, request, response, body.bytes, arrival);
+            if (await this.isAdmitted(head.value, request, response, arrival)) {
+                await this.serveComplete(head.value, request, response, body.bytes, arrival);
+            }
         }
         finally {
             this.bufferedBytes -= body.bytes.length;
         }
     }
 
+    /** Waits for the turn of a request. Resolves with false if it is not to be served; it has been answered then. */
+    private async isAdmitted(
+        head: CheckedHead,
+        request: IncomingMessage,
+        response: ServerResponse,
+        arrival: Milliseconds,
+    ): Promise<boolean> {
+        const { clock, logger, metrics } = this.context;
+        const { attempt } = head.metadata;
+        const start = clock.now();
+        const admission = await this.turns.wait(request, response, requestDeadline(head, arrival));
+        const waited = clock.now() - start;
+        metrics.recordWait(admission.kind, waited);
+        if (admission.kind === "serve") {
+            return true;
+        }
+        if (admission.kind === "callerGone") {
+            logger.info("caller left before its request was served", {
+                request: attempt,
+                waited: Math.round(waited),
+            });
+            return false;
+        }
+        const { random } = this.context.checks;
+        this.refuse(request, response, { ...refusalOf(admission, random()), status: 503, attempt });
+        return false;
+    }
+
     private async serveComplete(
         head: CheckedHead,
         request: IncomingMessage,
@@ -302,6 +344,34 @@
     }
 }
 
+/** Why a request that waited was not run; `random` spreads the time at which callers return. */
+function refusalOf(
+    admission: Exclude<Admission, { readonly kind: "serve" | "callerGone"; }>,
+    random: number,
+): Pick<CheckFailure, "reason" | "message" | "retryAfter"> {
+    switch (admission.kind) {
+        case "expired":
+            return {
+                reason: RefusalReason.DeadlineExceeded,
+                message: "the request was not run: its time limit passed before it could be served",
+                retryAfter: 0,
+            };
+        case "overloaded":
+            return {
+                reason: RefusalReason.QueueFull,
+                message:
+                    "the request was not run: more requests wait than can be served within its time limit",
+                retryAfter: admission.retryAfter * (1 + random),
+            };
+        case "stopped":
+            return {
+                reason: RefusalReason.Stopping,
+                message: "the router is stopping; retry at another router",
+                retryAfter: 0,
+            };
+    }
+}
+
 /** Answers a request that cannot be parsed or did not arrive in time. */
 function answerClientError(error: NodeJS.ErrnoException, socket: Socket): void {
     if (!socket.writable || error.code === "ECONNRESET") {
--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -8,11 +8,13 @@
     type Milliseconds,
     type ReasonCounters,
     type RefusalReason,
+    registerGauge,
     type RetryReason,
 } from "@redwingpin/common";
 import { Counter, Histogram, type Registry } from "prom-client";
 
 const millisecondsPerSecond = 1_000;
+const waitBuckets = [0.001, 0.005, 0.025, 0.1, 0.25, 0.5, 1, 2.5];
 const latencyBuckets = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8];
 
 /** Metrics of the requests on direct routes. */
@@ -22,10 +24,11 @@
     private readonly deniedRetries: Counter<"reason">;
     private readonly signals: Counter<"signal">;
     private readonly connections: Counter;
+    private readonly waits: Histogram<"outcome">;
     private readonly duration: Histogram<"route">;
     private readonly firstAnswer: Histogram<"route">;
 
-    constructor(registry: Registry) {
+    constructor(private readonly registry: Registry) {
         const registers = [registry];
         this.reasons = createReasonCounters(registry);
         this.requests = new Counter({
@@ -51,6 +54,13 @@
             help: "Connections of callers that were accepted",
             registers,
         });
+        this.waits = new Histogram({
+            name: "redwingpin_direct_wait_seconds",
+            help: "Time from the arrival of a complete request until it is served or not, by outcome",
+            labelNames: ["outcome"],
+            buckets: waitBuckets,
+            registers,
+        });
         this.duration = new Histogram({
             name: "redwingpin_direct_request_seconds",
             help: "Time from a request's arrival to its end, by route",
@@ -71,6 +81,20 @@
         this.connections.inc();
     }
 
+    /** Registers a gauge of the requests that wait to be served. */
+    observeWaiting(read: () => number): void {
+        registerGauge(
+            this.registry,
+            "redwingpin_direct_waiting_requests",
+            "Complete requests that wait to be served",
+            read,
+        );
+    }
+
+    recordWait(outcome: string, duration: Milliseconds): void {
+        this.waits.observe({ outcome }, duration / millisecondsPerSecond);
+    }
+
     recordRefusal(reason: RefusalReason): void {
         this.reasons.countRefusal(reason);
     }
