fix(gateway): only keys that belong to an account are remembered

Seen by callers: nothing. Up to 4,096 keys that belong to no account were held, each as long as a head may be (16 kB on the standard sites: 64 MB by arithmetic, not measured).

Cause: RouteTable cached the digest of each key that a request showed.

Evidence: the new spec reads the number of remembered keys after 1,000 unknown ones. It could not be written against the old code, which did not tell it.

--- a/packages/gateway/src/__tests__/decisions.spec.ts
+++ b/packages/gateway/src/__tests__/decisions.spec.ts
@@ -1,3 +1,4 @@
+import { sha256Hex } from "@redwingpin/common";
 import { expect } from "chai";
 import {
     chooseTarget,
@@ -7,10 +8,11 @@
     maxUnreportedPrefixes,
     PrefixIndex,
     prefixNames,
+    RouteTable,
     sharedParts,
     spareReplicas,
 } from "../index.js";
-import { cacheStoreFixture } from "./gatewayFixture.js";
+import { accountFixture, cacheStoreFixture } from "./gatewayFixture.js";
 
 const parts = [{ identifier: "catalogue", tokens: 2_000 }, { identifier: "maker", tokens: 4_000 }];
 
@@ -199,6 +201,27 @@
     });
 });
 
+describe("keys of client accounts", () => {
+    // Regression test: a router remembered up to 4,096 keys that belong to no account, each as long as a head may be.
+    it("are remembered only if they belong to an account", () => {
+        const key = "key-of-a-maker";
+        const table = new RouteTable({
+            version: 1,
+            routes: [],
+            services: [],
+            accounts: [accountFixture({ keyDigests: [sha256Hex(key)] })],
+            limits: { headerBytes: 10_000, bodyBytes: 10, headerTimeout: 1_000, idleTimeout: 1_000 },
+        });
+        for (let number = 0; number < 1_000; number++) {
+            expect(table.findAccount(`unknown-${number}`)).to.equal(undefined);
+        }
+        for (let request = 0; request < 2; request++) {
+            expect(table.findAccount(key)?.name).to.equal("makers");
+        }
+        expect(table.rememberedKeys).to.equal(1);
+    });
+});
+
 describe("selection of a route's service", () => {
     it("follows the weights", () => {
         const targets = [{ service: "old", weight: 90 }, { service: "new", weight: 10 }];
--- a/packages/gateway/src/decision/routeTable.ts
+++ b/packages/gateway/src/decision/routeTable.ts
@@ -13,15 +13,16 @@
 } from "@redwingpin/fleet";
 import type { CacheStore } from "./prefixIndex.js";
 
-/** Maximum number of keys whose digests are cached, so that a key is not hashed for each request. */
-const maxRememberedKeys = 4_096;
-
 /** Index of one configuration, built once for each version. */
 export class RouteTable {
     private readonly routesByHost = new Map<string, DirectRoute[]>();
     private readonly services: ReadonlyMap<string, DirectService>;
     private readonly accountsByDigest = new Map<string, DirectAccount>();
-    private readonly digestsByKey = new Map<string, string>();
+    /**
+     * Accounts by the keys that requests have shown, so that a key is not hashed for each request. Other keys are not
+     * remembered: callers may send any number of them, of any length that a head may have.
+     */
+    private readonly accountsByKey = new Map<string, DirectAccount>();
 
     constructor(readonly configuration: DirectConfiguration) {
         for (const route of configuration.routes) {
@@ -66,15 +67,20 @@
 
     /** The account that the key belongs to. */
     findAccount(key: string): DirectAccount | undefined {
-        let digest = this.digestsByKey.get(key);
-        if (digest === undefined) {
-            digest = sha256Hex(key);
-            if (this.digestsByKey.size >= maxRememberedKeys) {
-                this.digestsByKey.clear();
-            }
-            this.digestsByKey.set(key, digest);
+        const known = this.accountsByKey.get(key);
+        if (known !== undefined) {
+            return known;
+        }
+        const account = this.accountsByDigest.get(sha256Hex(key));
+        if (account !== undefined) {
+            this.accountsByKey.set(key, account);
         }
-        return this.accountsByDigest.get(digest);
+        return account;
+    }
+
+    /** Number of keys that are remembered; at most that of the accounts' keys. */
+    get rememberedKeys(): number {
+        return this.accountsByKey.size;
     }
 }
 
