--- a/packages/agent/src/node/endpointMonitor.ts
+++ b/packages/agent/src/node/endpointMonitor.ts
@@ -3,12 +3,15 @@
  *
  * @module
  */
-import type { CancelTimer, Clock, Milliseconds } from "@redwingpin/common";
+import { type CancelTimer, type Clock, type Milliseconds, readText } from "@redwingpin/common";
 import { EndpointKind } from "@redwingpin/manifest";
 import { request } from "undici";
 
 const healthTimeoutMilliseconds = 1_000;
 
+/** Maximum size in bytes of a health report, which has some hundred. */
+const maxHealthBytes = 1_048_576;
+
 /** Health of the endpoint at the last check. */
 export interface EndpointHealth {
     /** Changes at each start of the endpoint; absent while it doesn't answer. */
@@ -72,7 +75,7 @@
                 headersTimeout: healthTimeoutMilliseconds,
                 bodyTimeout: healthTimeoutMilliseconds,
             });
-            const text = await answer.body.text();
+            const text = await readText(answer.body, maxHealthBytes);
             return this.options.kind === EndpointKind.Engine
                 ? readEngineHealth(answer.statusCode, text)
                 : serviceHealth;
--- a/packages/agent/src/node/engineCacheTracker.ts
+++ b/packages/agent/src/node/engineCacheTracker.ts
@@ -7,13 +7,17 @@
  *
  * @module
  */
-import type { CancelTimer, Clock, Logger } from "@redwingpin/common";
+import { type CancelTimer, type Clock, type Logger, readText } from "@redwingpin/common";
 import { EndpointModel } from "@redwingpin/scheduling";
 import { request } from "undici";
 
 const reconnectDelayMilliseconds = 1_000;
 const loadTimeoutMilliseconds = 1_000;
 const defaultCapacityBlocks = 4_096;
+
+/** Maximum size in bytes of a load report, which has some hundred. */
+const maxLoadBytes = 1_048_576;
+
 const maxEventCharacters = 4 * 1024 * 1024;
 
 /** Options of {@link EngineCacheTracker}. */
@@ -99,7 +103,8 @@
                 headersTimeout: loadTimeoutMilliseconds,
                 bodyTimeout: loadTimeoutMilliseconds,
             });
-            const { cache_capacity_blocks: capacity } = await answer.body.json() as {
+            const report = await readText(answer.body, maxLoadBytes);
+            const { cache_capacity_blocks: capacity } = JSON.parse(report) as {
                 cache_capacity_blocks?: unknown;
             };
             return Number.isSafeInteger(capacity) && (capacity as number) > 0
--- a/packages/gateway/src/node/answerBody.ts
+++ b/packages/common/src/byteCollector.ts
@@ -1,6 +1,6 @@
 /**
- * Body of a whole answer while it arrives. Small chunks are copied together: each chunk of the HTTP parser is an object of
- * some hundred bytes, whatever its size.
+ * Collects bytes that arrive in chunks, such as the body of an answer. Small chunks are copied together: each chunk of an
+ * HTTP parser is an object of some hundred bytes, whatever its size.
  *
  * @module
  */
@@ -10,8 +10,8 @@
 
 const initialPartBytes = 1_024;
 
-/** Collects the body of an answer. */
-export class AnswerBody {
+/** Bytes that have arrived. */
+export class ByteCollector {
     private readonly complete: Buffer[] = [];
     private last = Buffer.alloc(0);
     private lastSize = 0;
@@ -64,3 +64,18 @@
         }
     }
 }
+
+/** A text has more bytes than its reader accepts. */
+export class TextTooLargeError extends Error {}
+
+/** Reads text of at most `maxBytes`. Rejects with {@link TextTooLargeError} if there is more, and stops reading then. */
+export async function readText(chunks: AsyncIterable<Buffer>, maxBytes: number): Promise<string> {
+    const bytes = new ByteCollector();
+    for await (const chunk of chunks) {
+        bytes.append(chunk);
+        if (bytes.length > maxBytes) {
+            throw new TextTooLargeError(`the answer has more than ${maxBytes} bytes`);
+        }
+    }
+    return Buffer.concat(bytes.parts()).toString("utf8");
+}
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * from "./byteCollector.js";
 export * from "./clock.js";
 export * from "./decision.js";
 export * from "./digest.js";
--- a/packages/gateway/src/node/attempt.ts
+++ b/packages/gateway/src/node/attempt.ts
@@ -6,7 +6,7 @@
  *
  * @module
  */
-import { type CancelTimer, type Clock, RetryReason } from "@redwingpin/common";
+import { ByteCollector, type CancelTimer, type Clock, RetryReason } from "@redwingpin/common";
 import { Delivery } from "@redwingpin/fleet";
 import type { ServerResponse } from "node:http";
 import type { AnswerBuffer, AnswerBuffers } from "../decision/answerBuffers.js";
@@ -14,7 +14,6 @@
 import type { Choice } from "../decision/endpointChoice.js";
 import { EventStreamReader } from "../decision/eventStreamReader.js";
 import type { AnswerMetadata, HeaderCodec } from "../headerCodec.js";
-import { AnswerBody } from "./answerBody.js";
 import { headerValue, writeStreamHead, writeWholeAnswer } from "./answerWriter.js";
 import type { DirectRequest } from "./callerRequest.js";
 import { EndpointExchange, type ExchangeRequest } from "./endpointExchange.js";
@@ -81,7 +80,7 @@
 
 class Attempt {
     private readonly reader = new EventStreamReader();
-    private readonly body = new AnswerBody();
+    private readonly body = new ByteCollector();
     private readonly buffer: AnswerBuffer;
     private status = 0;
     private rawHeaders: readonly string[] = [];
--- a/packages/outside/src/etcdStore.ts
+++ b/packages/outside/src/etcdStore.ts
@@ -186,6 +186,7 @@
         case "status":
             return { kind: isRefusal(failure.status) ? "notApplied" : "unknown", message: failure.message };
         case "noAnswer":
+        case "tooLarge":
             return { kind: "unknown", message: failure.message };
     }
 }
--- a/packages/outside/src/jsonHttpClient.ts
+++ b/packages/outside/src/jsonHttpClient.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { Clock, Milliseconds } from "@redwingpin/common";
+import { type Clock, type Milliseconds, readText, TextTooLargeError } from "@redwingpin/common";
 import { err, ok, type Result, ResultAsync } from "neverthrow";
 import { Agent, type Dispatcher, request } from "undici";
 import { maximumAnswerBytes, maximumConnections } from "./constants.js";
@@ -15,6 +15,8 @@
     | { readonly kind: "notSent"; readonly message: string; }
     /** The platform answered with an error status. */
     | { readonly kind: "status"; readonly status: number; readonly message: string; }
+    /** The answer has more bytes than the client reads. */
+    | { readonly kind: "tooLarge"; readonly message: string; }
     /** The call was or may have been sent, and no complete answer was received. */
     | { readonly kind: "noAnswer"; readonly message: string; };
 
@@ -141,7 +143,8 @@
 
     private async readAnswer(call: JsonCall, signal: AbortSignal): Promise<TextAnswer> {
         const response = await this.send(call, signal);
-        return { status: response.statusCode, text: await response.body.text() };
+        const maxBytes = this.options.maxAnswerBytes ?? maximumAnswerBytes;
+        return { status: response.statusCode, text: await readText(response.body, maxBytes) };
     }
 
     private send(call: JsonCall, signal: AbortSignal): Promise<Dispatcher.ResponseData> {
@@ -156,6 +159,9 @@
     }
 }
 
+/** Code of undici's error for an answer that exceeds its maximum size. */
+const answerTooLargeCode = "UND_ERR_RES_EXCEEDED_MAX_SIZE";
+
 interface TextAnswer {
     readonly status: number;
     readonly text: string;
@@ -172,10 +178,14 @@
 }
 
 function failureResult(call: JsonCall, error: unknown): Result<string, HttpFailure> {
-    return err({
-        kind: connectErrorCodes.has(errorCode(error)) ? "notSent" : "noAnswer",
-        message: `${call.path} failed: ${describeError(error)}`,
-    });
+    return err({ kind: failureKind(error), message: `${call.path} failed: ${describeError(error)}` });
+}
+
+function failureKind(error: unknown): "notSent" | "tooLarge" | "noAnswer" {
+    if (error instanceof TextTooLargeError || errorCode(error) === answerTooLargeCode) {
+        return "tooLarge";
+    }
+    return connectErrorCodes.has(errorCode(error)) ? "notSent" : "noAnswer";
 }
 
 function errorCode(error: unknown): string {
