fix(common): log lines are not lost when the reader of a pipe is late

What was seen: after a burst of lines, or while the reader of the log pauses, lines are missing, without the line that counts them; among them those that say why a process ended.

Cause: Node.js makes the pipe of standard output non-blocking. A write that the pipe had no room for failed with EAGAIN, and all its lines were dropped.

The router's descriptor has O_NONBLOCK.

Ruled out: a pipe that nobody reads keeps the router from ending.

Why it works: what the pipe did not take stays in the buffer, whose limit and count of dropped lines apply to it.

--- a/packages/common/src/lineWriter.ts
+++ b/packages/common/src/lineWriter.ts
@@ -91,6 +91,11 @@
                 return;
             }
             this.isWriting = false;
+            if (error?.code === "EAGAIN") {
+                // Node.js makes pipes non-blocking, and the reader is behind.
+                this.pending.unshift(bytes);
+                this.pendingBytes += bytes.length;
+            }
             if (this.pending.length > 0) {
                 this.schedule();
             }
