fix(gateway): a connection that fails immediately has sent nothing

What was seen: while a router had no free descriptor, callers got 502, "may have run", for requests that no endpoint can have received; they were not tried again.

Cause: if the operating system refuses a connection immediately (EMFILE, an unreachable network), its socket is not connecting any more when the request gets it, and was taken for a kept connection.

Evidence: two new specs, which reported the request as sent before.

Ruled out: connections that are refused or time out later were reported correctly.

Why it works: such a socket is destroyed already, and a destroyed socket carries nothing, new or kept.

--- a/packages/gateway/src/__tests__/endpointExchange.spec.ts
+++ b/packages/gateway/src/__tests__/endpointExchange.spec.ts
@@ -113,6 +113,18 @@
         expect(result).to.deep.include({ kind: "broken", sent: false });
     });
 
+    // Guards against "may have run" for a request whose connection could not even be tried, for example without a free
+    // descriptor: the operating system reports that immediately.
+    for (const kept of [true, false]) {
+        it(`reports that nothing was sent if connecting fails immediately, ${kept ? "with" : "without"} kept connections`, async () => {
+            running = await startRawEndpoint(() => {});
+            const endpoint = { ...running.endpoint, host: "255.255.255.255" };
+            const agent = kept ? new EndpointConnections().agentOf(endpoint, 8) : undefined;
+            const result = await exchange(endpoint, agent);
+            expect(result).to.deep.equal({ kind: "broken", text: "", sent: false });
+        });
+    }
+
     it("reuses a kept-alive connection, but not one on which further bytes have arrived", async () => {
         const answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
         const endpoint = await startRawEndpoint((socket, request) => {
--- a/packages/gateway/src/node/endpointExchange.ts
+++ b/packages/gateway/src/node/endpointExchange.ts
@@ -65,7 +65,8 @@
                 socket.once("connect", () => clearTimeout(timer));
                 socket.once("close", () => clearTimeout(timer));
             }
-            else {
+            else if (!socket.destroyed) {
+                // A connection that failed immediately is destroyed already, and carries nothing.
                 this.isSent = true;
                 this.isReused = true;
             }
