fix(gateway): accept the connections that are complete before a stopping router closes its port

What callers saw: connections that were established while a router stopped were reset without an answer.

Cause: the port was closed at a fixed time, from a timer. Connections that the operating system had completed and the event loop had not accepted, one a turn, are reset by that.

A stopping router now takes turns of the event loop until one has accepted no connection (500 ms at most), and only then closes the port and the idle connections. Since each turn has read what arrived, fewer requests on kept connections cross the close as well.

A connection that is completed after the last turn has begun to handle its input can still be reset.

--- a/packages/gateway/src/node/directServer.ts
+++ b/packages/gateway/src/node/directServer.ts
@@ -70,6 +70,7 @@
     /** The caller's attempt of each request that is being served, by its answer. */
     private readonly pendingAnswers = new Map<ServerResponse, string>();
     private readonly turns: RequestTurns;
+    private acceptedConnections = 0;
     private bufferedBytes = 0;
     private running = 0;
 
@@ -82,6 +83,7 @@
         }, (request, response) => void this.handle(request, response));
         context.metrics.observeWaiting(() => this.turns.waiting);
         this.server.on("connection", () => {
+            this.acceptedConnections += 1;
             context.metrics.recordConnection();
             this.turns.recordConnection();
         });
@@ -107,6 +109,21 @@
         return listenOn(this.server, host, port, this.context);
     }
 
+    /**
+     * Accepts the connections that the operating system has completed, and reads the requests that have arrived. Each turn of
+     * the event loop accepts one connection; resolves after the first turn that accepted none, or after `timeout`.
+     */
+    async acceptPending(timeout: Milliseconds): Promise<void> {
+        const { clock } = this.context;
+        const end = clock.now() + timeout;
+        let before: number;
+        do {
+            before = this.acceptedConnections;
+            await endOfTurn();
+        }
+        while (this.acceptedConnections !== before && clock.now() < end);
+    }
+
     /** Stops accepting connections and closes the idle ones. */
     closeIdle(): void {
         if (this.server.listening) {
@@ -124,7 +141,7 @@
         const sent: Promise<unknown>[] = [];
         this.turns.stop();
         // The refusals are written by then.
-        await new Promise((resolve) => setImmediate(resolve));
+        await endOfTurn();
         for (const [response, attempt] of this.pendingAnswers) {
             if (response.headersSent || response.destroyed) {
                 continue;
@@ -344,6 +361,13 @@
     }
 }
 
+/** Resolves at the end of a turn of the event loop, after input has been read. */
+function endOfTurn(): Promise<void> {
+    return new Promise((resolve) => {
+        setImmediate(resolve);
+    });
+}
+
 /** Why a request that waited was not run; `random` spreads the time at which callers return. */
 function refusalOf(
     admission: Exclude<Admission, { readonly kind: "serve" | "callerGone"; }>,
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -78,6 +78,9 @@
  */
 const acceptShare = 0.36;
 
+/** Maximum time for accepting the connections that wait when the port closes. */
+const maxAcceptTime: Milliseconds = 500;
+
 /** Time reserved for sending the last answers before the process must end. */
 const stopMargin: Milliseconds = 400;
 
@@ -212,6 +215,8 @@
         logger.info("stopped accepting connections", { running: this.server.runningRequests });
         const pollInterval = 50;
         do {
+            // Connections that were not accepted, and requests that were not read, would be reset.
+            await this.server.acceptPending(maxAcceptTime);
             this.server.closeIdle();
             await sleep(clock, pollInterval);
         }
