fix(gateway): answer a request that fails inside the router, instead of closing its connection

What callers saw: a closed connection without an answer, where the router could still give one.

Cause: the handler of unexpected errors destroyed the answer. It now sends 502 with the reason outcome_unknown, since the request may have run; 503 would promise that it has not, and a 4xx would blame the caller. If the answer had begun, the connection is still closed, so that it does not look complete. The log line names the request, and a counter counts them.

--- a/packages/gateway/src/__tests__/directServer.spec.ts
+++ b/packages/gateway/src/__tests__/directServer.spec.ts
@@ -1,4 +1,4 @@
-import { sha256Hex, silentLogger, systemClock } from "@redwingpin/common";
+import { type LogFields, sha256Hex, silentLogger, systemClock } from "@redwingpin/common";
 import { Delivery, type DirectConfiguration, DirectServiceKind } from "@redwingpin/fleet";
 import { expect } from "chai";
 import { ok } from "neverthrow";
@@ -50,14 +50,17 @@
     let served = 0;
     let isStopping = !accepts;
     let answersAllowed = Promise.resolve();
+    let beginning: string | undefined;
+    const registry = new Registry();
+    const errors: (LogFields | undefined)[] = [];
     const table = new RouteTable({ ...configuration, ...more });
     const ledger = new SharedLedger({ startsFull: true, tolerance: noTolerance });
     ledger.configure(table.configuration.accounts, 0);
     ledger.updateFleet({ live: ["b", "c", "d"], unresponsive: 0 }, 0);
     const server = new DirectServer({
         clock: systemClock,
-        logger: silentLogger,
-        metrics: new GatewayMetrics(new Registry()),
+        logger: { ...silentLogger, error: (_message, fields) => void errors.push(fields) },
+        metrics: new GatewayMetrics(registry),
         headerCodec,
         checks: { headerCodec, ledger, table: () => table, now: () => 0, random: () => 0 },
         isStopping: () => isStopping,
@@ -65,6 +68,9 @@
         maxBufferedBytes: 1_000,
         serve: async (_request, response) => {
             served += 1;
+            if (beginning !== undefined) {
+                response.write(beginning);
+            }
             await answersAllowed;
             response.end("served");
             return { kind: "delivered" };
@@ -79,8 +85,13 @@
     return {
         server,
         port,
+        registry,
+        /** Fields of the lines that were logged as errors. */
+        errors,
         served: () => served,
         beginStop: () => isStopping = true,
+        /** Sends the beginning of each answer at once. */
+        beginAnswers: (text: string) => beginning = text,
         /** Delays all answers until the given promise resolves. */
         delayAnswers: (until: Promise<void>) => answersAllowed = until,
     };
@@ -95,6 +106,7 @@
             { host: "127.0.0.1", port, method: "POST", headers: { host: "site.example" }, agent: false },
             (response) => {
                 response.resume();
+                response.on("error", reject);
                 response.on("end", () => resolve({ status: response.statusCode, headers: response.headers }));
             },
         );
@@ -168,6 +180,38 @@
         expect(fixture.served()).to.equal(0);
     });
 
+    // Guards against a closed connection in place of an answer where a request fails by a fault of the router.
+    it("answers a request that fails inside the router as one that may have run", async () => {
+        const fixture = await serverFixture(true);
+        server = fixture.server;
+        let fail = () => {};
+        fixture.delayAnswers(new Promise((_resolve, reject) => fail = () => reject(new Error("a fault"))));
+        const answer = send(fixture.port, "small");
+        await until(() => fixture.served() === 1);
+        fail();
+        const { headers, status } = await answer;
+        expect(status).to.equal(502);
+        expect(headers).to.include({ "x-attempt": "a" });
+        expect(headers).not.to.have.property("retry-after");
+        expect(fixture.errors).to.deep.equal([{ request: "a", error: "Error: a fault" }]);
+        const metrics = await fixture.registry.metrics();
+        expect(metrics).to.include("redwingpin_direct_internal_errors_total 1");
+        expect(metrics).to.include('redwingpin_refusals_total{reason="outcome_unknown"} 1');
+    });
+
+    // Guards against an answer that looks complete although the router failed in the middle of it.
+    it("closes the connection if a request fails inside the router after its answer has begun", async () => {
+        const fixture = await serverFixture(true);
+        server = fixture.server;
+        let fail = () => {};
+        fixture.beginAnswers("begun");
+        fixture.delayAnswers(new Promise((_resolve, reject) => fail = () => reject(new Error("a fault"))));
+        const answer = send(fixture.port, "small").then(() => "complete", () => "incomplete");
+        await until(() => fixture.served() === 1);
+        fail();
+        expect(await answer).to.equal("incomplete");
+    });
+
     it("reports to the other routers before it refuses a request for which the account has enough tokens", async () => {
         const account = accountFixture({
             keyDigests: [sha256Hex("key")],
--- a/packages/gateway/src/node/directServer.ts
+++ b/packages/gateway/src/node/directServer.ts
@@ -174,22 +174,51 @@
             response.setHeader("connection", "close");
         }
         this.running += 1;
+        const identity: { attempt?: string; } = {};
         try {
-            await this.serve(request, response, arrival);
+            await this.serve(request, response, arrival, identity);
         }
         catch (error) {
-            this.context.logger.error("request failed with an internal error", { error: String(error) });
-            response.destroy();
+            this.answerInternalError(request, response, error, identity.attempt);
         }
         finally {
             this.running -= 1;
         }
     }
 
+    /** Answers a request that failed by a fault of the router: it may have run. */
+    private answerInternalError(
+        request: IncomingMessage,
+        response: ServerResponse,
+        error: unknown,
+        attempt: string | undefined,
+    ): void {
+        const { headerCodec, logger, metrics } = this.context;
+        metrics.recordInternalError();
+        logger.error("request failed with an internal error", { request: attempt, error: String(error) });
+        if (response.headersSent) {
+            // An interrupted answer must not look complete.
+            response.destroy();
+            return;
+        }
+        metrics.recordRefusal(RefusalReason.OutcomeUnknown);
+        if (!request.complete) {
+            response.setHeader("connection", "close");
+        }
+        writeOwnAnswer(response, {
+            status: 502,
+            code: RefusalReason.OutcomeUnknown,
+            message: "the request failed inside the router; it may have run",
+            headers: headerCodec.ownAnswerHeaders(attempt),
+        });
+    }
+
+    /** Serves a request, and sets its attempt in `identity` as soon as it is known. */
     private async serve(
         request: IncomingMessage,
         response: ServerResponse,
         arrival: Milliseconds,
+        identity: { attempt?: string; },
     ): Promise<void> {
         const head = checkHead(this.context.checks, request);
         if (head.isErr()) {
@@ -197,6 +226,7 @@
             return;
         }
         const { attempt, maxWait } = head.value.metadata;
+        identity.attempt = attempt;
         if (!this.context.accepts({ timeout: head.value.route.timeout, maxWait })) {
             const message = "the router is stopping; retry at another router";
             this.refuse(request, response, {
--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -24,6 +24,7 @@
     private readonly deniedRetries: Counter<"reason">;
     private readonly signals: Counter<"signal">;
     private readonly connections: Counter;
+    private readonly internalErrors: Counter;
     private readonly waits: Histogram<"outcome">;
     private readonly duration: Histogram<"route">;
     private readonly firstAnswer: Histogram<"route">;
@@ -54,6 +55,11 @@
             help: "Connections of callers that were accepted",
             registers,
         });
+        this.internalErrors = new Counter({
+            name: "redwingpin_direct_internal_errors_total",
+            help: "Requests that failed by a fault of the router",
+            registers,
+        });
         this.waits = new Histogram({
             name: "redwingpin_direct_wait_seconds",
             help: "Time from the arrival of a complete request until it is served or not, by outcome",
@@ -81,6 +87,10 @@
         this.connections.inc();
     }
 
+    recordInternalError(): void {
+        this.internalErrors.inc();
+    }
+
     /** Registers a gauge of the requests that wait to be served. */
     observeWaiting(read: () => number): void {
         registerGauge(
