--- a/packages/gateway/src/node/directServer.ts
+++ b/packages/gateway/src/node/directServer.ts
@@ -70,6 +70,7 @@
     private readonly pendingAnswers = new Map<ServerResponse, string>();
     private readonly bodies: BlockPool;
     private readonly turns: RequestTurns;
+    private acceptedConnections = 0;
     private running = 0;
 
     constructor(private readonly context: DirectServerContext) {
@@ -82,6 +83,7 @@
         }, (request, response) => void this.handle(request, response));
         context.metrics.observeWaiting(() => this.turns.waiting);
         this.server.on("connection", () => {
+            this.acceptedConnections += 1;
             context.metrics.recordConnection();
             this.turns.recordConnection();
         });
@@ -112,6 +114,21 @@
         return listenOn(this.server, host, port, this.context);
     }
 
+    /**
+     * Accepts the connections that the operating system has completed, and reads the requests that have arrived. Each turn of
+     * the event loop accepts one connection; resolves after the first turn that accepted none, or after `timeout`.
+     */
+    async acceptPending(timeout: Milliseconds): Promise<void> {
+        const { clock } = this.context;
+        const end = clock.now() + timeout;
+        let before: number;
+        do {
+            before = this.acceptedConnections;
+            await endOfTurn();
+        }
+        while (this.acceptedConnections !== before && clock.now() < end);
+    }
+
     /** Stops accepting connections and closes the idle ones. */
     closeIdle(): void {
         if (this.server.listening) {
@@ -129,7 +146,7 @@
         const sent: Promise<unknown>[] = [];
         this.turns.stop();
         // The refusals are written by then.
-        await new Promise((resolve) => setImmediate(resolve));
+        await endOfTurn();
         for (const [response, attempt] of this.pendingAnswers) {
             if (response.headersSent || response.destroyed) {
                 continue;
@@ -162,22 +179,51 @@
             response.setHeader("connection", "close");
         }
         this.running += 1;
+        const identity: { attempt?: string; } = {};
         try {
-            await this.serve(request, response, arrival);
+            await this.serve(request, response, arrival, identity);
         }
         catch (error) {
-            this.context.logger.error("request failed with an internal error", { error: String(error) });
-            response.destroy();
+            this.answerInternalError(request, response, error, identity.attempt);
         }
         finally {
             this.running -= 1;
         }
     }
 
+    /** Answers a request that failed by a fault of the router: it may have run. */
+    private answerInternalError(
+        request: IncomingMessage,
+        response: ServerResponse,
+        error: unknown,
+        attempt: string | undefined,
+    ): void {
+        const { headerCodec, logger, metrics } = this.context;
+        metrics.recordInternalError();
+        logger.error("request failed with an internal error", { request: attempt, error: String(error) });
+        if (response.headersSent) {
+            // An interrupted answer must not look complete.
+            response.destroy();
+            return;
+        }
+        metrics.recordRefusal(RefusalReason.OutcomeUnknown);
+        if (!request.complete) {
+            response.setHeader("connection", "close");
+        }
+        writeOwnAnswer(response, {
+            status: 502,
+            code: RefusalReason.OutcomeUnknown,
+            message: "the request failed inside the router; it may have run",
+            headers: headerCodec.ownAnswerHeaders(attempt),
+        });
+    }
+
+    /** Serves a request, and sets its attempt in `identity` as soon as it is known. */
     private async serve(
         request: IncomingMessage,
         response: ServerResponse,
         arrival: Milliseconds,
+        identity: { attempt?: string; },
     ): Promise<void> {
         const head = checkHead(this.context.checks, request);
         if (head.isErr()) {
@@ -185,6 +231,7 @@
             return;
         }
         const { attempt, maxWait } = head.value.metadata;
+        identity.attempt = attempt;
         if (!this.context.accepts({ timeout: head.value.route.timeout, maxWait })) {
             const message = "the router is stopping; retry at another router";
             this.refuse(request, response, {
@@ -309,6 +356,13 @@
     }
 }
 
+/** Resolves at the end of a turn of the event loop, after input has been read. */
+function endOfTurn(): Promise<void> {
+    return new Promise((resolve) => {
+        setImmediate(resolve);
+    });
+}
+
 /** Why a request that waited was not run; `random` spreads the time at which callers return. */
 function refusalOf(
     admission: Exclude<Admission, { readonly kind: "serve" | "callerGone"; }>,
