--- a/packages/fleet/src/decision/fleetState.ts
+++ b/packages/fleet/src/decision/fleetState.ts
@@ -161,11 +161,12 @@
 
     /**
      * Sets the age of new versions of weights in a batch to `changedWithin`, the longest time for which they can have been
-     * the desired ones. Versions that the process knows keep their times.
+     * the desired ones, if that is known. Versions that the process knows keep their times.
      */
-    dateNewWeights(facts: readonly FleetFact[], changedWithin: Milliseconds): FleetFact[] {
+    dateNewWeights(facts: readonly FleetFact[], changedWithin: Milliseconds | undefined): FleetFact[] {
         return facts.map((fact) =>
-            fact.kind === FactKind.Weights && fact.version > (this.weights.get(fact.model)?.version ?? 0)
+            changedWithin !== undefined && fact.kind === FactKind.Weights
+                && fact.version > (this.weights.get(fact.model)?.version ?? 0)
                 ? { ...fact, age: changedWithin }
                 : fact
         );
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -390,12 +390,7 @@
             this.applyFacts(this.state.findRemovals(listed, batch.revision), storeName);
             this.areEndpointsKnown = true;
         }
-        const { changedWithin } = batchContext;
-        const { facts } = batch;
-        const datedFacts = changedWithin === undefined
-            ? facts
-            : this.state.dateNewWeights(facts, changedWithin);
-        this.applyFacts(datedFacts, storeName);
+        this.applyFacts(this.state.dateNewWeights(batch.facts, batchContext.changedWithin), storeName);
         if (scope === FleetScope.Endpoints) {
             this.state.recordEndpointsRevision(batch.revision);
             this.watcherSelection.recordOwnAnswer();
