fix(gateway): an event in small chunks is not copied for each of them

Callers saw: nothing yet; by the spec, a router stands still for seconds while an endpoint sends one event of 1 MB in chunks of one byte, since each chunk copied the event so far and searched it from its start.

Now the buffer of an incomplete event doubles, and only new bytes are searched.

--- a/packages/gateway/src/__tests__/decisions.spec.ts
+++ b/packages/gateway/src/__tests__/decisions.spec.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai";
+import fc from "fast-check";
 import {
     chooseTarget,
     DemandTracker,
@@ -65,6 +66,10 @@
     });
 });
 
+/** Maximum time in milliseconds to read an event; callers wait at most a few seconds. */
+const maxStall = 4_000;
+const seed = 39;
+
 describe("event stream reader", () => {
     it("returns complete events only, wherever the received bytes are split", () => {
         const bytes = Buffer.from("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda");
@@ -76,6 +81,40 @@
         }
     });
 
+    it("returns the same events for any chunks, and does not change them later", () => {
+        const event = fc.tuple(fc.constantFrom("\n", "\r\n"), fc.integer({ min: 1, max: 50 }));
+        const chunks = fc.array(fc.integer({ min: 1, max: 40 }), { minLength: 1 });
+        fc.assert(
+            fc.property(fc.array(event), chunks, (lines, sizes) => {
+                const text = lines.map(([end, size], index) =>
+                    `id: ${index}${end}data: ${"x".repeat(size)}${end}${end}`
+                );
+                const bytes = Buffer.from(`${text.join("")}id: 99`);
+                const reader = new EventStreamReader();
+                const events = [];
+                for (let start = 0, index = 0; start < bytes.length; index++) {
+                    const size = sizes[index % sizes.length];
+                    events.push(...reader.read(Buffer.from(bytes.subarray(start, start + size))));
+                    start += size;
+                }
+                expect(events.map((received) => received.bytes.toString())).to.deep.equal(text);
+                expect(reader.bufferedBytes).to.equal("id: 99".length);
+            }),
+            { seed },
+        );
+    });
+
+    // Guards against a router that serves nobody while an endpoint sends an event in small chunks.
+    it("reads an event of the maximum size in chunks of one byte without copying it for each", () => {
+        const reader = new EventStreamReader();
+        const byte = Buffer.from("x");
+        const begin = performance.now();
+        while (!reader.isOverlong && performance.now() - begin < maxStall) {
+            reader.read(byte);
+        }
+        expect(reader.isOverlong).to.equal(true);
+    });
+
     it("reads identifiers among other lines, and events that end with carriage returns", () => {
         const reader = new EventStreamReader();
         const events = reader.read(Buffer.from("weights: 3\nid: 7\ndata: x\n\nid:8\r\ndata: y\r\n\r\n"));
--- a/packages/gateway/src/decision/eventStreamReader.ts
+++ b/packages/gateway/src/decision/eventStreamReader.ts
@@ -19,16 +19,17 @@
 
 /** Reader of one stream. */
 export class EventStreamReader {
-    private incompleteEvent: Buffer = Buffer.alloc(0);
+    /** Starts with the incomplete event; the rest is free. */
+    private buffer: Buffer = Buffer.alloc(0);
+    private incompleteBytes = 0;
 
     /** Adds received bytes and returns the events that are now complete. */
     read(received: Buffer): StreamEvent[] {
-        const bytes = this.incompleteEvent.length === 0
-            ? received
-            : Buffer.concat([this.incompleteEvent, received]);
+        const searched = Math.max(0, this.incompleteBytes - maxDelimiterBytes + 1);
+        const bytes = this.append(received);
         const events: StreamEvent[] = [];
         let start = 0;
-        for (let end = findEventEnd(bytes, start); end > 0; end = findEventEnd(bytes, start)) {
+        for (let end = findEventEnd(bytes, searched); end > 0; end = findEventEnd(bytes, start)) {
             const event = bytes.subarray(start, end);
             events.push({
                 bytes: event,
@@ -36,13 +37,43 @@
             });
             start = end;
         }
-        this.incompleteEvent = bytes.subarray(start);
+        if (events.length > 0 || this.incompleteBytes === 0) {
+            // The events may still be read, so their buffer is not written any more.
+            this.buffer = Buffer.alloc(0);
+            this.incompleteBytes = 0;
+            const rest = bytes.subarray(start);
+            this.reserve(rest.length);
+            rest.copy(this.buffer);
+            this.incompleteBytes = rest.length;
+        }
+        else {
+            this.incompleteBytes = bytes.length;
+        }
         return events;
     }
 
+    /** Returns the incomplete event with the received bytes. Its buffer doubles, so that small chunks are copied rarely. */
+    private append(received: Buffer): Buffer {
+        if (this.incompleteBytes === 0) {
+            return received;
+        }
+        const size = this.incompleteBytes + received.length;
+        this.reserve(size);
+        received.copy(this.buffer, this.incompleteBytes);
+        return this.buffer.subarray(0, size);
+    }
+
+    private reserve(size: number): void {
+        if (this.buffer.length < size) {
+            const grown = Buffer.allocUnsafeSlow(2 * size);
+            this.buffer.copy(grown, 0, 0, this.incompleteBytes);
+            this.buffer = grown;
+        }
+    }
+
     /** Size of the incomplete event that is buffered. */
     get bufferedBytes(): number {
-        return this.incompleteEvent.length;
+        return this.incompleteBytes;
     }
 
     /** True while an incomplete event is buffered. */
@@ -56,6 +87,9 @@
     }
 }
 
+/** Size in bytes of the longest blank line that ends an event. */
+const maxDelimiterBytes = 4;
+
 /** Position after the blank line that ends the first event from `start`; 0 if no event is complete. */
 function findEventEnd(bytes: Buffer, start: number): number {
     const lineFeeds = bytes.indexOf("\n\n", start, "latin1");
