fix(gateway): an answer with a field name that HTTP does not allow can't end the router

What callers saw: a router that ends by itself with code 1, and with it the requests of all its callers.

Cause: Node's HTTP parser accepts a field name with a space, or an empty one; appendHeader throws for both (ERR_INVALID_HTTP_TOKEN), in the event handler that passes a complete answer on. It is the class of the status below 200 and of the answer without a body: an exception outside of any request ends the process.

Evidence: the new spec failed before with this error, for 'X Odd' and for the empty name.

Ruled out: values with control bytes, repeated or impossible lengths, informational heads, trailers.

Why it works: the head is checked by the functions with which Node.js checks what it writes, before anything is written. The attempt counts as broken: a request that may be repeated goes on at another endpoint, any other gets 502, may have run.

--- a/packages/gateway/src/__tests__/faultyAnswers.spec.ts
+++ b/packages/gateway/src/__tests__/faultyAnswers.spec.ts
@@ -166,6 +166,23 @@
         });
     });
 
+    // Guards against an exception outside of any request, which ends the process and all its requests.
+    for (const field of ["X Odd: 1", ": 1", "X\tOdd: 1"]) {
+        it(`whose head has the field "${field}" end only their own call, and one that may be repeated goes on`, async () => {
+            const odd = (attempt: string) =>
+                answer(attempt, "odd").replace("x-attempt", `${field}\r\nx-attempt`);
+            const { router } = await start(1, (socket, _request, text) => socket.write(odd(attemptIn(text))));
+            const { status, text } = await router.call("a");
+            expect(status).to.equal(502);
+            expect(text).to.include("may have run");
+            const repeating = await start(2, (socket, request, text) => {
+                const attempt = attemptIn(text);
+                socket.write(request === 0 ? odd(attempt) : answer(attempt, "served"));
+            }, { repeatable: true, attempts: 2 });
+            expect(await repeating.router.call("a")).to.include({ status: 200, text: "served" });
+        });
+    }
+
     // Guards against an empty or short success that is framed as whole.
     it("that stop anywhere before their end are never complete", async () => {
         const whole = "HTTP/1.1 200 OK\r\nx-attempt: a\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody";
--- a/packages/gateway/src/node/answerWriter.ts
+++ b/packages/gateway/src/node/answerWriter.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Milliseconds } from "@redwingpin/common";
-import type { ServerResponse } from "node:http";
+import { type ServerResponse, validateHeaderName, validateHeaderValue } from "node:http";
 import type { RawHeaders } from "../headerCodec.js";
 
 /** Hop-by-hop header fields. */
@@ -50,6 +50,23 @@
     return undefined;
 }
 
+/**
+ * Name of the first field that HTTP does not allow, quoted; `undefined` if there is none. The HTTP parser accepts fields
+ * that `appendHeader` throws for.
+ */
+export function findInvalidField(raw: RawHeaders): string | undefined {
+    for (let index = 0; index < raw.length; index += 2) {
+        try {
+            validateHeaderName(raw[index]);
+            validateHeaderValue(raw[index], raw[index + 1]);
+        }
+        catch {
+            return JSON.stringify(raw[index]);
+        }
+    }
+    return undefined;
+}
+
 /** Formats a duration as seconds with at most two decimals, rounded up. */
 export function retryAfterSeconds(duration: Milliseconds): string {
     const hundredths = Math.ceil(Math.max(0, duration) * 100 / millisecondsPerSecond);
--- a/packages/gateway/src/node/attempt.ts
+++ b/packages/gateway/src/node/attempt.ts
@@ -14,7 +14,7 @@
 import type { Choice } from "../decision/endpointChoice.js";
 import { EventStreamReader } from "../decision/eventStreamReader.js";
 import type { AnswerMetadata, HeaderCodec } from "../headerCodec.js";
-import { headerValue, writeStreamHead, writeWholeAnswer } from "./answerWriter.js";
+import { findInvalidField, headerValue, writeStreamHead, writeWholeAnswer } from "./answerWriter.js";
 import type { DirectRequest } from "./callerRequest.js";
 import { EndpointExchange, type ExchangeRequest } from "./endpointExchange.js";
 import { recordReceivedBytes } from "./receivedBytes.js";
@@ -181,6 +181,10 @@
         if (this.status < firstFinalStatus || this.status > lastFinalStatus) {
             return `${this.status} is not the status of an answer`;
         }
+        const invalidField = findInvalidField(this.rawHeaders);
+        if (invalidField !== undefined) {
+            return `the answer has a field that HTTP does not allow: ${invalidField}`;
+        }
         if (metadata.attempt !== undefined && metadata.attempt !== this.context.request.metadata.attempt) {
             return `the answer belongs to request "${metadata.attempt}"`;
         }
