fix(gateway): an endpoint that switches protocols fails its request at once

What callers saw: no answer until the time limit (504), beside an endpoint that answers 101 or with a protocol to upgrade to.

Cause: Node.js reports such an answer by an event of its own, closes the connection and reports no error. The exchange heard neither. It now fails with that event, and with any close without an answer.

Why it works: every way in which a request of Node's HTTP client ends emits 'close', and an answer that has begun has its own.

--- a/packages/gateway/src/__tests__/faultyAnswers.spec.ts
+++ b/packages/gateway/src/__tests__/faultyAnswers.spec.ts
@@ -183,6 +183,16 @@
         });
     }
 
+    // Guards against a caller that waits for its time limit, since no answer to its request follows.
+    it("that switch protocols end their call at once", async () => {
+        const switching =
+            "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: odd\r\n\r\nbytes";
+        const { router } = await start(1, (socket) => socket.write(switching));
+        const { status, text } = await router.call("a");
+        expect(status).to.equal(502);
+        expect(text).to.include("may have run");
+    });
+
     // Guards against an empty or short success that is framed as whole.
     it("that stop anywhere before their end are never complete", async () => {
         const whole = "HTTP/1.1 200 OK\r\nx-attempt: a\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody";
--- a/packages/gateway/src/node/endpointExchange.ts
+++ b/packages/gateway/src/node/endpointExchange.ts
@@ -76,7 +76,16 @@
             }
         });
         this.request.once("response", (answer) => this.onResponse(answer));
+        this.request.once("upgrade", (_answer, socket) => {
+            socket.destroy();
+            this.fail("the endpoint switched to another protocol");
+        });
         this.request.on("error", (error) => this.fail(error.message));
+        this.request.once("close", () => {
+            if (this.answer === undefined) {
+                this.fail("the connection closed without an answer");
+            }
+        });
         this.sendBody(options.body);
     }
 
