fix(gateway): an answer of status 204 states no length to its caller

What callers saw: a success that their HTTP client reports as incomplete, if the endpoint stated a length for an answer without content. The router passed the field on; RFC 9110 (section 8.6) forbids it with 204.

Evidence: the spec's client reported an incomplete answer before, a complete one now.

--- a/packages/gateway/src/__tests__/faultyAnswers.spec.ts
+++ b/packages/gateway/src/__tests__/faultyAnswers.spec.ts
@@ -193,6 +193,16 @@
         expect(text).to.include("may have run");
     });
 
+    // Guards against a success that its caller takes for incomplete: an answer without a body states no length.
+    it("of status 204 that state a length reach their caller without it", async () => {
+        const { router } = await start(
+            1,
+            (socket, _request, text) =>
+                socket.write(answer(attemptIn(text), "body").replace("200 OK", "204 No Content")),
+        );
+        expect(await router.call("a")).to.deep.equal({ status: 204, text: "", isComplete: true });
+    });
+
     // Guards against an empty or short success that is framed as whole.
     it("that stop anywhere before their end are never complete", async () => {
         const whole = "HTTP/1.1 200 OK\r\nx-attempt: a\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody";
--- a/packages/gateway/src/node/answerWriter.ts
+++ b/packages/gateway/src/node/answerWriter.ts
@@ -20,6 +20,7 @@
 ]);
 
 const lengthHeader = "content-length";
+const noContentStatus = 204;
 
 const millisecondsPerSecond = 1_000;
 
@@ -131,15 +132,19 @@
  * number of bytes.
  */
 export function writeStreamHead(response: ServerResponse, status: number, rawHeaders: RawHeaders): void {
-    writeHead(response, status, rawHeaders, lengthHeader);
+    writeHead(response, status, rawHeaders, false);
     response.flushHeaders();
 }
 
-/** Sets the fields one by one, since `writeHead` with a list drops the fields that `setHeader` set before. */
-function writeHead(response: ServerResponse, status: number, rawHeaders: RawHeaders, omitted?: string): void {
+/**
+ * Sets the fields one by one, since `writeHead` with a list drops the fields that `setHeader` set before. An answer without
+ * content states no length (RFC 9110, section 8.6).
+ */
+function writeHead(response: ServerResponse, status: number, rawHeaders: RawHeaders, hasLength = true): void {
     const fields = endToEndHeaders(rawHeaders);
+    const omitsLength = !hasLength || status === noContentStatus;
     for (let index = 0; index < fields.length; index += 2) {
-        if (fields[index].toLowerCase() !== omitted) {
+        if (!omitsLength || fields[index].toLowerCase() !== lengthHeader) {
             response.appendHeader(fields[index], fields[index + 1]);
         }
     }
