fix(gateway): an exception while an answer is handled fails one request, not the process

What callers saw: see the three faults of this class, a status below 200, an answer without a body, and a field name that HTTP does not allow. Each ended the router with the requests of all its callers.

Cause, common to them: events of an exchange run outside of the request's promise, so an exception there reaches no handler but the process's.

Fields that were set for the answer are removed first, so that the router's own answer does not carry an endpoint's seal.

--- a/packages/gateway/src/__tests__/faultyAnswers.spec.ts
+++ b/packages/gateway/src/__tests__/faultyAnswers.spec.ts
@@ -183,6 +183,17 @@
         });
     }
 
+    // Guards against any further fault of this kind: an exception in the handler of an answer ended the process.
+    it("that the router can't handle end only their own call", async () => {
+        const { router } = await start(2, (socket, _request, text) => {
+            const attempt = attemptIn(text);
+            const field = attempt === "odd" ? "x-unexpected: 1\r\n" : "";
+            socket.write(answer(attempt, "served").replace("x-attempt", `${field}x-attempt`));
+        });
+        expect((await router.call("odd")).status).to.equal(500);
+        expect(await router.call("sound")).to.include({ status: 200, text: "served" });
+    });
+
     // Guards against a caller that waits for its time limit, since no answer to its request follows.
     it("that switch protocols end their call at once", async () => {
         const switching =
--- a/packages/gateway/src/__tests__/routerFixture.ts
+++ b/packages/gateway/src/__tests__/routerFixture.ts
@@ -36,18 +36,25 @@
     return index < 0 ? undefined : headers[index + 1];
 }
 
-/** All answers are sealed; the field x-not-run states that the request has not run. */
+/**
+ * All answers are sealed; the field x-not-run states that the request has not run, and x-unexpected makes the codec throw.
+ */
 const headerCodec: HeaderCodec = {
     readRequest: () =>
         ok({ attempt: "", promptTokens: 0, outputTokens: 0, hasTokenCounts: false, parts: [] }),
     endpointHeaders: (caller, { lastEvent }) =>
         lastEvent === undefined ? [...caller] : [...caller, "last-event-id", lastEvent],
-    readAnswer: (headers) => ({
-        attempt: fieldOf(headers, "x-attempt"),
-        sealed: true,
-        notRun: fieldOf(headers, "x-not-run") !== undefined,
-        signals: { leaving: false, unusable: [] },
-    }),
+    readAnswer: (headers) => {
+        if (fieldOf(headers, "x-unexpected") !== undefined) {
+            throw new Error("unexpected field");
+        }
+        return {
+            attempt: fieldOf(headers, "x-attempt"),
+            sealed: true,
+            notRun: fieldOf(headers, "x-not-run") !== undefined,
+            signals: { leaving: false, unusable: [] },
+        };
+    },
     ownAnswerHeaders: () => ({}),
 };
 
@@ -153,7 +160,7 @@
             deadline: arrival + route.timeout,
             fingerprint: attempt,
             tokens: 0,
-        }, response);
+        }, response).catch(() => void response.writeHead(500).end());
     });
     await listenOn(server, "127.0.0.1", 0);
     const { port } = server.address() as AddressInfo;
--- a/packages/gateway/src/node/attempt.ts
+++ b/packages/gateway/src/node/attempt.ts
@@ -73,9 +73,9 @@
     readonly observer: AttemptObserver;
 }
 
-/** Runs one attempt to its end. */
+/** Runs one attempt to its end. Rejects if a fault of the router ends it. */
 export function runAttempt(context: AttemptContext): Promise<AttemptOutcome> {
-    return new Promise((resolve) => new Attempt(context, resolve).start());
+    return new Promise((resolve, reject) => new Attempt(context, resolve, reject).start());
 }
 
 class Attempt {
@@ -97,6 +97,7 @@
     constructor(
         private readonly context: AttemptContext,
         private readonly resolve: (outcome: AttemptOutcome) => void,
+        private readonly reject: (error: unknown) => void,
     ) {
         this.buffer = context.answerBuffers.open(() =>
             this.finish(
@@ -121,13 +122,26 @@
             );
         }
         this.exchange = new EndpointExchange(this.context.exchange, {
-            onHead: (status, rawHeaders, isReused) => this.onHead(status, rawHeaders, isReused),
-            onData: (chunk) => this.onData(chunk),
-            onEnd: () => this.onEnd(),
-            onBroken: (detail, isSent) => this.onBroken(detail, isSent),
+            onHead: (status, rawHeaders, isReused) =>
+                this.guard(() => this.onHead(status, rawHeaders, isReused)),
+            onData: (chunk) => this.guard(() => this.onData(chunk)) ?? true,
+            onEnd: () => this.guard(() => this.onEnd()),
+            onBroken: (detail, isSent) => this.guard(() => this.onBroken(detail, isSent)),
         });
     }
 
+    /** Handles an event of the exchange. An exception there would end the process with the requests of all callers. */
+    private guard<T>(handle: () => T): T | undefined {
+        try {
+            return handle();
+        }
+        catch (error) {
+            this.reject(error);
+            this.finish(this.invalid("the router failed while it handled the answer"));
+            return undefined;
+        }
+    }
+
     private finish(outcome: AttemptOutcome): void {
         if (this.isOver) {
             return;
--- a/packages/gateway/src/node/directServer.ts
+++ b/packages/gateway/src/node/directServer.ts
@@ -207,6 +207,9 @@
             return;
         }
         metrics.recordRefusal(RefusalReason.OutcomeUnknown);
+        // Fields of the answer that could not be passed on.
+        response.getHeaderNames().filter((name) => name !== "connection")
+            .forEach((name) => response.removeHeader(name));
         if (!request.complete) {
             response.setHeader("connection", "close");
         }
--- a/packages/gateway/src/node/requestTask.ts
+++ b/packages/gateway/src/node/requestTask.ts
@@ -258,9 +258,7 @@
                 },
                 onWeightsMismatch: (answer) => this.recordWeights(choice.endpointState, answer),
             },
-        });
-        stopStallDetection();
-        load.release();
+        }).finally(stopStallDetection).finally(() => load.release());
         if (outcome.kind === "delivered" && firstAnswerAt !== undefined) {
             const speed = this.context.endpointTable.speed(request.service.name);
             speed.observeStream(request.metadata.outputTokens, clock.now() - firstAnswerAt);
