fix(gateway): an endpoint that answers early and reads no more does not hold the memory for bodies

What callers saw: 503 queue_full on every service, once one endpoint had answered a dozen large requests without reading their bodies: 8 requests of 4.19 MB left 25 MB reserved, unchanged after 6 s.

Cause: a body's blocks are held until it has been written, also after the answer. Nothing ended that but the endpoint.

Now the endpoint has two seconds after its answer to read the rest; then its connection is closed.

--- a/packages/gateway/src/__tests__/blockPool.spec.ts
+++ b/packages/gateway/src/__tests__/blockPool.spec.ts
@@ -108,4 +108,34 @@
         server.close();
         socket!.destroy();
     });
+
+    // Guards against one endpoint that answers early and reads no more: its bodies filled the pool for all services.
+    it("returns a body's blocks some time after its endpoint has answered without reading it", async () => {
+        const contents = Buffer.alloc(24_000_000, "a");
+        const pool = new BlockPool(64_000_000);
+        const server = createServer((accepted) => {
+            accepted.on("error", () => {});
+            accepted.once("data", () => {
+                accepted.pause();
+                accepted.write("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
+            });
+        });
+        await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+        const { port } = server.address() as AddressInfo;
+        const body = openBody(pool, contents);
+        await new Promise<void>((resolve) => {
+            new EndpointExchange({
+                endpoint: endpointStateFixture("early", { host: "127.0.0.1", port }).endpoint,
+                method: "POST",
+                url: "/",
+                headers: ["Host", "site", "content-length", String(contents.length)],
+                body,
+                agent: undefined,
+            }, { onHead: () => {}, onData: () => true, onEnd: resolve, onBroken: () => resolve() });
+        });
+        body.release();
+        expect(pool.reservedBytes).to.be.greaterThan(0);
+        await until(() => pool.reservedBytes === 0);
+        server.close();
+    });
 });
--- a/packages/gateway/src/node/endpointExchange.ts
+++ b/packages/gateway/src/node/endpointExchange.ts
@@ -11,6 +11,9 @@
 /** A live endpoint accepts a connection within milliseconds; one without power never answers. */
 export const connectTimeoutMilliseconds = 350;
 
+/** Time for which an endpoint that has answered may read the rest of the body. */
+const unreadBodyTimeoutMilliseconds = 2_000;
+
 /** The request to send. */
 export interface ExchangeRequest {
     readonly endpoint: DirectEndpoint;
@@ -107,6 +110,16 @@
         request.uncork();
     }
 
+    /** An endpoint that has answered may still read the body, but it may also never do so and hold the body's memory. */
+    private limitUnreadBody(): void {
+        const { request } = this;
+        if (!request.writableFinished) {
+            const timer = setTimeout(() => this.destroyRequest(), unreadBodyTimeoutMilliseconds);
+            request.once("finish", () => clearTimeout(timer));
+            request.once("close", () => clearTimeout(timer));
+        }
+    }
+
     /** Destroys the request. One that still waits for a connection writes nothing, and closes only when it gets one. */
     private destroyRequest(): void {
         this.request.destroy();
@@ -150,6 +163,7 @@
             }
             else if (!this.isOver) {
                 this.isOver = true;
+                this.limitUnreadBody();
                 this.listener.onEnd();
             }
         });
