fix(gateway): a request with a field that HTTP does not allow is refused with 400

What callers saw: 502, may have run, for a request that was never sent: the parser accepts a field name with a space, or an empty one, and Node's client throws for it.

--- a/packages/gateway/src/node/callerChecks.ts
+++ b/packages/gateway/src/node/callerChecks.ts
@@ -10,6 +10,7 @@
 import { chooseTarget, type RouteTable } from "../decision/routeTable.js";
 import type { SharedLedger } from "../decision/sharedLedger.js";
 import type { CallerMetadata, HeaderCodec } from "../headerCodec.js";
+import { findInvalidField } from "./answerWriter.js";
 import type { BlockBody } from "./blockPool.js";
 import type { DirectRequest } from "./callerRequest.js";
 
@@ -70,6 +71,11 @@
         const message = `the header has more than ${limits.headerBytes} bytes`;
         return err({ status: 431, reason: RefusalReason.MalformedRequest, message });
     }
+    const invalidField = findInvalidField(request.rawHeaders);
+    if (invalidField !== undefined) {
+        const message = `the request has a field that HTTP does not allow: ${invalidField}`;
+        return err({ status: 400, reason: RefusalReason.MalformedRequest, message });
+    }
     const route = table.findRoute(request.headers.host, request.url ?? "/");
     if (route === undefined) {
         const message = `no route matches host "${request.headers.host ?? ""}" and the request's path`;
