fix(gateway): an endpoint's events after the router's own answer end their attempt; collections have a fallback

And where V8 exposes no collection, the handler of received data would throw; it now leaves collections to V8.

--- a/packages/gateway/src/node/attempt.ts
+++ b/packages/gateway/src/node/attempt.ts
@@ -249,6 +249,11 @@
     /** Forwards complete events; returns false if the caller's connection has to drain first. */
     private forwardEvents(chunk: Buffer): boolean {
         const { progress, response } = this.context;
+        if (response.writableEnded) {
+            // A stopping router has answered the request itself.
+            this.finish({ kind: "callerGone" });
+            return true;
+        }
         let writable = true;
         for (const event of this.reader.read(chunk)) {
             if (!this.hasBegun) {
--- a/packages/gateway/src/node/receivedBytes.ts
+++ b/packages/gateway/src/node/receivedBytes.ts
@@ -10,7 +10,7 @@
 /** Number of received bytes after which the young generation is collected. */
 const collectionInterval = 8_000_000;
 
-type Collect = (options: { readonly type: "minor"; }) => void;
+type Collect = (options: { readonly type: "minor"; }) => unknown;
 
 let bytesSinceCollection = 0;
 let collect: Collect | undefined;
@@ -28,5 +28,6 @@
 /** Not called at the start: V8 rejects a code cache that was compiled with other flags. */
 function exposeCollection(): Collect {
     setFlagsFromString("--expose-gc");
-    return runInNewContext("gc") as Collect;
+    // Without the function, V8 collects when it does by itself.
+    return runInNewContext("globalThis.gc ?? (() => {})") as Collect;
 }
