fix(gateway, deploy): open requests have a limit of memory; stops send whole answers and wait for first requests; refusals are served in slices

Four faults in the way from a connection to its answer.

Cause: no limit counted heads. Answers cut by a stop. A caller that reads slowly got 4 of 8 MB, since a request counted as ended once its answer had been handed to the connection, and closing idle connections closes such a connection. It counts until the answer has been sent. First requests cut by a stop. A connection that was accepted just before the port closed was reset. The router waits a second for its first request. Refused requests were not queued, so that their work lengthened a turn of the event loop: the spec 'are read while the requests on kept connections are refused' failed once beside other work, with 64,374 requests ahead where 900 are allowed. They wait for their turn as well.

--- a/packages/gateway/src/__tests__/directServer.spec.ts
+++ b/packages/gateway/src/__tests__/directServer.spec.ts
@@ -66,6 +66,7 @@
         isStopping: () => isStopping,
         accepts: () => accepts,
         maxBufferedBytes: 1_000_000,
+        maxHeadBytes: 10_000_000,
         serve: async (_request, response) => {
             served += 1;
             if (beginning !== undefined) {
--- a/packages/gateway/src/node/answerWriter.ts
+++ b/packages/gateway/src/node/answerWriter.ts
@@ -4,7 +4,12 @@
  * @module
  */
 import type { Milliseconds } from "@redwingpin/common";
-import { type ServerResponse, validateHeaderName, validateHeaderValue } from "node:http";
+import {
+    type IncomingMessage,
+    type ServerResponse,
+    validateHeaderName,
+    validateHeaderValue,
+} from "node:http";
 import type { RawHeaders } from "../headerCodec.js";
 
 /** Hop-by-hop header fields. */
@@ -117,7 +122,7 @@
     rawHeaders: RawHeaders,
     body: readonly Buffer[],
 ): void {
-    if (response.destroyed) {
+    if (response.destroyed || response.headersSent) {
         return;
     }
     writeHead(response, status, rawHeaders);
@@ -150,3 +155,19 @@
     }
     response.writeHead(status);
 }
+
+/** Resolves when an answer has been sent, or its connection has closed. */
+export function untilSent({ socket }: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (response.writableFinished || response.destroyed || socket.destroyed) {
+        return Promise.resolve();
+    }
+    return new Promise((resolve) => {
+        const end = () => {
+            response.off("close", end);
+            socket.off("close", end);
+            resolve();
+        };
+        response.on("close", end);
+        socket.on("close", end);
+    });
+}
--- a/packages/gateway/src/node/directServer.ts
+++ b/packages/gateway/src/node/directServer.ts
@@ -14,12 +14,12 @@
 import type { CallerLimits } from "@redwingpin/fleet";
 import { once } from "node:events";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import type { Socket } from "node:net";
+import { Server as NetServer, type Socket } from "node:net";
 import type { RequestOutcome } from "../decision/attemptPlan.js";
 import type { Admission } from "../decision/requestQueue.js";
 import type { RequestTimeLimits } from "../decision/stopPolicy.js";
 import type { HeaderCodec } from "../headerCodec.js";
-import { writeOwnAnswer } from "./answerWriter.js";
+import { untilSent, writeOwnAnswer } from "./answerWriter.js";
 import { type BlockBody, BlockPool } from "./blockPool.js";
 import { canDiscard, endAfterBody, readBody } from "./bodyReader.js";
 import {
@@ -32,6 +32,7 @@
 } from "./callerChecks.js";
 import type { DirectRequest } from "./callerRequest.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
+import { openRequestBytes, openRequestLimit } from "./openRequests.js";
 import { RequestTurns } from "./requestTurns.js";
 
 /** Maximum header size of the HTTP parser; the limit of the configuration is checked afterwards. */
@@ -43,6 +44,12 @@
 /** Maximum time for a request to arrive with its body. */
 const requestTimeout: Milliseconds = 30_000;
 
+/** Maximum time for accepting the connections that wait when the port closes. */
+const maxAcceptTime: Milliseconds = 500;
+
+/** Retry delay for callers when too many requests are open. */
+const memoryRetryAfter: Milliseconds = 500;
+
 /** Dependencies of the server. */
 export interface DirectServerContext {
     readonly clock: Clock;
@@ -54,6 +61,11 @@
     readonly isStopping: () => boolean;
     /** False if a request with these time limits might not end before the process has to stop. */
     readonly accepts: (limits: RequestTimeLimits) => boolean;
+    /**
+     * Maximum total of what open requests need without their bodies, in bytes.
+     * @default a share of the heap's limit
+     */
+    readonly maxHeadBytes?: number;
     /** Maximum total size of buffered request bodies, in bytes. */
     readonly maxBufferedBytes: number;
     readonly serve: (request: DirectRequest, response: ServerResponse) => Promise<RequestOutcome>;
@@ -71,19 +83,29 @@
     private readonly bodies: BlockPool;
     private readonly turns: RequestTurns;
     private acceptedConnections = 0;
+    /** Time at which each connection that has brought no request yet was accepted. */
+    private readonly unusedConnections = new Map<Socket, Milliseconds>();
     private running = 0;
+    /** Number of answers that have been written, but may not have been sent. */
+    private unsentAnswers = 0;
+    /** Estimated memory of the open requests without their bodies. */
+    private headBytes = 0;
+    private readonly maxHeadBytes: number;
 
     constructor(private readonly context: DirectServerContext) {
         this.bodies = new BlockPool(context.maxBufferedBytes);
         this.turns = new RequestTurns(context.clock);
+        this.maxHeadBytes = context.maxHeadBytes ?? openRequestLimit();
         this.server = createServer({
             maxHeaderSize: maxHeaderBytes,
             connectionsCheckingInterval: timeoutCheckInterval,
             requestTimeout,
         }, (request, response) => void this.handle(request, response));
         context.metrics.observeWaiting(() => this.turns.waiting);
-        this.server.on("connection", () => {
+        this.server.on("connection", (socket) => {
             this.acceptedConnections += 1;
+            this.unusedConnections.set(socket, context.clock.now());
+            socket.once("close", () => this.unusedConnections.delete(socket));
             context.metrics.recordConnection();
             this.turns.recordConnection();
         });
@@ -98,6 +120,13 @@
         return this.running;
     }
 
+    /** True if requests are running, or a connection was accepted within `age` and has brought none yet. */
+    isInUse(age: Milliseconds): boolean {
+        const earliest = this.context.clock.now() - age;
+        return this.running > 0
+            || [...this.unusedConnections.values()].some((acceptedAt) => acceptedAt > earliest);
+    }
+
     /** Size in bytes of the request bodies that are buffered. */
     get bufferedBodyBytes(): number {
         return this.bodies.reservedBytes;
@@ -116,11 +145,11 @@
 
     /**
      * Accepts the connections that the operating system has completed, and reads the requests that have arrived. Each turn of
-     * the event loop accepts one connection; resolves after the first turn that accepted none, or after `timeout`.
+     * the event loop accepts one connection; resolves after the first turn that accepted none, or after half a second.
      */
-    async acceptPending(timeout: Milliseconds): Promise<void> {
+    async acceptPending(): Promise<void> {
         const { clock } = this.context;
-        const end = clock.now() + timeout;
+        const end = clock.now() + maxAcceptTime;
         let before: number;
         do {
             before = this.acceptedConnections;
@@ -132,9 +161,12 @@
     /** Stops accepting connections and closes the idle ones. */
     closeIdle(): void {
         if (this.server.listening) {
-            this.server.close();
+            // The HTTP server's own `close` also closes connections on which the end of an answer has not been sent yet.
+            NetServer.prototype.close.call(this.server);
+        }
+        if (this.unsentAnswers === 0) {
+            this.server.closeIdleConnections();
         }
-        this.server.closeIdleConnections();
     }
 
     /**
@@ -172,6 +204,7 @@
 
     private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
         const arrival = this.context.clock.now();
+        this.unusedConnections.delete(request.socket);
         response.on("error", () => response.destroy());
         // An answer that began before the stop leaves its connection open for one more request: closing it here could cut
         // off a request that has already arrived.
@@ -179,6 +212,8 @@
             response.setHeader("connection", "close");
         }
         this.running += 1;
+        const headBytes = openRequestBytes(request);
+        this.headBytes += headBytes;
         const identity: { attempt?: string; } = {};
         try {
             await this.serve(request, response, arrival, identity);
@@ -187,7 +222,11 @@
             this.answerInternalError(request, response, error, identity.attempt);
         }
         finally {
+            this.unsentAnswers += 1;
+            await untilSent(request, response);
+            this.unsentAnswers -= 1;
             this.running -= 1;
+            this.headBytes -= headBytes;
         }
     }
 
@@ -228,8 +267,20 @@
         arrival: Milliseconds,
         identity: { attempt?: string; },
     ): Promise<void> {
+        if (this.headBytes > this.maxHeadBytes) {
+            const message = "the router serves too many requests at once";
+            this.refuse(request, response, {
+                status: 503,
+                reason: RefusalReason.QueueFull,
+                message,
+                retryAfter: memoryRetryAfter,
+            });
+            return;
+        }
         const head = checkHead(this.context.checks, request);
         if (head.isErr()) {
+            // A turn must not grow with the number of refused requests either.
+            await this.turns.wait(request, response, arrival + requestTimeout);
             this.refuse(request, response, head.error);
             return;
         }
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -80,8 +80,8 @@
  */
 const acceptShare = 0.36;
 
-/** Maximum time for accepting the connections that wait when the port closes. */
-const maxAcceptTime: Milliseconds = 500;
+/** Time for which a stopping router waits for the first request on a connection. */
+const firstRequestWait: Milliseconds = 1_000;
 
 /** Time reserved for sending the last answers before the process must end. */
 const stopMargin: Milliseconds = 400;
@@ -226,11 +226,11 @@
         const pollInterval = 50;
         do {
             // Connections that were not accepted, and requests that were not read, would be reset.
-            await this.server.acceptPending(maxAcceptTime);
+            await this.server.acceptPending();
             this.server.closeIdle();
             await sleep(clock, pollInterval);
         }
-        while (this.server.runningRequests > 0 && clock.now() < end);
+        while (this.server.isInUse(firstRequestWait) && clock.now() < end);
         await this.server.answerRunning(stopMargin / 2);
         this.stop();
     }
