--- a/packages/common/src/__tests__/eventLoopMonitor.spec.ts
+++ b/packages/common/src/__tests__/eventLoopMonitor.spec.ts
@@ -7,6 +7,8 @@
     const clock = new FakeClock();
     const registry = new Registry();
     const lines: { message: string; fields?: LogFields; }[] = [];
+    const summaries: { message: string; fields?: LogFields; }[] = [];
+    const work = { exchanges: 0 };
     let late = 0;
     const cancel = startEventLoopMonitor({
         clock: {
@@ -14,10 +16,23 @@
             wallTime: () => clock.wallTime(),
             schedule: (delay, callback) => clock.schedule(delay + late, callback),
         },
-        logger: { ...silentLogger, warn: (message, fields) => void lines.push({ message, fields }) },
+        logger: {
+            ...silentLogger,
+            info: (message, fields) => void summaries.push({ message, fields }),
+            warn: (message, fields) => void lines.push({ message, fields }),
+        },
         registry,
+        workCounts: () => ({ ...work }),
     });
-    return { clock, registry, lines, cancel, setLate: (duration: number) => late = duration };
+    return {
+        clock,
+        registry,
+        lines,
+        summaries,
+        work,
+        cancel,
+        setLate: (duration: number) => late = duration,
+    };
 }
 
 describe("event loop monitor", () => {
@@ -45,4 +60,19 @@
         clock.advance(60_000);
         expect(lines).to.have.length(2);
     });
+
+    it("logs the work of a second with delays, and nothing for a second without", () => {
+        const { clock, setLate, summaries, work } = monitorFixture();
+        work.exchanges = 10;
+        clock.advance(1_000);
+        expect(summaries).to.deep.equal([]);
+        setLate(150);
+        clock.advance(50);
+        work.exchanges = 77;
+        clock.advance(200 * 5);
+        expect(summaries).to.deep.equal([{
+            message: "event loop busy",
+            fields: { period: 1_050, longest: 150, total: 750, exchanges: 67 },
+        }]);
+    });
 });
--- a/packages/common/src/eventLoopMonitor.ts
+++ b/packages/common/src/eventLoopMonitor.ts
@@ -17,6 +17,12 @@
 /** Minimum time between two log lines. */
 const minLogInterval: Milliseconds = 10_000;
 
+/** Period over which delays and work are summed up. */
+const summaryPeriod: Milliseconds = 1_000;
+
+/** A period whose longest delay has at least this value is logged with the work that was done in it. */
+const loggedSummaryDelay: Milliseconds = 100;
+
 const millisecondsPerSecond = 1_000;
 const delayBuckets = [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5];
 
@@ -25,10 +31,16 @@
     readonly clock: Clock;
     readonly logger: Logger;
     readonly registry: Registry;
+    /**
+     * Cumulative counts of the process's work by name, whose growth is logged for periods with delays.
+     * @default no counts
+     */
+    readonly workCounts?: () => Readonly<Record<string, number>>;
 }
 
 /** Measures until the returned function is called. */
-export function startEventLoopMonitor({ clock, logger, registry }: EventLoopMonitorOptions): CancelTimer {
+export function startEventLoopMonitor(options: EventLoopMonitorOptions): CancelTimer {
+    const { clock, logger, registry } = options;
     const delays = new Histogram({
         name: "redwingpin_event_loop_delay_seconds",
         help: "Time by which a timer of the event loop ran late, measured 20 times a second",
@@ -37,6 +49,7 @@
     });
     let nextLogAt = -Infinity;
     let unlogged = 0;
+    const summary = new DelaySummary(options);
     let due = clock.now() + measurementInterval;
     let cancel: CancelTimer = () => {};
     const measure = () => {
@@ -53,9 +66,52 @@
                 unlogged += 1;
             }
         }
+        summary.record(delay, now);
         due = now + measurementInterval;
         cancel = clock.schedule(measurementInterval, measure);
     };
     cancel = clock.schedule(measurementInterval, measure);
     return () => cancel();
 }
+
+/** Sums up the delays and the work of each period, and logs both if a delay was long. */
+class DelaySummary {
+    private startedAt: Milliseconds;
+    private longest: Milliseconds = 0;
+    private total: Milliseconds = 0;
+    private counts: Readonly<Record<string, number>>;
+
+    constructor(private readonly options: EventLoopMonitorOptions) {
+        this.startedAt = options.clock.now();
+        this.counts = this.currentCounts();
+    }
+
+    record(delay: Milliseconds, now: Milliseconds): void {
+        this.longest = Math.max(this.longest, delay);
+        this.total += delay;
+        if (now - this.startedAt < summaryPeriod) {
+            return;
+        }
+        const counts = this.currentCounts();
+        if (this.longest >= loggedSummaryDelay) {
+            const work = Object.entries(counts).map(([name, count]) => [
+                name,
+                count - (this.counts[name] ?? 0),
+            ]);
+            this.options.logger.info("event loop busy", {
+                period: Math.round(now - this.startedAt),
+                longest: Math.round(this.longest),
+                total: Math.round(this.total),
+                ...Object.fromEntries(work) as Record<string, number>,
+            });
+        }
+        this.startedAt = now;
+        this.longest = 0;
+        this.total = 0;
+        this.counts = counts;
+    }
+
+    private currentCounts(): Readonly<Record<string, number>> {
+        return this.options.workCounts?.() ?? {};
+    }
+}
--- a/packages/gateway/src/node/directServer.ts
+++ b/packages/gateway/src/node/directServer.ts
@@ -16,7 +16,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { Server as NetServer, type Socket } from "node:net";
 import type { RequestOutcome } from "../decision/attemptPlan.js";
-import type { Admission } from "../decision/requestQueue.js";
 import type { RequestTimeLimits } from "../decision/stopPolicy.js";
 import type { HeaderCodec } from "../headerCodec.js";
 import { untilSent, writeOwnAnswer } from "./answerWriter.js";
@@ -34,6 +33,7 @@
 import type { GatewayMetrics } from "./gatewayMetrics.js";
 import { openRequestBytes, openRequestLimit } from "./openRequests.js";
 import { RequestTurns } from "./requestTurns.js";
+import { answerClientError, refusalOf } from "./serverRefusals.js";
 
 /** Maximum header size of the HTTP parser; the limit of the configuration is checked afterwards. */
 const maxHeaderBytes = 65_536;
@@ -75,6 +75,16 @@
     readonly refund: (request: DirectRequest) => void;
 }
 
+/** Where a request spent its time before it was served, in milliseconds, for its log line. */
+interface RequestTimings {
+    /** From its arrival until its body was read. */
+    read?: Milliseconds;
+    /** In the queue of complete requests. */
+    queued?: Milliseconds;
+    /** Waiting until the other routers had this router's spending; absent if it did not wait for that. */
+    reported?: Milliseconds;
+}
+
 /** Serves callers. */
 export class DirectServer {
     private readonly server: Server;
@@ -86,6 +96,7 @@
     /** Time at which each connection that has brought no request yet was accepted. */
     private readonly unusedConnections = new Map<Socket, Milliseconds>();
     private running = 0;
+    private arrived = 0;
     /** Number of answers that have been written, but may not have been sent. */
     private unsentAnswers = 0;
     /** Estimated memory of the open requests without their bodies. */
@@ -120,6 +131,11 @@
         return this.running;
     }
 
+    /** Number of requests whose head was read since the start. */
+    get arrivedRequests(): number {
+        return this.arrived;
+    }
+
     /** True if requests are running, or a connection was accepted within `age` and has brought none yet. */
     isInUse(age: Milliseconds): boolean {
         const earliest = this.context.clock.now() - age;
@@ -212,6 +228,7 @@
             response.setHeader("connection", "close");
         }
         this.running += 1;
+        this.arrived += 1;
         const headBytes = openRequestBytes(request);
         this.headBytes += headBytes;
         const identity: { attempt?: string; } = {};
@@ -306,9 +323,10 @@
             this.refuse(request, response, body);
             return;
         }
+        const timings: RequestTimings = { read: this.context.clock.now() - arrival };
         try {
-            if (await this.isAdmitted(head.value, request, response, arrival)) {
-                await this.serveComplete(head.value, request, response, body, arrival);
+            if (await this.isAdmitted(head.value, request, response, arrival, timings)) {
+                await this.serveComplete(head.value, request, response, body, arrival, timings);
             }
         }
         finally {
@@ -322,12 +340,14 @@
         request: IncomingMessage,
         response: ServerResponse,
         arrival: Milliseconds,
+        timings: RequestTimings,
     ): Promise<boolean> {
         const { clock, logger, metrics } = this.context;
         const { attempt } = head.metadata;
         const start = clock.now();
         const admission = await this.turns.wait(request, response, requestDeadline(head, arrival));
         const waited = clock.now() - start;
+        timings.queued = waited;
         metrics.recordWait(admission.kind, waited);
         if (admission.kind === "serve") {
             return true;
@@ -350,15 +370,18 @@
         response: ServerResponse,
         body: BlockBody,
         arrival: Milliseconds,
+        timings: RequestTimings,
     ): Promise<void> {
         const { checks, clock, logger } = this.context;
         let checked = checkComplete(checks, head, request, body, arrival);
         if (checked.isErr() && checked.error.needsReport === true) {
+            const reportStart = clock.now();
             await this.context.deliverReports();
+            timings.reported = clock.now() - reportStart;
             checked = checkComplete(checks, head, request, body, arrival);
         }
         if (checked.isErr()) {
-            this.refuse(request, response, checked.error);
+            this.refuse(request, response, checked.error, timings);
             return;
         }
         const accepted = checked.value;
@@ -378,11 +401,17 @@
             detail: outcome.kind === "unknown" ? outcome.detail : undefined,
             tokens: accepted.tokens,
             took: Math.round(clock.now() - arrival),
+            ...rounded(timings),
             configuration: accepted.table.configuration.version,
         });
     }
 
-    private refuse(request: IncomingMessage, response: ServerResponse, failure: CheckFailure): void {
+    private refuse(
+        request: IncomingMessage,
+        response: ServerResponse,
+        failure: CheckFailure,
+        timings: RequestTimings = {},
+    ): void {
         const { headerCodec, logger, metrics } = this.context;
         metrics.recordRefusal(failure.reason);
         logger.info("refused", {
@@ -395,6 +424,7 @@
             tokensLeft: failure.level,
             untold: failure.needsReport,
             retryAfter: failure.retryAfter === undefined ? undefined : Math.round(failure.retryAfter),
+            ...rounded(timings),
         });
         const isComplete = request.complete;
         if (!isComplete && !canDiscard(request)) {
@@ -410,58 +440,13 @@
     }
 }
 
+function rounded(timings: RequestTimings): Record<string, number> {
+    return Object.fromEntries(Object.entries(timings).map(([name, value]) => [name, Math.round(value)]));
+}
+
 /** Resolves at the end of a turn of the event loop, after input has been read. */
 function endOfTurn(): Promise<void> {
     return new Promise((resolve) => {
         setImmediate(resolve);
     });
 }
-
-/** Why a request that waited was not run; `random` spreads the time at which callers return. */
-function refusalOf(
-    admission: Exclude<Admission, { readonly kind: "serve" | "callerGone"; }>,
-    random: number,
-): Pick<CheckFailure, "reason" | "message" | "retryAfter"> {
-    switch (admission.kind) {
-        case "expired":
-            return {
-                reason: RefusalReason.DeadlineExceeded,
-                message: "the request was not run: its time limit passed before it could be served",
-                retryAfter: 0,
-            };
-        case "overloaded":
-            return {
-                reason: RefusalReason.QueueFull,
-                message:
-                    "the request was not run: more requests wait than can be served within its time limit",
-                retryAfter: admission.retryAfter * (1 + random),
-            };
-        case "stopped":
-            return {
-                reason: RefusalReason.Stopping,
-                message: "the router is stopping; retry at another router",
-                retryAfter: 0,
-            };
-    }
-}
-
-/** Answers a request that cannot be parsed or did not arrive in time. */
-function answerClientError(error: NodeJS.ErrnoException, socket: Socket): void {
-    if (!socket.writable || error.code === "ECONNRESET") {
-        socket.destroy();
-        return;
-    }
-    const status = clientErrorStatus(error.code);
-    socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`);
-}
-
-function clientErrorStatus(code: string | undefined): string {
-    switch (code) {
-        case "HPE_HEADER_OVERFLOW":
-            return "431 Request Header Fields Too Large";
-        case "ERR_HTTP_REQUEST_TIMEOUT":
-            return "408 Request Timeout";
-        default:
-            return "400 Bad Request";
-    }
-}
