--- a/packages/fleet/src/__tests__/fleetSync.spec.ts
+++ b/packages/fleet/src/__tests__/fleetSync.spec.ts
@@ -1,4 +1,4 @@
-import { silentLogger, systemClock } from "@redwingpin/common";
+import { seededRandom, silentLogger, systemClock } from "@redwingpin/common";
 import { type InnerAddress, InnerNode, ProcessRole } from "@redwingpin/protocol";
 import { expect } from "chai";
 import {
@@ -39,6 +39,7 @@
         const sync = new FleetSync({
             clock: systemClock,
             logger: silentLogger,
+            random: seededRandom(tokens),
             innerNode,
             state,
             address,
--- a/packages/fleet/src/decision/fleetState.ts
+++ b/packages/fleet/src/decision/fleetState.ts
@@ -36,6 +36,11 @@
         readonly endpoint: DirectEndpoint | undefined;
     };
 
+/** True for a fact that routers pass on immediately: any except the registration of an endpoint that stays in use. */
+export function isUrgentFact(fact: FleetFact): boolean {
+    return fact.kind !== FactKind.Endpoint || fact.endpoint === undefined || fact.endpoint.leaving;
+}
+
 /** Version of the configuration and revisions of the store up to which a process has the facts. */
 export interface FleetWatermark {
     readonly configuration: number;
--- a/packages/fleet/src/decision/peerTable.ts
+++ b/packages/fleet/src/decision/peerTable.ts
@@ -151,13 +151,15 @@
         }
     }
 
-    /** Makes exchanges with the selected peers due immediately. */
-    makeDue(isSelected: (address: InnerAddress, isRouter: boolean) => boolean): void {
-        for (const peer of this.peers.values()) {
-            if (peer.failures === 0 && isSelected(peer.address, peer.isRouter)) {
-                peer.nextDue = this.clock.now();
-            }
+    /** Makes exchanges with the selected peers due immediately; returns how many. */
+    makeDue(isSelected: (address: InnerAddress, isRouter: boolean) => boolean): number {
+        const selected = [...this.peers.values()].filter((peer) =>
+            peer.failures === 0 && isSelected(peer.address, peer.isRouter)
+        );
+        for (const peer of selected) {
+            peer.nextDue = this.clock.now();
         }
+        return selected.length;
     }
 
     /** Records an answer; returns whether it is the first one or the peer had been unreachable. */
--- a/packages/fleet/src/node/fleetSync.ts
+++ b/packages/fleet/src/node/fleetSync.ts
@@ -7,7 +7,7 @@
  *
  * @module
  */
-import { type Clock, type Logger, type Milliseconds, sleep } from "@redwingpin/common";
+import { type Clock, type Logger, type Milliseconds, type RandomSource, sleep } from "@redwingpin/common";
 import {
     type Connection,
     type Hello,
@@ -73,6 +73,7 @@
 export interface FleetSyncOptions {
     readonly clock: Clock;
     readonly logger: Logger;
+    readonly random: RandomSource;
     readonly innerNode: InnerNode;
     readonly state: FleetState;
     /** Where this process listens. */
@@ -104,8 +105,27 @@
     readonly onFacts: (facts: readonly FleetFact[], peer: Hello) => void;
 }
 
+/** Cumulative numbers of exchanges since the start, by what caused them. */
+export interface ExchangeCounts {
+    /** Started because their interval had passed, or because of {@link FleetSync.exchangeNow}. */
+    scheduledExchanges: number;
+    /** Those of the scheduled ones that {@link FleetSync.exchangeNow} made due. */
+    urgentExchanges: number;
+    /** Started by {@link FleetSync.deliverReports}. */
+    deliveryExchanges: number;
+    /** Started by peers. */
+    answeredExchanges: number;
+}
+
 /** Makes and answers the exchanges with peers. */
 export class FleetSync {
+    /** Exchanges since the start. */
+    readonly counts: ExchangeCounts = {
+        scheduledExchanges: 0,
+        urgentExchanges: 0,
+        deliveryExchanges: 0,
+        answeredExchanges: 0,
+    };
     private readonly peers: PeerTable;
     /** Running exchanges, by the peer's name. */
     private readonly exchanges = new Map<string, Promise<void>>();
@@ -159,9 +179,19 @@
         return this.peers.unheardRouterNames();
     }
 
+    /**
+     * Passes on new facts: starts exchanges with routers and with the selected agents immediately. Facts from a peer are not
+     * passed on to routers, since that peer sends them to every router itself.
+     */
+    passOn(isFromStore: boolean, isSelectedAgent: (agent: InnerAddress) => boolean): void {
+        if (isFromStore) {
+            this.exchangeNow((address, isRouter) => isRouter || isSelectedAgent(address));
+        }
+    }
+
     /** Starts the next exchange with the selected peers immediately. */
     exchangeNow(isSelected: (address: InnerAddress, isRouter: boolean) => boolean): void {
-        this.peers.makeDue(isSelected);
+        this.counts.urgentExchanges += this.peers.makeDue(isSelected);
         if (!this.stopped) {
             this.runDueExchanges();
         }
@@ -185,6 +215,7 @@
             // The report of a running exchange is older.
             await this.exchanges.get(formatAddress(address));
             this.peers.recordStart(address);
+            this.counts.deliveryExchanges += 1;
             await this.exchange(address);
         });
         await Promise.race([Promise.all(exchanges), sleep(this.options.clock, deliveryTimeout)]);
@@ -242,6 +273,7 @@
         const intervalOf = (agent: InnerAddress) =>
             this.options.isOwnerOf(agent) ? idleInterval : otherInterval;
         for (const peer of this.peers.takeDue(interval, intervalOf)) {
+            this.counts.scheduledExchanges += 1;
             void this.exchange(peer);
         }
     }
@@ -367,6 +399,7 @@
         const message = readFleetMessage(body);
         switch (message?.kind) {
             case FleetMessageKind.Sync: {
+                this.counts.answeredExchanges += 1;
                 if (message.address !== undefined) {
                     this.peers.recordCall(message.address);
                     this.routerAddresses.set(from, message.address);
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -27,6 +27,7 @@
     FleetSync,
     formatAddress,
     idleInterval,
+    isUrgentFact,
     logFact,
     type ReplicaStatus,
     StoreWatcher,
@@ -47,6 +48,7 @@
 import { endsBeforeStop, type RequestTimeLimits } from "../decision/stopPolicy.js";
 import type { ResolvedGatewayConfig } from "../gatewayConfig.js";
 import type { HeaderCodec } from "../headerCodec.js";
+import { AccountTokens } from "./accountTokens.js";
 import { CrashProbe } from "./crashProbe.js";
 import { DirectServer } from "./directServer.js";
 import { EndpointConnections } from "./endpointConnections.js";
@@ -89,11 +91,6 @@
 /** Source of facts that were read from the store, in log lines; other sources are instances of peers. */
 const storeName = "store";
 
-/** True for a fact that routers pass on immediately: any except the registration of an endpoint that stays in use. */
-function isUrgent(fact: FleetFact): boolean {
-    return fact.kind !== FactKind.Endpoint || fact.endpoint === undefined || fact.endpoint.leaving;
-}
-
 /** Serves the callers of direct routes. */
 export class Gateway {
     private readonly state = new FleetState();
@@ -114,6 +111,7 @@
     private readonly reports: PeerReports;
     private readonly innerNode: InnerNode;
     private readonly sync: FleetSync;
+    private readonly accountTokens: AccountTokens;
     private readonly watchers: readonly StoreWatcher[];
     private readonly operatorWatcher: StoreWatcher;
     private readonly endpointsWatcher: StoreWatcher;
@@ -172,6 +170,7 @@
         });
         this.innerNode = this.createInnerNode();
         this.sync = this.createSync();
+        this.accountTokens = new AccountTokens({ clock, ledger: this.ledger, sync: this.sync });
         this.endpointsWatcher = this.createWatcher(FleetScope.Endpoints, {
             batchDelay: registrationBatchDelay,
             isNeeded: () => this.watcherSelection.isSelected(this.sync.liveRouterNames()),
@@ -235,6 +234,11 @@
         this.stop();
     }
 
+    /** Cumulative counts of what takes processor time, by name. */
+    workCounts(): Readonly<Record<string, number>> {
+        return { requests: this.server.arrivedRequests, ...this.sync.counts, ...this.innerNode.traffic };
+    }
+
     /** Sizes of what this router buffers for requests. */
     bufferedBytes(): BufferedBytes {
         return { bodies: this.server.bufferedBodyBytes, answers: this.answerBuffers.totalBytes };
@@ -284,6 +288,7 @@
         return new FleetSync({
             clock,
             logger: logger.scope("fleet"),
+            random: this.random,
             innerNode: this.innerNode,
             state: this.state,
             address: config.inner,
@@ -322,7 +327,6 @@
 
     private createServer(): DirectServer {
         const { clock, config, headerCodec, logger } = this.options;
-        const { metrics } = this;
         const now = () => clock.now();
         const random = () => this.random.unit();
         const context = {
@@ -341,22 +345,22 @@
             crashTracker: this.crashTracker,
             demandTracker: this.demandTracker,
             weightsBounds: () => this.settings.weights,
-            metrics,
+            metrics: this.metrics,
             routerCount: () => 1 + this.sync.liveRouterCount(),
             random,
         };
-        metrics.registerBuffers(this.options.registry, () => this.bufferedBytes());
+        this.metrics.registerBuffers(this.options.registry, () => this.bufferedBytes());
         return new DirectServer({
             clock,
             logger: context.logger,
-            metrics,
+            metrics: this.metrics,
             headerCodec,
             checks: { headerCodec, ledger: this.ledger, table: () => this.table, now, random },
             isStopping: () => this.isStopping,
             accepts: (limits) => this.accepts(limits),
             maxBufferedBytes: config.maxBufferedBytes,
             serve: (request, response) => serveRequest(context, request, response),
-            deliverReports: () => this.deliverReports(),
+            deliverReports: () => this.accountTokens.deliverReports(),
             refund: (request) => {
                 if (request.account !== undefined) {
                     this.ledger.refund(request.account.name, request.tokens);
@@ -365,19 +369,6 @@
         });
     }
 
-    /**
-     * Reports this router's spending to the live routers. This is done before a request is refused although its account
-     * has enough tokens.
-     */
-    private async deliverReports(): Promise<void> {
-        await this.sync.deliverReports();
-        const live = this.sync.liveRouterNames();
-        this.ledger.updateFleet(
-            { live, unresponsive: this.sync.unresponsiveRouterCount() },
-            this.options.clock.now(),
-        );
-    }
-
     /**
      * Returns whether a request is accepted. Once no more connections are accepted, requests can still arrive on kept-alive
      * ones; such a request is accepted only if it is sure to end in time.
@@ -442,9 +433,8 @@
             this.endpointTable.update(this.state);
             this.lossProbe.run();
         }
-        if (from === storeName && newFacts.some(isUrgent)) {
-            // Facts from a peer are not passed on immediately, since that peer sends them to every router itself.
-            this.sync.exchangeNow((address, isRouter) => isRouter || this.isOwnerOf(address));
+        if (newFacts.some(isUrgentFact)) {
+            this.sync.passOn(from === storeName, (agent) => this.isOwnerOf(agent));
         }
     }
 
@@ -477,7 +467,7 @@
         const live = this.sync.liveRouterNames();
         this.setLiveRouterNames([formatAddress(this.options.config.inner), ...live].sort());
         this.reports.prepareReports(now);
-        this.ledger.updateFleet({ live, unresponsive: this.sync.unresponsiveRouterCount() }, now);
+        this.accountTokens.updateFleet();
         this.cancelHousekeeping = clock.schedule(housekeepingInterval, () => this.housekeep());
     }
 }
--- a/packages/rollout/src/node/replicaAgent.ts
+++ b/packages/rollout/src/node/replicaAgent.ts
@@ -4,7 +4,14 @@
  *
  * @module
  */
-import type { CancelTimer, Clock, Logger, Milliseconds } from "@redwingpin/common";
+import {
+    type CancelTimer,
+    type Clock,
+    type Logger,
+    maxSeed,
+    type Milliseconds,
+    seededRandom,
+} from "@redwingpin/common";
 import {
     CrashTracker,
     type DesiredWeights,
@@ -21,7 +28,7 @@
     supersedes,
 } from "@redwingpin/fleet";
 import { type FleetKeys, type Hello, type InnerAddress, InnerNode, ProcessRole } from "@redwingpin/protocol";
-import { randomUUID } from "node:crypto";
+import { randomInt, randomUUID } from "node:crypto";
 import { Counter, type Registry } from "prom-client";
 import { type RolloutStep, rolloutStep } from "../decision/rolloutTurn.js";
 import { TurnProgress } from "../decision/turnProgress.js";
@@ -148,6 +155,7 @@
         this.sync = new FleetSync({
             clock,
             logger: logger.scope("fleet"),
+            random: seededRandom(randomInt(maxSeed)),
             innerNode: this.innerNode,
             state: this.state,
             address: config.inner,
