fleet: a failing test of what a change costs a router of a large fleet

Fleets of 30 and 68 routers exchange over a simulated network on a fake clock. In the second after a change that all of them read from the store, a router takes part in 87 and 134 exchanges.

--- /dev/null
+++ b/packages/fleet/src/__tests__/changeSpread.spec.ts
@@ -0,0 +1,51 @@
+import { expect } from "chai";
+import { weightsFact } from "./fleetFixture.js";
+import { FleetNetwork } from "./fleetNetworkFixture.js";
+
+/** Most exchanges of any router in the second after a change that all of them read from the store. */
+async function exchangesAfterChange(size: number): Promise<number> {
+    const network = new FleetNetwork(size);
+    try {
+        await network.runUntilConnected();
+        await network.run(5_000);
+        const before = network.exchanges();
+        network.routers.forEach(({ applyFacts }) => applyFacts([weightsFact(2, 10, 0)], "store"));
+        await network.run(1_000);
+        return Math.max(...network.exchanges().map((count, index) => count - before[index]));
+    }
+    finally {
+        network.stop();
+    }
+}
+
+/** Time until all routers have a change that the store sent to one of them. */
+async function timeUntilEverywhere(size: number): Promise<number> {
+    const network = new FleetNetwork(size);
+    try {
+        await network.runUntilConnected();
+        network.routers[0].applyFacts([weightsFact(2, 10, 0)], "store");
+        const start = network.clock.now();
+        while (network.routers.some(({ state }) => state.desiredWeights().length === 0)) {
+            await network.run(10);
+        }
+        return network.clock.now() - start;
+    }
+    finally {
+        network.stop();
+    }
+}
+
+describe("the spread of a change", () => {
+    // Guards against routers that serve nothing for a second after a change, since each exchanges with all others.
+    it("costs a router no more exchanges in a larger fleet", async () => {
+        const small = await exchangesAfterChange(30);
+        const large = await exchangesAfterChange(68);
+        expect(large).to.be.at.most(1.1 * small);
+    });
+
+    for (const size of [5, 30, 68]) {
+        it(`takes less than half a second in a fleet of ${size} routers, of which one hears of it from the store`, async () => {
+            expect(await timeUntilEverywhere(size)).to.be.below(500);
+        });
+    }
+});
