fleet: exchanges that are due at the same time are spread over the interval

Cause: a router that starts, and one that reads a change, has all its exchanges due at the same moment, and again an interval later; all routers start together and list their peers in the same order. At 68 routers that is 33 exchanges started and up to as many answered at once, each 1.7 s.

Why it works: exchanges with routers start at 1.25 times their average rate at most, four at once, in an order that differs from router to router. Those that a change made due are not delayed. In fleets of five routers the pace is above what is due.

--- a/packages/fleet/src/__tests__/changeSpread.spec.ts
+++ b/packages/fleet/src/__tests__/changeSpread.spec.ts
@@ -48,4 +48,25 @@
             expect(await timeUntilEverywhere(size)).to.be.below(500);
         });
     }
+
+    // Guards against routers that serve nothing for a while since all their exchanges fall due at the same time.
+    it("leaves no moment in which a router of a large fleet makes many exchanges at once", async () => {
+        const network = new FleetNetwork(68);
+        try {
+            await network.runUntilConnected();
+            await network.run(5_000);
+            network.routers.forEach(({ applyFacts }) => applyFacts([weightsFact(2, 10, 0)], "store"));
+            await network.run(1_000);
+            const allowed = 2 * 40 * 0.5;
+            for (let window = 0; window < 12; window++) {
+                const before = network.exchanges();
+                await network.run(500);
+                const most = Math.max(...network.exchanges().map((count, index) => count - before[index]));
+                expect(most, `window ${window}`).to.be.at.most(allowed);
+            }
+        }
+        finally {
+            network.stop();
+        }
+    });
 });
--- a/packages/fleet/src/decision/peerTable.ts
+++ b/packages/fleet/src/decision/peerTable.ts
@@ -39,12 +39,30 @@
 /** Maximum delay between attempts to reach a peer that does not answer. */
 const maxRetryDelay: Milliseconds = 2_000;
 
+/**
+ * Exchanges with routers that become due at the same time are spread: at this multiple of their average rate, and no more
+ * than {@link maxBurst} at once. Those that are urgent are not delayed.
+ */
+const paceMargin = 1.25;
+
+const maxBurst = 4;
+
+/** Scores are below this value. */
+const maxScore = 2 ** 48;
+
 interface Peer {
     readonly address: InnerAddress;
     readonly isRouter: boolean;
     /** True if this process starts the exchanges; false if the peer is a router that starts them. */
     readonly isInitiatedHere: boolean;
+    /**
+     * Part of an interval by which it comes later in the order of the peers that are due. Other routers have other orders, so
+     * that few call one at once.
+     */
+    readonly orderDelay: number;
     nextDue: Milliseconds;
+    /** True if the next exchange was made due before its time. */
+    isUrgent: boolean;
     isBusy: boolean;
     failures: number;
     /** True from the first failure to the next answer or call. */
@@ -63,6 +81,9 @@
     private readonly peers = new Map<string, Peer>();
     /** Interval of the exchanges with routers; `undefined` before the first. */
     private routerInterval: Milliseconds | undefined;
+    /** Number of exchanges with routers that may be started now without being urgent. */
+    private allowance = maxBurst;
+    private allowanceAt: Milliseconds | undefined;
 
     constructor(private readonly own: InnerAddress, private readonly clock: Clock) {}
 
@@ -106,9 +127,10 @@
         const now = this.clock.now();
         this.routerInterval = routerInterval;
         this.removeExpired(now);
-        const due = [...this.peers.values()].filter((peer) => !peer.isBusy && peer.nextDue <= now);
+        const due = this.pace([...this.peers.values()].filter((peer) => !peer.isBusy && peer.nextDue <= now));
         for (const peer of due) {
             peer.isBusy = true;
+            peer.isUrgent = false;
             peer.nextDue = now + (peer.isRouter ? this.intervalOf(peer) : agentInterval(peer.address));
         }
         return due.map((peer) => peer.address);
@@ -151,15 +173,17 @@
         }
     }
 
-    /** Makes exchanges with the selected peers due immediately; returns how many. */
+    /** Makes exchanges with the selected peers due immediately; returns how many were not urgent before. */
     makeDue(isSelected: (address: InnerAddress, isRouter: boolean) => boolean): number {
-        const selected = [...this.peers.values()].filter((peer) =>
-            peer.failures === 0 && isSelected(peer.address, peer.isRouter)
-        );
-        for (const peer of selected) {
-            peer.nextDue = this.clock.now();
+        let count = 0;
+        for (const peer of this.peers.values()) {
+            if (peer.failures === 0 && isSelected(peer.address, peer.isRouter)) {
+                peer.nextDue = this.clock.now();
+                count += peer.isUrgent ? 0 : 1;
+                peer.isUrgent = true;
+            }
         }
-        return selected.length;
+        return count;
     }
 
     /** Records an answer; returns whether it is the first one or the peer had been unreachable. */
@@ -248,6 +272,22 @@
             .map((peer) => formatAddress(peer.address));
     }
 
+    /** Leaves out exchanges with routers that exceed the pace; those that have been due for the longest time go first. */
+    private pace(due: readonly Peer[]): readonly Peer[] {
+        const now = this.clock.now();
+        const elapsed = now - (this.allowanceAt ?? now);
+        const rate = paceMargin * this.routers().length / Math.max(1, this.routerInterval ?? 0);
+        this.allowance = Math.min(maxBurst, this.allowance + rate * elapsed);
+        this.allowanceAt = now;
+        const position = ({ nextDue, orderDelay }: Peer) => nextDue + orderDelay * (this.routerInterval ?? 0);
+        const isPaced = (peer: Peer) => peer.isRouter && !peer.isUrgent;
+        const paced = due.filter(isPaced)
+            .sort((left, right) => position(left) - position(right))
+            .slice(0, Math.floor(this.allowance));
+        this.allowance -= paced.length;
+        return [...due.filter((peer) => !isPaced(peer)), ...paced];
+    }
+
     /** Time from one exchange with a router to the next one that this process starts. */
     private intervalOf(peer: Peer): Milliseconds {
         const { routerInterval } = this;
@@ -287,8 +327,10 @@
         const peer: Peer = {
             address,
             isRouter,
+            orderDelay: rendezvousScore(formatAddress(this.own), name) / maxScore,
             isInitiatedHere: !isRouter || isInitiator(formatAddress(this.own), name),
             nextDue: this.clock.now(),
+            isUrgent: false,
             isBusy: false,
             failures: 0,
             isUnreachable: false,
