fleet, gateway: statuses of many agents cause few exchanges with the agents that a router owns

What callers saw: late requests on the large site while new weights are loaded.

Cause: an agent sends each change of its replica's status to every router, and a router made an exchange with each agent that it owns for every such status, so that other agents learn whose turn it is. With 82 agents that is one for each status of each agent.

Why it works: the exchanges with one agent that statuses cause start 50 ms apart at least. A first status is still passed on at once, later ones within that time. The new test makes 500 exchanges without the minimum, 20 with it.

--- a/packages/fleet/src/__tests__/peerTable.spec.ts
+++ b/packages/fleet/src/__tests__/peerTable.spec.ts
@@ -105,6 +105,20 @@
         expect(takeDue(table, 1_000)).to.deep.equal([agent]);
     });
 
+    // Guards against routers that make an exchange with their agents for each status of any agent while weights are loaded.
+    it("makes exchanges due after a minimum interval, so that many changes in a short time cause few of them", () => {
+        const { clock, table } = tableFixture();
+        table.setAgents([agent]);
+        let exchanges = 0;
+        for (let change = 0; change < 500; change++) {
+            table.makeDue(() => true, 50);
+            exchanges += takeDue(table, 700).length;
+            table.recordAnswer(agent);
+            clock.advance(2);
+        }
+        expect(exchanges).to.be.within(15, 21);
+    });
+
     it("lets one router of each pair start the exchanges and spreads the pairs evenly", () => {
         const routers = Array.from({ length: 27 }, (_, index) => ({ host: `10.0.2.${index}`, port: 7_600 }));
         const calls = routers.map((router) => {
--- a/packages/fleet/src/decision/peerTable.ts
+++ b/packages/fleet/src/decision/peerTable.ts
@@ -61,6 +61,8 @@
      */
     readonly orderDelay: number;
     nextDue: Milliseconds;
+    /** When this process last started an exchange with it. */
+    lastStartAt: Milliseconds;
     /** True if the next exchange was made due before its time. */
     isUrgent: boolean;
     isBusy: boolean;
@@ -131,6 +133,7 @@
         for (const peer of due) {
             peer.isBusy = true;
             peer.isUrgent = false;
+            peer.lastStartAt = now;
             peer.nextDue = now + (peer.isRouter ? this.intervalOf(peer) : agentInterval(peer.address));
         }
         return due.map((peer) => peer.address);
@@ -160,6 +163,7 @@
         const peer = this.peers.get(formatAddress(address));
         if (peer !== undefined) {
             peer.isBusy = true;
+            peer.lastStartAt = this.clock.now();
             peer.nextDue = this.clock.now() + this.intervalOf(peer);
         }
     }
@@ -173,12 +177,19 @@
         }
     }
 
-    /** Makes exchanges with the selected peers due immediately; returns how many were not urgent before. */
-    makeDue(isSelected: (address: InnerAddress, isRouter: boolean) => boolean): number {
+    /**
+     * Makes exchanges with the selected peers due immediately, or `minInterval` after the start of the last one; returns how
+     * many were not urgent before.
+     */
+    makeDue(
+        isSelected: (address: InnerAddress, isRouter: boolean) => boolean,
+        minInterval: Milliseconds = 0,
+    ): number {
+        const now = this.clock.now();
         let count = 0;
         for (const peer of this.peers.values()) {
             if (peer.failures === 0 && isSelected(peer.address, peer.isRouter)) {
-                peer.nextDue = this.clock.now();
+                peer.nextDue = Math.min(peer.nextDue, Math.max(now, peer.lastStartAt + minInterval));
                 count += peer.isUrgent ? 0 : 1;
                 peer.isUrgent = true;
             }
@@ -330,6 +341,7 @@
             orderDelay: rendezvousScore(formatAddress(this.own), name) / maxScore,
             isInitiatedHere: !isRouter || isInitiator(formatAddress(this.own), name),
             nextDue: this.clock.now(),
+            lastStartAt: -Infinity,
             isUrgent: false,
             isBusy: false,
             failures: 0,
--- a/packages/fleet/src/node/fleetSync.ts
+++ b/packages/fleet/src/node/fleetSync.ts
@@ -79,6 +79,9 @@
  */
 const passOnCount = 4;
 
+/** Minimum interval of the exchanges with one agent that changes of other agents cause. */
+const minUrgentInterval: Milliseconds = 50;
+
 /** Granularity of the schedule of exchanges. */
 const tickInterval: Milliseconds = 50;
 
@@ -120,9 +123,9 @@
 
 /** Cumulative numbers of exchanges since the start, by what caused them. */
 export interface ExchangeCounts {
-    /** Started because their interval had passed, or because of {@link FleetSync.exchangeNow}. */
+    /** Started because their interval had passed, or because of a change. */
     scheduledExchanges: number;
-    /** Those of the scheduled ones that {@link FleetSync.exchangeNow} made due. */
+    /** Those of the scheduled ones that a change made due. */
     urgentExchanges: number;
     /** Started by {@link FleetSync.deliverReports}. */
     deliveryExchanges: number;
@@ -209,9 +212,20 @@
         );
     }
 
-    /** Starts the next exchange with the selected peers immediately. */
-    exchangeNow(isSelected: (address: InnerAddress, isRouter: boolean) => boolean): void {
-        this.counts.urgentExchanges += this.peers.makeDue(isSelected);
+    /**
+     * Starts the next exchange with the selected agents immediately, or a moment after the last one, so that many changes
+     * in a short time cause few exchanges.
+     */
+    exchangeWithAgents(isSelected: (agent: InnerAddress) => boolean): void {
+        this.exchangeNow((address, isRouter) => !isRouter && isSelected(address), minUrgentInterval);
+    }
+
+    /** Starts the next exchange with the selected peers immediately, or `minInterval` after the start of the last one. */
+    private exchangeNow(
+        isSelected: (address: InnerAddress, isRouter: boolean) => boolean,
+        minInterval: Milliseconds = 0,
+    ): void {
+        this.counts.urgentExchanges += this.peers.makeDue(isSelected, minInterval);
         if (!this.stopped) {
             this.runDueExchanges();
         }
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -399,7 +399,7 @@
      */
     private onReplicaStatus(replica: ReplicaStatus): void {
         this.endpointTable.observeStatus(replica, this.options.clock.now());
-        this.sync.exchangeNow((address, isRouter) => !isRouter && this.isOwnerOf(address));
+        this.sync.exchangeWithAgents((agent) => this.isOwnerOf(agent));
     }
 
     /** True if this router, of all live routers, owns an agent: it is the one that forwards facts to it. */
@@ -412,7 +412,7 @@
     private setLiveRouterNames(routers: readonly string[]): void {
         if (routers.join() !== this.liveRouterNames.join()) {
             this.liveRouterNames = routers;
-            this.sync.exchangeNow((address, isRouter) => !isRouter && this.isOwnerOf(address));
+            this.sync.exchangeWithAgents((agent) => this.isOwnerOf(agent));
         }
     }
 
