gateway, fleet: a few routers hold each account of a large fleet, the others ask them for tokens

Cause: between two reports a router may spend its share of the level or of the tolerated overdraft, a 68th, which is less than one request. Before it refused, it reported to all 67 others, within 60 ms, and there was no time for that.

Ruled out: full endpoints (18 of 802 requests that reached an engine were turned away), and the limit itself (see the levels).

Why it works: three routers, by rendezvous hashing, hold each account and share its bucket as all routers did before; the others ask one of them, which debits and grants. That is one call a request at any size. Fleets of up to eight routers are unchanged.

--- a/packages/common/src/digest.ts
+++ b/packages/common/src/digest.ts
@@ -70,26 +70,44 @@
 /** Number of keys beyond which {@link RendezvousOwnerCache} is cleared. */
 const maxCachedOwners = 4_096;
 
-/** Caches the owner of each key until the members change: a score takes microseconds, and lookups are frequent. */
+/** Caches the order of the owners of each key until the members change: a score takes microseconds, and lookups are frequent. */
 export class RendezvousOwnerCache {
-    private readonly owners = new Map<string, string>();
-    private cachedMembers = "";
+    private readonly owners = new Map<string, readonly string[]>();
+    private members: readonly string[] = [];
+    private joinedMembers = "";
+
+    /** `count` is the maximum number of owners of a key. */
+    constructor(private readonly count = 1) {}
 
     /** The member with the highest score for `key`; `undefined` without members. */
     ownerOf(key: string, members: readonly string[]): string | undefined {
-        const joinedMembers = members.join(",");
-        if (joinedMembers !== this.cachedMembers || this.owners.size > maxCachedOwners) {
-            this.owners.clear();
-            this.cachedMembers = joinedMembers;
-        }
+        return this.ownersOf(key, members).at(0);
+    }
+
+    /** The members with the highest scores for `key`, in descending order. `members` must not be changed afterwards. */
+    ownersOf(key: string, members: readonly string[]): readonly string[] {
+        this.setMembers(members);
         const cached = this.owners.get(key);
         if (cached !== undefined) {
             return cached;
         }
-        const owner = rendezvousOrder(key, members, (member) => member).at(0);
-        if (owner !== undefined) {
-            this.owners.set(key, owner);
+        const owners = rendezvousOrder(key, members, (member) => member).slice(0, this.count);
+        this.owners.set(key, owners);
+        return owners;
+    }
+
+    private setMembers(members: readonly string[]): void {
+        if (this.owners.size > maxCachedOwners) {
+            this.owners.clear();
+        }
+        if (members === this.members) {
+            return;
+        }
+        this.members = members;
+        const joinedMembers = members.join(",");
+        if (joinedMembers !== this.joinedMembers) {
+            this.owners.clear();
+            this.joinedMembers = joinedMembers;
         }
-        return owner;
     }
 }
--- a/packages/fleet/src/decision/peerTable.ts
+++ b/packages/fleet/src/decision/peerTable.ts
@@ -261,11 +261,15 @@
         return this.liveRouters().map(formatAddress);
     }
 
-    unresponsiveRouterCount(): number {
+    unresponsiveRouterNames(): string[] {
         const now = this.clock.now();
-        return this.routers().filter((peer) =>
-            !this.isLive(peer, now) && peer.lastContactAt > now - this.removalTimeout
-        ).length;
+        return this.routers()
+            .filter((peer) => !this.isLive(peer, now) && peer.lastContactAt > now - this.removalTimeout)
+            .map((peer) => formatAddress(peer.address));
+    }
+
+    unresponsiveRouterCount(): number {
+        return this.unresponsiveRouterNames().length;
     }
 
     /**
--- a/packages/fleet/src/fleetMessages.ts
+++ b/packages/fleet/src/fleetMessages.ts
@@ -200,6 +200,8 @@
     FetchConfiguration = "fetchConfiguration",
     /** A request for a permit, answered by {@link PermitReply}. */
     Permit = "permit",
+    /** A request for tokens of an account, answered by {@link TokenReply}. */
+    Tokens = "tokens",
 }
 
 /** Starts an exchange. */
@@ -276,8 +278,31 @@
     /** The endpoint states no limit any more, which became known `age` milliseconds ago. */
     | { readonly kind: "unlimited"; readonly age: number; };
 
+/** Asks a holder of an account for tokens. */
+export interface TokenRequest {
+    readonly account: string;
+    readonly tokens: number;
+}
+
+/** Sends a {@link TokenRequest}. */
+export interface TokenCall extends TokenRequest {
+    readonly kind: FleetMessageKind.Tokens;
+}
+
+/** Answers a {@link TokenCall}. */
+export type TokenReply =
+    | { readonly kind: "granted"; }
+    /** The bucket holds `level` tokens; the request may be granted after `retryAfter` milliseconds. */
+    | { readonly kind: "denied"; readonly level: number; readonly retryAfter: number; };
+
 /** Every message on the topic except the replies. */
-export type FleetMessage = SyncCall | FactsMessage | ReplicaMessage | FetchConfigurationCall | PermitCall;
+export type FleetMessage =
+    | SyncCall
+    | FactsMessage
+    | ReplicaMessage
+    | FetchConfigurationCall
+    | PermitCall
+    | TokenCall;
 
 const markShape = {
     configuration: isNonNegativeInteger,
@@ -365,6 +390,11 @@
     denied: { retryAfter: isNonNegativeNumber },
     unlimited: { age: isNonNegativeNumber },
 });
+const isTokens = isShaped({ account: isString, tokens: isNonNegativeNumber });
+const isTokenReply = isTagged("kind", {
+    granted: {},
+    denied: { level: (value: unknown) => Number.isFinite(value), retryAfter: isNonNegativeNumber },
+});
 const isConfigurationReply = isShaped({ news: isListOf(isFact) });
 const isReply = isShaped({
     mark: isShaped(markShape),
@@ -387,6 +417,8 @@
             return isFetch(body) ? body as FetchConfigurationCall : undefined;
         case FleetMessageKind.Permit:
             return isPermit(body) ? body as PermitCall : undefined;
+        case FleetMessageKind.Tokens:
+            return isTokens(body) ? body as TokenCall : undefined;
         default:
             return undefined;
     }
@@ -402,6 +434,11 @@
     return isPermitReply(body) ? body as PermitReply : undefined;
 }
 
+/** Reads the answer to a {@link TokenCall}; `undefined` if it is malformed. */
+export function readTokenReply(body: unknown): TokenReply | undefined {
+    return isTokenReply(body) ? body as TokenReply : undefined;
+}
+
 /** Reads the answer to a {@link FetchConfigurationCall}; `undefined` if it is malformed. */
 export function readConfigurationReply(body: unknown): ConfigurationReply | undefined {
     return isConfigurationReply(body) ? body as ConfigurationReply : undefined;
--- a/packages/fleet/src/node/fleetSync.ts
+++ b/packages/fleet/src/node/fleetSync.ts
@@ -7,14 +7,7 @@
  *
  * @module
  */
-import {
-    type Clock,
-    type Logger,
-    type Milliseconds,
-    type RandomSource,
-    sample,
-    sleep,
-} from "@redwingpin/common";
+import { type Clock, type Logger, type Milliseconds, type RandomSource, sample } from "@redwingpin/common";
 import {
     type Connection,
     type Hello,
@@ -30,16 +23,22 @@
     type ConfigurationReply,
     FleetMessageKind,
     type PeerReport,
+    type PermitCall,
     type PermitReply,
     type PermitRequest,
     readConfigurationReply,
     readFleetMessage,
     readPermitReply,
     readSyncReply,
+    readTokenReply,
     type ReplicaStatus,
     type SyncCall,
     type SyncReply,
+    type TokenCall,
+    type TokenReply,
+    type TokenRequest,
 } from "../fleetMessages.js";
+import { ReportDeliveries } from "./reportDeliveries.js";
 
 /** Interval of exchanges while there is something to report. */
 export const activeInterval: Milliseconds = 150;
@@ -67,10 +66,7 @@
 /** A peer that does not answer within this time is called again on a new connection. */
 const answerTimeout: Milliseconds = 700;
 
-/** Maximum time that a caller's request waits for a delivery; live routers answer within some milliseconds. */
-const deliveryTimeout: Milliseconds = 60;
-
-/** Maximum time that a caller's request waits for a permit; a live router answers within a round trip between regions. */
+/** Maximum time that a caller's request waits for a permit or tokens; a live router answers within a round trip. */
 const permitTimeout: Milliseconds = 150;
 
 /**
@@ -112,12 +108,17 @@
     readonly onReplicaStatus: (replica: ReplicaStatus) => void;
     /** Called when a peer that listens at `address` has received a report. */
     readonly onReportDelivered: (peer: Hello, address: InnerAddress, report: PeerReport) => void;
-    /** Handles facts from a peer. */
     /**
      * Answers a router that asks for a permit.
      * @default requests stay unanswered
      */
     readonly onPermitRequest?: (request: PermitRequest, from: Hello) => PermitReply;
+    /**
+     * Answers a router that asks for tokens of an account; `undefined` if this process does not know the account.
+     * @default requests stay unanswered
+     */
+    readonly onTokenRequest?: (request: TokenRequest) => Promise<TokenReply | undefined>;
+    /** Handles facts from a peer. */
     readonly onFacts: (facts: readonly FleetFact[], peer: Hello) => void;
 }
 
@@ -131,6 +132,10 @@
     deliveryExchanges: number;
     /** Started by peers. */
     answeredExchanges: number;
+    /** Requests for tokens that were sent to holders of accounts. */
+    tokenRequests: number;
+    /** Requests for tokens from other routers. */
+    answeredTokenRequests: number;
 }
 
 /** Makes and answers the exchanges with peers. */
@@ -141,13 +146,14 @@
         urgentExchanges: 0,
         deliveryExchanges: 0,
         answeredExchanges: 0,
+        tokenRequests: 0,
+        answeredTokenRequests: 0,
     };
     private readonly peers: PeerTable;
     /** Running exchanges, by the peer's name. */
     private readonly exchanges = new Map<string, Promise<void>>();
     private readonly configurationFetch = new ConfigurationFetch<Hello>();
-    private delivery: Promise<void> = Promise.resolve();
-    private nextDelivery: Promise<void> | undefined;
+    private readonly deliveries: ReportDeliveries;
     private replyCount = 0;
     /** The report of the last reply to each router. */
     private readonly sentReplies = new Map<string, Pick<SyncReply, "number" | "report">>();
@@ -162,6 +168,7 @@
 
     constructor(private readonly options: FleetSyncOptions) {
         this.peers = new PeerTable(options.address, options.clock);
+        this.deliveries = new ReportDeliveries(options.clock, (routers) => this.deliverTo(routers));
         options.innerNode.handle(Topic.Fleet, (body, from) => this.handleMessage(body, from));
     }
 
@@ -185,6 +192,11 @@
         return this.peers.unresponsiveRouterCount();
     }
 
+    /** Names of routers that answered before and are unresponsive now. */
+    unresponsiveRouterNames(): string[] {
+        return this.peers.unresponsiveRouterNames();
+    }
+
     /** Names of the live routers, excluding this one. */
     liveRouterNames(): string[] {
         return this.peers.liveRouterNames();
@@ -231,39 +243,43 @@
         }
     }
 
-    /**
-     * Makes an exchange with every live router; resolves when all have answered, or after {@link deliveryTimeout}. Calls
-     * during a delivery share the next one.
-     */
-    deliverReports(): Promise<void> {
-        this.nextDelivery ??= this.delivery.then(() => {
-            this.nextDelivery = undefined;
-            this.delivery = this.deliverOnce();
-            return this.delivery;
-        });
-        return this.nextDelivery;
+    /** Makes an exchange with each of the given routers that are live, see {@link ReportDeliveries}. */
+    deliverReports(routers: readonly string[]): Promise<void> {
+        return this.deliveries.deliver(routers);
     }
 
-    private async deliverOnce(): Promise<void> {
-        const exchanges = this.peers.liveRouters().map(async (address) => {
+    private async deliverTo(routers: readonly string[]): Promise<void> {
+        const receivers = this.peers.liveRouters().filter((address) =>
+            routers.includes(formatAddress(address))
+        );
+        await Promise.all(receivers.map(async (address) => {
             // The report of a running exchange is older.
             await this.exchanges.get(formatAddress(address));
             this.peers.recordStart(address);
             this.counts.deliveryExchanges += 1;
             await this.exchange(address);
-        });
-        await Promise.race([Promise.all(exchanges), sleep(this.options.clock, deliveryTimeout)]);
+        }));
+    }
+
+    /** Asks a live router for tokens of an account; `undefined` if it does not answer in time. */
+    async requestTokens(holder: string, request: TokenRequest): Promise<TokenReply | undefined> {
+        this.counts.tokenRequests += 1;
+        return readTokenReply(await this.callRouter(holder, { kind: FleetMessageKind.Tokens, ...request }));
     }
 
     /** Asks a live router for a permit; `undefined` if it does not answer in time. */
     async requestPermit(owner: string, request: PermitRequest): Promise<PermitReply | undefined> {
-        const address = this.peers.liveRouters().find((router) => formatAddress(router) === owner);
+        return readPermitReply(await this.callRouter(owner, { kind: FleetMessageKind.Permit, ...request }));
+    }
+
+    /** Calls a live router while a caller's request waits; `undefined` if it does not answer in time. */
+    private async callRouter(name: string, call: PermitCall | TokenCall): Promise<unknown> {
+        const address = this.peers.liveRouters().find((router) => formatAddress(router) === name);
         if (address === undefined) {
             return undefined;
         }
-        const call = { kind: FleetMessageKind.Permit, ...request };
         const answer = await this.options.innerNode.call(address, Topic.Fleet, call, permitTimeout);
-        return answer.isOk() ? readPermitReply(answer.value) : undefined;
+        return answer.isOk() ? answer.value : undefined;
     }
 
     /** Sends the status of this agent's replica to every connected router. */
@@ -429,7 +445,7 @@
     private async handleMessage(
         body: unknown,
         from: Hello,
-    ): Promise<SyncReply | ConfigurationReply | PermitReply | undefined> {
+    ): Promise<SyncReply | ConfigurationReply | PermitReply | TokenReply | undefined> {
         const message = readFleetMessage(body);
         switch (message?.kind) {
             case FleetMessageKind.Sync: {
@@ -455,6 +471,9 @@
                 return { news: this.options.state.configurationSince(message.version) };
             case FleetMessageKind.Permit:
                 return this.options.onPermitRequest?.(message, from);
+            case FleetMessageKind.Tokens:
+                this.counts.answeredTokenRequests += 1;
+                return this.options.onTokenRequest?.(message);
             case undefined:
                 this.options.logger.warn("a peer sent a malformed message", { peer: from.instance });
                 return undefined;
--- a/packages/gateway/src/decision/sharedLedger.ts
+++ b/packages/gateway/src/decision/sharedLedger.ts
@@ -2,13 +2,17 @@
  * Token buckets that all routers share. Each router debits its own copy immediately and reports to the others how much
  * it has spent since its start. The reported counts are cumulative, so lost and repeated reports do no harm.
  *
- * Between two reports a router spends at most its share of the remaining level or of the allowed overdraft. While other
- * routers are unresponsive, it leaves them their share of the rate. All copies together thus stay within rate, burst
- * and overdraft.
+ * In a small fleet, a router spends between two reports at most its share of the remaining level or of the allowed overdraft.
+ * In a larger one that share would be less than a request, so a few routers, the holders of an account, share its bucket in
+ * this way. The others spend a share of the allowed overdraft, and ask a holder for more: it debits its own copy and grants
+ * the tokens.
+ *
+ * While other routers are unresponsive, a router leaves them their share of the rate. All copies together thus stay within
+ * rate, burst and overdraft.
  *
  * @module
  */
-import type { Milliseconds } from "@redwingpin/common";
+import { type Milliseconds, RendezvousOwnerCache } from "@redwingpin/common";
 import type { AccountSpending, DirectAccount } from "@redwingpin/fleet";
 
 const millisecondsPerSecond = 1_000;
@@ -23,16 +27,37 @@
         readonly level: number;
         /** True if the level suffices, but this router has spent too much that is still unreported to other routers. */
         readonly needsReport: boolean;
+        /** Routers that may grant the tokens, in the order in which to ask them. */
+        readonly holders: readonly string[];
     };
 
+/** Why a holder grants no tokens. */
+export interface TokenDenial {
+    readonly level: number;
+    /** Time until the tokens may be available. */
+    readonly retryAfter: Milliseconds;
+}
+
+/** On whose behalf tokens are spent. */
+export enum SpendCause {
+    /** For a request to this router. */
+    OwnRequest = "ownRequest",
+    /** For another router, which takes this one for a holder of the account. */
+    Grant = "grant",
+    /** For a request to this router while no holder of the account answers. */
+    NoHolder = "noHolder",
+}
+
 interface Bucket {
     account: DirectAccount;
     level: number;
     refilledAt: Milliseconds;
-    /** Tokens that are set aside for unresponsive routers, which may be spending them. */
-    reserved: number;
+    /** Tokens that are set aside for each unresponsive router, which may be spending them. */
+    readonly reserved: Map<string, number>;
     /** Tokens that this router has spent since its start. */
     spent: number;
+    /** The last denial of a holder: until its time, requests for as many tokens are refused without asking again. */
+    denial: { readonly tokens: number; readonly until: Milliseconds; readonly level: number; } | undefined;
     /** True once the level of a running peer has been adopted. */
     isAdopted: boolean;
     /** Value of `spent` in the last report that was delivered to each peer, by the peer's name. */
@@ -43,8 +68,8 @@
 export interface LedgerFleet {
     /** Names of the other routers that are live. */
     readonly live: readonly string[];
-    /** Number of other routers that were live recently and are now unresponsive. */
-    readonly unresponsive: number;
+    /** Names of the other routers that were live recently and are now unresponsive. */
+    readonly unresponsive: readonly string[];
 }
 
 /** Another router. */
@@ -60,6 +85,8 @@
     /** True if no router can have spent anything before; buckets then start full. */
     readonly startsFull: boolean;
     readonly tolerance: RateTolerance;
+    /** Name of this router. */
+    readonly ownName: string;
 }
 
 /** Tokens that an account may spend beyond its rate and burst, over all routers and in any window. */
@@ -80,16 +107,36 @@
 /** Share of the tolerance by which routers may overdraw a bucket while their reports are in transit. */
 const overdraftShare = 0.25;
 
+/** Up to this number of routers, all of them are holders of every account. */
+const maxSharingRouters = 8;
+
+/** Number of holders of an account in a larger fleet. */
+const holderCount = 3;
+
+/** A denial is remembered for this time at most: tokens may be returned before they were expected. */
+const maxDenialTime: Milliseconds = 1_000;
+
+/** Part of an account that its holders share; the rest belongs to all routers, so that no side of a partition has none. */
+const holdersPart = 0.5;
+
 /** The token buckets of one router. */
 export class SharedLedger {
     private readonly buckets = new Map<string, Bucket>();
     private readonly peerSpent = new Map<string, Map<string, number>>();
-    private fleet: LedgerFleet = { live: [], unresponsive: 0 };
+    private fleet: LedgerFleet = { live: [], unresponsive: [] };
+    /** This router and the live ones, sorted. */
+    private reachable: readonly string[];
+    /** Also the unresponsive ones. */
+    private members: readonly string[];
+    private readonly reachableHolders = new RendezvousOwnerCache(holderCount);
+    private readonly memberHolders = new RendezvousOwnerCache(holderCount);
 
     private tolerance: RateTolerance;
 
     constructor(private readonly options: SharedLedgerOptions) {
         this.tolerance = options.tolerance;
+        this.reachable = [options.ownName];
+        this.members = this.reachable;
     }
 
     /** Applies a new tolerance; levels are kept. */
@@ -109,7 +156,7 @@
             const bucket = this.buckets.get(account.name);
             if (bucket === undefined) {
                 const created = this.createBucket(account, now);
-                this.trackNewPeers(created, this.fleet);
+                this.trackNewPeers(created);
                 this.buckets.set(account.name, created);
                 continue;
             }
@@ -120,16 +167,28 @@
     }
 
     updateFleet(fleet: LedgerFleet, now: Milliseconds): void {
-        for (const bucket of this.buckets.values()) {
-            this.refill(bucket, now);
-            this.reserve(bucket, fleet);
-            this.trackNewPeers(bucket, fleet);
+        const isChanged = fleet.live.join() !== this.fleet.live.join()
+            || fleet.unresponsive.join() !== this.fleet.unresponsive.join();
+        if (!isChanged) {
+            return;
         }
+        this.buckets.forEach((bucket) => this.refill(bucket, now));
         this.fleet = fleet;
+        this.reachable = [this.options.ownName, ...fleet.live].sort();
+        this.members = [...this.reachable, ...fleet.unresponsive].sort();
+        this.buckets.forEach((bucket) => {
+            this.reserve(bucket);
+            this.trackNewPeers(bucket);
+        });
     }
 
     /** Spends tokens of an account, or returns the time until they may be available. */
-    spend(name: string, tokens: number, now: Milliseconds): SpendOutcome {
+    spend(
+        name: string,
+        tokens: number,
+        now: Milliseconds,
+        cause: SpendCause = SpendCause.OwnRequest,
+    ): SpendOutcome {
         const bucket = this.buckets.get(name);
         if (bucket === undefined || bucket.account.tokensPerSecond <= 0) {
             return { admitted: true };
@@ -138,18 +197,70 @@
         const needed = Math.min(tokens, bucket.account.burstTokens);
         const unreported = this.unreported(bucket);
         const overdraft = overdraftShare * this.toleratedTokens(bucket.account);
-        const share = Math.max(bucket.level, overdraft) / (1 + this.fleet.live.length);
-        const fitsShare = unreported === 0 || unreported + tokens <= share;
+        const holders = this.holdersOf(name);
+        const isHolder = cause !== SpendCause.OwnRequest || holders.includes(this.options.ownName);
+        const sharers = cause === SpendCause.NoHolder ? this.reachable.length : holders.length;
+        const share = isHolder
+            ? Math.max(bucket.level, overdraft) / sharers
+            : overdraft / this.reachable.length;
+        const fitsShare = unreported + tokens <= share || (isHolder && unreported === 0);
+        if (!isHolder && (bucket.level < needed || !fitsShare)) {
+            return this.referToHolders(bucket, tokens, now, holders);
+        }
         if (bucket.level < needed || !fitsShare) {
             const missing = Math.max(needed - bucket.level, fitsShare ? 0 : unreported + tokens - share);
             const retryAfter = missing * millisecondsPerSecond / bucket.account.tokensPerSecond;
-            return { admitted: false, retryAfter, level: bucket.level, needsReport: bucket.level >= needed };
+            return {
+                admitted: false,
+                retryAfter,
+                level: bucket.level,
+                needsReport: bucket.level >= needed,
+                holders: [],
+            };
         }
         bucket.level -= tokens;
         bucket.spent += tokens;
         return { admitted: true };
     }
 
+    /** Records that a holder has denied tokens. */
+    recordDenial(name: string, tokens: number, { level, retryAfter }: TokenDenial, now: Milliseconds): void {
+        const bucket = this.buckets.get(name);
+        if (bucket !== undefined) {
+            bucket.denial = { tokens, level, until: now + Math.min(maxDenialTime, retryAfter) };
+        }
+    }
+
+    private referToHolders(
+        bucket: Bucket,
+        tokens: number,
+        now: Milliseconds,
+        holders: readonly string[],
+    ): SpendOutcome {
+        const { denial } = bucket;
+        return denial !== undefined && now < denial.until && tokens >= denial.tokens
+            ? {
+                admitted: false,
+                retryAfter: denial.until - now,
+                level: denial.level,
+                needsReport: false,
+                holders: [],
+            }
+            : { admitted: false, retryAfter: 0, level: bucket.level, needsReport: false, holders };
+    }
+
+    /** True if an account of this name is configured. */
+    hasAccount(name: string): boolean {
+        return this.buckets.has(name);
+    }
+
+    /** The live routers that share an account's bucket, which may include this one. */
+    holdersOf(name: string): readonly string[] {
+        return this.reachable.length <= maxSharingRouters
+            ? this.reachable
+            : this.reachableHolders.ownersOf(name, this.reachable);
+    }
+
     /** Returns the tokens of a request that did not run. */
     refund(name: string, tokens: number): void {
         const bucket = this.buckets.get(name);
@@ -164,7 +275,7 @@
         return [...this.buckets].map(([account, bucket]) => ({ account, tokens: bucket.spent }));
     }
 
-    /** True if this router has spent tokens that are unreported to a live peer. */
+    /** True if this router has spent tokens that are unreported to another holder of their account. */
     hasUnreported(): boolean {
         return [...this.buckets.values()].some((bucket) => this.unreported(bucket) !== 0);
     }
@@ -248,8 +359,9 @@
             account,
             level,
             refilledAt: now,
-            reserved: 0,
+            reserved: new Map(),
             spent: 0,
+            denial: undefined,
             isAdopted: false,
             reportedSpending: new Map(),
         };
@@ -259,51 +371,63 @@
      * Sets aside the share of routers that became unresponsive. The tokens return to the level when such a router is
      * live again, since it then reports what it has spent; if the router is removed, they are dropped.
      */
-    private reserve(bucket: Bucket, fleet: LedgerFleet): void {
-        const before = this.fleet.unresponsive;
-        const unresponsiveChange = fleet.unresponsive - before;
-        if (unresponsiveChange > 0) {
-            const routers = 1 + fleet.live.length + fleet.unresponsive;
-            const share = Math.max(0, bucket.level) * unresponsiveChange / routers;
-            bucket.level -= share;
-            bucket.reserved += share;
+    private reserve(bucket: Bucket): void {
+        const { live, unresponsive } = this.fleet;
+        for (const [router, tokens] of bucket.reserved) {
+            if (!unresponsive.includes(router)) {
+                bucket.reserved.delete(router);
+                const returned = live.includes(router) ? tokens : 0;
+                bucket.level = Math.min(bucket.account.burstTokens, bucket.level + returned);
+            }
         }
-        else if (unresponsiveChange < 0) {
-            const returned = Math.min(
-                -unresponsiveChange,
-                Math.max(0, fleet.live.length - this.fleet.live.length),
-            );
-            bucket.level = Math.min(
-                bucket.account.burstTokens,
-                bucket.level + bucket.reserved * returned / before,
-            );
-            bucket.reserved *= 1 + unresponsiveChange / before;
+        const level = Math.max(0, bucket.level);
+        for (const router of unresponsive) {
+            if (!bucket.reserved.has(router)) {
+                const tokens = level * this.shareOf(router, bucket.account.name);
+                bucket.reserved.set(router, tokens);
+                bucket.level -= tokens;
+            }
         }
     }
 
+    /** Share of an account that a router, live or unresponsive, may spend while the others do not hear of it. */
+    private shareOf(router: string, account: string): number {
+        const { members } = this;
+        if (members.length <= maxSharingRouters) {
+            return 1 / members.length;
+        }
+        const isHolder = this.memberHolders.ownersOf(account, members).includes(router);
+        return (1 - holdersPart) / members.length + (isHolder ? holdersPart / holderCount : 0);
+    }
+
     /**
      * Records the spending so far as reported to each live router without a delivered report: such a router has just
      * joined, so earlier spending does not count as unreported to it.
      */
-    private trackNewPeers(bucket: Bucket, fleet: LedgerFleet): void {
-        for (const peer of fleet.live) {
+    private trackNewPeers(bucket: Bucket): void {
+        for (const peer of this.fleet.live) {
             if (!bucket.reportedSpending.has(peer)) {
                 bucket.reportedSpending.set(peer, bucket.spent);
             }
         }
     }
 
-    /** Tokens spent by this router that are unreported to some live router. */
+    /** Tokens spent by this router that are unreported to some other holder of the account. */
     private unreported(bucket: Bucket): number {
-        const known = this.fleet.live.map((peer) => bucket.reportedSpending.get(peer) ?? 0);
-        return known.length === 0 ? 0 : Math.max(0, bucket.spent - Math.min(...known));
+        const { ownName } = this.options;
+        let unreported = 0;
+        for (const holder of this.holdersOf(bucket.account.name)) {
+            if (holder !== ownName) {
+                unreported = Math.max(unreported, bucket.spent - (bucket.reportedSpending.get(holder) ?? 0));
+            }
+        }
+        return unreported;
     }
 
     private refill(bucket: Bucket, now: Milliseconds): void {
-        const liveRouters = 1 + this.fleet.live.length;
-        const share = liveRouters / (liveRouters + this.fleet.unresponsive);
-        const earned = (now - bucket.refilledAt) * bucket.account.tokensPerSecond * share
-            / millisecondsPerSecond;
+        const { name, tokensPerSecond } = bucket.account;
+        const reserved = this.fleet.unresponsive.reduce((sum, router) => sum + this.shareOf(router, name), 0);
+        const earned = (now - bucket.refilledAt) * tokensPerSecond * (1 - reserved) / millisecondsPerSecond;
         bucket.level = Math.min(bucket.account.burstTokens, bucket.level + Math.max(0, earned));
         bucket.refilledAt = now;
     }
--- a/packages/gateway/src/node/callerChecks.ts
+++ b/packages/gateway/src/node/callerChecks.ts
@@ -8,8 +8,8 @@
 import { err, ok, type Result } from "neverthrow";
 import type { IncomingMessage } from "node:http";
 import { chooseTarget, type RouteTable } from "../decision/routeTable.js";
-import type { SharedLedger } from "../decision/sharedLedger.js";
 import type { CallerMetadata, HeaderCodec } from "../headerCodec.js";
+import type { AccountTokens } from "./accountTokens.js";
 import { findInvalidField } from "./answerWriter.js";
 import type { BlockBody } from "./blockPool.js";
 import type { DirectRequest } from "./callerRequest.js";
@@ -23,7 +23,7 @@
     readonly attempt?: string;
     /** Level of the account's bucket, if the bucket was the reason. */
     readonly level?: number;
-    /** True if the request may be admitted once this router's spending has been reported to the other routers. */
+    /** True if the level suffices, but this router has spent too much that is still unreported to other routers. */
     readonly needsReport?: boolean;
     readonly account?: string;
     readonly tokens?: number;
@@ -38,9 +38,8 @@
 /** Dependencies of the checks. */
 export interface CheckContext {
     readonly headerCodec: HeaderCodec;
-    readonly ledger: SharedLedger;
+    readonly accountTokens: Pick<AccountTokens, "charge">;
     readonly table: () => RouteTable | undefined;
-    readonly now: () => Milliseconds;
     readonly random: () => number;
 }
 
@@ -122,14 +121,14 @@
     return arrival + Math.min(metadata.maxWait ?? Infinity, route.timeout) - answerMargin;
 }
 
-/** Runs the remaining checks once the body has arrived, and charges the account. */
-export function checkComplete(
+/** Runs the remaining checks once the body has arrived, and charges the account, which may wait for other routers. */
+export async function checkComplete(
     context: CheckContext,
     head: CheckedHead,
     request: IncomingMessage,
     body: BlockBody,
     arrival: Milliseconds,
-): Result<DirectRequest, CheckFailure> {
+): Promise<Result<DirectRequest, CheckFailure>> {
     const { account, metadata, route, table } = head;
     const target = chooseTarget(route.targets, context.random());
     const service = target === undefined ? undefined : table.service(target);
@@ -147,7 +146,7 @@
     const tokens = chargedTokens(metadata, account);
     const spending = account === undefined
         ? { admitted: true as const }
-        : context.ledger.spend(account.name, tokens, context.now());
+        : await context.accountTokens.charge({ account: account.name, tokens });
     if (!spending.admitted) {
         return err({
             status: 429,
--- a/packages/gateway/src/node/directServer.ts
+++ b/packages/gateway/src/node/directServer.ts
@@ -69,8 +69,6 @@
     /** Maximum total size of buffered request bodies, in bytes. */
     readonly maxBufferedBytes: number;
     readonly serve: (request: DirectRequest, response: ServerResponse) => Promise<RequestOutcome>;
-    /** Reports this router's spending to the other routers. */
-    readonly deliverReports: () => Promise<void>;
     /** Returns the tokens that were charged for a request that has not run. */
     readonly refund: (request: DirectRequest) => void;
 }
@@ -81,8 +79,8 @@
     read?: Milliseconds;
     /** In the queue of complete requests. */
     queued?: Milliseconds;
-    /** Waiting until the other routers had this router's spending; absent if it did not wait for that. */
-    reported?: Milliseconds;
+    /** Charging its account, which may wait for other routers. */
+    charged?: Milliseconds;
 }
 
 /** Serves callers. */
@@ -373,13 +371,9 @@
         timings: RequestTimings,
     ): Promise<void> {
         const { checks, clock, logger } = this.context;
-        let checked = checkComplete(checks, head, request, body, arrival);
-        if (checked.isErr() && checked.error.needsReport === true) {
-            const reportStart = clock.now();
-            await this.context.deliverReports();
-            timings.reported = clock.now() - reportStart;
-            checked = checkComplete(checks, head, request, body, arrival);
-        }
+        const start = clock.now();
+        const checked = await checkComplete(checks, head, request, body, arrival);
+        timings.charged = clock.now() - start;
         if (checked.isErr()) {
             this.refuse(request, response, checked.error, timings);
             return;
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -151,6 +151,7 @@
         this.ledger = new SharedLedger({
             startsFull: config.isFirstStart,
             tolerance: config.rateTolerance,
+            ownName: formatAddress(config.inner),
         });
         this.watcherSelection = new WatcherSelection(formatAddress(config.inner), clock);
         this.reports = new PeerReports({
@@ -303,6 +304,7 @@
             onReport: (peer, report, address) => this.reports.observe(peer, report, address),
             onReplicaStatus: (replica) => this.onReplicaStatus(replica),
             onPermitRequest: (request, from) => this.permits.issue(from.instance, request),
+            onTokenRequest: (request) => this.accountTokens.grant(request),
             onReportDelivered: (peer, address, report) => this.reports.recordDelivery(peer, address, report),
             onFacts: (facts, peer) => this.applyFacts(facts, peer.instance),
         });
@@ -327,7 +329,6 @@
 
     private createServer(): DirectServer {
         const { clock, config, headerCodec, logger } = this.options;
-        const now = () => clock.now();
         const random = () => this.random.unit();
         const context = {
             clock,
@@ -355,12 +356,11 @@
             logger: context.logger,
             metrics: this.metrics,
             headerCodec,
-            checks: { headerCodec, ledger: this.ledger, table: () => this.table, now, random },
+            checks: { headerCodec, accountTokens: this.accountTokens, table: () => this.table, random },
             isStopping: () => this.isStopping,
             accepts: (limits) => this.accepts(limits),
             maxBufferedBytes: config.maxBufferedBytes,
             serve: (request, response) => serveRequest(context, request, response),
-            deliverReports: () => this.accountTokens.deliverReports(),
             refund: (request) => {
                 if (request.account !== undefined) {
                     this.ledger.refund(request.account.name, request.tokens);
