gateway: the time limit of a request counts from its arrival at the router, not from when it is read

What callers saw: a request reached its endpoint after its caller's time limit, ran there, and was answered 504 half a second after the limit (CONFIG of the large site: 'more than half have no answer half a second later').

Cause: the deadline began when the event loop read the head. What a request waits in the socket during a long turn was added.

Why it works: a timer that is overdue has not run in the current turn, so the turn began when it was due, at the latest; what is read in the turn had arrived by then. The bound is never too early. It does not include what a request waits in the queue of connections, or for a turn that began less than 50 ms ago. The test gets 200 instead of 503 without the change.

Routes through agents (packages/router) count from the read as before.

--- a/packages/common/src/__tests__/eventLoopMonitor.spec.ts
+++ b/packages/common/src/__tests__/eventLoopMonitor.spec.ts
@@ -10,7 +10,7 @@
     const summaries: { message: string; fields?: LogFields; }[] = [];
     const work = { exchanges: 0 };
     let late = 0;
-    const cancel = startEventLoopMonitor({
+    const { stop, turnStartedBy } = startEventLoopMonitor({
         clock: {
             now: () => clock.now(),
             wallTime: () => clock.wallTime(),
@@ -30,7 +30,8 @@
         lines,
         summaries,
         work,
-        cancel,
+        stop,
+        turnStartedBy,
         setLate: (duration: number) => late = duration,
     };
 }
@@ -49,14 +50,14 @@
     });
 
     it("logs at most one line in ten seconds and counts the others, until it is cancelled", () => {
-        const { cancel, clock, lines, setLate } = monitorFixture();
+        const { stop, clock, lines, setLate } = monitorFixture();
         setLate(950);
         clock.advance(50 + 12 * 1_000);
         expect(lines.map((line) => line.fields)).to.deep.equal([
             { delay: 950, unlogged: 0 },
             { delay: 950, unlogged: 9 },
         ]);
-        cancel();
+        stop();
         clock.advance(60_000);
         expect(lines).to.have.length(2);
     });
@@ -75,4 +76,15 @@
             fields: { period: 1_050, longest: 150, total: 750, exchanges: 67 },
         }]);
     });
+
+    it("tells by when the current turn has begun, from a timer that is overdue", () => {
+        const { clock, setLate, turnStartedBy } = monitorFixture();
+        clock.advance(20);
+        expect(turnStartedBy()).to.equal(20);
+        setLate(400);
+        clock.advance(30 + 300);
+        expect(turnStartedBy()).to.equal(100);
+        clock.advance(150);
+        expect(turnStartedBy()).to.equal(500);
+    });
 });
--- a/packages/common/src/eventLoopMonitor.ts
+++ b/packages/common/src/eventLoopMonitor.ts
@@ -38,8 +38,18 @@
     readonly workCounts?: () => Readonly<Record<string, number>>;
 }
 
-/** Measures until the returned function is called. */
-export function startEventLoopMonitor(options: EventLoopMonitorOptions): CancelTimer {
+/** A running monitor. */
+export interface EventLoopMonitor {
+    /**
+     * The latest time at which the current turn of the event loop can have begun: a timer that is overdue has not run in it.
+     * What is read in this turn had arrived by then.
+     */
+    readonly turnStartedBy: () => Milliseconds;
+    readonly stop: CancelTimer;
+}
+
+/** Measures until the monitor is stopped. */
+export function startEventLoopMonitor(options: EventLoopMonitorOptions): EventLoopMonitor {
     const { clock, logger, registry } = options;
     const delays = new Histogram({
         name: "redwingpin_event_loop_delay_seconds",
@@ -71,7 +81,10 @@
         cancel = clock.schedule(measurementInterval, measure);
     };
     cancel = clock.schedule(measurementInterval, measure);
-    return () => cancel();
+    return {
+        turnStartedBy: () => Math.min(clock.now(), due),
+        stop: () => cancel(),
+    };
 }
 
 /** Sums up the delays and the work of each period, and logs both if a delay was long. */
--- a/packages/gateway/src/__tests__/directServer.spec.ts
+++ b/packages/gateway/src/__tests__/directServer.spec.ts
@@ -57,6 +57,7 @@
     const replies: (TokenReply | undefined)[] = [];
     let served = 0;
     let isStopping = !accepts;
+    let turnDelay = 0;
     let answersAllowed = Promise.resolve();
     let beginning: string | undefined;
     const registry = new Registry();
@@ -87,6 +88,7 @@
         metrics: new GatewayMetrics(registry),
         headerCodec,
         checks: { headerCodec, accountTokens, table: () => table, random: () => 0 },
+        turnStartedBy: () => systemClock.now() - turnDelay,
         isStopping: () => isStopping,
         accepts: () => accepts,
         maxBufferedBytes: 1_000_000,
@@ -110,6 +112,8 @@
         /** Fields of the lines that were logged as errors. */
         errors,
         served: () => served,
+        /** Requests arrive this long before they are read. */
+        setTurnDelay: (delay: number) => turnDelay = delay,
         /** Requests for tokens that were sent to other routers. */
         askedHolders,
         /** The answers to them, in order. */
@@ -309,6 +313,17 @@
         expect(statuses).to.deep.equal([200, 200, 429]);
     });
 
+    // Guards against requests that run after their caller's time limit, since they waited in the socket of a busy router.
+    it("counts the time limit of a request from its arrival, before the router read it", async () => {
+        const fixture = await serverFixture(true);
+        server = fixture.server;
+        fixture.setTurnDelay(900);
+        expect((await send(fixture.port)).status).to.equal(200);
+        fixture.setTurnDelay(1_100);
+        expect((await send(fixture.port)).status).to.equal(503);
+        expect(fixture.served()).to.equal(1);
+    });
+
     describe("in a fleet in which a few routers hold each account", () => {
         const account = accountFixture({
             keyDigests: [sha256Hex("key")],
--- a/packages/gateway/src/__tests__/requestQueue.spec.ts
+++ b/packages/gateway/src/__tests__/requestQueue.spec.ts
@@ -91,6 +91,13 @@
         expect(kinds()).to.deep.equal(["expired"]);
     });
 
+    it("does not take a request whose time limit has passed already", () => {
+        const { add, kinds, pass } = queueFixture();
+        pass(2_000);
+        add("a", 1_500);
+        expect(kinds()).to.deep.equal(["expired"]);
+    });
+
     it("answers a request whose time limit has passed although others are ahead", () => {
         const { add, names, turn } = queueFixture(10);
         for (let request = 0; request < 100; request++) {
--- a/packages/gateway/src/decision/requestQueue.ts
+++ b/packages/gateway/src/decision/requestQueue.ts
@@ -85,6 +85,10 @@
     /** Adds a request. It is settled immediately if it can't be served before its deadline. */
     add(request: QueuedRequest, now: Milliseconds): void {
         const { expectedWait } = this;
+        if (now >= request.deadline) {
+            request.settle({ kind: "expired" });
+            return;
+        }
         if (now + expectedWait > request.deadline) {
             request.settle({ kind: "overloaded", retryAfter: expectedWait });
             return;
--- a/packages/gateway/src/node/directServer.ts
+++ b/packages/gateway/src/node/directServer.ts
@@ -57,6 +57,11 @@
     readonly metrics: GatewayMetrics;
     readonly headerCodec: HeaderCodec;
     readonly checks: CheckContext;
+    /**
+     * The latest time at which the current turn of the event loop can have begun; requests that are read in it had arrived.
+     * @default now
+     */
+    readonly turnStartedBy?: () => Milliseconds;
     /** True while the process is stopping: each connection closes after its answer. */
     readonly isStopping: () => boolean;
     /** False if a request with these time limits might not end before the process has to stop. */
@@ -217,7 +222,8 @@
     }
 
     private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
-        const arrival = this.context.clock.now();
+        const { clock, turnStartedBy } = this.context;
+        const arrival = turnStartedBy?.() ?? clock.now();
         this.unusedConnections.delete(request.socket);
         response.on("error", () => response.destroy());
         // An answer that began before the stop leaves its connection open for one more request: closing it here could cut
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -67,6 +67,11 @@
     readonly registry: Registry;
     readonly source: FleetSource;
     readonly headerCodec: HeaderCodec;
+    /**
+     * The latest time at which the current turn of the event loop can have begun.
+     * @default now
+     */
+    readonly turnStartedBy?: () => Milliseconds;
     /** Address of the agent of an endpoint; `undefined` for endpoints without an agent. */
     readonly agentOf: (endpoint: DirectEndpoint) => InnerAddress | undefined;
 }
@@ -357,6 +362,7 @@
             metrics: this.metrics,
             headerCodec,
             checks: { headerCodec, accountTokens: this.accountTokens, table: () => this.table, random },
+            turnStartedBy: this.options.turnStartedBy,
             isStopping: () => this.isStopping,
             accepts: (limits) => this.accepts(limits),
             maxBufferedBytes: config.maxBufferedBytes,
