gateway: requests do not wait for four long turns of the event loop while connections are accepted

What callers saw: requests waited up to 264 ms in a router's queue on the large site, behind few others.

Cause: while connections are being accepted, one request is served in four turns, so that accepting comes first. Where turns are long for other work, four of them take hundreds of milliseconds and gain nothing.

Why it works: one request is also served once 16 ms have passed since the last one. With short turns nothing changes. The new test gets one request in four turns of 60 ms without the change, three with it.

--- a/packages/gateway/src/__tests__/requestQueue.spec.ts
+++ b/packages/gateway/src/__tests__/requestQueue.spec.ts
@@ -54,6 +54,18 @@
         expect(served).to.deep.equal([0, 0, 0, 1, 0, 0, 0, 0]);
     });
 
+    // Guards against requests that wait for turns in which other work takes a long time.
+    it("serves a request within some milliseconds while connections are accepted in long turns", () => {
+        const { add, pass, turn } = queueFixture();
+        ["a", "b", "c"].forEach((name) => add(name));
+        turn();
+        const served = Array.from({ length: 4 }, () => {
+            pass(60);
+            return turn(true);
+        });
+        expect(served).to.deep.equal([1, 1, 1, 0]);
+    });
+
     it("serves requests while connections are accepted without end", () => {
         const { add, names, turn } = queueFixture();
         Array.from({ length: 10 }, (_, index) => add(`request-${index}`));
--- a/packages/gateway/src/decision/requestQueue.ts
+++ b/packages/gateway/src/decision/requestQueue.ts
@@ -16,6 +16,9 @@
 /** While connections are being accepted, one request is served in this many turns. */
 const turnsWhileAccepting = 4;
 
+/** While connections are being accepted, one request is served after this time if turns are long. */
+const maxPauseWhileAccepting: Milliseconds = 16;
+
 /**
  * The end of a caller's connection can be read one turn after the request before it, so a request is served at the end
  * of the second turn at the earliest.
@@ -67,6 +70,7 @@
     private isFirstOfSlice = false;
     /** Consecutive turns that accepted a connection and served no request. */
     private turnsWithoutRequest = 0;
+    private lastServedAt: Milliseconds = -Infinity;
     private nextSweepAt: Milliseconds = -Infinity;
     private averageServiceTime: Milliseconds = 0;
     /** When the latest request was taken, if others waited behind it. */
@@ -100,7 +104,8 @@
     beginSlice(now: Milliseconds, acceptsConnections: boolean): void {
         this.turn += 1;
         this.turnsWithoutRequest = acceptsConnections ? this.turnsWithoutRequest + 1 : turnsWhileAccepting;
-        this.isFirstOfSlice = this.turnsWithoutRequest >= turnsWhileAccepting;
+        this.isFirstOfSlice = this.turnsWithoutRequest >= turnsWhileAccepting
+            || now - this.lastServedAt >= maxPauseWhileAccepting;
         this.sliceEnd = acceptsConnections ? now : now + sliceDuration;
         if (now >= this.nextSweepAt) {
             this.nextSweepAt = now + sweepInterval;
@@ -123,6 +128,7 @@
         if (reason === undefined) {
             this.isFirstOfSlice = false;
             this.turnsWithoutRequest = 0;
+            this.lastServedAt = now;
             this.measureServiceTime(now);
         }
         request.settle(reason ?? { kind: "serve" });
