--- a/packages/fleet/src/__tests__/fleetState.spec.ts
+++ b/packages/fleet/src/__tests__/fleetState.spec.ts
@@ -64,6 +64,22 @@
         expect(behind.watermark()).to.deep.equal(ahead.watermark());
     });
 
+    // Guards against endpoints that stay in use at routers whose peers have read a snapshot after their removal.
+    it("sends a peer that is behind what a snapshot listed, so that it removes endpoints that only it knows", () => {
+        const started = new FleetState();
+        const behind = new FleetState();
+        behind.applyFact(endpointFact("a", 3, endpointFixture("a")), 0);
+        behind.applyFact(endpointFact("b", 4, endpointFixture("b")), 0);
+        started.applyFact({ kind: FactKind.Listing, revision: 9, instances: ["a"] }, 5);
+        started.applyFact(endpointFact("a", 3, endpointFixture("a")), 5);
+        started.recordEndpointsRevision(9);
+        const facts = behind.withRemovals(started.factsSince(behind.watermark(), 5));
+        facts.forEach((fact) => behind.applyFact(fact, 5));
+        behind.recordEndpointsRevision(started.watermark().endpoints);
+        expect([...behind.endpoints()].map(({ endpoint }) => endpoint.instance)).to.deep.equal(["a"]);
+        expect(started.factsSince(behind.watermark(), 5)).to.deep.equal([]);
+    });
+
     it("dates superseded weights by the first newer version, not by the newest", () => {
         const state = new FleetState();
         state.applyFact(weightsFact(2, 10, 0), 1_000);
--- a/packages/fleet/src/decision/fleetState.ts
+++ b/packages/fleet/src/decision/fleetState.ts
@@ -11,6 +11,7 @@
     Configuration = "configuration",
     Weights = "weights",
     Endpoint = "endpoint",
+    Listing = "listing",
 }
 
 /** One fact. `revision` is the store's revision of the record that states it. */
@@ -34,11 +35,15 @@
         readonly instance: string;
         /** Absent if the endpoint's registration was removed or describes no usable endpoint. */
         readonly endpoint: DirectEndpoint | undefined;
-    };
+    }
+    /** At this revision, exactly these endpoints were registered. */
+    | { readonly kind: FactKind.Listing; readonly revision: number; readonly instances: readonly string[]; };
 
 /** True for a fact that routers pass on immediately: any except the registration of an endpoint that stays in use. */
 export function isUrgentFact(fact: FleetFact): boolean {
-    return fact.kind !== FactKind.Endpoint || fact.endpoint === undefined || fact.endpoint.leaving;
+    return fact.kind === FactKind.Endpoint
+        ? fact.endpoint === undefined || fact.endpoint.leaving
+        : fact.kind !== FactKind.Listing;
 }
 
 /** Version of the configuration and revisions of the store up to which a process has the facts. */
@@ -117,6 +122,7 @@
     private readonly known = new Map<string, KnownEndpoint>();
     private readonly tombstones = new Map<string, number>();
     private endpointsRevision = 0;
+    private listing: FleetFact & { readonly kind: FactKind.Listing; } | undefined;
 
     get configuration(): DirectConfiguration | undefined {
         return this.configurationFact?.value;
@@ -161,9 +167,21 @@
                 return this.applyWeights(fact, now);
             case FactKind.Endpoint:
                 return this.applyEndpoint(fact.instance, fact.endpoint, fact.revision, now, storeFailedAt);
+            case FactKind.Listing:
+                this.listing = fact.revision > (this.listing?.revision ?? -1) ? fact : this.listing;
+                return false;
         }
     }
 
+    /** Adds the removals that follow from listings: of known endpoints that these do not contain. */
+    withRemovals(facts: readonly FleetFact[]): FleetFact[] {
+        return facts.flatMap((fact) =>
+            fact.kind === FactKind.Listing
+                ? [fact, ...this.findRemovals(new Set(fact.instances), fact.revision)]
+                : [fact]
+        );
+    }
+
     /**
      * Sets the age of new versions of weights in a batch to `changedWithin`, the longest time for which they can have been
      * the desired ones, if that is known. Versions that the process knows keep their times.
@@ -182,8 +200,7 @@
         this.endpointsRevision = Math.max(this.endpointsRevision, revision);
     }
 
-    /** Returns the removals of known endpoints that are not in `listed`, the instances of a complete snapshot. */
-    findRemovals(listed: ReadonlySet<string>, revision: number): FleetFact[] {
+    private findRemovals(listed: ReadonlySet<string>, revision: number): FleetFact[] {
         return [...this.known]
             .filter(([instance, known]) => !listed.has(instance) && known.removedAt === undefined)
             .map(([instance]) => ({ kind: FactKind.Endpoint, revision, instance, endpoint: undefined }));
@@ -213,6 +230,10 @@
     /** Facts that a process at `mark` lacks, except the configuration, which it has to request. */
     factsSince(mark: FleetWatermark, now: Milliseconds): FleetFact[] {
         const facts: FleetFact[] = [];
+        // A process that read a snapshot does not know the removals before it.
+        if (this.listing !== undefined && this.listing.revision > mark.endpoints) {
+            facts.push(this.listing);
+        }
         for (const { model, version, revision, desiredSince } of this.weights.values()) {
             if (revision > mark.weights) {
                 const age = Number.isFinite(desiredSince) ? now - desiredSince : undefined;
--- a/packages/fleet/src/node/logFact.ts
+++ b/packages/fleet/src/node/logFact.ts
@@ -38,5 +38,9 @@
                 revision,
                 from,
             });
+            return;
+        case FactKind.Listing:
+            // The removals that follow from it are logged.
+            return;
     }
 }
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -386,10 +386,10 @@
 
     private onBatch(scope: FleetScope, batch: FactBatch, batchContext: FactBatchContext): void {
         if (scope === FleetScope.Endpoints && batchContext.complete) {
-            const listed = new Set(
-                batch.facts.flatMap((fact) => fact.kind === FactKind.Endpoint ? [fact.instance] : []),
+            const instances = batch.facts.flatMap((fact) =>
+                fact.kind === FactKind.Endpoint ? [fact.instance] : []
             );
-            this.applyFacts(this.state.findRemovals(listed, batch.revision), storeName);
+            this.applyFacts([{ kind: FactKind.Listing, revision: batch.revision, instances }], storeName);
             this.areEndpointsKnown = true;
         }
         this.applyFacts(this.state.dateNewWeights(batch.facts, batchContext.changedWithin), storeName);
@@ -426,7 +426,8 @@
     private applyFacts(facts: readonly FleetFact[], from: string): void {
         const now = this.options.clock.now();
         const lastFailureAt = Math.max(...this.watchers.map((watcher) => watcher.lastFailureAt));
-        const newFacts = facts.filter((fact) => this.state.applyFact(fact, now, lastFailureAt));
+        const newFacts = this.state.withRemovals(facts)
+            .filter((fact) => this.state.applyFact(fact, now, lastFailureAt));
         if (newFacts.length === 0) {
             return;
         }
