--- a/packages/fleet/src/__tests__/storeWatcher.spec.ts
+++ b/packages/fleet/src/__tests__/storeWatcher.spec.ts
@@ -141,4 +141,21 @@
         expect(contexts.at(-1)).to.have.property("complete", false);
         expect(contexts.at(-1)?.changedWithin).to.be.within(101, 300);
     });
+
+    // Guards against routers that read the store without a pause when it has lost the revisions that they know.
+    it("does not read again and again without a delay while a watch fails after each snapshot", async () => {
+        const answers = Array.from(
+            { length: 200 },
+            (_, index): ResultAsync<FactBatch, SourceError> =>
+                index % 2 === 0
+                    ? okAsync({ facts: [], revision: 50 })
+                    : errAsync({ kind: "historyGone", message: "gone" }),
+        );
+        const { calls, clock } = startWatcher(answers);
+        for (let time = 0; time < 2_000; time += 10) {
+            clock.advance(10);
+            await settle();
+        }
+        expect(calls.filter((call) => call === "read").length).to.be.within(3, 10);
+    });
 });
--- a/packages/fleet/src/node/storeWatcher.ts
+++ b/packages/fleet/src/node/storeWatcher.ts
@@ -58,6 +58,8 @@
     private stopped = false;
     private reachable: boolean | undefined;
     private failedAt: Milliseconds = -Infinity;
+    /** True after the history was gone, until a watch is answered. */
+    private wasReadAgain = false;
     /** Number of calls that have failed since the last answer. */
     private failures = 0;
     private answeredAt: Milliseconds = -Infinity;
@@ -145,22 +147,42 @@
         this.reachable = true;
         const changedWithin = this.changedWithin(complete);
         this.answeredAt = this.options.clock.now();
-        this.retryDelay = firstRetryDelay;
+        if (!complete) {
+            this.wasReadAgain = false;
+        }
+        if (!this.wasReadAgain) {
+            this.retryDelay = firstRetryDelay;
+        }
         this.failures = 0;
         this.revision = Math.max(this.revision ?? 0, batch.revision);
         this.options.onBatch(batch, { complete, changedWithin });
         return batch.facts.length > 0 && !complete ? this.options.batchDelay : 0;
     }
 
+    /** Makes the next call read a snapshot; returns the delay before it. */
+    private readAgain(): Milliseconds {
+        const { logger, scope } = this.options;
+        logger.warn("store no longer keeps the changes since the last revision; reading a new snapshot", {
+            records: scope,
+            after: this.revision,
+        });
+        this.revision = undefined;
+        // The first snapshot is read at once; one that did not help is not read again at once.
+        const delay = this.wasReadAgain ? this.nextRetryDelay() : 0;
+        this.wasReadAgain = true;
+        return delay;
+    }
+
+    private nextRetryDelay(): Milliseconds {
+        const delay = this.retryDelay * (0.5 + this.options.random.unit());
+        this.retryDelay = Math.min(maxRetryDelay, this.retryDelay * 2);
+        return delay;
+    }
+
     private handleFailure(error: SourceError, calledAt: Milliseconds): Milliseconds {
-        const { clock, logger, random, scope } = this.options;
+        const { clock, logger, scope } = this.options;
         if (error.kind === "historyGone") {
-            logger.warn("store no longer keeps the changes since the last revision; reading a new snapshot", {
-                records: scope,
-                after: this.revision,
-            });
-            this.revision = undefined;
-            return 0;
+            return this.readAgain();
         }
         this.failedAt = clock.now();
         this.failures += 1;
@@ -177,8 +199,6 @@
             logger.warn("store lost", fields);
         }
         this.reachable = false;
-        const delay = this.retryDelay * (0.5 + random.unit());
-        this.retryDelay = Math.min(maxRetryDelay, this.retryDelay * 2);
-        return delay;
+        return this.nextRetryDelay();
     }
 }
