fleet, platform: positions of facts order by the store's era, then by its revision

What callers saw: nothing yet; the users announced stores that come back from a copy. After that, an endpoint that left or was removed would have stayed in use, a new one would not have reached peers, and changes could have been missed, until the store's revisions had passed the old ones.

Cause: everything that a process learns from the store was compared by revision: facts, watermarks between routers, the start of a watch, fences of orders. All of it holds only as long as revisions never go back.

--- a/packages/fleet/src/__tests__/storeWatcher.spec.ts
+++ b/packages/fleet/src/__tests__/storeWatcher.spec.ts
@@ -158,4 +158,16 @@
         }
         expect(calls.filter((call) => call === "read").length).to.be.within(3, 10);
     });
+
+    it("counts a restoration of the store as a failure, so that registrations may return", async () => {
+        const { calls, clock, watcher } = startWatcher([
+            okAsync({ facts: [], revision: 5 }),
+            errAsync({ kind: "restored", message: "restored" }),
+            okAsync({ facts: [], revision: 30 }),
+        ]);
+        clock.advance(400);
+        await settle();
+        expect(calls).to.deep.equal(["read", "watch 5", "read", "watch 30"]);
+        expect(watcher.lastFailureAt).to.equal(400);
+    });
 });
--- a/packages/fleet/src/decision/fleetState.ts
+++ b/packages/fleet/src/decision/fleetState.ts
@@ -6,6 +6,7 @@
  */
 import type { Milliseconds } from "@redwingpin/common";
 import type { DirectConfiguration, DirectEndpoint } from "../directConfiguration.js";
+import { eraOf, revisionOf } from "../storePosition.js";
 
 export enum FactKind {
     Configuration = "configuration",
@@ -14,7 +15,7 @@
     Listing = "listing",
 }
 
-/** One fact. `revision` is the store's revision of the record that states it. */
+/** One fact. `revision` is the position in the store's history of the record that states it, see `storePosition.ts`. */
 export type FleetFact =
     | {
         readonly kind: FactKind.Configuration;
@@ -36,7 +37,7 @@
         /** Absent if the endpoint's registration was removed or describes no usable endpoint. */
         readonly endpoint: DirectEndpoint | undefined;
     }
-    /** At this revision, exactly these endpoints were registered. */
+    /** At this position, exactly these endpoints were registered. */
     | { readonly kind: FactKind.Listing; readonly revision: number; readonly instances: readonly string[]; };
 
 /** True for a fact that routers pass on immediately: any except the registration of an endpoint that stays in use. */
@@ -113,6 +114,16 @@
 /** Maximum number of removed endpoints that are remembered, so that an older fact does not restore them. */
 const maxTombstones = 10_000;
 
+/** Maximum number of registrations that are remembered of each endpoint. */
+const maxPastRegistrations = 4;
+
+/** A registration that this process has known. */
+interface PastRegistration {
+    readonly revision: number;
+    readonly startedAt: number | undefined;
+    readonly leaving: boolean;
+}
+
 /** The facts that a process has. */
 export class FleetState {
     private configurationFact:
@@ -120,7 +131,10 @@
         | undefined;
     private readonly weights = new Map<string, DesiredWeights>();
     private readonly known = new Map<string, KnownEndpoint>();
+    /** Positions of the removals. */
     private readonly tombstones = new Map<string, number>();
+    /** Of known and removed endpoints, the latest ones last. */
+    private readonly pastRegistrations = new Map<string, readonly PastRegistration[]>();
     private endpointsRevision = 0;
     private listing: FleetFact & { readonly kind: FactKind.Listing; } | undefined;
 
@@ -254,8 +268,13 @@
         return facts;
     }
 
+    /** A version that a restored store has lost may be given out again, for another configuration. */
     private applyConfiguration(value: DirectConfiguration, revision: number): boolean {
-        if (value.version <= (this.configurationFact?.value.version ?? 0)) {
+        const known = this.configurationFact;
+        const isWrittenAgain = known !== undefined && value.version === known.value.version
+            && eraOf(revision) > eraOf(known.revision)
+            && !isEqual(value, known.value);
+        if (value.version <= (known?.value.version ?? 0) && !isWrittenAgain) {
             return false;
         }
         this.configurationFact = { value, revision };
@@ -297,13 +316,26 @@
     ): boolean {
         const before = this.known.get(instance);
         const newest = Math.max(before?.revision ?? 0, this.tombstones.get(instance) ?? 0);
+        const past = this.pastRegistrations.get(instance) ?? [];
         if (revision <= newest) {
             return false;
         }
+        if (endpoint !== undefined && eraOf(revision) > eraOf(newest)) {
+            if (
+                before !== undefined && before.removedAt === undefined && isEqual(endpoint, before.endpoint)
+            ) {
+                // Peers that know it as removed in this era need it.
+                this.setKnown(instance, endpoint, revision);
+                return false;
+            }
+            if (isOutdatedCopy(endpoint, revision, past)) {
+                return false;
+            }
+        }
         this.endpointsRevision = Math.max(this.endpointsRevision, revision);
         if (endpoint !== undefined) {
             this.tombstones.delete(instance);
-            this.known.set(instance, { endpoint, revision });
+            this.setKnown(instance, endpoint, revision);
             return true;
         }
         this.addTombstone(instance, revision);
@@ -318,13 +350,47 @@
         return before !== undefined;
     }
 
+    private setKnown(instance: string, endpoint: DirectEndpoint, revision: number): void {
+        this.known.set(instance, { endpoint, revision });
+        const { leaving, startedAt } = endpoint;
+        const past = this.pastRegistrations.get(instance) ?? [];
+        this.pastRegistrations.set(
+            instance,
+            [...past, { revision, startedAt, leaving }].slice(-maxPastRegistrations),
+        );
+    }
+
     private addTombstone(instance: string, revision: number): void {
         this.tombstones.set(instance, revision);
         if (this.tombstones.size > maxTombstones) {
             const oldest = this.tombstones.keys().next().value;
             if (oldest !== undefined) {
                 this.tombstones.delete(oldest);
+                this.pastRegistrations.delete(oldest);
             }
         }
     }
 }
+
+/** Compares values that were read in the same way, so that their fields have the same order. */
+function isEqual(left: object, right: object): boolean {
+    return JSON.stringify(left) === JSON.stringify(right);
+}
+
+/**
+ * True for a registration in a restored store that is older than what is known of its endpoint: the copy has it as it was
+ * before the endpoint left, started again or was removed. An endpoint that leaves serves again only after a new start.
+ */
+function isOutdatedCopy(
+    endpoint: DirectEndpoint,
+    revision: number,
+    past: readonly PastRegistration[],
+): boolean {
+    return past.some((known) => {
+        const isSameStart = known.startedAt === endpoint.startedAt;
+        const isSameRecord = isSameStart && known.leaving === endpoint.leaving
+            && revisionOf(known.revision) === revisionOf(revision);
+        const isLaterStart = (known.startedAt ?? -Infinity) > (endpoint.startedAt ?? -Infinity);
+        return isSameRecord || isLaterStart || (isSameStart && known.leaving && !endpoint.leaving);
+    });
+}
--- a/packages/fleet/src/fleetSource.ts
+++ b/packages/fleet/src/fleetSource.ts
@@ -19,10 +19,12 @@
 export type SourceError =
     /** The store no longer keeps the changes since the given revision: everything must be read again. */
     | { readonly kind: "historyGone"; readonly message: string; }
+    /** The store was restored from a copy after the given revision: everything must be read again. */
+    | { readonly kind: "restored"; readonly message: string; }
     /** No usable answer. */
     | { readonly kind: "unavailable"; readonly message: string; };
 
-/** Facts, complete up to a revision of the store. */
+/** Facts, complete up to a revision of the store. Revisions are positions, see `storePosition.ts`. */
 export interface FactBatch {
     readonly facts: readonly FleetFact[];
     readonly revision: number;
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -15,3 +15,4 @@
 export * from "./node/fleetSync.js";
 export * from "./node/logFact.js";
 export * from "./node/storeWatcher.js";
+export * from "./storePosition.js";
--- a/packages/fleet/src/node/storeWatcher.ts
+++ b/packages/fleet/src/node/storeWatcher.ts
@@ -160,12 +160,20 @@
     }
 
     /** Makes the next call read a snapshot; returns the delay before it. */
-    private readAgain(): Milliseconds {
-        const { logger, scope } = this.options;
-        logger.warn("store no longer keeps the changes since the last revision; reading a new snapshot", {
-            records: scope,
-            after: this.revision,
-        });
+    private readAgain(error: Exclude<SourceError, { readonly kind: "unavailable"; }>): Milliseconds {
+        const { clock, logger, scope } = this.options;
+        const fields = { records: scope, after: this.revision };
+        if (error.kind === "restored") {
+            // Registrations that the store has lost are back within the grace period, as after an outage.
+            this.failedAt = clock.now();
+            logger.warn("store was restored from a copy; reading a new snapshot", fields);
+        }
+        else {
+            logger.warn(
+                "store no longer keeps the changes since the last revision; reading a new snapshot",
+                fields,
+            );
+        }
         this.revision = undefined;
         // The first snapshot is read at once; one that did not help is not read again at once.
         const delay = this.wasReadAgain ? this.nextRetryDelay() : 0;
@@ -181,8 +189,8 @@
 
     private handleFailure(error: SourceError, calledAt: Milliseconds): Milliseconds {
         const { clock, logger, scope } = this.options;
-        if (error.kind === "historyGone") {
-            return this.readAgain();
+        if (error.kind !== "unavailable") {
+            return this.readAgain(error);
         }
         this.failedAt = clock.now();
         this.failures += 1;
--- a/packages/outside/src/jsonHttpClient.ts
+++ b/packages/outside/src/jsonHttpClient.ts
@@ -59,6 +59,14 @@
     "UND_ERR_CONNECT_TIMEOUT",
 ]);
 
+/** Answer to a call. */
+export interface TextAnswer {
+    readonly status: number;
+    /** By name in lower case. */
+    readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+    readonly text: string;
+}
+
 const maximumQuotedCharacters = 200;
 
 /** Client of one address. */
@@ -76,6 +84,11 @@
 
     /** Makes a call and resolves with the text of its answer. */
     callText(call: JsonCall): ResultAsync<string, HttpFailure> {
+        return this.call(call).map(({ text }) => text);
+    }
+
+    /** Makes a call and resolves with its answer. */
+    call(call: JsonCall): ResultAsync<TextAnswer, HttpFailure> {
         return new ResultAsync(
             this.withTimeout(call, (signal) => this.readAnswer(call, signal)).then(
                 (answer) => answerResult(call, answer),
@@ -144,7 +157,8 @@
     private async readAnswer(call: JsonCall, signal: AbortSignal): Promise<TextAnswer> {
         const response = await this.send(call, signal);
         const maxBytes = this.options.maxAnswerBytes ?? maximumAnswerBytes;
-        return { status: response.statusCode, text: await readText(response.body, maxBytes) };
+        const { headers, statusCode: status } = response;
+        return { status, headers, text: await readText(response.body, maxBytes) };
     }
 
     private send(call: JsonCall, signal: AbortSignal): Promise<Dispatcher.ResponseData> {
@@ -162,22 +176,17 @@
 /** Code of undici's error for an answer that exceeds its maximum size. */
 const answerTooLargeCode = "UND_ERR_RES_EXCEEDED_MAX_SIZE";
 
-interface TextAnswer {
-    readonly status: number;
-    readonly text: string;
-}
-
 const firstErrorStatus = 300;
 
-function answerResult(call: JsonCall, answer: TextAnswer): Result<string, HttpFailure> {
+function answerResult(call: JsonCall, answer: TextAnswer): Result<TextAnswer, HttpFailure> {
     if (answer.status < firstErrorStatus) {
-        return ok(answer.text);
+        return ok(answer);
     }
     const message = `${call.path} answered status ${answer.status}: ${quote(answer.text)}`;
     return err({ kind: "status", status: answer.status, message });
 }
 
-function failureResult(call: JsonCall, error: unknown): Result<string, HttpFailure> {
+function failureResult(call: JsonCall, error: unknown): Result<never, HttpFailure> {
     return err({ kind: failureKind(error), message: `${call.path} failed: ${describeError(error)}` });
 }
 
