fleet: weights that a restored store has lost are sent to processes that know only the copy

What callers saw: nothing yet; a router that starts between the restoration and the moment at which the operator writes the newest weights again would have sent requests to endpoints with older weights.

Cause: the weights of the copy have a position of the new era, so the watermark of such a router was above that of the newer weights, and nobody sent them.

Evidence: the new test (4 instead of 5 without the change).

Why it works: a fact of an earlier era than the peer's watermark is sent in any case, until the operator has written it again; its position then moves to the new era.

--- a/packages/fleet/src/__tests__/restoredStore.spec.ts
+++ b/packages/fleet/src/__tests__/restoredStore.spec.ts
@@ -1,7 +1,7 @@
 import { type RandomSource, seededRandom } from "@redwingpin/common";
 import { expect } from "chai";
 import { FactKind, type FleetFact, FleetState, storePosition } from "../index.js";
-import { configurationFixture, endpointFact, endpointFixture } from "./fleetFixture.js";
+import { configurationFixture, endpointFact, endpointFixture, weightsFact } from "./fleetFixture.js";
 
 /** A registration as an endpoint writes it. */
 interface Registration {
@@ -247,4 +247,20 @@
         expect(apply(1, 100, 8_000)).to.equal(false);
         expect(state.configuration?.limits.headerBytes).to.equal(9_000);
     });
+
+    // Guards against routers that start while the store has lost the newest weights, and stay with the older ones.
+    it("sends the desired weights that the store has lost to a process that knows only the copy", () => {
+        const weightsAt = (era: number, revision: number, version: number) =>
+            weightsFact(version, storePosition(era, revision), 0);
+        const running = new FleetState();
+        const started = new FleetState();
+        running.applyFact(weightsAt(1, 100, 5), 0);
+        running.applyFact(weightsAt(2, 40, 4), 0);
+        started.applyFact(weightsAt(2, 40, 4), 0);
+        running.factsSince(started.watermark(), 0).forEach((fact) => started.applyFact(fact, 0));
+        expect(started.desiredWeightsOf("drafting")?.version).to.equal(5);
+        running.applyFact(weightsAt(2, 60, 5), 0);
+        started.applyFact(weightsAt(2, 60, 5), 0);
+        expect(running.factsSince(started.watermark(), 0)).to.deep.equal([]);
+    });
 });
--- a/packages/fleet/src/decision/fleetState.ts
+++ b/packages/fleet/src/decision/fleetState.ts
@@ -249,7 +249,8 @@
             facts.push(this.listing);
         }
         for (const { model, version, revision, desiredSince } of this.weights.values()) {
-            if (revision > mark.weights) {
+            // A peer that follows a restored store may never have learned what the store has lost.
+            if (revision > mark.weights || eraOf(revision) < eraOf(mark.weights)) {
                 const age = Number.isFinite(desiredSince) ? now - desiredSince : undefined;
                 facts.push({ kind: FactKind.Weights, revision, model, version, age });
             }
@@ -285,8 +286,12 @@
         const { model, version, revision, age } = fact;
         const before = this.weights.get(model);
         const desiredSince = age === undefined ? -Infinity : now - age;
-        if (before !== undefined && version === before.version && desiredSince > before.desiredSince) {
-            this.weights.set(model, { ...before, desiredSince });
+        if (before !== undefined && version === before.version) {
+            this.weights.set(model, {
+                ...before,
+                revision: Math.max(revision, before.revision),
+                desiredSince: Math.max(desiredSince, before.desiredSince),
+            });
             return false;
         }
         if (version <= (before?.version ?? 0)) {
