--- a/packages/gateway/src/__tests__/accountHolders.spec.ts
+++ b/packages/gateway/src/__tests__/accountHolders.spec.ts
@@ -18,11 +18,18 @@
 
 interface SimulatedRouter {
     readonly name: string;
-    readonly ledger: SharedLedger;
+    ledger: SharedLedger;
+    /** Number of its starts. */
+    starts: number;
+    startedAt: number;
+    isDown: boolean;
     /** When each other router was last heard. */
-    readonly heardAt: Map<string, number>;
+    heardAt: Map<string, number>;
 }
 
+/** A router that has started adopts the levels of others for this time. */
+const adoptionPeriod = 2_500;
+
 /** Requests of 200 to 15,000 tokens, most of them of some thousand. */
 function requestTokens(random: RandomSource): number {
     return random.unit() < 0.25 ? 200 : 800 + Math.floor(14_000 * random.unit() ** 3);
@@ -46,9 +53,8 @@
         this.random = seededRandom(seed);
         this.routers = Array.from({ length: size }, (_, index) => {
             const name = `router-${index}`;
-            const ledger = new SharedLedger({ startsFull: true, tolerance, ownName: name });
-            ledger.configure([accountFixture({ tokensPerSecond: rate, burstTokens: burst })], 0);
-            return { name, ledger, heardAt: new Map() };
+            const ledger = this.createLedger(name, true);
+            return { name, ledger, starts: 1, startedAt: 0, isDown: false, heardAt: new Map() };
         });
         for (const router of this.routers) {
             this.others(router).forEach(({ name }) => router.heardAt.set(name, 0));
@@ -56,6 +62,26 @@
         this.updateFleets();
     }
 
+    private createLedger(name: string, startsFull: boolean): SharedLedger {
+        const ledger = new SharedLedger({ startsFull, tolerance, ownName: name });
+        ledger.configure([accountFixture({ tokensPerSecond: rate, burstTokens: burst })], this.now);
+        return ledger;
+    }
+
+    kill(index: number): void {
+        this.routers[index].isDown = true;
+    }
+
+    /** Starts a killed router without any state. */
+    restart(index: number): void {
+        const router = this.routers[index];
+        router.ledger = this.createLedger(router.name, false);
+        router.starts += 1;
+        router.startedAt = this.now;
+        router.isDown = false;
+        router.heardAt = new Map();
+    }
+
     partition(sideOf: (router: number) => number): void {
         this.sideOf = sideOf;
     }
@@ -79,6 +105,9 @@
     }
 
     private request(router: SimulatedRouter, tokens: number): void {
+        if (router.isDown) {
+            return;
+        }
         this.offered += 1;
         if (this.isAdmitted(router, tokens)) {
             this.admitted.push({ at: this.now, tokens });
@@ -128,7 +157,8 @@
         for (const [index, first] of this.routers.entries()) {
             for (const second of this.routers.slice(index + 1)) {
                 const isDue = this.random.unit() < probability
-                    || this.now - first.heardAt.get(second.name)! >= exchangeInterval(this.size);
+                    || this.now - (first.heardAt.get(second.name) ?? -Infinity)
+                        >= exchangeInterval(this.size);
                 if (isDue && this.reaches(first.name, second.name)) {
                     this.exchange(first, second);
                 }
@@ -141,7 +171,13 @@
 
     private exchange(first: SimulatedRouter, second: SimulatedRouter): void {
         for (const [from, to] of [[first, second], [second, first]]) {
-            to.ledger.observe({ incarnation: from.name, isYounger: false }, from.ledger.spent(), this.now);
+            const isYounger = from.startedAt > to.startedAt;
+            const incarnation = `${from.name} ${from.starts}`;
+            to.ledger.observe({ incarnation, isYounger }, from.ledger.spent(), this.now);
+            const isAdopting = to.starts > 1 && this.now - to.startedAt <= adoptionPeriod;
+            if (isAdopting && (from.starts === 1 || this.now - from.startedAt > adoptionPeriod)) {
+                to.ledger.adopt(from.ledger.levels(this.now), this.now);
+            }
             from.ledger.recordDelivery(to.name, from.ledger.spent());
             to.heardAt.set(from.name, this.now);
         }
@@ -165,8 +201,14 @@
     }
 
     private reaches(first: string, second: string): boolean {
-        const side = (name: string) => this.sideOf(Number(name.slice("router-".length)));
-        return side(first) === side(second);
+        const [left, right] = [first, second].map((name) => this.router(name));
+        const side = ({ name }: SimulatedRouter) => this.sideOf(Number(name.slice("router-".length)));
+        return !left.isDown && !right.isDown && side(left) === side(right);
+    }
+
+    /** Indexes of the routers that hold the account at first. */
+    holders(): number[] {
+        return this.routers[0].ledger.holdersOf(account).map((name) => Number(name.slice("router-".length)));
     }
 
     /** Most tokens by which a window exceeds what rate and burst allow in it. */
@@ -226,6 +268,24 @@
         }
     });
 
+    it("stay within rate and tolerance while routers are killed and start again, on 12 seeds", () => {
+        for (let seed = 1; seed <= 12; seed++) {
+            const random = seededRandom(seed);
+            const fleet = new SimulatedFleet(9 + random.integerBelow(30), seed);
+            const holders = fleet.holders();
+            for (let step = 0; step < 8; step++) {
+                const router = random.unit() < 0.5
+                    ? holders[random.integerBelow(holders.length)]
+                    : random.integerBelow(fleet.size);
+                fleet.kill(router);
+                fleet.run(200 + random.integerBelow(3_000), 4 * rate);
+                fleet.restart(router);
+                fleet.run(200 + random.integerBelow(3_000), 4 * rate);
+            }
+            expect(fleet.overspent(), `seed ${seed}`).to.be.at.most(toleratedTokens);
+        }
+    });
+
     it("leave every side of a partition a part of the rate", () => {
         const names = Array.from({ length: 20 }, (_, index) => `router-${index}`);
         const ledger = new SharedLedger({ startsFull: true, tolerance: noTolerance, ownName: names[0] });
