gateway: a request that is refused for an earlier denial gets the time that the holder named

A remembered denial lasts a second at most, and callers whose requests it refused were told to return after that second, too early where the holder had named a later time. The spec expects the holder's time for both requests; it failed before.

--- a/packages/gateway/src/__tests__/directServer.spec.ts
+++ b/packages/gateway/src/__tests__/directServer.spec.ts
@@ -353,7 +353,8 @@
             fixture.replies.push({ kind: "denied", level: 30, retryAfter: 5_000 });
             const first = await send(fixture.port);
             expect([first.status, first.headers["retry-after"]]).to.deep.equal([429, "5"]);
-            expect((await send(fixture.port)).status).to.equal(429);
+            const second = await send(fixture.port);
+            expect([second.status, second.headers["retry-after"]]).to.deep.equal([429, "5"]);
             expect(fixture.askedHolders).to.have.length(1);
         });
 
--- a/packages/gateway/src/decision/sharedLedger.ts
+++ b/packages/gateway/src/decision/sharedLedger.ts
@@ -48,6 +48,14 @@
     NoHolder = "noHolder",
 }
 
+interface Denial {
+    readonly tokens: number;
+    readonly level: number;
+    readonly until: Milliseconds;
+    /** When the tokens may be available. */
+    readonly availableAt: Milliseconds;
+}
+
 interface Bucket {
     account: DirectAccount;
     level: number;
@@ -57,7 +65,7 @@
     /** Tokens that this router has spent since its start. */
     spent: number;
     /** The last denial of a holder: until its time, requests for as many tokens are refused without asking again. */
-    denial: { readonly tokens: number; readonly until: Milliseconds; readonly level: number; } | undefined;
+    denial: Denial | undefined;
     /** True once the level of a running peer has been adopted. */
     isAdopted: boolean;
     /** Value of `spent` in the last report that was delivered to each peer, by the peer's name. */
@@ -227,7 +235,8 @@
     recordDenial(name: string, tokens: number, { level, retryAfter }: TokenDenial, now: Milliseconds): void {
         const bucket = this.buckets.get(name);
         if (bucket !== undefined) {
-            bucket.denial = { tokens, level, until: now + Math.min(maxDenialTime, retryAfter) };
+            const until = now + Math.min(maxDenialTime, retryAfter);
+            bucket.denial = { tokens, level, until, availableAt: now + retryAfter };
         }
     }
 
@@ -241,7 +250,7 @@
         return denial !== undefined && now < denial.until && tokens >= denial.tokens
             ? {
                 admitted: false,
-                retryAfter: denial.until - now,
+                retryAfter: denial.availableAt - now,
                 level: denial.level,
                 needsReport: false,
                 holders: [],
