--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -176,6 +176,7 @@
         });
         this.innerNode = this.createInnerNode();
         this.sync = this.createSync();
+        this.metrics.observeExchanges(() => this.sync.counts);
         this.accountTokens = new AccountTokens({ clock, ledger: this.ledger, sync: this.sync });
         this.endpointsWatcher = this.createWatcher(FleetScope.Endpoints, {
             batchDelay: registrationBatchDelay,
--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -8,9 +8,11 @@
     type Milliseconds,
     type ReasonCounters,
     type RefusalReason,
+    registerCounter,
     registerGauge,
     type RetryReason,
 } from "@redwingpin/common";
+import type { ExchangeCounts } from "@redwingpin/fleet";
 import { Counter, Histogram, type Registry } from "prom-client";
 
 const millisecondsPerSecond = 1_000;
@@ -105,6 +107,34 @@
         register("answer", "Size of the answers of endpoints that are buffered", () => read().answers);
     }
 
+    /** Registers counters of the exchanges with other processes and of the requests for tokens of accounts. */
+    observeExchanges(read: () => ExchangeCounts): void {
+        const register = (name: string, help: string, count: () => number) =>
+            registerCounter(this.registry, `redwingpin_${name}_total`, help, count);
+        register("scheduled_exchanges", "Exchanges started when due", () => read().scheduledExchanges);
+        register(
+            "urgent_exchanges",
+            "Exchanges that a change made due before their time; part of the scheduled ones",
+            () => read().urgentExchanges,
+        );
+        register(
+            "delivery_exchanges",
+            "Exchanges to report spending before a request is refused",
+            () => read().deliveryExchanges,
+        );
+        register("answered_exchanges", "Exchanges that peers started", () => read().answeredExchanges);
+        register(
+            "token_requests",
+            "Requests for tokens of accounts that other routers hold",
+            () => read().tokenRequests,
+        );
+        register(
+            "answered_token_requests",
+            "Requests of other routers for tokens of accounts that this one holds",
+            () => read().answeredTokenRequests,
+        );
+    }
+
     recordConnection(): void {
         this.connections.inc();
     }
