fleet, gateway: a registration that an endpoint renews while it leaves is not passed on each time

What callers saw: nothing yet; found by reading.

Cause: the registration of an endpoint that leaves is passed on at once, and so was each renewal of it while it is leaving, each heartbeat of it. Since a large fleet passes on facts from router to router, one renewal cost four exchanges at every router, where only the first tells something new.

Evidence: the new test; by arithmetic, 11 leaving endpoints with a heartbeat each 1.2 s made some 38 exchanges a second and router at 68 routers.

Why it works: a fact is urgent if it takes an endpoint out of use that was in use. Renewals go in the periodic exchanges. The process applies a batch in one call now, which tells what is new and whether it is urgent.

--- a/packages/fleet/src/__tests__/fleetState.spec.ts
+++ b/packages/fleet/src/__tests__/fleetState.spec.ts
@@ -73,13 +73,26 @@
         started.applyFact({ kind: FactKind.Listing, revision: 9, instances: ["a"] }, 5);
         started.applyFact(endpointFact("a", 3, endpointFixture("a")), 5);
         started.recordEndpointsRevision(9);
-        const facts = behind.withRemovals(started.factsSince(behind.watermark(), 5));
-        facts.forEach((fact) => behind.applyFact(fact, 5));
+        behind.applyFacts(started.factsSince(behind.watermark(), 5), 5);
         behind.recordEndpointsRevision(started.watermark().endpoints);
         expect([...behind.endpoints()].map(({ endpoint }) => endpoint.instance)).to.deep.equal(["a"]);
         expect(started.factsSince(behind.watermark(), 5)).to.deep.equal([]);
     });
 
+    // Guards against exchanges with many routers each time an endpoint that leaves renews its registration.
+    it("passes on immediately that an endpoint leaves or is gone, but not that it still leaves", () => {
+        const state = new FleetState();
+        const isUrgent = (fact: FleetFact) => state.applyFacts([fact], 0).isUrgent;
+        const leaving = endpointFixture("a", { leaving: true });
+        expect(isUrgent(endpointFact("a", 3, endpointFixture("a")))).to.equal(false);
+        expect(isUrgent(endpointFact("a", 4, leaving))).to.equal(true);
+        expect(isUrgent(endpointFact("a", 5, leaving))).to.equal(false);
+        expect(isUrgent(endpointFact("a", 6))).to.equal(false);
+        state.applyFact(endpointFact("b", 7, endpointFixture("b")), 0);
+        expect(isUrgent(endpointFact("b", 8))).to.equal(true);
+        expect(isUrgent(weightsFact(2, 9, 0))).to.equal(true);
+    });
+
     it("dates superseded weights by the first newer version, not by the newest", () => {
         const state = new FleetState();
         state.applyFact(weightsFact(2, 10, 0), 1_000);
--- a/packages/fleet/src/__tests__/restoredStore.spec.ts
+++ b/packages/fleet/src/__tests__/restoredStore.spec.ts
@@ -110,11 +110,13 @@
     }
 
     private apply(facts: readonly FleetFact[]): void {
-        for (const fact of this.state.withRemovals(facts)) {
-            const before = fact.kind === FactKind.Endpoint ? this.state.endpoint(fact.instance) : undefined;
-            this.state.applyFact(fact, 0);
+        const starts = new Map(
+            [...this.state.endpoints()].map(({ endpoint }) => [endpoint.instance, endpoint.startedAt]),
+        );
+        const { newFacts } = this.state.applyFacts(facts, 0);
+        for (const fact of new Set([...facts, ...newFacts])) {
             if (fact.kind === FactKind.Endpoint) {
-                this.check(fact, before?.endpoint.startedAt);
+                this.check(fact, starts.get(fact.instance));
             }
         }
         const version = this.state.configuration?.version ?? 0;
--- a/packages/fleet/src/decision/fleetState.ts
+++ b/packages/fleet/src/decision/fleetState.ts
@@ -40,13 +40,6 @@
     /** At this position, exactly these endpoints were registered. */
     | { readonly kind: FactKind.Listing; readonly revision: number; readonly instances: readonly string[]; };
 
-/** True for a fact that routers pass on immediately: any except the registration of an endpoint that stays in use. */
-export function isUrgentFact(fact: FleetFact): boolean {
-    return fact.kind === FactKind.Endpoint
-        ? fact.endpoint === undefined || fact.endpoint.leaving
-        : fact.kind !== FactKind.Listing;
-}
-
 /** Version of the configuration and revisions of the store up to which a process has the facts. */
 export interface FleetWatermark {
     readonly configuration: number;
@@ -83,6 +76,14 @@
         ?? desired.desiredSince;
 }
 
+/** Outcome of {@link FleetState.applyFacts}. */
+export interface AppliedFacts {
+    /** Those that are newer than what was known. */
+    readonly newFacts: readonly FleetFact[];
+    /** True if routers pass some of them on immediately. */
+    readonly isUrgent: boolean;
+}
+
 /** An endpoint with the revision of its registration. */
 export interface KnownEndpoint {
     readonly endpoint: DirectEndpoint;
@@ -187,8 +188,44 @@
         }
     }
 
+    /** Applies facts, see {@link applyFact}, and the removals that follow from listings. */
+    applyFacts(
+        facts: readonly FleetFact[],
+        now: Milliseconds,
+        storeFailedAt = -Infinity,
+    ): AppliedFacts {
+        const newFacts: FleetFact[] = [];
+        let isUrgent = false;
+        for (const fact of this.withRemovals(facts)) {
+            const wouldBeUrgent = this.isUrgent(fact);
+            if (this.applyFact(fact, now, storeFailedAt)) {
+                newFacts.push(fact);
+                isUrgent ||= wouldBeUrgent;
+            }
+        }
+        return { newFacts, isUrgent };
+    }
+
+    /**
+     * True for a fact that routers pass on immediately, if it is new: any except the registration of an endpoint that stays
+     * in use, or that is known to leave.
+     */
+    private isUrgent(fact: FleetFact): boolean {
+        switch (fact.kind) {
+            case FactKind.Configuration:
+            case FactKind.Weights:
+                return true;
+            case FactKind.Endpoint: {
+                const leaves = fact.endpoint === undefined || fact.endpoint.leaving;
+                return leaves && this.known.get(fact.instance)?.endpoint.leaving !== true;
+            }
+            case FactKind.Listing:
+                return false;
+        }
+    }
+
     /** Adds the removals that follow from listings: of known endpoints that these do not contain. */
-    withRemovals(facts: readonly FleetFact[]): FleetFact[] {
+    private withRemovals(facts: readonly FleetFact[]): FleetFact[] {
         return facts.flatMap((fact) =>
             fact.kind === FactKind.Listing
                 ? [fact, ...this.findRemovals(new Set(fact.instances), fact.revision)]
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -27,7 +27,6 @@
     FleetSync,
     formatAddress,
     idleInterval,
-    isUrgentFact,
     logFact,
     type ReplicaStatus,
     StoreWatcher,
@@ -427,8 +426,7 @@
     private applyFacts(facts: readonly FleetFact[], from: string): void {
         const now = this.options.clock.now();
         const lastFailureAt = Math.max(...this.watchers.map((watcher) => watcher.lastFailureAt));
-        const newFacts = this.state.withRemovals(facts)
-            .filter((fact) => this.state.applyFact(fact, now, lastFailureAt));
+        const { isUrgent, newFacts } = this.state.applyFacts(facts, now, lastFailureAt);
         if (newFacts.length === 0) {
             return;
         }
@@ -441,7 +439,7 @@
             this.endpointTable.update(this.state);
             this.lossProbe.run();
         }
-        if (newFacts.some(isUrgentFact)) {
+        if (isUrgent) {
             this.sync.passOn(from === storeName, (agent) => this.isOwnerOf(agent));
         }
     }
--- a/packages/rollout/src/node/replicaAgent.ts
+++ b/packages/rollout/src/node/replicaAgent.ts
@@ -383,7 +383,7 @@
 
     private applyFacts(facts: readonly FleetFact[], from: string): void {
         const now = this.options.clock.now();
-        const newFacts = this.state.withRemovals(facts).filter((fact) => this.state.applyFact(fact, now));
+        const { newFacts } = this.state.applyFacts(facts, now);
         // Registrations are not logged here, since routers log them.
         newFacts.filter((fact) => fact.kind !== FactKind.Endpoint)
             .forEach((fact) => logFact(this.options.logger, fact, from));
