common: time for which a process was stopped does not count as a turn of the event loop

What callers saw: nothing yet; found in the last reading of this change. After a router was stopped for longer than a request's time limit, requests that arrived just before it went on would have been refused as too late.

Cause: a timer that is overdue was taken to show that the turn began before it was due. A process that is stopped while it waits for events begins the turn when it goes on.

Why it works: a turn is no longer than the time for which the event loop has not waited since the last timer.

--- a/packages/common/src/__tests__/eventLoopMonitor.spec.ts
+++ b/packages/common/src/__tests__/eventLoopMonitor.spec.ts
@@ -3,7 +3,7 @@
 import { FakeClock, type LogFields, silentLogger, startEventLoopMonitor } from "../index.js";
 
 /** A monitor whose timers run late by the current value of `late`. */
-function monitorFixture() {
+function monitorFixture(isActive = true) {
     const clock = new FakeClock();
     const registry = new Registry();
     const lines: { message: string; fields?: LogFields; }[] = [];
@@ -23,6 +23,7 @@
         },
         registry,
         workCounts: () => ({ ...work }),
+        activeTime: () => isActive ? clock.now() : 0,
     });
     return {
         clock,
@@ -87,4 +88,12 @@
         clock.advance(150);
         expect(turnStartedBy()).to.equal(500);
     });
+
+    // Guards against requests that are refused as too late since the process was stopped before they arrived.
+    it("does not take the time in which the process was stopped for a turn", () => {
+        const { clock, setLate, turnStartedBy } = monitorFixture(false);
+        setLate(5_000);
+        clock.advance(50 + 4_000);
+        expect(turnStartedBy()).to.equal(4_050);
+    });
 });
--- a/packages/common/src/eventLoopMonitor.ts
+++ b/packages/common/src/eventLoopMonitor.ts
@@ -36,13 +36,19 @@
      * @default no counts
      */
     readonly workCounts?: () => Readonly<Record<string, number>>;
+    /**
+     * Time for which the event loop has not waited for events since its start.
+     * @default that of this process
+     */
+    readonly activeTime?: () => Milliseconds;
 }
 
 /** A running monitor. */
 export interface EventLoopMonitor {
     /**
      * The latest time at which the current turn of the event loop can have begun: a timer that is overdue has not run in it.
-     * What is read in this turn had arrived by then.
+     * What is read in this turn had arrived by then. A process that was stopped while it waited for events began the turn
+     * afterwards, so the turn is no longer than the time for which the loop has not waited.
      */
     readonly turnStartedBy: () => Milliseconds;
     readonly stop: CancelTimer;
@@ -60,6 +66,8 @@
     let nextLogAt = -Infinity;
     let unlogged = 0;
     const summary = new DelaySummary(options);
+    const activeTime = options.activeTime ?? (() => performance.eventLoopUtilization().active);
+    let activeBefore = activeTime();
     let due = clock.now() + measurementInterval;
     let cancel: CancelTimer = () => {};
     const measure = () => {
@@ -77,12 +85,16 @@
             }
         }
         summary.record(delay, now);
+        activeBefore = activeTime();
         due = now + measurementInterval;
         cancel = clock.schedule(measurementInterval, measure);
     };
     cancel = clock.schedule(measurementInterval, measure);
     return {
-        turnStartedBy: () => Math.min(clock.now(), due),
+        turnStartedBy: () => {
+            const now = clock.now();
+            return now - Math.max(0, Math.min(now - due, activeTime() - activeBefore));
+        },
         stop: () => cancel(),
     };
 }
