gateway: a request whose time limit passed while it waited for other routers is refused as not run

What callers saw: a request that waited for tokens of its account or for a permit could be sent to an endpoint after its time limit, with 1 ms left, and was answered 504, which leaves open whether it ran.

Cause: the limit was checked in the queue, before the account was charged, and not again before the request was sent.

--- a/packages/gateway/src/__tests__/requestTask.spec.ts
+++ b/packages/gateway/src/__tests__/requestTask.spec.ts
@@ -40,6 +40,20 @@
     });
 });
 
+describe("a request whose time limit has passed", () => {
+    // Guards against requests that run after their time limit, since they waited for other routers before they were sent.
+    it("is refused as not run, and no endpoint receives it", async () => {
+        const received: string[] = [];
+        const endpoint = await startRawEndpoint((_socket, _number, request) => received.push(request));
+        const router = await routerFixture([endpoint], { timeout: 0 });
+        const { status, text } = await router.call("late");
+        router.stop();
+        endpoint.stop();
+        expect([status, received]).to.deep.equal([503, []]);
+        expect(text).to.include("was not run");
+    });
+});
+
 describe("bytes without end from an endpoint", () => {
     const bytesPerWrite = 65_536;
     const cases = [
--- a/packages/gateway/src/node/requestTask.ts
+++ b/packages/gateway/src/node/requestTask.ts
@@ -139,19 +139,25 @@
         }
     }
 
-    /** Selects an endpoint, and obtains a permit if it limits its requests. */
+    /**
+     * Selects an endpoint, and obtains a permit if it limits its requests. The time limit may have passed while the request
+     * waited for other routers.
+     */
     private async choose(): Promise<AttemptEvent> {
         const { clock, permits } = this.context;
-        while (this.crashes.refusedUntil(clock.now()) === undefined) {
+        const isLate = () => clock.now() >= this.request.deadline;
+        while (this.crashes.refusedUntil(clock.now()) === undefined && !isLate()) {
             const choice = this.chooseCandidate(clock.now());
             if (choice === undefined) {
                 break;
             }
-            if (await permits.acquire(choice)) {
+            if (await permits.acquire(choice) && !isLate()) {
                 return { kind: "chosen", choice };
             }
         }
-        return this.noneAvailable();
+        return isLate()
+            ? { kind: "noneAvailable", reason: RefusalReason.DeadlineExceeded, retryAfter: 0 }
+            : this.noneAvailable();
     }
 
     private noneAvailable(): AttemptEvent {
