--- a/review/support-2/site.mjs
+++ b/review/support-2/site.mjs
@@ -590,9 +590,10 @@
 
 /** Sends a client's request on a channel of its own; it closes the channel after `patience`. */
 export function call(options) {
-    const { host, port, method = "POST", path, headers = {}, body, patience = 5_000, onData, agent } =
-        options;
+    const { host, port, method = "POST", path, headers = {}, body, patience = 5_000 } = options;
+    const { agent, onData, onSent } = options;
     const attempt = `attempt-${++attempts}`;
+    onSent?.(attempt);
     const sentAt = Date.now();
     return new Promise((done) => {
         const end = (answer) => {
