--- a/review/support-2/site.mjs
+++ b/review/support-2/site.mjs
@@ -104,6 +104,9 @@
     watches = new Set();
     reads = 0;
 
+    /** Maximum size of a value. */
+    valueBytes = 1_048_576;
+
     doors = [];
 
     async start() {
@@ -159,6 +162,9 @@
     }
 
     writeBytes(key, bytes) {
+        if (bytes.length > this.valueBytes) {
+            throw new Error(`the value of ${key} has ${bytes.length} bytes`);
+        }
         this.revision += 1;
         const before = this.items.get(key);
         const item = {
