--- a/review/support-2/site.mjs
+++ b/review/support-2/site.mjs
@@ -103,6 +103,7 @@
     revision = 1;
     watches = new Set();
     reads = 0;
+    oldestRevision = 0;
 
     /** Maximum size of a value. */
     valueBytes = 1_048_576;
@@ -132,6 +133,16 @@
         return door;
     }
 
+    /** Answers watches from an earlier revision with 410, also those that wait. */
+    discardHistory() {
+        this.history = [];
+        this.oldestRevision = this.revision;
+        [...this.watches].forEach((watch) => {
+            this.watches.delete(watch);
+            watch.answer();
+        });
+    }
+
     /** Cuts the channels of all watches that wait; returns how many. */
     cutWatches() {
         const waiting = [...this.watches];
@@ -232,6 +243,10 @@
             this.history.filter((event) => event.revision > after && event.key.startsWith(prefix));
         const answer = () => {
             clearTimeout(timer);
+            if (after < this.oldestRevision) {
+                sendJson(response, {}, 410);
+                return;
+            }
             sendJson(response, { events: events(), storeRevision: this.revision });
         };
         const cut = () => {
@@ -247,7 +262,7 @@
             clearTimeout(timer);
             this.watches.delete(watch);
         });
-        if (events().length > 0) {
+        if (events().length > 0 || after < this.oldestRevision) {
             answer();
         }
         else {
