Raw endpoints of the tests count requests, not chunks of data

The test "a stream at an endpoint whose registration is removed continues elsewhere ..." failed rarely: its endpoint counted each chunk of data as a request, and the router writes a line feed to a connection that has ended, to learn whether it was reset (checkForReset). The line feed arrived as a request that nobody had sent. The fixture now calls the script for chunks with a request line only.

--- a/packages/gateway/src/__tests__/rawEndpointFixture.ts
+++ b/packages/gateway/src/__tests__/rawEndpointFixture.ts
@@ -16,6 +16,9 @@
     stop(): void;
 }
 
+/** The end of a request line. Other bytes are no request: the router writes a line feed to a connection that has ended. */
+const requestLineEnd = "HTTP/1.1\r\n";
+
 /** Starts an endpoint; `answer` answers the n-th request on a connection, whose bytes are `text`. */
 export async function startRawEndpoint(
     answer: (socket: Socket, request: number, text: string) => void,
@@ -27,7 +30,12 @@
         sockets.add(socket);
         let requests = 0;
         socket.on("error", () => {});
-        socket.on("data", (data) => answer(socket, requests++, data.toString()));
+        socket.on("data", (data) => {
+            const text = data.toString();
+            if (text.includes(requestLineEnd)) {
+                answer(socket, requests++, text);
+            }
+        });
     });
     await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
     const { port } = server.address() as AddressInfo;
