Count blank lines before an event as a part of it, and write a chunk's events at once

Cause: two line feeds counted as an event, so a chunk of 64 KB became 32,768 events and as many writes to the caller. The pause for a slow caller takes effect only after the chunk. Blank lines now belong to the event after them; more than 64 KB of them without an event break the attempt. The events of a chunk are written with one call.

--- a/packages/gateway/src/__tests__/decisions.spec.ts
+++ b/packages/gateway/src/__tests__/decisions.spec.ts
@@ -84,6 +84,23 @@
         }
     });
 
+    // Guards against a router that runs out of memory: two line feeds were an event, so 64 KB of them were 32,768 events.
+    it("takes blank lines as a part of the next event, and holds a limited number of them", () => {
+        const reader = new EventStreamReader();
+        expect(reader.read(Buffer.alloc(1_000, "\n"))).to.deep.equal([]);
+        const [event, ...more] = reader.read(Buffer.from("id: 1\n\n\r\n\r\n"));
+        expect(event.bytes.toString()).to.equal(`${"\n".repeat(1_000)}id: 1\n\n`);
+        expect(more).to.deep.equal([]);
+        expect([reader.hasPartialEvent, reader.trailingBlankLines.toString()]).to.deep.equal([
+            false,
+            "\r\n\r\n",
+        ]);
+        for (let chunks = 0; chunks < 64 && !reader.isOverlong; chunks++) {
+            reader.read(Buffer.alloc(4_096, "\n"));
+        }
+        expect([reader.isOverlong, reader.bufferedBytes < 70_000]).to.deep.equal([true, true]);
+    });
+
     it("returns the same events for any chunks, and does not change them later", () => {
         const event = fc.tuple(fc.constantFrom("\n", "\r\n"), fc.integer({ min: 1, max: 50 }));
         const chunks = fc.array(fc.integer({ min: 1, max: 40 }), { minLength: 1 });
--- a/packages/gateway/src/decision/eventStreamReader.ts
+++ b/packages/gateway/src/decision/eventStreamReader.ts
@@ -1,6 +1,6 @@
 /**
  * Splits an event stream into complete events and reads their identifiers. The bytes of an incomplete event are
- * buffered, so that an interrupted stream ends at the boundary of an event.
+ * buffered, so that an interrupted stream ends at the boundary of an event. Blank lines before an event are part of it.
  *
  * @module
  */
@@ -15,6 +15,12 @@
 /** Maximum size of a buffered event. */
 export const maxEventBytes = 1_048_576;
 
+/** Maximum size of buffered blank lines that no event has followed yet. */
+export const maxBlankBytes = 65_536;
+
+const lineFeed = 0x0a;
+const carriageReturn = 0x0d;
+
 const identifierPattern = /^id: ?(.*)$/m;
 
 /** Reader of one stream. */
@@ -22,6 +28,8 @@
     /** Starts with the incomplete event; the rest is free. */
     private buffer: Buffer = Buffer.alloc(0);
     private incompleteBytes = 0;
+    /** True if the incomplete event has more than blank lines. */
+    private hasContent = false;
 
     /** Adds received bytes and returns the events that are now complete. */
     read(received: Buffer): StreamEvent[] {
@@ -29,14 +37,17 @@
         const bytes = this.append(received);
         const events: StreamEvent[] = [];
         let start = 0;
-        for (let end = findEventEnd(bytes, searched); end > 0; end = findEventEnd(bytes, start)) {
+        let contentStart = this.hasContent ? searched : skipLineBreaks(bytes, searched);
+        for (let end = findEventEnd(bytes, contentStart); end > 0; end = findEventEnd(bytes, contentStart)) {
             const event = bytes.subarray(start, end);
+            contentStart = skipLineBreaks(bytes, end);
             events.push({
                 bytes: event,
                 identifier: identifierPattern.exec(event.toString("latin1"))?.[1]?.trim(),
             });
             start = end;
         }
+        this.hasContent = contentStart < bytes.length;
         if (events.length > 0 || this.incompleteBytes === 0) {
             // The events may still be read, so their buffer is not written any more.
             this.buffer = Buffer.alloc(0);
@@ -78,18 +89,32 @@
 
     /** True while an incomplete event is buffered. */
     get hasPartialEvent(): boolean {
-        return this.bufferedBytes > 0;
+        return this.hasContent;
+    }
+
+    /** Blank lines after the last event; empty while an incomplete event is buffered. */
+    get trailingBlankLines(): Buffer {
+        return this.buffer.subarray(0, this.hasContent ? 0 : this.incompleteBytes);
     }
 
-    /** True if the buffered event exceeds the maximum size. */
+    /** True if the buffered event, or the blank lines without one, exceed their maximum size. */
     get isOverlong(): boolean {
-        return this.bufferedBytes > maxEventBytes;
+        return this.bufferedBytes > (this.hasContent ? maxEventBytes : maxBlankBytes);
     }
 }
 
 /** Size in bytes of the longest blank line that ends an event. */
 const maxDelimiterBytes = 4;
 
+/** Position of the first byte from `start` that is no line break; the length if there is none. */
+function skipLineBreaks(bytes: Buffer, start: number): number {
+    let position = start;
+    while (bytes[position] === lineFeed || bytes[position] === carriageReturn) {
+        position += 1;
+    }
+    return position;
+}
+
 /** Position after the blank line that ends the first event from `start`; 0 if no event is complete. */
 function findEventEnd(bytes: Buffer, start: number): number {
     const lineFeeds = bytes.indexOf("\n\n", start, "latin1");
--- a/packages/gateway/src/node/attempt.ts
+++ b/packages/gateway/src/node/attempt.ts
@@ -254,7 +254,7 @@
             this.finish({ kind: "callerGone" });
             return true;
         }
-        let writable = true;
+        const parts: Buffer[] = [];
         for (const event of this.reader.read(chunk)) {
             if (!this.hasBegun) {
                 this.hasBegun = true;
@@ -272,13 +272,16 @@
             }
             progress.events += 1;
             progress.lastEvent = event.identifier ?? progress.lastEvent;
-            writable = response.write(event.bytes);
+            parts.push(event.bytes);
         }
         this.buffer.resize(this.reader.bufferedBytes);
+        // One write for all events of a chunk: each write allocates, and a chunk may have tens of thousands of events.
+        const isWritable = parts.length === 0
+            || response.write(parts.length === 1 ? parts[0] : Buffer.concat(parts));
         if (this.reader.isOverlong) {
-            this.finish(this.invalid("an event exceeds the maximum size"));
+            this.finish(this.invalid("an event, or the blank lines before one, exceed the maximum size"));
         }
-        return writable;
+        return isWritable;
     }
 
     /** True for an event of a resumed stream that the caller has already received. */
@@ -305,7 +308,7 @@
         if (!progress.started || (!this.hasBegun && !hasLength(this.rawHeaders))) {
             return this.closed("the stream ended before its first event");
         }
-        response.end();
+        response.end(this.reader.trailingBlankLines);
         return { kind: "delivered" };
     }
 
