Close connections to endpoints that send bytes without end that belong to no body

Callers could wait until their time limit while a router read, as fast as the connection allowed, what the HTTP parser only skips: line feeds, responses of status 100 or 103, zeros before the size of a chunk, extensions of chunks, and anything after a response while the request was still being sent (up to 350 MB in 0.4 s, measured with a plain client).

Cause: only body bytes were limited. ResponseGuard now counts what is read and not delivered, and closes the connection beyond 128 KB, with a log line and a counter. The connections to one address read 64 KB in one turn of the event loop.

--- a/packages/gateway/src/node/endpointExchange.ts
+++ b/packages/common/src/endpointExchange.ts
@@ -3,10 +3,8 @@
  *
  * @module
  */
-import type { DirectEndpoint } from "@redwingpin/fleet";
 import { type Agent, type ClientRequest, type IncomingMessage, request as httpRequest } from "node:http";
-import type { Socket } from "node:net";
-import type { BlockBody } from "./blockPool.js";
+import { ResponseGuard } from "./responseGuard.js";
 
 /** A live endpoint accepts a connection within milliseconds; one without power never answers. */
 export const connectTimeoutMilliseconds = 350;
@@ -14,15 +12,22 @@
 /** Time for which an endpoint that has answered may read the rest of the body. */
 const unreadBodyTimeoutMilliseconds = 2_000;
 
+/** A request body, whose memory its holders share. */
+export interface ExchangeBody {
+    hold(): void;
+    release(): void;
+    parts(): Buffer[];
+}
+
 /** The request to send. */
 export interface ExchangeRequest {
-    readonly endpoint: DirectEndpoint;
+    readonly endpoint: { readonly host: string; readonly port: number; };
     readonly method: string;
     /** Path and query as sent by the caller. */
     readonly url: string;
     /** Name, value, name, value. */
     readonly headers: readonly string[];
-    readonly body: BlockBody;
+    readonly body: ExchangeBody;
     /** Pool of connections; if absent, a new connection is opened and closed after the answer. */
     readonly agent: Agent | undefined;
 }
@@ -35,6 +40,8 @@
     onData(chunk: Buffer): boolean;
     /** The answer is complete. */
     onEnd(): void;
+    /** The connection is closed since the endpoint sent too much that is no part of a body; also after the answer. */
+    onExcess(): void;
     /**
      * The exchange failed before the answer was complete; `isSent` is false if no part of the request can have arrived.
      */
@@ -44,12 +51,18 @@
 /** A running exchange. */
 export class EndpointExchange {
     private readonly request: ClientRequest;
+    private readonly guard: ResponseGuard;
     private answer: IncomingMessage | undefined;
     private releaseBody: () => void = () => {};
     private hasSocket = false;
     private isSent = false;
     private isReused = false;
     private isOver = false;
+    private isAborted = false;
+    /** The listener has paused the answer. */
+    private isPaused = false;
+    /** The answer waits for a later turn of the event loop. */
+    private isWaitingForTurn = false;
 
     constructor(options: ExchangeRequest, private readonly listener: ExchangeListener) {
         this.request = httpRequest({
@@ -61,6 +74,11 @@
             agent: options.agent ?? false,
             setHost: false,
         });
+        const { host, port } = options.endpoint;
+        this.guard = new ResponseGuard(this.request, `${host}:${port}`, {
+            onExcess: () => this.endExcess(),
+            onTurnEnd: () => this.waitForTurn(),
+        });
         this.request.once("socket", (socket) => {
             this.hasSocket = true;
             if (socket.connecting) {
@@ -93,7 +111,7 @@
     }
 
     /** Sends the body and holds it until it has been written, also if the endpoint answers earlier, or can't be any more. */
-    private sendBody(body: BlockBody): void {
+    private sendBody(body: ExchangeBody): void {
         const { request } = this;
         body.hold();
         this.releaseBody = () => {
@@ -130,12 +148,16 @@
 
     /** Continues a paused answer. */
     resume(): void {
-        this.answer?.resume();
+        this.isPaused = false;
+        if (!this.isWaitingForTurn) {
+            this.answer?.resume();
+        }
     }
 
     /** Closes the connection; the listener is not called any more. */
     abort(): void {
         this.isOver = true;
+        this.isAborted = true;
         this.destroyRequest();
     }
 
@@ -144,15 +166,11 @@
             return;
         }
         this.answer = answer;
-        if (endsWithConnection(answer)) {
-            // Answers without a body release the connection for further exchanges, and have no socket from then on.
-            const { socket } = answer;
-            const onConnectionEnd = () => this.checkForReset(socket);
-            socket.prependOnceListener("end", onConnectionEnd);
-            answer.once("close", () => socket.off("end", onConnectionEnd));
-        }
+        this.guard.observeResponse(answer);
         answer.on("data", (chunk: Buffer) => {
+            this.guard.recordDelivered(chunk.length);
             if (!this.isOver && !this.listener.onData(chunk)) {
+                this.isPaused = true;
                 answer.pause();
             }
         });
@@ -161,28 +179,51 @@
             if (!answer.complete) {
                 this.fail("the answer ended before it was complete");
             }
-            else if (!this.isOver) {
-                this.isOver = true;
-                this.limitUnreadBody();
-                this.listener.onEnd();
+            else {
+                this.guard.whenChecked((isReset) => this.end(isReset));
+            }
+        });
+        answer.on("close", () => {
+            if (!answer.readableEnded) {
+                this.fail("the connection closed in the middle of the answer");
             }
         });
-        answer.on("close", () => this.fail("the connection closed in the middle of the answer"));
         this.listener.onHead(answer.statusCode ?? 0, answer.rawHeaders, this.isReused);
     }
 
-    /**
-     * A reset that arrives together with data is reported as a normal end of the connection. Writing to the socket
-     * reveals it: the write fails immediately if the connection was reset.
-     */
-    private checkForReset(socket: Socket): void {
-        if (this.isOver) {
-            return;
-        }
-        socket.write("\r\n");
-        if (socket.errored) {
+    private end(isReset: boolean): void {
+        if (isReset) {
             this.fail("the connection was reset in the middle of an answer without a length");
         }
+        else if (!this.isOver) {
+            this.isOver = true;
+            this.limitUnreadBody();
+            this.listener.onEnd();
+        }
+    }
+
+    private waitForTurn(): (() => void) | undefined {
+        const { answer } = this;
+        if (answer === undefined || this.isWaitingForTurn) {
+            return undefined;
+        }
+        this.isWaitingForTurn = true;
+        answer.pause();
+        return () => {
+            this.isWaitingForTurn = false;
+            if (!this.isPaused) {
+                answer.resume();
+            }
+        };
+    }
+
+    /** Also after the answer, while the rest of the request is sent. */
+    private endExcess(): void {
+        if (!this.isAborted) {
+            this.listener.onExcess();
+        }
+        this.fail("the endpoint sent too many bytes that are no part of a body");
+        this.abort();
     }
 
     private fail(detail: string): void {
@@ -193,9 +234,3 @@
         }
     }
 }
-
-/** True for an answer that ends with its connection. */
-function endsWithConnection(answer: IncomingMessage): boolean {
-    return answer.headers["content-length"] === undefined
-        && answer.headers["transfer-encoding"] === undefined;
-}
--- a/packages/gateway/src/__tests__/blockPool.spec.ts
+++ b/packages/gateway/src/__tests__/blockPool.spec.ts
@@ -1,9 +1,8 @@
-import { digestOf } from "@redwingpin/common";
+import { digestOf, EndpointExchange } from "@redwingpin/common";
 import { expect } from "chai";
 import { createServer, type Socket } from "node:net";
 import type { AddressInfo } from "node:net";
 import { type BlockBody, blockBytes, BlockPool } from "../node/blockPool.js";
-import { EndpointExchange } from "../node/endpointExchange.js";
 import { endpointStateFixture } from "./gatewayFixture.js";
 
 function textOf(body: BlockBody): string {
@@ -95,7 +94,13 @@
                 headers: ["Host", "site", "content-length", String(contents.length)],
                 body,
                 agent: undefined,
-            }, { onHead: () => {}, onData: () => true, onEnd: resolve, onBroken: () => resolve() });
+            }, {
+                onHead: () => {},
+                onData: () => true,
+                onExcess: () => {},
+                onEnd: resolve,
+                onBroken: () => resolve(),
+            });
         });
         body.release();
         const other = openBody(pool, Buffer.alloc(8_000_000, "b"));
@@ -131,7 +136,13 @@
                 headers: ["Host", "site", "content-length", String(contents.length)],
                 body,
                 agent: undefined,
-            }, { onHead: () => {}, onData: () => true, onEnd: resolve, onBroken: () => resolve() });
+            }, {
+                onHead: () => {},
+                onData: () => true,
+                onExcess: () => {},
+                onEnd: resolve,
+                onBroken: () => resolve(),
+            });
         });
         body.release();
         expect(pool.reservedBytes).to.be.greaterThan(0);
--- a/packages/gateway/src/__tests__/lossProbe.spec.ts
+++ b/packages/gateway/src/__tests__/lossProbe.spec.ts
@@ -1,7 +1,6 @@
-import { systemClock } from "@redwingpin/common";
+import { connectTimeoutMilliseconds, systemClock } from "@redwingpin/common";
 import { expect } from "chai";
 import type { Socket } from "node:net";
-import { connectTimeoutMilliseconds } from "../node/endpointExchange.js";
 import { type RawEndpoint, startRawEndpoint } from "./rawEndpointFixture.js";
 import { resumableRoute, routerFixture } from "./routerFixture.js";
 
--- a/packages/gateway/src/__tests__/rawEndpointFixture.ts
+++ b/packages/gateway/src/__tests__/rawEndpointFixture.ts
@@ -1,8 +1,8 @@
+import { EndpointExchange } from "@redwingpin/common";
 import type { DirectEndpoint } from "@redwingpin/fleet";
 import { once } from "node:events";
 import type { Agent } from "node:http";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
-import { EndpointExchange } from "../node/endpointExchange.js";
 import { bodyFixture, endpointStateFixture } from "./gatewayFixture.js";
 
 /** An endpoint that answers over a raw socket, as scripted. */
@@ -74,6 +74,7 @@
                     text += chunk.toString();
                     return true;
                 },
+                onExcess: () => {},
                 onEnd: () => resolve({ kind: "ended", text, sent: true }),
                 onBroken: (_detail, sent) => resolve({ kind: "broken", text, sent }),
             },
--- a/packages/gateway/src/node/attempt.ts
+++ b/packages/gateway/src/node/attempt.ts
@@ -6,7 +6,14 @@
  *
  * @module
  */
-import { ByteCollector, type CancelTimer, type Clock, RetryReason } from "@redwingpin/common";
+import {
+    ByteCollector,
+    type CancelTimer,
+    type Clock,
+    EndpointExchange,
+    type ExchangeRequest,
+    RetryReason,
+} from "@redwingpin/common";
 import { Delivery } from "@redwingpin/fleet";
 import type { ServerResponse } from "node:http";
 import type { AnswerBuffer, AnswerBuffers } from "../decision/answerBuffers.js";
@@ -16,7 +23,6 @@
 import type { AnswerMetadata, HeaderCodec } from "../headerCodec.js";
 import { findInvalidField, headerValue, writeStreamHead, writeWholeAnswer } from "./answerWriter.js";
 import type { DirectRequest } from "./callerRequest.js";
-import { EndpointExchange, type ExchangeRequest } from "./endpointExchange.js";
 import { recordReceivedBytes } from "./receivedBytes.js";
 
 /** Maximum size of a whole answer. */
@@ -55,6 +61,8 @@
     onBegin(): void;
     /** The first event that the caller receives or the whole answer has arrived. */
     onFirstAnswer(metadata: AnswerMetadata): void;
+    /** The connection is closed since the endpoint sent too much that is no part of a body. */
+    onExcess(): void;
     /** The endpoint serves another version of the weights than expected. */
     onWeightsMismatch(metadata: AnswerMetadata): void;
 }
@@ -126,6 +134,7 @@
                 this.guard(() => this.onHead(status, rawHeaders, isReused)),
             onData: (chunk) => this.guard(() => this.onData(chunk)) ?? true,
             onEnd: () => this.guard(() => this.onEnd()),
+            onExcess: () => this.guard(() => this.context.observer.onExcess()),
             onBroken: (detail, isSent) => this.guard(() => this.onBroken(detail, isSent)),
         });
     }
--- a/packages/gateway/src/node/attemptRecord.ts
+++ b/packages/gateway/src/node/attemptRecord.ts
@@ -146,6 +146,19 @@
     }
 }
 
+/** Records that a connection is closed since its endpoint sent too much that is no part of a body. */
+export function recordExcess(
+    { logger, metrics }: SignalRecordContext,
+    request: DirectRequest,
+    { endpoint }: EndpointState,
+): void {
+    metrics.recordExcess();
+    logger.warn("endpoint sent too many bytes that are no part of a body", {
+        endpoint: endpoint.instance,
+        request: request.metadata.attempt,
+    });
+}
+
 /** Adds a request to its endpoint's load. `recordAnswer` removes its waiting tokens; `release` removes all of it. */
 export function trackLoad(choice: Choice): { recordAnswer: () => void; release: () => void; } {
     const { endpointState, tokensToProcess } = choice;
--- a/packages/gateway/src/node/crashProbe.ts
+++ b/packages/gateway/src/node/crashProbe.ts
@@ -4,9 +4,9 @@
  *
  * @module
  */
+import { connectTimeoutMilliseconds } from "@redwingpin/common";
 import type { DirectEndpoint } from "@redwingpin/fleet";
 import { connect } from "node:net";
-import { connectTimeoutMilliseconds } from "./endpointExchange.js";
 
 /** Probes endpoints. Requests that are interrupted at the same endpoint share one probe. */
 export class CrashProbe {
--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -32,6 +32,7 @@
     private readonly requests: Counter<"route" | "outcome">;
     private readonly deniedRetries: Counter<"reason">;
     private readonly signals: Counter<"signal">;
+    private readonly excesses: Counter;
     private readonly connections: Counter;
     private readonly droppedPrefixes: Counter;
     private readonly internalErrors: Counter;
@@ -60,6 +61,7 @@
             labelNames: ["signal"],
             registers,
         });
+        this.excesses = createExcessCounter(registry);
         this.connections = new Counter({
             name: "redwingpin_direct_connections_total",
             help: "Connections of callers that were accepted",
@@ -135,6 +137,10 @@
         );
     }
 
+    recordExcess(): void {
+        this.excesses.inc();
+    }
+
     recordConnection(): void {
         this.connections.inc();
     }
@@ -187,3 +193,11 @@
         this.duration.observe({ route }, duration / millisecondsPerSecond);
     }
 }
+
+function createExcessCounter(registry: Registry): Counter {
+    return new Counter({
+        name: "redwingpin_endpoint_excess_total",
+        help: "Connections to endpoints that were closed since too many bytes were no part of a body",
+        registers: [registry],
+    });
+}
--- a/packages/gateway/src/node/lossProbe.ts
+++ b/packages/gateway/src/node/lossProbe.ts
@@ -5,11 +5,16 @@
  *
  * @module
  */
-import { type Clock, type Logger, type Milliseconds, sleep } from "@redwingpin/common";
+import {
+    type Clock,
+    connectTimeoutMilliseconds,
+    type Logger,
+    type Milliseconds,
+    sleep,
+} from "@redwingpin/common";
 import type { DirectEndpoint } from "@redwingpin/fleet";
 import { connect } from "node:net";
 import type { EndpointState, EndpointTable } from "../decision/endpointTable.js";
-import { connectTimeoutMilliseconds } from "./endpointExchange.js";
 
 /** Connections that are tried at a time, so that a packet that is lost on its way is no evidence. */
 const connectionsPerProbe = 2;
--- a/packages/gateway/src/node/requestTask.ts
+++ b/packages/gateway/src/node/requestTask.ts
@@ -34,7 +34,7 @@
 import type { AnswerMetadata, DispatchMetadata, HeaderCodec } from "../headerCodec.js";
 import { endToEndHeaders, writeOwnAnswer, writeWholeAnswer } from "./answerWriter.js";
 import { notRunStatuses, runAttempt, type StreamProgress } from "./attempt.js";
-import { recordAttempt, recordSignals, trackLoad } from "./attemptRecord.js";
+import { recordAttempt, recordExcess, recordSignals, trackLoad } from "./attemptRecord.js";
 import type { DirectRequest } from "./callerRequest.js";
 import type { CrashProbe } from "./crashProbe.js";
 import type { EndpointConnections } from "./endpointConnections.js";
@@ -262,6 +262,7 @@
                     firstAnswerAt = clock.now();
                     this.recordFirstAnswer(choice, metadata, answer, clock.now() - sentAt, tokensAhead === 0);
                 },
+                onExcess: () => recordExcess(this.context, request, choice.endpointState),
                 onWeightsMismatch: (answer) => this.recordWeights(choice.endpointState, answer),
             },
         }).finally(stopStallDetection).finally(() => load.release());
