Let the endpoint decide which of several registrations at its address is used

Cause: of several registrations at an address the latest start was used and the other endpoint was declared lost. The start is a field of the entry. Now the endpoint's own identity decides: routers ask it by a health check while its address is contested, and learn it from 421. Agents address another registration after their replica has denied one.

With the old selection put back, 5 tests of "endpoint table", "registrations among entries of other writers" and "entries of another writer" fail. Tests that expected the latest start to take an address now let the endpoint state its identity first, and also check that nothing changes before.

--- a/packages/gateway/src/decision/endpointTable.ts
+++ b/packages/gateway/src/decision/endpointTable.ts
@@ -12,9 +12,9 @@
     type KnownEndpoint,
     type RelayedStatus,
     type ReplicaStatus,
-    supersedes,
 } from "@redwingpin/fleet";
 import { EndpointSignals } from "@redwingpin/scheduling";
+import { AddressClaims, type AddressOwner } from "./addressClaims.js";
 import { EndpointHealth } from "./endpointHealth.js";
 import { PermitThreshold } from "./permitThreshold.js";
 
@@ -254,6 +254,9 @@
     private readonly speeds = new Map<string, ServiceSpeed>();
     /** Endpoints that are no longer registered, and at which requests of this router may still run. */
     private readonly unregistered = new Set<EndpointState>();
+    private readonly claims = new AddressClaims();
+    /** The state that was applied last. */
+    private fleetState: FleetState | undefined;
 
     constructor(private readonly onRemoved: (instance: string) => void) {}
 
@@ -263,12 +266,16 @@
      * that it is gone.
      */
     update(state: FleetState): void {
+        this.fleetState = state;
         const instances = new Set<string>();
-        const addresses = new Set<string>();
+        const owners = this.selectAtEachAddress(state.endpoints());
         this.byService.clear();
-        for (const { endpoint } of latestAtEachAddress(state.endpoints())) {
+        for (const { known } of owners.values()) {
+            if (known === undefined) {
+                continue;
+            }
+            const { endpoint } = known;
             instances.add(endpoint.instance);
-            addresses.add(addressOf(endpoint));
             this.removeEarlierStart(endpoint);
             const endpointState = this.endpointStates.get(endpoint.instance)
                 ?? this.takeUnregistered(endpoint)
@@ -288,13 +295,62 @@
             }
         }
         for (const endpointState of this.unregistered) {
-            if (addresses.has(addressOf(endpointState.endpoint))) {
+            const { endpoint } = endpointState;
+            const stated = owners.get(addressOf(endpoint))?.statedInstance;
+            if (stated !== undefined && stated !== endpoint.instance) {
                 this.unregistered.delete(endpointState);
                 endpointState.declareLost();
             }
         }
     }
 
+    /** Selects the registration to use at each address. */
+    private selectAtEachAddress(endpoints: Iterable<KnownEndpoint>): Map<string, AddressOwner> {
+        const registered = new Map<string, KnownEndpoint[]>();
+        const instances = new Set<string>();
+        for (const known of endpoints) {
+            const address = addressOf(known.endpoint);
+            instances.add(known.endpoint.instance);
+            const others = registered.get(address);
+            if (others === undefined) {
+                registered.set(address, [known]);
+            }
+            else {
+                others.push(known);
+            }
+        }
+        const current = new Map<string, DirectEndpoint[]>();
+        for (const { endpoint, running } of [...this.endpointStates.values(), ...this.unregistered]) {
+            if (running > 0 || instances.has(endpoint.instance)) {
+                const address = addressOf(endpoint);
+                current.set(address, [...current.get(address) ?? [], endpoint]);
+            }
+        }
+        this.claims.retain(registered);
+        return new Map(
+            [...registered].map(([address, candidates]) =>
+                [address, this.claims.select(address, candidates, current.get(address) ?? [])] as const
+            ),
+        );
+    }
+
+    /**
+     * Applies the instance that the endpoint at `host:port` states. Returns whether that was unknown and several
+     * endpoints may be there. Other endpoints at the address are lost.
+     */
+    recordIdentity(address: string, instance: string): boolean {
+        const isNew = this.claims.recordIdentity(address, instance);
+        if (isNew && this.fleetState !== undefined) {
+            this.update(this.fleetState);
+        }
+        return isNew;
+    }
+
+    /** Addresses at which it is uncertain who is there, and the endpoints that may be. */
+    contestedAddresses(): ReadonlyMap<string, readonly DirectEndpoint[]> {
+        return this.claims.unsettled();
+    }
+
     /** Endpoints that are no longer registered, and at which requests of this router still run. */
     runningUnregistered(): readonly EndpointState[] {
         for (const endpointState of this.unregistered) {
@@ -374,23 +430,8 @@
     }
 }
 
-/**
- * The registration of the latest start at each address. A restarted replica has a new instance, while the registration of
- * the previous instance remains until it expires.
- */
-function latestAtEachAddress(endpoints: Iterable<KnownEndpoint>): Iterable<KnownEndpoint> {
-    const latest = new Map<string, KnownEndpoint>();
-    for (const known of endpoints) {
-        const address = addressOf(known.endpoint);
-        const other = latest.get(address);
-        if (other === undefined || supersedes(known, other)) {
-            latest.set(address, known);
-        }
-    }
-    return latest.values();
-}
-
-function addressOf({ host, port }: DirectEndpoint): string {
+/** `host:port` of an endpoint. */
+export function addressOf({ host, port }: DirectEndpoint): string {
     return `${host}:${port}`;
 }
 
--- a/packages/gateway/src/headerCodec.ts
+++ b/packages/gateway/src/headerCodec.ts
@@ -60,6 +60,8 @@
     /** True if the endpoint states that it has not run the request and will not run it. */
     readonly notRun: boolean;
     readonly weightsVersion?: number;
+    /** Instance that the endpoint states to be. */
+    readonly instance?: string;
     readonly signals: StatedSignals;
 }
 
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -52,8 +52,8 @@
 import { DirectServer } from "./directServer.js";
 import { EndpointConnections } from "./endpointConnections.js";
 import { EndpointPermits } from "./endpointPermits.js";
+import { EndpointProbes } from "./endpointProbes.js";
 import { type BufferedBytes, GatewayMetrics } from "./gatewayMetrics.js";
-import { LossProbe } from "./lossProbe.js";
 import { PeerReports } from "./peerReports.js";
 import { createReadinessServer } from "./readinessServer.js";
 import { serveRequest } from "./requestTask.js";
@@ -110,7 +110,7 @@
     private readonly answerBuffers: AnswerBuffers;
     private readonly retryBudget: FleetRetryBudget;
     private readonly endpointTable: EndpointTable;
-    private readonly lossProbe: LossProbe;
+    private readonly probes: EndpointProbes;
     private readonly ledger: SharedLedger;
     private readonly reports: PeerReports;
     private readonly innerNode: InnerNode;
@@ -150,8 +150,12 @@
             askRouter: (owner, request) => this.sync.requestPermit(owner, request),
         });
         this.endpointTable = new EndpointTable((instance) => this.onEndpointRemoved(instance));
-        const endpointsLogger = options.logger.scope("endpoints");
-        this.lossProbe = new LossProbe({ clock, logger: endpointsLogger, endpointTable: this.endpointTable });
+        const probed = {
+            clock,
+            logger: options.logger.scope("endpoints"),
+            endpointTable: this.endpointTable,
+        };
+        this.probes = new EndpointProbes({ ...probed, headerCodec: options.headerCodec, state: this.state });
         this.ledger = new SharedLedger({
             startsFull: config.isFirstStart,
             tolerance: config.rateTolerance,
@@ -437,7 +441,7 @@
         if (newFacts.some((fact) => fact.kind === FactKind.Endpoint)) {
             this.areEndpointsKnown = true;
             this.endpointTable.update(this.state);
-            this.lossProbe.run();
+            this.probes.run();
         }
         if (isUrgent) {
             this.sync.passOn(from === storeName, (agent) => this.isOwnerOf(agent));
@@ -469,7 +473,7 @@
         if (this.state.expire(now).length > 0) {
             this.endpointTable.update(this.state);
         }
-        this.lossProbe.run();
+        this.probes.run();
         const live = this.sync.liveRouterNames();
         this.setLiveRouterNames([formatAddress(this.options.config.inner), ...live].sort());
         this.reports.prepareReports(now);
--- a/packages/gateway/src/node/requestTask.ts
+++ b/packages/gateway/src/node/requestTask.ts
@@ -27,7 +27,7 @@
     type PromptNeeds,
     type WeightsBounds,
 } from "../decision/endpointChoice.js";
-import type { EndpointState, EndpointTable } from "../decision/endpointTable.js";
+import { addressOf, type EndpointState, type EndpointTable } from "../decision/endpointTable.js";
 import type { FleetRetryBudget } from "../decision/fleetRetryBudget.js";
 import type { PrefixIndex } from "../decision/prefixIndex.js";
 import { PrefixPlacement } from "../decision/prefixPlacement.js";
@@ -262,7 +262,7 @@
                     firstAnswerAt = clock.now();
                     this.recordFirstAnswer(choice, metadata, answer, clock.now() - sentAt, tokensAhead === 0);
                 },
-                onWeightsMismatch: (answer) => this.recordWeights(choice.endpointState, answer),
+                onWeightsMismatch: (answer) => this.recordMismatch(choice.endpointState, answer),
             },
         }).finally(stopStallDetection).finally(() => load.release());
         if (outcome.kind === "delivered" && firstAnswerAt !== undefined) {
@@ -351,6 +351,16 @@
         }
     }
 
+    private recordMismatch(endpointState: EndpointState, answer: AnswerMetadata): void {
+        const { instance } = answer;
+        this.recordWeights(endpointState, answer);
+        if (instance !== undefined) {
+            const address = addressOf(endpointState.endpoint);
+            // This attempt has to end first: requests at other endpoints at the address are lost, but this one has not run.
+            queueMicrotask(() => this.context.endpointTable.recordIdentity(address, instance));
+        }
+    }
+
     private recordWeights(endpointState: EndpointState, answer: AnswerMetadata): void {
         if (answer.weightsVersion !== undefined && this.prompt !== undefined) {
             endpointState.observeWeights(this.prompt.model, answer.weightsVersion, this.context.clock.now());
--- a/packages/rollout/src/node/replicaAgent.ts
+++ b/packages/rollout/src/node/replicaAgent.ts
@@ -20,6 +20,7 @@
     type FleetFact,
     FleetState,
     FleetSync,
+    type KnownEndpoint,
     logFact,
     type ModelWeights,
     type PeerReport,
@@ -124,6 +125,8 @@
     private isPolling = false;
     /** Fencing number of the last order. */
     private fence = 0;
+    /** Registered instances that the replica has stated not to be, until all are; then they are tried again. */
+    private deniedInstances: readonly string[] = [];
     /** No order is sent before this time. */
     private nextOrderAt: Milliseconds = -Infinity;
     private stopped = false;
@@ -327,6 +330,9 @@
             fence,
         });
         const outcome = answer.isOk() ? answer.value : "unanswered";
+        if (outcome === OrderAnswer.WrongInstance) {
+            this.deniedInstances = [...this.deniedInstances, instance];
+        }
         this.loadCounter.inc({ outcome });
         logger.info("ordered to load weights", {
             endpoint: instance,
@@ -367,7 +373,8 @@
 
     /**
      * Identifier of the replica from its registration; `undefined` if it has none or is leaving. Of several at its address,
-     * it is the one of the start that the replica reports, else the one of the latest start.
+     * it is none that the replica has denied to be, and the one of the start that the replica reports, else the one of the
+     * latest start.
      */
     private registeredInstance(): string | undefined {
         const { replica, service } = this.options.config;
@@ -375,8 +382,13 @@
             removedAt === undefined && endpoint.service === service
             && `${endpoint.host}:${endpoint.port}` === replica
         );
-        const current = registered.filter(({ endpoint }) => endpoint.startedAt === this.report?.startedAt);
-        const candidates = current.length > 0 ? current : registered;
+        const isDenied = ({ endpoint }: KnownEndpoint) => this.deniedInstances.includes(endpoint.instance);
+        if (registered.every(isDenied)) {
+            this.deniedInstances = [];
+        }
+        const possible = registered.filter((known) => !isDenied(known));
+        const current = possible.filter(({ endpoint }) => endpoint.startedAt === this.report?.startedAt);
+        const candidates = current.length > 0 ? current : possible;
         const own = candidates.sort((left, right) => supersedes(left, right) ? -1 : 1)[0];
         return own === undefined || own.endpoint.leaving ? undefined : own.endpoint.instance;
     }
