--- a/packages/gateway/src/node/endpointProbes.ts
+++ b/packages/gateway/src/node/endpointProbes.ts
@@ -12,8 +12,9 @@
     private readonly identityProbe: IdentityProbe;
 
     constructor(options: IdentityProbeOptions) {
-        this.lossProbe = new LossProbe(options);
-        this.identityProbe = new IdentityProbe(options);
+        const logger = options.logger.scope("endpoints");
+        this.lossProbe = new LossProbe({ ...options, logger });
+        this.identityProbe = new IdentityProbe({ ...options, logger });
     }
 
     /** Starts the probes that are due. */
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -150,12 +150,8 @@
             askRouter: (owner, request) => this.sync.requestPermit(owner, request),
         });
         this.endpointTable = new EndpointTable((instance) => this.onEndpointRemoved(instance));
-        const probed = {
-            clock,
-            logger: options.logger.scope("endpoints"),
-            endpointTable: this.endpointTable,
-        };
-        this.probes = new EndpointProbes({ ...probed, headerCodec: options.headerCodec, state: this.state });
+        const { endpointTable, state } = this;
+        this.probes = new EndpointProbes({ ...options, endpointTable, state });
         this.ledger = new SharedLedger({
             startsFull: config.isFirstStart,
             tolerance: config.rateTolerance,
