gateway: a choice states whether the request fits and when it starts

The queue for requests without capacity needs both before a request is sent. The free memory is the agent's last status; the start follows from the prompts that are queued.

--- a/packages/gateway/src/__tests__/attemptPlan.spec.ts
+++ b/packages/gateway/src/__tests__/attemptPlan.spec.ts
@@ -35,6 +35,8 @@
         likelyCachedTokens: 0,
         fetchTime: 0,
         cost: 0,
+        startsIn: 0,
+        fits: true,
         worth: 1,
     };
     let dispatches = 0;
--- a/packages/gateway/src/__tests__/endpointChoice.spec.ts
+++ b/packages/gateway/src/__tests__/endpointChoice.spec.ts
@@ -25,6 +25,18 @@
         expect(chooseEndpoint(choiceFixture([busy, calm]))?.endpointState).to.equal(calm);
     });
 
+    // Guards against a request that is sent to an engine without memory for it, where it would preempt another one.
+    it("states that a request does not fit into the engine's free memory, and that it starts after the queued prompts", () => {
+        const full = endpointStateFixture("full");
+        full.observeStatus(statusFixture(1, { cacheUsed: 89_500 }), 9_900);
+        full.waitingTokens = 2_500;
+        const choice = chooseEndpoint(choiceFixture([full]));
+        expect(choice?.fits).to.equal(false);
+        expect(choice?.startsIn).to.equal(100);
+        full.observeStatus(statusFixture(1, { cacheUsed: 50_000 }), 9_950);
+        expect(chooseEndpoint(choiceFixture([full]))?.fits).to.equal(true);
+    });
+
     it("drops another router's load report once it has expired", () => {
         const endpointState = endpointStateFixture("a");
         endpointState.observeLoad("router-b", { instance: "a", waitingTokens: 9_000, running: 2 }, 1_000);
--- a/packages/gateway/src/__tests__/endpointPermits.spec.ts
+++ b/packages/gateway/src/__tests__/endpointPermits.spec.ts
@@ -30,6 +30,8 @@
         fetchTime: 0,
         latency: 0,
         cost: 0,
+        startsIn: 0,
+        fits: true,
         worth: 1,
     };
     return { acquire: () => permits.acquire(choice), signals: endpointState.signals, warnings };
--- a/packages/gateway/src/decision/endpointChoice.ts
+++ b/packages/gateway/src/decision/endpointChoice.ts
@@ -64,6 +64,10 @@
     readonly fetchTime: Milliseconds;
     /** Predicted time from now to the first event. */
     readonly latency: Milliseconds;
+    /** Predicted time from now until the endpoint starts on the request; part of `latency`. */
+    readonly startsIn: Milliseconds;
+    /** False if the endpoint has no memory, or no free slot, for the request now. True if nothing is known about it. */
+    readonly fits: boolean;
     /**
      * Predicted latency, plus the delay that processing this prompt adds to the requests queued at the endpoint, and to
      * those that the engine could have served in the time in which it repeats the work of another one.
@@ -182,6 +186,14 @@
         ? speed.baseLatency * (1 + running / Math.max(1, endpointState.endpoint.slots)) + dataCentreLatency
         : speed.baseLatency + reusable.fetchTime + running * latencyPerRunningRequest + dataCentreLatency
             + waitingTokens / speed.tokensPerMillisecond + processingTime;
+    const slots = Math.max(1, endpointState.endpoint.slots);
+    const startsIn = prompt === undefined
+        ? Math.max(0, running + 1 - slots) * speed.baseLatency / slots
+        : waitingTokens / speed.tokensPerMillisecond;
+    const freeMemory = endpointState.freeMemory(now);
+    const fits = prompt === undefined
+        ? running < slots
+        : freeMemory === undefined || tokensToProcess + prompt.outputTokens <= freeMemory;
     const worth = worthOfLatency(input.elapsed + latency, input.targetLatency)
         * worthOfWeights(version, input);
     const waitingRequests = prompt === undefined ? 0 : waitingTokens / Math.max(1, prompt.promptTokens);
@@ -194,6 +206,8 @@
         likelyCachedTokens: reusable.likelyCached,
         fetchTime: reusable.fetchTime,
         latency,
+        startsIn,
+        fits,
         cost,
         worth,
     };
--- a/packages/gateway/src/decision/endpointTable.ts
+++ b/packages/gateway/src/decision/endpointTable.ts
@@ -97,6 +97,14 @@
         return status?.value.loadsIn === undefined ? undefined : status.at + status.value.loadsIn;
     }
 
+    /** Tokens of memory that no request holds, by the agent's last status; `undefined` if unknown. */
+    freeMemory(now: Milliseconds): number | undefined {
+        const status = this.freshStatus(now)?.value;
+        return status === undefined || status.cacheTotal <= 0
+            ? undefined
+            : Math.max(0, status.cacheTotal - status.cacheUsed);
+    }
+
     /** True if the agent reported that it could not reach the endpoint. */
     isDown(now: Milliseconds): boolean {
         return this.freshStatus(now)?.value.weights.length === 0;
