--- a/packages/gateway/src/decision/requestQueue.ts
+++ b/packages/gateway/src/decision/requestQueue.ts
@@ -9,6 +9,7 @@
  * @module
  */
 import type { Milliseconds } from "@redwingpin/common";
+import { type CallerWait, DeparturePace, reasonNotToServe, type WaitEnd } from "@redwingpin/scheduling";
 
 /** Maximum time for which requests are served in a turn of the event loop. */
 const sliceDuration: Milliseconds = 4;
@@ -28,29 +29,20 @@
 /** Interval at which all requests are checked for callers that have left and time limits that have passed. */
 const sweepInterval: Milliseconds = 20;
 
-/** Weight of the latest measurement in the average time for a request. */
-const averageWeight = 0.05;
-
 /** Longest time for one request that is counted in the average: a process that was stopped meanwhile is not slow. */
 const maxServiceTime: Milliseconds = 100;
 
 /** What happens to a request in the queue. */
 export type Admission =
     | { readonly kind: "serve"; }
-    /** The caller has closed its connection. */
-    | { readonly kind: "callerGone"; }
-    /** The time limit has passed. */
-    | { readonly kind: "expired"; }
+    | WaitEnd
     /** The time limit will pass before the requests ahead are served, which takes `retryAfter`. */
     | { readonly kind: "overloaded"; readonly retryAfter: Milliseconds; }
     /** The process ends. */
     | { readonly kind: "stopped"; };
 
 /** A request in the queue. */
-export interface QueuedRequest {
-    /** Time by which the caller must have an answer. */
-    readonly deadline: Milliseconds;
-    readonly hasCallerLeft: () => boolean;
+export interface QueuedRequest extends CallerWait {
     readonly settle: (admission: Admission) => void;
 }
 
@@ -72,9 +64,8 @@
     private turnsWithoutRequest = 0;
     private lastServedAt: Milliseconds = -Infinity;
     private nextSweepAt: Milliseconds = -Infinity;
-    private averageServiceTime: Milliseconds = 0;
-    /** When the latest request was taken, if others waited behind it. */
-    private lastTakenAt: Milliseconds | undefined;
+    /** Includes all other work of the process between two requests. */
+    private readonly pace = new DeparturePace(maxServiceTime);
 
     /** Number of requests in the queue. */
     get length(): number {
@@ -83,7 +74,7 @@
 
     /** Time until the requests in the queue are served, by the pace of the latest ones. */
     get expectedWait(): Milliseconds {
-        return this.length * this.averageServiceTime;
+        return this.length * this.pace.interval;
     }
 
     /** Adds a request. It is settled immediately if it can't be served before its deadline. */
@@ -129,7 +120,7 @@
             this.isFirstOfSlice = false;
             this.turnsWithoutRequest = 0;
             this.lastServedAt = now;
-            this.measureServiceTime(now);
+            this.pace.record(this.length > 0, now);
         }
         request.settle(reason ?? { kind: "serve" });
         return true;
@@ -167,20 +158,4 @@
             this.first = 0;
         }
     }
-
-    /** Measures the time from one request to the next, which includes all other work of the process. */
-    private measureServiceTime(now: Milliseconds): void {
-        if (this.lastTakenAt !== undefined) {
-            const serviceTime = Math.min(maxServiceTime, now - this.lastTakenAt);
-            this.averageServiceTime += averageWeight * (serviceTime - this.averageServiceTime);
-        }
-        this.lastTakenAt = this.length > 0 ? now : undefined;
-    }
-}
-
-function reasonNotToServe(request: QueuedRequest, now: Milliseconds): Admission | undefined {
-    if (request.hasCallerLeft()) {
-        return { kind: "callerGone" };
-    }
-    return now >= request.deadline ? { kind: "expired" } : undefined;
 }
