gateway: hold requests for which no endpoint has room, if the settings enable it

A request was sent at once and queued at one endpoint, where it could be neither moved nor withdrawn. With the table capacityQueue in a router's settings, it waits at the router for up to an eighth of its target latency while no endpoint has room, in the order of urgency, work received by the account and time limit. With fairShares, routers share the work of accounts in their reports (optional field, ignored by earlier releases), and an account above its share is refused when its request has waited in vain. Without the table, requests are sent as before.

--- a/packages/fleet/src/fleetMessages.ts
+++ b/packages/fleet/src/fleetMessages.ts
@@ -173,6 +173,11 @@
     /** Status of the sender's replica, if the sender is an agent. */
     readonly replica?: ReplicaStatus;
     readonly demand: readonly ServiceDemand[];
+    /**
+     * Decaying work that the sender has given to accounts, in tokens, the largest ones. Absent from earlier releases, and unless
+     * accounts share scarce capacity by it.
+     */
+    readonly work?: readonly AccountSpending[];
     /** Prefixes saved to cache stores since the previous reports. */
     readonly saved: readonly SavedPrefix[];
     /** Milliseconds since the store last answered the sender; absent unless it watches the endpoints' registrations. */
@@ -353,6 +358,7 @@
     })),
     levels: isListOf(isShaped(spendingShape)),
     demand: isListOf(isShaped({ service: isString, tokensPerMillisecond: isNonNegativeNumber })),
+    work: isOptional(isListOf(isShaped({ account: isString, tokens: isNonNegativeNumber }))),
     saved: isListOf(isShaped({ name: isString, tokens: isNonNegativeInteger, store: isString })),
     followedAge: isOptional(isNonNegativeNumber),
     latestAnswer: isOptional(
--- a/packages/gateway/src/__tests__/peerReports.spec.ts
+++ b/packages/gateway/src/__tests__/peerReports.spec.ts
@@ -1,6 +1,7 @@
 import { FakeClock } from "@redwingpin/common";
 import { CrashTracker, FactKind, FleetState, WatcherSelection } from "@redwingpin/fleet";
 import { type Hello, MessageKind, ProcessRole } from "@redwingpin/protocol";
+import { AccountWork } from "@redwingpin/scheduling";
 import { expect } from "chai";
 import { DemandTracker, EndpointTable, noTolerance, PrefixIndex, SharedLedger } from "../index.js";
 import { PeerReports } from "../node/peerReports.js";
@@ -13,7 +14,14 @@
     return { kind: MessageKind.Hello, version: 1, role, instance: incarnation, incarnation, revision: 0 };
 }
 
-function reportsFixture(more: { desiredVersion?: number; isOwner?: boolean; endpoints?: number; } = {}) {
+interface FixtureOptions {
+    readonly desiredVersion?: number;
+    readonly isOwner?: boolean;
+    readonly endpoints?: number;
+    readonly accountWork?: AccountWork;
+}
+
+function reportsFixture(more: FixtureOptions = {}) {
     const clock = new FakeClock(10_000);
     const ledger = new SharedLedger({ startsFull: true, tolerance: noTolerance, ownName: "own" });
     ledger.configure([accountFixture(), accountFixture({ name: "shops" })], 10_000);
@@ -35,6 +43,7 @@
         endpointTable,
         crashTracker,
         demandTracker: new DemandTracker(),
+        accountWork: () => more.accountWork,
         prefixIndex: new PrefixIndex(),
         unheardRouterNames: () => [],
         storeAnswerAge: () => undefined,
@@ -63,6 +72,27 @@
             .to.deep.equal(["makers=0", "shops=300"]);
     });
 
+    // Guards against fairness by what one router sees, and against reports that a router without the setting rejects.
+    it("contain the work of accounts where it is shared, and nothing of it elsewhere", () => {
+        const accountWork = new AccountWork();
+        const peer = helloFixture(ProcessRole.Router, "first start");
+        const sender = reportsFixture({ accountWork });
+        accountWork.record("makers", 700, 10_000);
+        sender.reports.prepareReports(10_000);
+        const report = sender.reports.reportFor(peer, peerAddress);
+        expect(report.work).to.deep.equal([{ account: "makers", tokens: 700 }]);
+        const receiver = new AccountWork();
+        reportsFixture({ accountWork: receiver }).reports.observe(peer, report, peerAddress);
+        expect(receiver.received("makers", 10_000)).to.equal(700);
+        const without = reportsFixture();
+        without.reports.observe(peer, report, peerAddress);
+        without.reports.prepareReports(10_000);
+        const reportWithout = without.reports.reportFor(peer, peerAddress);
+        expect(reportWithout.work).to.equal(undefined);
+        sender.reports.observe(peer, reportWithout, peerAddress);
+        expect(accountWork.received("makers", 10_000)).to.equal(700);
+    });
+
     it("contain crashes until they are delivered, and all of them after the peer's restart", () => {
         const { crashTracker, reports } = reportsFixture();
         const receiver = reportsFixture();
--- a/packages/gateway/src/__tests__/routerFixture.ts
+++ b/packages/gateway/src/__tests__/routerFixture.ts
@@ -8,6 +8,7 @@
     FactKind,
     FleetState,
 } from "@redwingpin/fleet";
+import { holdNothing, type HoldSettings } from "@redwingpin/scheduling";
 import { ok } from "neverthrow";
 import { createServer, request as httpRequest } from "node:http";
 import type { AddressInfo } from "node:net";
@@ -26,6 +27,7 @@
 import { EndpointConnections } from "../node/endpointConnections.js";
 import { EndpointPermits } from "../node/endpointPermits.js";
 import { GatewayMetrics } from "../node/gatewayMetrics.js";
+import { HeldRequests } from "../node/heldRequests.js";
 import { LossProbe } from "../node/lossProbe.js";
 import { serveRequest } from "../node/requestTask.js";
 import { bodyFixture } from "./gatewayFixture.js";
@@ -92,7 +94,11 @@
 const maxBufferedAnswerBytes = 30_000_000;
 
 /** A router before the given endpoints; `call` resolves with the caller's answer. */
-export async function routerFixture(endpoints: readonly RawEndpoint[], more: Partial<DirectRoute> = {}) {
+export async function routerFixture(
+    endpoints: readonly RawEndpoint[],
+    more: Partial<DirectRoute> = {},
+    hold: HoldSettings = holdNothing,
+) {
     const route = { ...unrepeatableRoute, ...more };
     const configuration: DirectConfiguration = {
         version: 1,
@@ -115,6 +121,7 @@
     endpointTable.update(state);
     const lossProbe = new LossProbe({ clock: systemClock, logger: silentLogger, endpointTable });
     const table = new RouteTable(configuration);
+    const held = new HeldRequests({ clock: systemClock, settings: () => hold });
     const context = {
         clock: systemClock,
         logger: silentLogger,
@@ -138,6 +145,7 @@
         retryBudget: new FleetRetryBudget({ ratio: 0.2, window: 10_000, slack: 10 }),
         crashTracker: new CrashTracker(),
         demandTracker: new DemandTracker(),
+        held,
         weightsBounds: () => ({ reducedWorthAfter: 1_500, worthReduction: 0.2, forbiddenAfter: 9_500 }),
         metrics: new GatewayMetrics(new Registry()),
         routerCount: () => 1,
@@ -166,6 +174,8 @@
     const { port } = server.address() as AddressInfo;
     return {
         call: (attempt: string) => callRouter(port, attempt),
+        port,
+        held,
         /** Applies the removal of an endpoint's registration, as the gateway does. */
         unregister: (index: number) => {
             state.applyFact({
@@ -178,6 +188,7 @@
             lossProbe.run();
         },
         stop: () => {
+            held.stop();
             connections.stop();
             server.close();
             server.closeAllConnections();
--- a/packages/gateway/src/decision/attemptPlan.ts
+++ b/packages/gateway/src/decision/attemptPlan.ts
@@ -57,6 +57,8 @@
 /** Result of an effect, with which the plan resumes. */
 export type AttemptEvent =
     | { readonly kind: "chosen"; readonly choice: Choice; }
+    /** The caller closed its connection before the attempt began. */
+    | { readonly kind: "callerGone"; }
     /** No endpoint can take the request. */
     | { readonly kind: "noneAvailable"; readonly reason: RefusalReason; readonly retryAfter: Milliseconds; }
     | { readonly kind: "retry"; readonly allowed: boolean; }
@@ -96,6 +98,9 @@
             const { reason, retryAfter } = chosen;
             return concludeRequest(last, runs, { kind: "refused", reason, retryAfter });
         }
+        if (chosen.kind === "callerGone") {
+            return { kind: "callerGone" };
+        }
         if (chosen.kind !== "chosen") {
             throw new Error(`expected the choice of an endpoint, received event "${chosen.kind}"`);
         }
--- a/packages/gateway/src/decision/endpointChoice.ts
+++ b/packages/gateway/src/decision/endpointChoice.ts
@@ -32,6 +32,8 @@
     /** Only present for requests to model engines. */
     readonly prompt?: PromptNeeds;
     readonly bounds: WeightsBounds;
+    /** Requests of other routers that are expected to run at each endpoint now; as last reported if absent. */
+    readonly otherLoads?: ReadonlyMap<EndpointState, number>;
 }
 
 /** Requirements of a request to a model engine. */
@@ -176,7 +178,10 @@
     const version = prompt === undefined ? undefined : endpointState.weightsVersion(prompt.model, now);
     const reusable = prompt?.reusable(endpointState, version) ?? notReusable;
     const tokensToProcess = Math.max(0, (prompt?.promptTokens ?? 0) - reusable.tokens);
-    const running = endpointState.totalRunning(now);
+    const otherLoad = input.otherLoads?.get(endpointState);
+    const running = otherLoad === undefined
+        ? endpointState.totalRunning(now)
+        : endpointState.running + otherLoad;
     const waitingTokens = endpointState.totalWaitingTokens(now);
     const processingTime = Math.max(0, tokensToProcess - reusable.likelyCached) / speed.tokensPerMillisecond;
     const dataCentreLatency = endpointState.endpoint.dataCentre === input.dataCentre
--- a/packages/gateway/src/decision/endpointTable.ts
+++ b/packages/gateway/src/decision/endpointTable.ts
@@ -14,7 +14,7 @@
     type ReplicaStatus,
     supersedes,
 } from "@redwingpin/fleet";
-import { EndpointSignals } from "@redwingpin/scheduling";
+import { EndpointSignals, type ReportedRunning } from "@redwingpin/scheduling";
 import { EndpointHealth } from "./endpointHealth.js";
 import { PermitThreshold } from "./permitThreshold.js";
 
@@ -115,6 +115,18 @@
         return this.running + this.freshLoads(now).reduce((sum, load) => sum + load.running, 0);
     }
 
+    /** Number of running and queued requests of the other routers, and the mean age of their reports. */
+    reportedRunning(now: Milliseconds): ReportedRunning {
+        this.freshLoads(now);
+        let running = 0;
+        let weightedAge = 0;
+        for (const { at, value } of this.loads.values()) {
+            running += value.running;
+            weightedAge += value.running * (now - at);
+        }
+        return { running, age: running === 0 ? 0 : weightedAge / running };
+    }
+
     /** Last known number of prompt tokens queued by all routers. */
     totalWaitingTokens(now: Milliseconds): number {
         return this.waitingTokens + this.freshLoads(now).reduce((sum, load) => sum + load.waitingTokens, 0);
--- a/packages/gateway/src/decision/routeTable.ts
+++ b/packages/gateway/src/decision/routeTable.ts
@@ -11,6 +11,7 @@
     DirectService,
     RouteTarget,
 } from "@redwingpin/fleet";
+import { accountWeights } from "./accountWeights.js";
 import type { CacheStore } from "./prefixIndex.js";
 
 /** Index of one configuration, built once for each version. */
@@ -23,6 +24,8 @@
      * remembered: callers may send any number of them, of any length that a head may have.
      */
     private readonly accountsByKey = new Map<string, DirectAccount>();
+    /** Weights of the accounts where they share scarce capacity. */
+    readonly weights: ReadonlyMap<string, number>;
 
     constructor(readonly configuration: DirectConfiguration) {
         for (const route of configuration.routes) {
@@ -32,6 +35,7 @@
         for (const routes of this.routesByHost.values()) {
             routes.sort((left, right) => right.prefix.length - left.prefix.length);
         }
+        this.weights = accountWeights(configuration.accounts);
         this.services = new Map(configuration.services.map((service) => [service.name, service]));
         for (const account of configuration.accounts) {
             for (const digest of account.keyDigests) {
--- a/packages/gateway/src/gatewayConfig.ts
+++ b/packages/gateway/src/gatewayConfig.ts
@@ -5,6 +5,7 @@
  */
 import type { Milliseconds } from "@redwingpin/common";
 import type { FleetKeys, InnerAddress } from "@redwingpin/protocol";
+import type { HoldSettings } from "@redwingpin/scheduling";
 import type { WeightsBounds } from "./decision/endpointChoice.js";
 import type { RetryBudgetBounds } from "./decision/fleetRetryBudget.js";
 import type { RateTolerance } from "./decision/sharedLedger.js";
@@ -39,4 +40,6 @@
     readonly maxBufferedBytes: number;
     /** Maximum total size of the answers that are buffered, in bytes. */
     readonly maxBufferedAnswerBytes: number;
+    /** Requests for which no endpoint has room. */
+    readonly hold: HoldSettings;
 }
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -12,7 +12,6 @@
     type Milliseconds,
     RendezvousOwnerCache,
     seededRandom,
-    sleep,
 } from "@redwingpin/common";
 import {
     CrashTracker,
@@ -50,9 +49,11 @@
 import { AccountTokens } from "./accountTokens.js";
 import { CrashProbe } from "./crashProbe.js";
 import { DirectServer } from "./directServer.js";
+import { drainServer } from "./drainServer.js";
 import { EndpointConnections } from "./endpointConnections.js";
 import { EndpointPermits } from "./endpointPermits.js";
 import { type BufferedBytes, GatewayMetrics } from "./gatewayMetrics.js";
+import { HeldRequests } from "./heldRequests.js";
 import { LossProbe } from "./lossProbe.js";
 import { PeerReports } from "./peerReports.js";
 import { createReadinessServer } from "./readinessServer.js";
@@ -80,15 +81,6 @@
 
 const housekeepingInterval: Milliseconds = 150;
 
-/**
- * Share of the stop timeout during which connections are still accepted: the load balancer checks readiness each second
- * and needs two answers.
- */
-const acceptShare = 0.36;
-
-/** Time for which a stopping router waits for the first request on a connection. */
-const firstRequestWait: Milliseconds = 1_000;
-
 /** Time reserved for sending the last answers before the process must end. */
 const stopMargin: Milliseconds = 400;
 
@@ -108,6 +100,7 @@
     );
     private readonly demandTracker = new DemandTracker();
     private readonly answerBuffers: AnswerBuffers;
+    private readonly held: HeldRequests;
     private readonly retryBudget: FleetRetryBudget;
     private readonly endpointTable: EndpointTable;
     private readonly lossProbe: LossProbe;
@@ -158,6 +151,8 @@
             ownName: formatAddress(config.inner),
         });
         this.watcherSelection = new WatcherSelection(formatAddress(config.inner), clock);
+        this.held = new HeldRequests({ clock, settings: () => this.settings.hold });
+        this.metrics.holds.observe(() => this.held);
         this.reports = new PeerReports({
             clock,
             isFirstStart: config.isFirstStart,
@@ -165,6 +160,7 @@
             endpointTable: this.endpointTable,
             crashTracker: this.crashTracker,
             demandTracker: this.demandTracker,
+            accountWork: () => this.settings.hold.fairShares ? this.held.work : undefined,
             prefixIndex: this.prefixIndex,
             unheardRouterNames: () => this.sync.unheardRouterNames(),
             storeAnswerAge: () => this.endpointsWatcher.lastAnswerAge,
@@ -222,20 +218,15 @@
      */
     async drain(): Promise<void> {
         const { clock, logger } = this.options;
-        const { stopTimeout } = this.settings;
-        const end = clock.now() + stopTimeout - stopMargin;
         this.isStopping = true;
-        await sleep(clock, stopTimeout * acceptShare);
-        this.drainDeadline = end;
-        logger.info("stopped accepting connections", { running: this.server.runningRequests });
-        const pollInterval = 50;
-        do {
-            // Connections that were not accepted, and requests that were not read, would be reset.
-            await this.server.acceptPending();
-            this.server.closeIdle();
-            await sleep(clock, pollInterval);
-        }
-        while (this.server.isInUse(firstRequestWait) && clock.now() < end);
+        await drainServer({
+            clock,
+            logger,
+            server: this.server,
+            stopTimeout: this.settings.stopTimeout,
+            stopMargin,
+            onAcceptEnd: (end) => void (this.drainDeadline = end),
+        });
         await this.server.answerRunning(stopMargin / 2);
         this.stop();
     }
@@ -268,6 +259,7 @@
         this.watchers.forEach((watcher) => watcher.stop());
         this.sync.stop();
         this.innerNode.stop();
+        this.held.stop();
         this.server.stop();
         this.readiness.close();
         this.connections.stop();
@@ -350,6 +342,7 @@
             retryBudget: this.retryBudget,
             crashTracker: this.crashTracker,
             demandTracker: this.demandTracker,
+            held: this.held,
             weightsBounds: () => this.settings.weights,
             metrics: this.metrics,
             routerCount: () => 1 + this.sync.liveRouterCount(),
--- a/packages/gateway/src/node/peerReports.ts
+++ b/packages/gateway/src/node/peerReports.ts
@@ -23,6 +23,7 @@
     type WatcherSelection,
 } from "@redwingpin/fleet";
 import { type Hello, type InnerAddress, ProcessRole } from "@redwingpin/protocol";
+import type { AccountWork } from "@redwingpin/scheduling";
 import { type DemandTracker, spareReplicas } from "../decision/demandTracker.js";
 import type { EndpointState, EndpointTable } from "../decision/endpointTable.js";
 import type { PrefixIndex } from "../decision/prefixIndex.js";
@@ -53,6 +54,8 @@
     readonly endpointTable: EndpointTable;
     readonly crashTracker: CrashTracker;
     readonly demandTracker: DemandTracker;
+    /** Work that accounts have received; `undefined` unless it is shared with other routers. */
+    readonly accountWork?: () => AccountWork | undefined;
     readonly prefixIndex: PrefixIndex;
     /** Names of known routers with which this one has had no contact for some time. */
     readonly unheardRouterNames: () => string[];
@@ -76,6 +79,8 @@
     private readonly deliveredSpending = new Map<string, Map<string, number>>();
     private savedToReport: readonly SavedPrefix[] = [];
     private savedTakenAt: Milliseconds = -Infinity;
+    /** Work of the accounts as of the last preparation; absent unless it is shared. */
+    private workToReport: readonly AccountSpending[] | undefined;
     private answerReportedAt: Milliseconds = -Infinity;
     /** When each endpoint became known. */
     private readonly knownSince = new WeakMap<EndpointState, Milliseconds>();
@@ -107,6 +112,7 @@
                 ? this.options.ledger.levels(now)
                 : [],
             demand: this.options.demandTracker.report(now),
+            work: this.workToReport,
             saved: this.savedToReport,
             followedAge: this.options.storeAnswerAge(),
             latestAnswer: this.takeLatestAnswer(now),
@@ -241,6 +247,7 @@
         }
         this.options.endpointTable.observeLoads(peer.instance, report.load, now);
         this.options.demandTracker.observe(peer.instance, report.demand, now);
+        this.options.accountWork?.()?.observe(peer.instance, report.work ?? [], now);
         this.options.prefixIndex.observeSaved(report.saved);
         report.replicas.forEach(({ age, status }) =>
             this.options.endpointTable.observeStatus(status, now - age)
@@ -260,6 +267,7 @@
      */
     prepareReports(now: Milliseconds): void {
         this.ownedEndpoints = this.endpointsToRelay();
+        this.workToReport = this.options.accountWork?.()?.report(now);
         for (const endpointState of this.options.endpointTable.all()) {
             if (!this.knownSince.has(endpointState)) {
                 this.knownSince.set(endpointState, now);
--- a/packages/gateway/src/node/requestTask.ts
+++ b/packages/gateway/src/node/requestTask.ts
@@ -21,12 +21,7 @@
     type RequestOutcome,
 } from "../decision/attemptPlan.js";
 import type { DemandTracker } from "../decision/demandTracker.js";
-import {
-    type Choice,
-    chooseEndpoint,
-    type PromptNeeds,
-    type WeightsBounds,
-} from "../decision/endpointChoice.js";
+import type { Choice, WeightsBounds } from "../decision/endpointChoice.js";
 import type { EndpointState, EndpointTable } from "../decision/endpointTable.js";
 import type { FleetRetryBudget } from "../decision/fleetRetryBudget.js";
 import type { PrefixIndex } from "../decision/prefixIndex.js";
@@ -39,17 +34,17 @@
 import type { CrashProbe } from "./crashProbe.js";
 import type { EndpointConnections } from "./endpointConnections.js";
 import type { EndpointPermits } from "./endpointPermits.js";
+import { EndpointSelection } from "./endpointSelection.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
+import type { HeldRequests } from "./heldRequests.js";
 import { type PromptContext, readPromptContext } from "./promptContext.js";
 import { RequestCrashes } from "./requestCrashes.js";
+import { RoomSearch } from "./roomSearch.js";
 import { detectStalls } from "./stallDetector.js";
 
 /** Share of an engine's cache that all routers together rely on. */
 const usableCacheShare = 0.6;
 
-/** Retry delay for callers when no endpoint can take a request. */
-const noEndpointRetryAfter: Milliseconds = 400;
-
 /** Dependencies of all requests. */
 export interface RequestContext {
     readonly clock: Clock;
@@ -66,6 +61,8 @@
     readonly retryBudget: FleetRetryBudget;
     readonly crashTracker: CrashTracker;
     readonly demandTracker: DemandTracker;
+    /** Requests for which no endpoint has room. */
+    readonly held: HeldRequests;
     readonly weightsBounds: () => WeightsBounds;
     readonly metrics: GatewayMetrics;
     /** Number of live routers, including this one. */
@@ -90,6 +87,8 @@
     private readonly crashes: RequestCrashes;
     private readonly prompt: PromptContext | undefined;
     private readonly placement: PrefixPlacement | undefined;
+    private readonly selection: EndpointSelection;
+    private readonly roomSearch: RoomSearch;
     private attempts = 0;
 
     constructor(
@@ -109,6 +108,9 @@
             megabitsPerSecond: request.service.engine?.linkMegabitsPerSecond,
             bytesPerToken: request.service.engine?.bytesPerToken ?? 0,
         });
+        const { placement, prompt, tried } = this;
+        this.selection = new EndpointSelection(context, { request, tried, prompt, placement });
+        this.roomSearch = new RoomSearch(context, request, response, this.selection);
     }
 
     async run(): Promise<RequestOutcome> {
@@ -124,7 +126,7 @@
         const outcome = await runDecision(
             planAttempts({ repeatable, attempts }),
             (effect) => this.perform(effect),
-        );
+        ).finally(() => this.roomSearch.cancel());
         return this.answer(outcome);
     }
 
@@ -147,69 +149,25 @@
         const { clock, permits } = this.context;
         const isLate = () => clock.now() >= this.request.deadline;
         while (this.crashes.refusedUntil(clock.now()) === undefined && !isLate()) {
-            const choice = this.chooseCandidate(clock.now());
-            if (choice === undefined) {
+            const found = await this.roomSearch.find();
+            if (found.kind === "none") {
                 break;
             }
+            if (found.kind === "callerGone") {
+                return found;
+            }
+            if (found.kind === "refused") {
+                return { ...found, kind: "noneAvailable" };
+            }
+            const { choice } = found;
             if (await permits.acquire(choice) && !isLate()) {
                 return { kind: "chosen", choice };
             }
+            this.roomSearch.cancel();
         }
         return isLate()
             ? { kind: "noneAvailable", reason: RefusalReason.DeadlineExceeded, retryAfter: 0 }
-            : this.noneAvailable();
-    }
-
-    private noneAvailable(): AttemptEvent {
-        const { clock, endpointTable, random } = this.context;
-        const now = clock.now();
-        const nextRequestAt = Math.min(
-            ...endpointTable.ofService(this.request.service.name).map((endpointState) =>
-                endpointState.signals.nextRequestAt(now) ?? Infinity
-            ),
-        );
-        if (!Number.isFinite(nextRequestAt)) {
-            return {
-                kind: "noneAvailable",
-                reason: RefusalReason.NoEndpoint,
-                retryAfter: noEndpointRetryAfter,
-            };
-        }
-        const retryAfter = Math.max(noEndpointRetryAfter, nextRequestAt - now) * (1 + random());
-        return { kind: "noneAvailable", reason: RefusalReason.EndpointsLimited, retryAfter };
-    }
-
-    private chooseCandidate(now: Milliseconds): Choice | undefined {
-        const { endpointTable, dataCentre, weightsBounds } = this.context;
-        const { service } = this.request;
-        return chooseEndpoint({
-            endpointStates: endpointTable.ofService(service.name),
-            now,
-            dataCentre,
-            speed: endpointTable.speed(service.name),
-            targetLatency: this.request.route.targetLatency,
-            elapsed: now - this.request.arrival,
-            tried: this.tried,
-            prompt: this.promptNeeds(now),
-            bounds: weightsBounds(),
-        });
-    }
-
-    private promptNeeds(now: Milliseconds): PromptNeeds | undefined {
-        const { placement, prompt } = this;
-        if (prompt === undefined || placement === undefined) {
-            return undefined;
-        }
-        return {
-            model: prompt.model,
-            desiredWeights: prompt.desiredWeights,
-            promptTokens: this.request.metadata.promptTokens,
-            outputTokens: this.request.metadata.outputTokens,
-            reusable: (endpointState, version) => {
-                const { cached, fetchable, ...rest } = placement.sourceFor(endpointState, version, now);
-                return { tokens: cached + fetchable, ...rest };
-            },
-        };
+            : { kind: "noneAvailable", ...this.selection.reasonForNone(clock.now()) };
     }
 
     private spendRetry(reason: RetryReason): boolean {
@@ -228,8 +186,7 @@
         this.attempts += 1;
         this.tried.add(endpoint.instance);
         this.context.demandTracker.record(request.service.name, choice.tokensToProcess, sentAt);
-        const tokensAhead = choice.endpointState.waitingTokens;
-        const load = trackLoad(choice);
+        const load = this.beginLoad(choice);
         let firstAnswerAt: Milliseconds | undefined;
         const metadata = this.createDispatchMetadata(choice, sentAt);
         const stopStallDetection = detectStalls(clock, this.context.logger, {
@@ -260,7 +217,7 @@
                 onFirstAnswer: (answer) => {
                     load.recordAnswer();
                     firstAnswerAt = clock.now();
-                    this.recordFirstAnswer(choice, metadata, answer, clock.now() - sentAt, tokensAhead === 0);
+                    this.recordFirstAnswer(choice, metadata, answer, clock.now() - sentAt, load.hadNoQueue);
                 },
                 onWeightsMismatch: (answer) => this.recordWeights(choice.endpointState, answer),
             },
@@ -279,6 +236,25 @@
         return { kind: "ended", outcome };
     }
 
+    /** Replaces the reservation by the load of the attempt, whose end gives room to requests that are held. */
+    private beginLoad(choice: Choice) {
+        this.roomSearch.beginAttempt();
+        const hadNoQueue = choice.endpointState.waitingTokens === 0;
+        const load = trackLoad(choice);
+        const recordRoom = () => this.context.held.recordRoom(this.request.service.name);
+        return {
+            hadNoQueue,
+            recordAnswer: () => {
+                load.recordAnswer();
+                recordRoom();
+            },
+            release: () => {
+                load.release();
+                recordRoom();
+            },
+        };
+    }
+
     private createDispatchMetadata(choice: Choice, now: Milliseconds): DispatchMetadata {
         const { placement, prompt, request } = this;
         const resumed = this.progress.started ? this.progress.lastEvent : undefined;
--- a/packages/gateway/src/node/requestTurns.ts
+++ b/packages/gateway/src/node/requestTurns.ts
@@ -64,6 +64,6 @@
 }
 
 /** True once the caller's connection has closed, or its end was read: Node.js answers no request after that. */
-function hasLeft(request: IncomingMessage, response: ServerResponse): boolean {
+export function hasLeft(request: IncomingMessage, response: ServerResponse): boolean {
     return response.destroyed || request.socket.destroyed || request.socket.readableEnded;
 }
--- a/packages/scheduling/src/decision/__tests__/endpointRoom.spec.ts
+++ b/packages/scheduling/src/decision/__tests__/endpointRoom.spec.ts
@@ -27,7 +27,12 @@
 });
 
 describe("after its wait, a request", () => {
-    const settings = { enabled: true, fairShares: true, bounds: { requests: 1, bytes: 1 } };
+    const settings = {
+        enabled: true,
+        fairShares: true,
+        endpointQueue: 24,
+        bounds: { requests: 1, bytes: 1 },
+    };
     it("is sent as without a queue, unless its account is above its share or its time limit can't be met", () => {
         const after = (
             kind: "waited" | "unreachable" | "callerGone",
--- a/packages/scheduling/src/decision/__tests__/sharedServiceSimulation.ts
+++ b/packages/scheduling/src/decision/__tests__/sharedServiceSimulation.ts
@@ -63,7 +63,12 @@
     const { accounts, placement, targetLatency } = options;
     const random = seededRandom(options.seed);
     const events: { at: number; run: () => void; }[][] = [];
-    const settings = { enabled: true, fairShares: true, bounds: { requests: 256, bytes: 1_000_000 } };
+    const settings = {
+        enabled: true,
+        fairShares: true,
+        endpointQueue: queueLimit,
+        bounds: { requests: 256, bytes: 1_000_000 },
+    };
     let now = 0;
     // Events are in buckets of a millisecond.
     const schedule = (delay: number, run: () => void) => {
@@ -80,7 +85,7 @@
             own: endpoints.map(() => 0),
             others: Array.from({ length: options.routers }, () => endpoints.map(() => 0)),
             work,
-            waiting: new WaitingRequests(work, settings.bounds),
+            waiting: new WaitingRequests(work, () => settings.bounds),
         };
     });
     const results = new Map<string, AccountResult>(
--- a/packages/scheduling/src/decision/__tests__/waitingRequests.spec.ts
+++ b/packages/scheduling/src/decision/__tests__/waitingRequests.spec.ts
@@ -4,7 +4,7 @@
 /** A queue whose requests start while there is room for their work; `ends` lists how they left. */
 function queueFixture(bounds = { requests: 100, bytes: 1_000 }) {
     const work = new AccountWork();
-    const queue = new WaitingRequests(work, bounds);
+    const queue = new WaitingRequests(work, () => bounds);
     const ends: string[] = [];
     const site = { room: 0 };
     const add = (name: string, more: Partial<WaitingRequest> & { need?: number; } = {}) => {
--- a/packages/scheduling/src/decision/holdPolicy.ts
+++ b/packages/scheduling/src/decision/holdPolicy.ts
@@ -12,10 +12,20 @@
     readonly enabled: boolean;
     /** If true, requests of accounts above their share are refused when they have waited in vain. */
     readonly fairShares: boolean;
+    /** Number of requests beyond its slots that an endpoint without an agent queues before it rejects. */
+    readonly endpointQueue: number;
     /** Bounds of the requests that wait for one service. */
     readonly bounds: WaitingBounds;
 }
 
+/** Settings with which every request is sent at once. */
+export const holdNothing: HoldSettings = {
+    enabled: false,
+    fairShares: false,
+    endpointQueue: 0,
+    bounds: { requests: 0, bytes: 0 },
+};
+
 /** Share of the target latency that a request waits at most; callers have no use for a longer wait. */
 const maxWaitShare = 1 / 8;
 
--- a/packages/scheduling/src/decision/waitingRequests.ts
+++ b/packages/scheduling/src/decision/waitingRequests.ts
@@ -67,7 +67,7 @@
     private count = 0;
     private totalBytes = 0;
 
-    constructor(private readonly work: AccountWork, private readonly bounds: WaitingBounds) {}
+    constructor(private readonly work: AccountWork, private readonly bounds: () => WaitingBounds) {}
 
     /** Number of requests that wait. */
     get length(): number {
@@ -95,7 +95,8 @@
             this.work.lift(request.account, this.lowestOrder(now), now, request.weight);
         }
         this.insert(request);
-        while (this.count > this.bounds.requests || this.totalBytes > this.bounds.bytes) {
+        const { bytes, requests } = this.bounds();
+        while (this.count > requests || this.totalBytes > bytes) {
             const last = this.last(now)!;
             this.remove(last);
             last.settle({ kind: "displaced" });
