gateway: avoid endpoints whose answers are overdue, and let streams that may run again leave them

It gets no new requests until it sends again, apart from trials at intervals. Routers tell each other in the load reports; earlier releases ignore the new fields. A request that may run again continues elsewhere, if the retry budget and its time limit allow it, after its connection was closed. Nothing changes for a service most of whose endpoints are silent.

The setting endpointModel.unresponsiveness = false switches this off.

--- a/packages/fleet/src/fleetMessages.ts
+++ b/packages/fleet/src/fleetMessages.ts
@@ -41,6 +41,10 @@
     readonly waitingTokens: number;
     /** Number of requests that have not ended. */
     readonly running: number;
+    /** Milliseconds for which the endpoint has been unresponsive to the router; absent if it is not. */
+    readonly silentFor?: number;
+    /** Milliseconds since the router received bytes from the endpoint; present if others find it unresponsive. */
+    readonly answeredAge?: number;
 }
 
 /** A request whose endpoint crashed before the answer was complete, as the sender itself has observed. */
@@ -330,7 +334,13 @@
     age: isNonNegativeNumber,
     spent: isListOf(isShaped(spendingShape)),
     load: isListOf(
-        isShaped({ instance: isString, waitingTokens: isNonNegativeNumber, running: isNonNegativeNumber }),
+        isShaped({
+            instance: isString,
+            waitingTokens: isNonNegativeNumber,
+            running: isNonNegativeNumber,
+            silentFor: isOptional(isNonNegativeNumber),
+            answeredAge: isOptional(isNonNegativeNumber),
+        }),
     ),
     crashes: isListOf(isShaped({})),
     crashReport: isOptional(isShaped({
--- a/packages/gateway/src/__tests__/gatewayFixture.ts
+++ b/packages/gateway/src/__tests__/gatewayFixture.ts
@@ -1,5 +1,11 @@
 import type { DesiredWeights, DirectAccount, DirectEndpoint, ReplicaStatus } from "@redwingpin/fleet";
-import { type CacheStore, type ChoiceInput, EndpointState, ServiceSpeed } from "../index.js";
+import {
+    type CacheStore,
+    type ChoiceInput,
+    EndpointState,
+    fullEndpointModel,
+    ServiceSpeed,
+} from "../index.js";
 import { type BlockBody, BlockPool } from "../node/blockPool.js";
 
 /** A body in blocks of a pool of its own. */
@@ -80,6 +86,8 @@
         targetLatency: 800,
         elapsed: 0,
         tried: new Set(),
+        isRepeatable: true,
+        model: fullEndpointModel,
         prompt: {
             model: "drafting",
             desiredWeights: undefined,
--- a/packages/gateway/src/__tests__/peerReports.spec.ts
+++ b/packages/gateway/src/__tests__/peerReports.spec.ts
@@ -135,6 +135,28 @@
         expect(addresses()).to.deep.equal(all);
     });
 
+    // Guards against routers that each lose requests to an endpoint that others already know to be unresponsive.
+    it("state that an endpoint is unresponsive, until another router reports a later sign of life", () => {
+        const [finder, other] = [reportsFixture(), reportsFixture()];
+        const responsesOf = ({ endpointTable }: typeof finder) =>
+            endpointTable.ofService("drafting")[0].responses;
+        const exchange = (from: typeof finder, to: typeof finder) =>
+            to.reports.observe(
+                helloFixture(ProcessRole.Router, from === finder ? "finder" : "other"),
+                from.reports.reportFor(helloFixture(ProcessRole.Router, "receiver"), peerAddress),
+                peerAddress,
+            );
+        responsesOf(finder).declareSilent(9_000, 8_000);
+        exchange(finder, other);
+        expect(responsesOf(other).isAvoided(10_000, true)).to.equal(true);
+        const answered = other.endpointTable.ofService("drafting")[0];
+        answered.running = 1;
+        answered.recordAnswerPart(10_000);
+        expect(responsesOf(other).isAvoided(10_000, true)).to.equal(false);
+        exchange(other, finder);
+        expect(responsesOf(finder).isSilent).to.equal(false);
+    });
+
     it("contain levels only for a router that has just started", () => {
         const { clock, reports } = reportsFixture();
         const peer = helloFixture(ProcessRole.Router, "a");
--- a/packages/gateway/src/__tests__/routerFixture.ts
+++ b/packages/gateway/src/__tests__/routerFixture.ts
@@ -17,6 +17,7 @@
     DemandTracker,
     EndpointTable,
     FleetRetryBudget,
+    fullEndpointModel,
     type HeaderCodec,
     PrefixIndex,
     type RawHeaders,
@@ -92,7 +93,11 @@
 const maxBufferedAnswerBytes = 30_000_000;
 
 /** A router before the given endpoints; `call` resolves with the caller's answer. */
-export async function routerFixture(endpoints: readonly RawEndpoint[], more: Partial<DirectRoute> = {}) {
+export async function routerFixture(
+    endpoints: readonly RawEndpoint[],
+    more: Partial<DirectRoute> = {},
+    endpointModel = fullEndpointModel,
+) {
     const route = { ...unrepeatableRoute, ...more };
     const configuration: DirectConfiguration = {
         version: 1,
@@ -139,6 +144,7 @@
         crashTracker: new CrashTracker(),
         demandTracker: new DemandTracker(),
         weightsBounds: () => ({ reducedWorthAfter: 1_500, worthReduction: 0.2, forbiddenAfter: 9_500 }),
+        endpointModel: () => endpointModel,
         metrics: new GatewayMetrics(new Registry()),
         routerCount: () => 1,
         random: () => 0,
@@ -177,6 +183,13 @@
             endpointTable.update(state);
             lossProbe.run();
         },
+        /** Checks the responses of the endpoints, as the gateway does at intervals. */
+        checkResponses: () => {
+            const random = () => 1;
+            return endpointModel.unresponsiveness
+                ? endpointTable.checkResponses(systemClock.now(), 1, random)
+                : [];
+        },
         stop: () => {
             connections.stop();
             server.close();
--- a/packages/gateway/src/decision/endpointChoice.ts
+++ b/packages/gateway/src/decision/endpointChoice.ts
@@ -6,6 +6,7 @@
  */
 import type { Milliseconds } from "@redwingpin/common";
 import { type DesiredWeights, supersededAt } from "@redwingpin/fleet";
+import type { EndpointModelSettings } from "./endpointModelSettings.js";
 import type { EndpointState, ServiceSpeed } from "./endpointTable.js";
 
 /** Bounds on the use of superseded weights, as times since a newer version became desired. */
@@ -29,6 +30,9 @@
     readonly elapsed: Milliseconds;
     /** Instances that this request has already been sent to. */
     readonly tried: ReadonlySet<string>;
+    /** True if the request may run again elsewhere. */
+    readonly isRepeatable: boolean;
+    readonly model: EndpointModelSettings;
     /** Only present for requests to model engines. */
     readonly prompt?: PromptNeeds;
     readonly bounds: WeightsBounds;
@@ -114,7 +118,11 @@
     const worthAPermit = evaluated.filter(isWorthAPermit);
     const choices = worthAPermit.length > 0 ? worthAPermit : evaluated;
     const healthy = choices.filter((choice) => !choice.endpointState.health.isEjected(input.now));
-    for (const tier of [healthy.filter((choice) => endsBeforeLoad(choice, input)), healthy, choices]) {
+    const responsive = healthy.filter(({ endpointState }) =>
+        !input.model.unresponsiveness || !endpointState.responses.isAvoided(input.now, input.isRepeatable)
+    );
+    const undisturbed = responsive.filter((choice) => endsBeforeLoad(choice, input));
+    for (const tier of [undisturbed, responsive, healthy, choices]) {
         const best = pickBest(tier);
         if (best !== undefined) {
             return best;
--- /dev/null
+++ b/packages/gateway/src/decision/endpointState.ts
@@ -0,0 +1,217 @@
+/**
+ * State of one endpoint: its registration, its agent's status, the load that routers have put on it, and its health.
+ *
+ * @module
+ */
+import type { Milliseconds } from "@redwingpin/common";
+import type { DirectEndpoint, EndpointLoad, RelayedStatus, ReplicaStatus } from "@redwingpin/fleet";
+import {
+    EndpointSignals,
+    type OwedAnswer,
+    type OwedAnswerOptions,
+    ResponseMonitor,
+} from "@redwingpin/scheduling";
+import { EndpointHealth } from "./endpointHealth.js";
+import { PermitThreshold } from "./permitThreshold.js";
+import { ServiceSpeed } from "./serviceSpeed.js";
+
+/** Time for which an agent's status takes precedence over the registration; one exchange may fail meanwhile. */
+const statusLifetime: Milliseconds = 3_500;
+
+/** A router's load report is ignored after this time. */
+const loadLifetime: Milliseconds = 2_000;
+
+/** An endpoint is declared lost after this many consecutive failed connection attempts. */
+const connectFailuresUntilLost = 2;
+
+interface Reported<T> {
+    readonly value: T;
+    readonly at: Milliseconds;
+}
+
+/** State of one endpoint. */
+export class EndpointState {
+    /** Requests that this router has sent and that have not ended. */
+    running = 0;
+    /** Prompt tokens of the requests that this router has sent and that have no answer yet. */
+    waitingTokens = 0;
+    readonly health = new EndpointHealth();
+    readonly signals = new EndpointSignals();
+    readonly permitThreshold = new PermitThreshold();
+    readonly responses = new ResponseMonitor();
+    private status: Reported<ReplicaStatus> | undefined;
+    private observedWeights: Reported<{ readonly model: string; readonly version: number; }> | undefined;
+    private readonly loads = new Map<string, Reported<EndpointLoad>>();
+    private readonly lossListeners = new Set<() => void>();
+    private consecutiveConnectFailures = 0;
+    private answeredAt: Milliseconds = -Infinity;
+    /** Set after the endpoint refused a request or could not be reached. */
+    private avoidedUntil: Milliseconds = -Infinity;
+
+    constructor(public endpoint: DirectEndpoint, private readonly speed = new ServiceSpeed()) {}
+
+    /** True once the endpoint's registration or one of its answers states that it leaves. */
+    get isLeaving(): boolean {
+        return this.endpoint.leaving || this.signals.isLeaving;
+    }
+
+    /** Last known version of a model's weights at the endpoint. */
+    weightsVersion(model: string, now: Milliseconds): number | undefined {
+        const status = this.freshStatus(now);
+        const observed = this.observedWeights?.value.model === model ? this.observedWeights : undefined;
+        if (
+            observed !== undefined && observed.at > (status?.at ?? -Infinity)
+            && now - observed.at < statusLifetime
+        ) {
+            return observed.value.version;
+        }
+        const weights = status?.value.weights ?? this.endpoint.weights;
+        return weights.find((entry) => entry.model === model)?.version;
+    }
+
+    /** True while the endpoint loads weights or is about to. */
+    isLoading(now: Milliseconds): boolean {
+        return this.freshStatus(now)?.value.loading ?? false;
+    }
+
+    /** Time at which the endpoint is expected to load weights; `undefined` if no load is planned soon. */
+    nextLoadAt(now: Milliseconds): Milliseconds | undefined {
+        const status = this.freshStatus(now);
+        return status?.value.loadsIn === undefined ? undefined : status.at + status.value.loadsIn;
+    }
+
+    /** Tokens of memory that no request holds, by the agent's last status; `undefined` if unknown. */
+    freeMemory(now: Milliseconds): number | undefined {
+        const status = this.freshStatus(now)?.value;
+        return status === undefined || status.cacheTotal <= 0
+            ? undefined
+            : Math.max(0, status.cacheTotal - status.cacheUsed);
+    }
+
+    /** True if the agent reported that it could not reach the endpoint. */
+    isDown(now: Milliseconds): boolean {
+        return this.freshStatus(now)?.value.weights.length === 0;
+    }
+
+    /** Last known number of running and queued requests of all routers. */
+    totalRunning(now: Milliseconds): number {
+        return this.running + this.freshLoads(now).reduce((sum, load) => sum + load.running, 0);
+    }
+
+    /** Last known number of prompt tokens queued by all routers. */
+    totalWaitingTokens(now: Milliseconds): number {
+        return this.waitingTokens + this.freshLoads(now).reduce((sum, load) => sum + load.waitingTokens, 0);
+    }
+
+    isAvoided(now: Milliseconds): boolean {
+        return this.avoidedUntil > now;
+    }
+
+    /** Excludes the endpoint from selection for the given time. */
+    avoid(duration: Milliseconds, now: Milliseconds): void {
+        this.avoidedUntil = Math.max(this.avoidedUntil, now + duration);
+    }
+
+    /** Applies a status that the agent sent at `at`, unless a later one is known. */
+    observeStatus(status: ReplicaStatus, at: Milliseconds): void {
+        const isOwn = status.instance === undefined || status.instance === this.endpoint.instance;
+        if (isOwn && !this.hasLaterStatus(status, at)) {
+            this.status = { value: status, at };
+            if (status.weights.length === 0) {
+                this.declareLost();
+            }
+        }
+    }
+
+    /**
+     * The age of a relayed status does not include the time of its transfer, so statuses from one start of an agent
+     * are ordered by their number.
+     */
+    private hasLaterStatus(status: ReplicaStatus, at: Milliseconds): boolean {
+        if (this.status === undefined) {
+            return false;
+        }
+        const { value } = this.status;
+        return value.start === status.start ? value.number > status.number : this.status.at > at;
+    }
+
+    /** Calls `listener` once when the endpoint is declared lost; the returned function removes the listener. */
+    onLost(listener: () => void): () => void {
+        this.lossListeners.add(listener);
+        return () => this.lossListeners.delete(listener);
+    }
+
+    /** Declares that the endpoint no longer runs: requests that were sent to it will not be answered. */
+    declareLost(): void {
+        const listeners = [...this.lossListeners];
+        this.lossListeners.clear();
+        listeners.forEach((listener) => listener());
+    }
+
+    /** Records whether a connection to the endpoint could be made. */
+    recordConnectResult(isConnected: boolean): void {
+        this.consecutiveConnectFailures = isConnected ? 0 : this.consecutiveConnectFailures + 1;
+        if (this.consecutiveConnectFailures >= connectFailuresUntilLost) {
+            this.declareLost();
+        }
+    }
+
+    /** Records that a part of an answer has arrived from the endpoint. */
+    recordAnswerPart(now: Milliseconds): void {
+        this.answeredAt = now;
+        this.responses.recordPart(now, this.speed.pace);
+    }
+
+    /** Registers a request that is sent to the endpoint now, to detect that its answer is overdue. */
+    openAnswer(options: OwedAnswerOptions): OwedAnswer {
+        return this.responses.open(options, this.speed.pace);
+    }
+
+    /** True if a part of an answer has arrived since the given time. */
+    hasAnsweredSince(time: Milliseconds): boolean {
+        return this.answeredAt >= time;
+    }
+
+    observeWeights(model: string, version: number, now: Milliseconds): void {
+        this.observedWeights = { value: { model, version }, at: now };
+    }
+
+    observeLoad(router: string, load: EndpointLoad | undefined, now: Milliseconds): void {
+        if (load !== undefined) {
+            this.responses.observePeer(load, now);
+        }
+        if (load === undefined) {
+            this.loads.delete(router);
+        }
+        else {
+            this.loads.set(router, { value: load, at: now });
+        }
+    }
+
+    /** Age of the agent's last status; infinite if there is none. */
+    statusAge(now: Milliseconds): Milliseconds {
+        return now - (this.status?.at ?? -Infinity);
+    }
+
+    /** The agent's last status and its age; `undefined` if it has expired. */
+    lastStatus(now: Milliseconds): RelayedStatus | undefined {
+        const status = this.freshStatus(now);
+        return status && { status: status.value, age: now - status.at };
+    }
+
+    private freshStatus(now: Milliseconds): Reported<ReplicaStatus> | undefined {
+        return this.status !== undefined && now - this.status.at < statusLifetime ? this.status : undefined;
+    }
+
+    private freshLoads(now: Milliseconds): EndpointLoad[] {
+        const loads: EndpointLoad[] = [];
+        for (const [router, load] of this.loads) {
+            if (now - load.at >= loadLifetime) {
+                this.loads.delete(router);
+                continue;
+            }
+            loads.push(load.value);
+        }
+        return loads;
+    }
+}
--- a/packages/gateway/src/decision/endpointTable.ts
+++ b/packages/gateway/src/decision/endpointTable.ts
@@ -1,6 +1,5 @@
 /**
- * State of every endpoint that a router knows: its registration, its agent's status, the load that routers have put on
- * it, and its health.
+ * All endpoints that a router knows, by service.
  *
  * @module
  */
@@ -10,250 +9,28 @@
     type EndpointLoad,
     type FleetState,
     type KnownEndpoint,
-    type RelayedStatus,
     type ReplicaStatus,
     supersedes,
 } from "@redwingpin/fleet";
-import { EndpointSignals } from "@redwingpin/scheduling";
-import { EndpointHealth } from "./endpointHealth.js";
-import { PermitThreshold } from "./permitThreshold.js";
+import { EndpointState } from "./endpointState.js";
+import { ServiceSpeed } from "./serviceSpeed.js";
 
-/** Time for which an agent's status takes precedence over the registration; one exchange may fail meanwhile. */
-const statusLifetime: Milliseconds = 3_500;
+export { EndpointState, ServiceSpeed };
 
-/** A router's load report is ignored after this time. */
-const loadLifetime: Milliseconds = 2_000;
+/** Unresponsive endpoints are left out of the choice up to this share of a service. */
+const maxSilentShare = 0.5;
 
-/** Initial estimate of the prompt-processing speed, used until answers have been measured. */
-const initialTokensPerMillisecond = 25;
+/** Responses are checked several times in this interval. */
+const maxCheckInterval: Milliseconds = 450;
 
-/** Initial estimate of the time to the first event of a short prompt on an idle engine. */
-const initialBaseLatency: Milliseconds = 25;
+/** Interval of the trials of all routers together at one unresponsive endpoint. */
+const fleetTrialInterval: Milliseconds = 500;
 
-/** Initial estimate of the time per output token. */
-const initialTimePerOutputToken: Milliseconds = 25;
+const minTrialInterval: Milliseconds = 1_000;
+const maxTrialInterval: Milliseconds = 8_000;
 
-/** Weight of one measurement in the moving averages. */
-const averageWeight = 0.1;
-
-/** An endpoint is declared lost after this many consecutive failed connection attempts. */
-const connectFailuresUntilLost = 2;
-
-/** Only prompts of at least this size are used to measure an engine's prompt-processing speed. */
-const minMeasuredTokens = 1_000;
-
-interface Reported<T> {
-    readonly value: T;
-    readonly at: Milliseconds;
-}
-
-/** State of one endpoint. */
-export class EndpointState {
-    /** Requests that this router has sent and that have not ended. */
-    running = 0;
-    /** Prompt tokens of the requests that this router has sent and that have no answer yet. */
-    waitingTokens = 0;
-    readonly health = new EndpointHealth();
-    readonly signals = new EndpointSignals();
-    readonly permitThreshold = new PermitThreshold();
-    private status: Reported<ReplicaStatus> | undefined;
-    private observedWeights: Reported<{ readonly model: string; readonly version: number; }> | undefined;
-    private readonly loads = new Map<string, Reported<EndpointLoad>>();
-    private readonly lossListeners = new Set<() => void>();
-    private consecutiveConnectFailures = 0;
-    private answeredAt: Milliseconds = -Infinity;
-    /** Set after the endpoint refused a request or could not be reached. */
-    private avoidedUntil: Milliseconds = -Infinity;
-
-    constructor(public endpoint: DirectEndpoint) {}
-
-    /** True once the endpoint's registration or one of its answers states that it leaves. */
-    get isLeaving(): boolean {
-        return this.endpoint.leaving || this.signals.isLeaving;
-    }
-
-    /** Last known version of a model's weights at the endpoint. */
-    weightsVersion(model: string, now: Milliseconds): number | undefined {
-        const status = this.freshStatus(now);
-        const observed = this.observedWeights?.value.model === model ? this.observedWeights : undefined;
-        if (
-            observed !== undefined && observed.at > (status?.at ?? -Infinity)
-            && now - observed.at < statusLifetime
-        ) {
-            return observed.value.version;
-        }
-        const weights = status?.value.weights ?? this.endpoint.weights;
-        return weights.find((entry) => entry.model === model)?.version;
-    }
-
-    /** True while the endpoint loads weights or is about to. */
-    isLoading(now: Milliseconds): boolean {
-        return this.freshStatus(now)?.value.loading ?? false;
-    }
-
-    /** Time at which the endpoint is expected to load weights; `undefined` if no load is planned soon. */
-    nextLoadAt(now: Milliseconds): Milliseconds | undefined {
-        const status = this.freshStatus(now);
-        return status?.value.loadsIn === undefined ? undefined : status.at + status.value.loadsIn;
-    }
-
-    /** Tokens of memory that no request holds, by the agent's last status; `undefined` if unknown. */
-    freeMemory(now: Milliseconds): number | undefined {
-        const status = this.freshStatus(now)?.value;
-        return status === undefined || status.cacheTotal <= 0
-            ? undefined
-            : Math.max(0, status.cacheTotal - status.cacheUsed);
-    }
-
-    /** True if the agent reported that it could not reach the endpoint. */
-    isDown(now: Milliseconds): boolean {
-        return this.freshStatus(now)?.value.weights.length === 0;
-    }
-
-    /** Last known number of running and queued requests of all routers. */
-    totalRunning(now: Milliseconds): number {
-        return this.running + this.freshLoads(now).reduce((sum, load) => sum + load.running, 0);
-    }
-
-    /** Last known number of prompt tokens queued by all routers. */
-    totalWaitingTokens(now: Milliseconds): number {
-        return this.waitingTokens + this.freshLoads(now).reduce((sum, load) => sum + load.waitingTokens, 0);
-    }
-
-    isAvoided(now: Milliseconds): boolean {
-        return this.avoidedUntil > now;
-    }
-
-    /** Excludes the endpoint from selection for the given time. */
-    avoid(duration: Milliseconds, now: Milliseconds): void {
-        this.avoidedUntil = Math.max(this.avoidedUntil, now + duration);
-    }
-
-    /** Applies a status that the agent sent at `at`, unless a later one is known. */
-    observeStatus(status: ReplicaStatus, at: Milliseconds): void {
-        const isOwn = status.instance === undefined || status.instance === this.endpoint.instance;
-        if (isOwn && !this.hasLaterStatus(status, at)) {
-            this.status = { value: status, at };
-            if (status.weights.length === 0) {
-                this.declareLost();
-            }
-        }
-    }
-
-    /**
-     * The age of a relayed status does not include the time of its transfer, so statuses from one start of an agent
-     * are ordered by their number.
-     */
-    private hasLaterStatus(status: ReplicaStatus, at: Milliseconds): boolean {
-        if (this.status === undefined) {
-            return false;
-        }
-        const { value } = this.status;
-        return value.start === status.start ? value.number > status.number : this.status.at > at;
-    }
-
-    /** Calls `listener` once when the endpoint is declared lost; the returned function removes the listener. */
-    onLost(listener: () => void): () => void {
-        this.lossListeners.add(listener);
-        return () => this.lossListeners.delete(listener);
-    }
-
-    /** Declares that the endpoint no longer runs: requests that were sent to it will not be answered. */
-    declareLost(): void {
-        const listeners = [...this.lossListeners];
-        this.lossListeners.clear();
-        listeners.forEach((listener) => listener());
-    }
-
-    /** Records whether a connection to the endpoint could be made. */
-    recordConnectResult(isConnected: boolean): void {
-        this.consecutiveConnectFailures = isConnected ? 0 : this.consecutiveConnectFailures + 1;
-        if (this.consecutiveConnectFailures >= connectFailuresUntilLost) {
-            this.declareLost();
-        }
-    }
-
-    /** Records that a part of an answer has arrived from the endpoint. */
-    recordAnswerPart(now: Milliseconds): void {
-        this.answeredAt = now;
-    }
-
-    /** True if a part of an answer has arrived since the given time. */
-    hasAnsweredSince(time: Milliseconds): boolean {
-        return this.answeredAt >= time;
-    }
-
-    observeWeights(model: string, version: number, now: Milliseconds): void {
-        this.observedWeights = { value: { model, version }, at: now };
-    }
-
-    observeLoad(router: string, load: EndpointLoad | undefined, now: Milliseconds): void {
-        if (load === undefined) {
-            this.loads.delete(router);
-        }
-        else {
-            this.loads.set(router, { value: load, at: now });
-        }
-    }
-
-    /** Age of the agent's last status; infinite if there is none. */
-    statusAge(now: Milliseconds): Milliseconds {
-        return now - (this.status?.at ?? -Infinity);
-    }
-
-    /** The agent's last status and its age; `undefined` if it has expired. */
-    lastStatus(now: Milliseconds): RelayedStatus | undefined {
-        const status = this.freshStatus(now);
-        return status && { status: status.value, age: now - status.at };
-    }
-
-    private freshStatus(now: Milliseconds): Reported<ReplicaStatus> | undefined {
-        return this.status !== undefined && now - this.status.at < statusLifetime ? this.status : undefined;
-    }
-
-    private freshLoads(now: Milliseconds): EndpointLoad[] {
-        const loads: EndpointLoad[] = [];
-        for (const [router, load] of this.loads) {
-            if (now - load.at >= loadLifetime) {
-                this.loads.delete(router);
-                continue;
-            }
-            loads.push(load.value);
-        }
-        return loads;
-    }
-}
-
-/** Speed of a service's endpoints, estimated from their answers. */
-export class ServiceSpeed {
-    tokensPerMillisecond = initialTokensPerMillisecond;
-    baseLatency = initialBaseLatency;
-    /** Moving average of the time from one output token to the next. */
-    timePerOutputToken = initialTimePerOutputToken;
-
-    /**
-     * Applies the time to the first event of a request that had no other request queued before it. `fetchTime` is the
-     * part of it that went by while cached tokens were fetched.
-     */
-    observe(uncachedTokens: number, latency: Milliseconds, fetchTime: Milliseconds): void {
-        const processingLatency = latency - fetchTime;
-        if (uncachedTokens >= minMeasuredTokens && processingLatency > this.baseLatency) {
-            const speed = uncachedTokens / (processingLatency - this.baseLatency);
-            this.tokensPerMillisecond += averageWeight * (speed - this.tokensPerMillisecond);
-        }
-        else if (uncachedTokens < minMeasuredTokens) {
-            const measuredBaseLatency = processingLatency - uncachedTokens / this.tokensPerMillisecond;
-            this.baseLatency += averageWeight * (Math.max(1, measuredBaseLatency) - this.baseLatency);
-        }
-    }
-
-    /** Applies the time from the first event of a stream to its end. */
-    observeStream(outputTokens: number, duration: Milliseconds): void {
-        if (outputTokens > 0) {
-            this.timePerOutputToken += averageWeight * (duration / outputTokens - this.timePerOutputToken);
-        }
-    }
-}
+/** Trials of one router are from half to one and a half intervals apart, so that those of all routers are spread. */
+const trialJitter = 0.5;
 
 /** All endpoints that a router knows. */
 export class EndpointTable {
@@ -262,6 +39,8 @@
     private readonly speeds = new Map<string, ServiceSpeed>();
     /** Endpoints that are no longer registered, and at which requests of this router may still run. */
     private readonly unregistered = new Set<EndpointState>();
+    private checkedAt: Milliseconds = -Infinity;
+    private countSilenceFrom: Milliseconds = -Infinity;
 
     constructor(private readonly onRemoved: (instance: string) => void) {}
 
@@ -280,7 +59,7 @@
             this.removeEarlierStart(endpoint);
             const endpointState = this.endpointStates.get(endpoint.instance)
                 ?? this.takeUnregistered(endpoint)
-                ?? new EndpointState(endpoint);
+                ?? new EndpointState(endpoint, this.speed(endpoint.service));
             endpointState.endpoint = endpoint;
             this.endpointStates.set(endpoint.instance, endpointState);
             this.byService.set(endpoint.service, [
@@ -353,6 +132,40 @@
         return speed;
     }
 
+    /**
+     * Finds endpoints whose answers are overdue, and notifies the requests concerned. Returns the endpoints that were not
+     * known as unresponsive. Does nothing for a service of which most endpoints are silent: then the cause is more likely
+     * at the router or its network. `routers` is the number of live routers.
+     */
+    checkResponses(now: Milliseconds, routers: number, random: () => number): EndpointState[] {
+        if (now - this.checkedAt > maxCheckInterval) {
+            // The process itself did not run, so answers may have arrived and not been read.
+            this.countSilenceFrom = now;
+        }
+        this.checkedAt = now;
+        return [...this.byService].flatMap(([service, endpointStates]) => {
+            const { pace } = this.speed(service);
+            const overdue = endpointStates.filter(({ responses }) =>
+                responses.isOverdue(now, pace, this.countSilenceFrom)
+            );
+            if (overdue.length === 0) {
+                return [];
+            }
+            const silent = endpointStates.filter((endpointState) =>
+                endpointState.responses.isSilent || overdue.includes(endpointState)
+            );
+            if (silent.length > Math.floor(endpointStates.length * maxSilentShare)) {
+                return [];
+            }
+            const newlySilent = overdue.filter(({ responses }) => !responses.isSilent);
+            newlySilent.forEach(({ responses }) =>
+                responses.declareSilent(now, trialIntervalFor(routers) * (trialJitter + random()))
+            );
+            overdue.forEach(({ responses }) => responses.notifyOverdue(now, pace, this.countSilenceFrom));
+            return newlySilent;
+        });
+    }
+
     /** Applies a status that an agent sent at `at` to the replica at the status's address. */
     observeStatus(status: ReplicaStatus, at: Milliseconds): void {
         for (const endpointState of [...this.endpointStates.values(), ...this.unregistered]) {
@@ -371,13 +184,14 @@
     }
 
     /** This router's own load, for its peers. */
-    ownLoads(): EndpointLoad[] {
+    ownLoads(now: Milliseconds): EndpointLoad[] {
         return [...this.endpointStates.values()]
-            .filter((endpointState) => endpointState.running > 0)
+            .filter(({ responses, running }) => running > 0 || responses.isSilent)
             .map((endpointState) => ({
                 instance: endpointState.endpoint.instance,
                 waitingTokens: endpointState.waitingTokens,
                 running: endpointState.running,
+                ...endpointState.responses.report(now),
             }));
     }
 }
@@ -402,6 +216,11 @@
     return `${host}:${port}`;
 }
 
+/** Interval at which one router sends a request to an unresponsive endpoint, to detect its recovery. */
+function trialIntervalFor(routers: number): Milliseconds {
+    return Math.min(maxTrialInterval, Math.max(minTrialInterval, routers * fleetTrialInterval));
+}
+
 /** False if both state their start, and it is not the same one. */
 function isSameStart(earlier: DirectEndpoint, later: DirectEndpoint): boolean {
     return earlier.startedAt === undefined || later.startedAt === undefined
--- a/packages/gateway/src/decision/fleetRetryBudget.ts
+++ b/packages/gateway/src/decision/fleetRetryBudget.ts
@@ -49,16 +49,21 @@
 
     /** Spends one retry of the budget. Returns false, and spends nothing, if none is left. */
     trySpend(service: string, routers: number, now: Milliseconds): boolean {
-        const { requests, retries } = this.totals(service, now);
-        const { ratio, slack } = this.bounds;
-        const allowed = requests * ratio * usedRatioShare + slack * usedSlackShare / Math.max(1, routers);
-        if (retries + 1 > allowed) {
+        if (!this.canSpend(service, routers, now)) {
             return false;
         }
         this.count(service, now).retries += 1;
         return true;
     }
 
+    /** True if the budget has a retry left. */
+    canSpend(service: string, routers: number, now: Milliseconds): boolean {
+        const { requests, retries } = this.totals(service, now);
+        const { ratio, slack } = this.bounds;
+        const allowed = requests * ratio * usedRatioShare + slack * usedSlackShare / Math.max(1, routers);
+        return retries + 1 <= allowed;
+    }
+
     private totals(service: string, now: Milliseconds): Count {
         const oldest = this.slot(now) - slotsPerWindow;
         const counts = this.services.get(service) ?? new Map<number, Count>();
--- /dev/null
+++ b/packages/gateway/src/decision/serviceSpeed.ts
@@ -0,0 +1,55 @@
+/**
+ * Speed of a service's endpoints, estimated from their answers.
+ *
+ * @module
+ */
+import type { Milliseconds } from "@redwingpin/common";
+import { ResponsePace } from "@redwingpin/scheduling";
+
+/** Initial estimate of the prompt-processing speed, used until answers have been measured. */
+const initialTokensPerMillisecond = 25;
+
+/** Initial estimate of the time to the first event of a short prompt on an idle engine. */
+const initialBaseLatency: Milliseconds = 25;
+
+/** Initial estimate of the time per output token. */
+const initialTimePerOutputToken: Milliseconds = 25;
+
+/** Weight of one measurement in the moving averages. */
+const averageWeight = 0.1;
+
+/** Only prompts of at least this size are used to measure an engine's prompt-processing speed. */
+const minMeasuredTokens = 1_000;
+
+/** Speed of a service's endpoints, estimated from their answers. */
+export class ServiceSpeed {
+    tokensPerMillisecond = initialTokensPerMillisecond;
+    baseLatency = initialBaseLatency;
+    /** Moving average of the time from one output token to the next. */
+    timePerOutputToken = initialTimePerOutputToken;
+    /** Usual pauses of all endpoints of the service. */
+    readonly pace = new ResponsePace();
+
+    /**
+     * Applies the time to the first event of a request that had no other request queued before it. `fetchTime` is the
+     * part of it that went by while cached tokens were fetched.
+     */
+    observe(uncachedTokens: number, latency: Milliseconds, fetchTime: Milliseconds): void {
+        const processingLatency = latency - fetchTime;
+        if (uncachedTokens >= minMeasuredTokens && processingLatency > this.baseLatency) {
+            const speed = uncachedTokens / (processingLatency - this.baseLatency);
+            this.tokensPerMillisecond += averageWeight * (speed - this.tokensPerMillisecond);
+        }
+        else if (uncachedTokens < minMeasuredTokens) {
+            const measuredBaseLatency = processingLatency - uncachedTokens / this.tokensPerMillisecond;
+            this.baseLatency += averageWeight * (Math.max(1, measuredBaseLatency) - this.baseLatency);
+        }
+    }
+
+    /** Applies the time from the first event of a stream to its end. */
+    observeStream(outputTokens: number, duration: Milliseconds): void {
+        if (outputTokens > 0) {
+            this.timePerOutputToken += averageWeight * (duration / outputTokens - this.timePerOutputToken);
+        }
+    }
+}
--- a/packages/gateway/src/gatewayConfig.ts
+++ b/packages/gateway/src/gatewayConfig.ts
@@ -6,6 +6,7 @@
 import type { Milliseconds } from "@redwingpin/common";
 import type { FleetKeys, InnerAddress } from "@redwingpin/protocol";
 import type { WeightsBounds } from "./decision/endpointChoice.js";
+import type { EndpointModelSettings } from "./decision/endpointModelSettings.js";
 import type { RetryBudgetBounds } from "./decision/fleetRetryBudget.js";
 import type { RateTolerance } from "./decision/sharedLedger.js";
 
@@ -31,6 +32,7 @@
     readonly isFirstStart: boolean;
     readonly retryBudget: RetryBudgetBounds;
     readonly weights: WeightsBounds;
+    readonly endpointModel: EndpointModelSettings;
     /** Tokens that an account may spend beyond its rate and burst, over all routers. */
     readonly rateTolerance: RateTolerance;
     /** Maximum time from the stop signal to the end of the process. */
--- a/packages/gateway/src/node/attempt.ts
+++ b/packages/gateway/src/node/attempt.ts
@@ -71,6 +71,8 @@
     /** Bounds what all attempts buffer together. */
     readonly answerBuffers: AnswerBuffers;
     readonly observer: AttemptObserver;
+    /** Ends the attempt, so that the request continues elsewhere. */
+    readonly abandonment: AbortSignal;
 }
 
 /** Runs one attempt to its end. Rejects if a fault of the router ends it. */
@@ -93,6 +95,7 @@
     private removeLossListener: () => void = () => {};
     private readonly onDrain = () => this.exchange?.resume();
     private readonly onCallerClose = () => this.finish({ kind: "callerGone" });
+    private readonly onAbandoned = () => this.finish(this.invalid("the endpoint is unresponsive"));
 
     constructor(
         private readonly context: AttemptContext,
@@ -114,6 +117,7 @@
         }
         response.on("drain", this.onDrain);
         response.on("close", this.onCallerClose);
+        this.context.abandonment.addEventListener("abort", this.onAbandoned);
         const left = request.deadline - clock.now();
         this.cancelDeadline = clock.schedule(left, () => this.finish({ kind: "timedOut" }));
         if (request.route.repeatable) {
@@ -151,6 +155,7 @@
         this.removeLossListener();
         this.context.response.off("drain", this.onDrain);
         this.context.response.off("close", this.onCallerClose);
+        this.context.abandonment.removeEventListener("abort", this.onAbandoned);
         if (outcome.kind !== "delivered" && outcome.kind !== "failed" && outcome.kind !== "notRun") {
             this.exchange?.abort();
         }
--- a/packages/gateway/src/node/attemptRecord.ts
+++ b/packages/gateway/src/node/attemptRecord.ts
@@ -6,7 +6,7 @@
  */
 import type { Clock, Logger, Milliseconds } from "@redwingpin/common";
 import type { FleetState } from "@redwingpin/fleet";
-import { EndpointSignal } from "@redwingpin/scheduling";
+import { EndpointSignal, type OwedAnswerOptions } from "@redwingpin/scheduling";
 import type { AttemptOutcome } from "../decision/attemptPlan.js";
 import type { Choice } from "../decision/endpointChoice.js";
 import type { EndpointState, EndpointTable } from "../decision/endpointTable.js";
@@ -146,9 +146,26 @@
     }
 }
 
-/** Adds a request to its endpoint's load. `recordAnswer` removes its waiting tokens; `release` removes all of it. */
-export function trackLoad(choice: Choice): { recordAnswer: () => void; release: () => void; } {
+/** The load of one request on its endpoint. */
+export interface TrackedLoad {
+    /** Removes the waiting tokens. */
+    readonly recordAnswer: () => void;
+    /** Removes all of the load. */
+    readonly release: () => void;
+}
+
+/** Adds a request to its endpoint's load. */
+export function trackLoad(
+    clock: Clock,
+    choice: Choice,
+    monitoring: Pick<OwedAnswerOptions, "isBlocked" | "onOverdue">,
+): TrackedLoad {
     const { endpointState, tokensToProcess } = choice;
+    const owed = endpointState.openAnswer({
+        ...monitoring,
+        sentAt: clock.now(),
+        expectedLatency: choice.latency,
+    });
     let isWaiting = true;
     endpointState.running += 1;
     endpointState.waitingTokens += tokensToProcess;
@@ -159,9 +176,13 @@
         }
     };
     return {
-        recordAnswer,
+        recordAnswer: () => {
+            recordAnswer();
+            owed.begin(clock.now());
+        },
         release: () => {
             recordAnswer();
+            owed.close();
             endpointState.running -= 1;
         },
     };
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -33,8 +33,8 @@
     type StoreWatcherOptions,
     WatcherSelection,
 } from "@redwingpin/fleet";
-import { type InnerAddress, InnerNode, ProcessRole } from "@redwingpin/protocol";
-import { randomInt, randomUUID } from "node:crypto";
+import { type InnerAddress, type InnerNode, ProcessRole } from "@redwingpin/protocol";
+import { randomInt } from "node:crypto";
 import type { Server } from "node:http";
 import type { Registry } from "prom-client";
 import { AnswerBuffers } from "../decision/answerBuffers.js";
@@ -50,13 +50,14 @@
 import { AccountTokens } from "./accountTokens.js";
 import { CrashProbe } from "./crashProbe.js";
 import { DirectServer } from "./directServer.js";
+import { EndpointChecks } from "./endpointChecks.js";
 import { EndpointConnections } from "./endpointConnections.js";
 import { EndpointPermits } from "./endpointPermits.js";
 import { type BufferedBytes, GatewayMetrics } from "./gatewayMetrics.js";
-import { LossProbe } from "./lossProbe.js";
 import { PeerReports } from "./peerReports.js";
 import { createReadinessServer } from "./readinessServer.js";
 import { serveRequest } from "./requestTask.js";
+import { createRouterNode } from "./routerNode.js";
 
 /** Options of {@link Gateway}. */
 export interface GatewayOptions {
@@ -110,7 +111,7 @@
     private readonly answerBuffers: AnswerBuffers;
     private readonly retryBudget: FleetRetryBudget;
     private readonly endpointTable: EndpointTable;
-    private readonly lossProbe: LossProbe;
+    private readonly endpointChecks: EndpointChecks;
     private readonly ledger: SharedLedger;
     private readonly reports: PeerReports;
     private readonly innerNode: InnerNode;
@@ -123,7 +124,6 @@
     private readonly server: DirectServer;
     private readonly readiness: Server;
     private readonly random = seededRandom(randomInt(maxSeed));
-    private readonly incarnation = randomUUID();
     /** The current settings. */
     private settings: ResolvedGatewayConfig;
     private table: RouteTable | undefined;
@@ -150,8 +150,14 @@
             askRouter: (owner, request) => this.sync.requestPermit(owner, request),
         });
         this.endpointTable = new EndpointTable((instance) => this.onEndpointRemoved(instance));
-        const endpointsLogger = options.logger.scope("endpoints");
-        this.lossProbe = new LossProbe({ clock, logger: endpointsLogger, endpointTable: this.endpointTable });
+        this.endpointChecks = new EndpointChecks({
+            clock,
+            logger: options.logger.scope("endpoints"),
+            endpointTable: this.endpointTable,
+            endpointModel: () => this.settings.endpointModel,
+            routerCount: () => 1 + this.sync.liveRouterCount(),
+            random: () => this.random.unit(),
+        });
         this.ledger = new SharedLedger({
             startsFull: config.isFirstStart,
             tolerance: config.rateTolerance,
@@ -173,7 +179,7 @@
             desiredVersion: (model) => this.state.desiredWeightsOf(model)?.version,
             agentOf: options.agentOf,
         });
-        this.innerNode = this.createInnerNode();
+        this.innerNode = createRouterNode(options, () => this.state.configuration?.version ?? 0);
         this.sync = this.createSync();
         this.metrics.observeExchanges(() => this.sync.counts);
         this.accountTokens = new AccountTokens({ clock, ledger: this.ledger, sync: this.sync });
@@ -273,22 +279,6 @@
         this.connections.stop();
     }
 
-    private createInnerNode(): InnerNode {
-        const { clock, config, logger } = this.options;
-        return new InnerNode({
-            role: ProcessRole.Router,
-            instance: config.instance,
-            incarnation: this.incarnation,
-            fleetKeys: config.fleetKeys,
-            clock,
-            logger: logger.scope("inner"),
-            revision: () => this.state.configuration?.version ?? 0,
-            onRevision: () => {},
-            onMessage: () => {},
-            onClosed: () => {},
-        });
-    }
-
     private createSync(): FleetSync {
         const { clock, config, logger } = this.options;
         return new FleetSync({
@@ -351,6 +341,7 @@
             crashTracker: this.crashTracker,
             demandTracker: this.demandTracker,
             weightsBounds: () => this.settings.weights,
+            endpointModel: () => this.settings.endpointModel,
             metrics: this.metrics,
             routerCount: () => 1 + this.sync.liveRouterCount(),
             random,
@@ -437,7 +428,7 @@
         if (newFacts.some((fact) => fact.kind === FactKind.Endpoint)) {
             this.areEndpointsKnown = true;
             this.endpointTable.update(this.state);
-            this.lossProbe.run();
+            this.endpointChecks.probeUnregistered();
         }
         if (isUrgent) {
             this.sync.passOn(from === storeName, (agent) => this.isOwnerOf(agent));
@@ -469,7 +460,7 @@
         if (this.state.expire(now).length > 0) {
             this.endpointTable.update(this.state);
         }
-        this.lossProbe.run();
+        this.endpointChecks.run();
         const live = this.sync.liveRouterNames();
         this.setLiveRouterNames([formatAddress(this.options.config.inner), ...live].sort());
         this.reports.prepareReports(now);
--- a/packages/gateway/src/node/peerReports.ts
+++ b/packages/gateway/src/node/peerReports.ts
@@ -100,7 +100,7 @@
         return {
             age: now - this.startedAt,
             spent: this.unreportedSpending(peer),
-            load: this.options.endpointTable.ownLoads(),
+            load: this.options.endpointTable.ownLoads(now),
             crashes: [],
             crashReport: this.options.crashTracker.reportFor(peer?.incarnation, now),
             levels: this.hasReliableLevels(now) && this.mayAdoptLevels(peer, now)
--- a/packages/gateway/src/node/requestTask.ts
+++ b/packages/gateway/src/node/requestTask.ts
@@ -27,20 +27,22 @@
     type PromptNeeds,
     type WeightsBounds,
 } from "../decision/endpointChoice.js";
+import type { EndpointModelSettings } from "../decision/endpointModelSettings.js";
 import type { EndpointState, EndpointTable } from "../decision/endpointTable.js";
 import type { FleetRetryBudget } from "../decision/fleetRetryBudget.js";
 import type { PrefixIndex } from "../decision/prefixIndex.js";
 import { PrefixPlacement } from "../decision/prefixPlacement.js";
 import type { AnswerMetadata, DispatchMetadata, HeaderCodec } from "../headerCodec.js";
-import { endToEndHeaders, writeOwnAnswer, writeWholeAnswer } from "./answerWriter.js";
-import { notRunStatuses, runAttempt, type StreamProgress } from "./attempt.js";
-import { recordAttempt, recordSignals, trackLoad } from "./attemptRecord.js";
+import { endToEndHeaders } from "./answerWriter.js";
+import { runAttempt, type StreamProgress } from "./attempt.js";
+import { recordAttempt, recordSignals, type TrackedLoad, trackLoad } from "./attemptRecord.js";
 import type { DirectRequest } from "./callerRequest.js";
 import type { CrashProbe } from "./crashProbe.js";
 import type { EndpointConnections } from "./endpointConnections.js";
 import type { EndpointPermits } from "./endpointPermits.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
 import { type PromptContext, readPromptContext } from "./promptContext.js";
+import { answerRequest } from "./requestAnswer.js";
 import { RequestCrashes } from "./requestCrashes.js";
 import { detectStalls } from "./stallDetector.js";
 
@@ -67,6 +69,7 @@
     readonly crashTracker: CrashTracker;
     readonly demandTracker: DemandTracker;
     readonly weightsBounds: () => WeightsBounds;
+    readonly endpointModel: () => EndpointModelSettings;
     readonly metrics: GatewayMetrics;
     /** Number of live routers, including this one. */
     readonly routerCount: () => number;
@@ -91,6 +94,8 @@
     private readonly prompt: PromptContext | undefined;
     private readonly placement: PrefixPlacement | undefined;
     private attempts = 0;
+    /** Number of attempts that may have run. */
+    private runs = 0;
 
     constructor(
         private readonly context: RequestContext,
@@ -117,7 +122,8 @@
         const refusedUntil = this.crashes.refusedUntil(now);
         if (refusedUntil !== undefined) {
             const retryAfter = refusedUntil - now;
-            return this.answer({ kind: "refused", reason: RefusalReason.Quarantined, retryAfter });
+            const outcome = { kind: "refused", reason: RefusalReason.Quarantined, retryAfter } as const;
+            return answerRequest(context, request, this.response, this.progress, outcome);
         }
         context.retryBudget.recordRequest(request.service.name, now);
         const { repeatable, attempts } = request.route;
@@ -125,7 +131,7 @@
             planAttempts({ repeatable, attempts }),
             (effect) => this.perform(effect),
         );
-        return this.answer(outcome);
+        return answerRequest(this.context, request, this.response, this.progress, outcome);
     }
 
     private perform(effect: AttemptEffect): AttemptEvent | Promise<AttemptEvent> {
@@ -180,7 +186,7 @@
     }
 
     private chooseCandidate(now: Milliseconds): Choice | undefined {
-        const { endpointTable, dataCentre, weightsBounds } = this.context;
+        const { endpointTable, endpointModel, dataCentre, weightsBounds } = this.context;
         const { service } = this.request;
         return chooseEndpoint({
             endpointStates: endpointTable.ofService(service.name),
@@ -190,6 +196,8 @@
             targetLatency: this.request.route.targetLatency,
             elapsed: now - this.request.arrival,
             tried: this.tried,
+            isRepeatable: this.request.route.repeatable,
+            model: endpointModel(),
             prompt: this.promptNeeds(now),
             bounds: weightsBounds(),
         });
@@ -229,7 +237,7 @@
         this.tried.add(endpoint.instance);
         this.context.demandTracker.record(request.service.name, choice.tokensToProcess, sentAt);
         const tokensAhead = choice.endpointState.waitingTokens;
-        const load = trackLoad(choice);
+        const { abandonment, load } = this.trackAttempt(choice);
         let firstAnswerAt: Milliseconds | undefined;
         const metadata = this.createDispatchMetadata(choice, sentAt);
         const stopStallDetection = detectStalls(clock, this.context.logger, {
@@ -264,11 +272,13 @@
                 },
                 onWeightsMismatch: (answer) => this.recordWeights(choice.endpointState, answer),
             },
+            abandonment,
         }).finally(stopStallDetection).finally(() => load.release());
         if (outcome.kind === "delivered" && firstAnswerAt !== undefined) {
             const speed = this.context.endpointTable.speed(request.service.name);
             speed.observeStream(request.metadata.outputTokens, clock.now() - firstAnswerAt);
         }
+        this.runs += outcome.kind === "notRun" ? 0 : 1;
         recordAttempt(this.context, request, choice, outcome, {
             number: this.attempts,
             sentAt,
@@ -279,6 +289,36 @@
         return { kind: "ended", outcome };
     }
 
+    /** Tracks an attempt that starts now; `abandonment` ends it if its answer is overdue and it may run elsewhere. */
+    private trackAttempt(choice: Choice): { readonly abandonment: AbortSignal; readonly load: TrackedLoad; } {
+        const abandonment = new AbortController();
+        const load = trackLoad(this.context.clock, choice, {
+            isBlocked: () => this.response.writableNeedDrain,
+            onOverdue: () => {
+                if (this.canContinueElsewhere()) {
+                    abandonment.abort();
+                }
+            },
+        });
+        return { abandonment: abandonment.signal, load };
+    }
+
+    /** True if the running attempt may be ended because another endpoint can be expected to answer in time. */
+    private canContinueElsewhere(): boolean {
+        const { clock, retryBudget, routerCount } = this.context;
+        const { deadline, route, service } = this.request;
+        const now = clock.now();
+        if (
+            !route.repeatable || this.runs + 1 >= route.attempts
+            || !retryBudget.canSpend(service.name, routerCount(), now)
+        ) {
+            return false;
+        }
+        const next = this.chooseCandidate(now);
+        return next !== undefined && !next.endpointState.responses.isUnresponsive(now)
+            && now + next.latency < deadline;
+    }
+
     private createDispatchMetadata(choice: Choice, now: Milliseconds): DispatchMetadata {
         const { placement, prompt, request } = this;
         const resumed = this.progress.started ? this.progress.lastEvent : undefined;
@@ -356,73 +396,4 @@
             endpointState.observeWeights(this.prompt.model, answer.weightsVersion, this.context.clock.now());
         }
     }
-
-    /** Sends the caller the outcome of its request. */
-    private answer(outcome: RequestOutcome): RequestOutcome {
-        const { clock, headerCodec, metrics } = this.context;
-        const { response, request } = this;
-        metrics.recordEnd(request.route.name, outcome.kind, clock.now() - request.arrival);
-        const headers = headerCodec.ownAnswerHeaders(request.metadata.attempt);
-        switch (outcome.kind) {
-            case "delivered":
-            case "callerGone":
-                return outcome;
-            case "refused": {
-                metrics.recordRefusal(outcome.reason);
-                const message = `the request was not run: ${outcome.reason}`;
-                const { retryAfter } = outcome;
-                writeOwnAnswer(response, { status: 503, code: outcome.reason, message, retryAfter, headers });
-                return outcome;
-            }
-            case "unknown":
-                this.answerUnknownOutcome(outcome, headers);
-                return outcome;
-            case "failed":
-                this.forwardFailure(outcome.answer, headers);
-                return outcome;
-        }
-    }
-
-    private answerUnknownOutcome(
-        outcome: RequestOutcome & { kind: "unknown"; },
-        headers: Record<string, string>,
-    ): void {
-        if (this.progress.started) {
-            // An interrupted stream must not look complete.
-            this.response.destroy();
-            return;
-        }
-        writeOwnAnswer(this.response, {
-            status: outcome.timedOut ? 504 : 502,
-            code: outcome.timedOut ? RefusalReason.DeadlineExceeded : RefusalReason.OutcomeUnknown,
-            message: `the request may have run: ${outcome.detail}`,
-            headers,
-        });
-    }
-
-    private forwardFailure(
-        answer: {
-            readonly status: number;
-            readonly rawHeaders: readonly string[];
-            readonly body: readonly Buffer[];
-        },
-        headers: Record<string, string>,
-    ): void {
-        if (this.progress.started) {
-            this.response.destroy();
-        }
-        else if (notRunStatuses.has(answer.status)) {
-            // The status means that the request has not run, which the endpoint did not state.
-            writeOwnAnswer(this.response, {
-                status: 502,
-                code: RefusalReason.EndpointFailed,
-                message:
-                    `the endpoint answered status ${answer.status} without stating whether it ran the request`,
-                headers,
-            });
-        }
-        else {
-            writeWholeAnswer(this.response, answer.status, answer.rawHeaders, answer.body);
-        }
-    }
 }
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -7,4 +7,5 @@
 export * from "./decision/endpointSignals.js";
 export * from "./decision/fairQueue.js";
 export * from "./decision/prefixSummary.js";
+export * from "./decision/responseMonitor.js";
 export * from "./decision/startPace.js";
