gateway: prefer engines that have memory for a request

Whether a request fits now follows from the agent's last report, from what was sent and has ended since, and from what the engine had queued; when it will fit follows from the mean time for which requests hold memory. The memory of a request is its prompt and output, scaled to what reports show (requests that share parts hold less). Without a report, a request is assumed to fit.

The setting endpointModel.memory = false switches this off.

--- a/packages/gateway/src/__tests__/attemptPlan.spec.ts
+++ b/packages/gateway/src/__tests__/attemptPlan.spec.ts
@@ -37,6 +37,7 @@
         cost: 0,
         startsIn: 0,
         fits: true,
+        memoryTokens: 0,
         worth: 1,
     };
     let dispatches = 0;
--- a/packages/gateway/src/__tests__/endpointChoice.spec.ts
+++ b/packages/gateway/src/__tests__/endpointChoice.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { chooseEndpoint, type EndpointState } from "../index.js";
+import { chooseEndpoint, type EndpointState, fullEndpointModel } from "../index.js";
 import {
     choiceFixture,
     desiredWeightsFixture,
@@ -37,6 +37,19 @@
         expect(chooseEndpoint(choiceFixture([full]))?.fits).to.equal(true);
     });
 
+    // Guards against preempted streams: a dozen long requests fill an engine whose slots are mostly free.
+    it("selects an engine without memory for the request only if no other one answers in time", () => {
+        const full = endpointStateFixture("full");
+        const free = endpointStateFixture("free", { dataCentre: "burnie" });
+        full.observeStatus(statusFixture(1, { cacheUsed: 89_500, running: 10 }), 9_900);
+        free.observeStatus(statusFixture(1), 9_900);
+        const chosen = (more = {}) => chooseEndpoint(choiceFixture([full, free], more))?.endpointState;
+        expect(chosen()).to.equal(free);
+        expect(chosen({ model: { ...fullEndpointModel, memory: false } })).to.equal(full);
+        free.waitingTokens = 60_000;
+        expect(chosen()).to.equal(full);
+    });
+
     it("drops another router's load report once it has expired", () => {
         const endpointState = endpointStateFixture("a");
         endpointState.observeLoad("router-b", { instance: "a", waitingTokens: 9_000, running: 2 }, 1_000);
--- a/packages/gateway/src/__tests__/endpointPermits.spec.ts
+++ b/packages/gateway/src/__tests__/endpointPermits.spec.ts
@@ -32,6 +32,7 @@
         cost: 0,
         startsIn: 0,
         fits: true,
+        memoryTokens: 0,
         worth: 1,
     };
     return { acquire: () => permits.acquire(choice), signals: endpointState.signals, warnings };
--- a/packages/gateway/src/decision/endpointChoice.ts
+++ b/packages/gateway/src/decision/endpointChoice.ts
@@ -6,6 +6,7 @@
  */
 import type { Milliseconds } from "@redwingpin/common";
 import { type DesiredWeights, supersededAt } from "@redwingpin/fleet";
+import type { MemoryPrediction } from "@redwingpin/scheduling";
 import type { EndpointModelSettings } from "./endpointModelSettings.js";
 import type { EndpointState, ServiceSpeed } from "./endpointTable.js";
 
@@ -64,6 +65,8 @@
     readonly tokensToProcess: number;
     /** Those of `tokensToProcess` that it will probably have processed for another request by then. */
     readonly likelyCachedTokens: number;
+    /** Predicted tokens of memory that the request holds while it runs; 0 unless it goes to an engine. */
+    readonly memoryTokens: number;
     /** Predicted time to fetch cached tokens. */
     readonly fetchTime: Milliseconds;
     /** Predicted time from now to the first event. */
@@ -176,7 +179,29 @@
 
 function isBetter(left: Choice, right: Choice): boolean {
     const difference = left.worth - right.worth;
-    return Math.abs(difference) > minWorthDifference ? difference > 0 : left.cost < right.cost;
+    if (Math.abs(difference) > minWorthDifference) {
+        return difference > 0;
+    }
+    // A request that does not fit preempts one that runs, or waits until others end.
+    return left.fits === right.fits ? left.cost < right.cost : left.fits;
+}
+
+/** Whether a request fits into an endpoint's memory or, for plain services, slots. */
+function predictFit(
+    endpointState: EndpointState,
+    memoryTokens: number,
+    running: number,
+    { model, now, prompt, speed }: ChoiceInput,
+): MemoryPrediction {
+    if (!model.memory) {
+        return { fits: true, freeIn: 0 };
+    }
+    if (prompt !== undefined) {
+        return endpointState.predictMemory(memoryTokens, now);
+    }
+    const slots = Math.max(1, endpointState.endpoint.slots);
+    const missing = Math.max(0, running + 1 - slots);
+    return { fits: missing === 0, freeIn: missing * speed.baseLatency / slots };
 }
 
 function evaluate(endpointState: EndpointState, input: ChoiceInput): Choice {
@@ -190,18 +215,15 @@
     const dataCentreLatency = endpointState.endpoint.dataCentre === input.dataCentre
         ? 0
         : otherDataCentreLatency;
+    const memoryTokens = prompt === undefined ? 0 : prompt.promptTokens + prompt.outputTokens;
+    const memory = predictFit(endpointState, memoryTokens, running, input);
+    const startsIn = prompt === undefined
+        ? memory.freeIn
+        : Math.max(waitingTokens / speed.tokensPerMillisecond, memory.freeIn);
     const latency = prompt === undefined
         ? speed.baseLatency * (1 + running / Math.max(1, endpointState.endpoint.slots)) + dataCentreLatency
         : speed.baseLatency + reusable.fetchTime + running * latencyPerRunningRequest + dataCentreLatency
-            + waitingTokens / speed.tokensPerMillisecond + processingTime;
-    const slots = Math.max(1, endpointState.endpoint.slots);
-    const startsIn = prompt === undefined
-        ? Math.max(0, running + 1 - slots) * speed.baseLatency / slots
-        : waitingTokens / speed.tokensPerMillisecond;
-    const freeMemory = endpointState.freeMemory(now);
-    const fits = prompt === undefined
-        ? running < slots
-        : freeMemory === undefined || tokensToProcess + prompt.outputTokens <= freeMemory;
+            + startsIn + processingTime;
     const worth = worthOfLatency(input.elapsed + latency, input.targetLatency)
         * worthOfWeights(version, input);
     const waitingRequests = prompt === undefined ? 0 : waitingTokens / Math.max(1, prompt.promptTokens);
@@ -215,7 +237,8 @@
         fetchTime: reusable.fetchTime,
         latency,
         startsIn,
-        fits,
+        fits: memory.fits,
+        memoryTokens,
         cost,
         worth,
     };
--- a/packages/gateway/src/decision/endpointState.ts
+++ b/packages/gateway/src/decision/endpointState.ts
@@ -6,7 +6,9 @@
 import type { Milliseconds } from "@redwingpin/common";
 import type { DirectEndpoint, EndpointLoad, RelayedStatus, ReplicaStatus } from "@redwingpin/fleet";
 import {
+    EndpointMemory,
     EndpointSignals,
+    type MemoryPrediction,
     type OwedAnswer,
     type OwedAnswerOptions,
     ResponseMonitor,
@@ -39,6 +41,7 @@
     readonly signals = new EndpointSignals();
     readonly permitThreshold = new PermitThreshold();
     readonly responses = new ResponseMonitor();
+    private readonly memory = new EndpointMemory();
     private status: Reported<ReplicaStatus> | undefined;
     private observedWeights: Reported<{ readonly model: string; readonly version: number; }> | undefined;
     private readonly loads = new Map<string, Reported<EndpointLoad>>();
@@ -80,12 +83,27 @@
         return status?.value.loadsIn === undefined ? undefined : status.at + status.value.loadsIn;
     }
 
-    /** Tokens of memory that no request holds, by the agent's last status; `undefined` if unknown. */
-    freeMemory(now: Milliseconds): number | undefined {
-        const status = this.freshStatus(now)?.value;
-        return status === undefined || status.cacheTotal <= 0
-            ? undefined
-            : Math.max(0, status.cacheTotal - status.cacheUsed);
+    /** Predicts whether a request that will hold `tokens` of memory fits into the endpoint, or when it will. */
+    predictMemory(tokens: number, now: Milliseconds): MemoryPrediction {
+        const status = this.freshStatus(now);
+        return this.memory.predict({
+            tokens,
+            report: status && { ...status.value, at: status.at },
+            othersRunning: this.totalRunning(now) - this.running,
+            slots: Math.max(1, this.endpoint.slots),
+            service: this.speed.memory,
+        });
+    }
+
+    /** Registers a request that is sent to the endpoint now and will hold `tokens` of memory. */
+    openMemory(tokens: number, now: Milliseconds): (endedAt: Milliseconds, hasRun: boolean) => void {
+        const end = this.memory.open(tokens, now);
+        return (endedAt, hasRun) => {
+            end(endedAt);
+            if (hasRun) {
+                this.speed.memory.observe(tokens, endedAt - now);
+            }
+        };
     }
 
     /** True if the agent reported that it could not reach the endpoint. */
@@ -117,6 +135,7 @@
         const isOwn = status.instance === undefined || status.instance === this.endpoint.instance;
         if (isOwn && !this.hasLaterStatus(status, at)) {
             this.status = { value: status, at };
+            this.speed.memory.observeReport(status);
             if (status.weights.length === 0) {
                 this.declareLost();
             }
--- a/packages/gateway/src/decision/serviceSpeed.ts
+++ b/packages/gateway/src/decision/serviceSpeed.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Milliseconds } from "@redwingpin/common";
-import { ResponsePace } from "@redwingpin/scheduling";
+import { ResponsePace, ServiceMemory } from "@redwingpin/scheduling";
 
 /** Initial estimate of the prompt-processing speed, used until answers have been measured. */
 const initialTokensPerMillisecond = 25;
@@ -27,6 +27,8 @@
     baseLatency = initialBaseLatency;
     /** Moving average of the time from one output token to the next. */
     timePerOutputToken = initialTimePerOutputToken;
+    /** What the service's requests hold of the engines' memory. */
+    readonly memory = new ServiceMemory();
     /** Usual pauses of all endpoints of the service. */
     readonly pace = new ResponsePace();
 
--- a/packages/gateway/src/node/attemptRecord.ts
+++ b/packages/gateway/src/node/attemptRecord.ts
@@ -166,6 +166,7 @@
         sentAt: clock.now(),
         expectedLatency: choice.latency,
     });
+    const endMemory = endpointState.openMemory(choice.memoryTokens, clock.now());
     let isWaiting = true;
     endpointState.running += 1;
     endpointState.waitingTokens += tokensToProcess;
@@ -181,8 +182,9 @@
             owed.begin(clock.now());
         },
         release: () => {
-            recordAnswer();
             owed.close();
+            endMemory(clock.now(), !isWaiting);
+            recordAnswer();
             endpointState.running -= 1;
         },
     };
