--- a/packages/gateway/src/__tests__/heldRequests.spec.ts
+++ b/packages/gateway/src/__tests__/heldRequests.spec.ts
@@ -5,6 +5,7 @@
 import { request as httpRequest } from "node:http";
 import type { Socket } from "node:net";
 import { accountWeights, weightOf } from "../decision/accountWeights.js";
+import { fullEndpointModel } from "../index.js";
 import { HeldRequests } from "../node/heldRequests.js";
 import { accountFixture } from "./gatewayFixture.js";
 import { type RawEndpoint, startRawEndpoint } from "./rawEndpointFixture.js";
@@ -38,7 +39,8 @@
             received.push({ socket, attempt: /x-attempt: (\w+)/i.exec(text)?.[1] ?? "" })
         );
         const registered = { ...endpoint, endpoint: { ...endpoint.endpoint, slots: 1 } };
-        router = await routerFixture([registered], { targetLatency: 16_000, ...more }, hold);
+        const route = { targetLatency: 16_000, ...more };
+        router = await routerFixture([registered], route, fullEndpointModel, hold);
         const answerAll = () =>
             received.splice(0).map(({ attempt, socket }) => {
                 socket.write(answer(attempt, attempt));
--- a/packages/gateway/src/__tests__/routerFixture.ts
+++ b/packages/gateway/src/__tests__/routerFixture.ts
@@ -18,6 +18,7 @@
     DemandTracker,
     EndpointTable,
     FleetRetryBudget,
+    fullEndpointModel,
     type HeaderCodec,
     PrefixIndex,
     type RawHeaders,
@@ -97,6 +98,7 @@
 export async function routerFixture(
     endpoints: readonly RawEndpoint[],
     more: Partial<DirectRoute> = {},
+    endpointModel = fullEndpointModel,
     hold: HoldSettings = holdNothing,
 ) {
     const route = { ...unrepeatableRoute, ...more };
@@ -147,6 +149,7 @@
         demandTracker: new DemandTracker(),
         held,
         weightsBounds: () => ({ reducedWorthAfter: 1_500, worthReduction: 0.2, forbiddenAfter: 9_500 }),
+        endpointModel: () => endpointModel,
         metrics: new GatewayMetrics(new Registry()),
         routerCount: () => 1,
         random: () => 0,
@@ -187,6 +190,13 @@
             endpointTable.update(state);
             lossProbe.run();
         },
+        /** Checks the responses of the endpoints, as the gateway does at intervals. */
+        checkResponses: () => {
+            const random = () => 1;
+            return endpointModel.unresponsiveness
+                ? endpointTable.checkResponses(systemClock.now(), 1, random)
+                : [];
+        },
         stop: () => {
             held.stop();
             connections.stop();
--- a/packages/gateway/src/node/endpointSelection.ts
+++ b/packages/gateway/src/node/endpointSelection.ts
@@ -11,6 +11,7 @@
     type PromptNeeds,
     type WeightsBounds,
 } from "../decision/endpointChoice.js";
+import type { EndpointModelSettings } from "../decision/endpointModelSettings.js";
 import type { EndpointState, EndpointTable } from "../decision/endpointTable.js";
 import type { PrefixPlacement } from "../decision/prefixPlacement.js";
 import type { DirectRequest } from "./callerRequest.js";
@@ -24,6 +25,7 @@
 export interface SelectionContext {
     readonly dataCentre: string;
     readonly endpointTable: EndpointTable;
+    readonly endpointModel: () => EndpointModelSettings;
     readonly held: HeldRequests;
     readonly weightsBounds: () => WeightsBounds;
     readonly routerCount: () => number;
@@ -136,7 +138,7 @@
     }
 
     private choose(endpointStates: readonly EndpointState[], now: Milliseconds): Choice | undefined {
-        const { dataCentre, endpointTable, held, weightsBounds } = this.context;
+        const { dataCentre, endpointModel, endpointTable, held, weightsBounds } = this.context;
         const { request, prompt, tried } = this.selected;
         return chooseEndpoint({
             endpointStates,
@@ -146,6 +148,8 @@
             targetLatency: request.route.targetLatency,
             elapsed: now - request.arrival,
             tried,
+            isRepeatable: request.route.repeatable,
+            model: endpointModel(),
             prompt: this.promptNeeds(now),
             bounds: weightsBounds(),
             otherLoads: held.settings.enabled && prompt === undefined ? this.otherLoads(now) : undefined,
--- a/packages/gateway/src/node/roomSearch.ts
+++ b/packages/gateway/src/node/roomSearch.ts
@@ -8,7 +8,6 @@
 import type { ServerResponse } from "node:http";
 import { weightOf } from "../decision/accountWeights.js";
 import type { Choice } from "../decision/endpointChoice.js";
-import { trackLoad } from "./attemptRecord.js";
 import type { DirectRequest } from "./callerRequest.js";
 import type { EndpointSelection } from "./endpointSelection.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
@@ -138,12 +137,12 @@
         const name = account?.name ?? "";
         const weight = weightOf(table.weights, account?.name);
         const tokens = choice.tokensToProcess + metadata.outputTokens || plainWork;
-        const load = trackLoad(choice);
+        const release = reserveRoom(choice, now);
         held.work.record(name, tokens, now, weight);
         this.reservation = {
-            end: () => load.release(),
+            end: release,
             cancel: () => {
-                load.release();
+                release();
                 held.work.record(name, -tokens, now, weight);
             },
         };
@@ -181,6 +180,21 @@
     }
 }
 
+/** Adds a request to its endpoint's load until the returned function is called. */
+function reserveRoom(
+    { endpointState, memoryTokens, tokensToProcess }: Choice,
+    now: Milliseconds,
+): () => void {
+    const endMemory = endpointState.openMemory(memoryTokens, now);
+    endpointState.running += 1;
+    endpointState.waitingTokens += tokensToProcess;
+    return () => {
+        endMemory(now, false);
+        endpointState.running -= 1;
+        endpointState.waitingTokens -= tokensToProcess;
+    };
+}
+
 function refusalReason(end: HoldEnd): RefusalReason {
     switch (end.kind) {
         case "stopped":
