--- a/packages/fleet/src/fleetMessages.ts
+++ b/packages/fleet/src/fleetMessages.ts
@@ -41,6 +41,10 @@
     readonly waitingTokens: number;
     /** Number of requests that have not ended. */
     readonly running: number;
+    /** Milliseconds for which the endpoint has been unresponsive to the router; absent if it is not. */
+    readonly silentFor?: number;
+    /** Milliseconds since the router received bytes from the endpoint; present if others find it unresponsive. */
+    readonly answeredAge?: number;
 }
 
 /** A request whose endpoint crashed before the answer was complete, as the sender itself has observed. */
@@ -173,6 +177,11 @@
     /** Status of the sender's replica, if the sender is an agent. */
     readonly replica?: ReplicaStatus;
     readonly demand: readonly ServiceDemand[];
+    /**
+     * Decaying work that the sender has given to accounts, in tokens, the largest ones. Absent from earlier releases, and unless
+     * accounts share scarce capacity by it.
+     */
+    readonly work?: readonly AccountSpending[];
     /** Prefixes saved to cache stores since the previous reports. */
     readonly saved: readonly SavedPrefix[];
     /** Milliseconds since the store last answered the sender; absent unless it watches the endpoints' registrations. */
@@ -330,7 +339,13 @@
     age: isNonNegativeNumber,
     spent: isListOf(isShaped(spendingShape)),
     load: isListOf(
-        isShaped({ instance: isString, waitingTokens: isNonNegativeNumber, running: isNonNegativeNumber }),
+        isShaped({
+            instance: isString,
+            waitingTokens: isNonNegativeNumber,
+            running: isNonNegativeNumber,
+            silentFor: isOptional(isNonNegativeNumber),
+            answeredAge: isOptional(isNonNegativeNumber),
+        }),
     ),
     crashes: isListOf(isShaped({})),
     crashReport: isOptional(isShaped({
@@ -353,6 +368,7 @@
     })),
     levels: isListOf(isShaped(spendingShape)),
     demand: isListOf(isShaped({ service: isString, tokensPerMillisecond: isNonNegativeNumber })),
+    work: isOptional(isListOf(isShaped({ account: isString, tokens: isNonNegativeNumber }))),
     saved: isListOf(isShaped({ name: isString, tokens: isNonNegativeInteger, store: isString })),
     followedAge: isOptional(isNonNegativeNumber),
     latestAnswer: isOptional(
--- a/packages/gateway/src/__tests__/attemptPlan.spec.ts
+++ b/packages/gateway/src/__tests__/attemptPlan.spec.ts
@@ -35,6 +35,9 @@
         likelyCachedTokens: 0,
         fetchTime: 0,
         cost: 0,
+        startsIn: 0,
+        fits: true,
+        memoryTokens: 0,
         worth: 1,
     };
     let dispatches = 0;
--- a/packages/gateway/src/__tests__/endpointPermits.spec.ts
+++ b/packages/gateway/src/__tests__/endpointPermits.spec.ts
@@ -30,6 +30,9 @@
         fetchTime: 0,
         latency: 0,
         cost: 0,
+        startsIn: 0,
+        fits: true,
+        memoryTokens: 0,
         worth: 1,
     };
     return { acquire: () => permits.acquire(choice), signals: endpointState.signals, warnings };
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -12,7 +12,6 @@
     type Milliseconds,
     RendezvousOwnerCache,
     seededRandom,
-    sleep,
 } from "@redwingpin/common";
 import {
     CrashTracker,
@@ -33,8 +32,8 @@
     type StoreWatcherOptions,
     WatcherSelection,
 } from "@redwingpin/fleet";
-import { type InnerAddress, InnerNode, ProcessRole } from "@redwingpin/protocol";
-import { randomInt, randomUUID } from "node:crypto";
+import { type InnerAddress, type InnerNode, ProcessRole } from "@redwingpin/protocol";
+import { randomInt } from "node:crypto";
 import type { Server } from "node:http";
 import type { Registry } from "prom-client";
 import { AnswerBuffers } from "../decision/answerBuffers.js";
@@ -50,13 +49,16 @@
 import { AccountTokens } from "./accountTokens.js";
 import { CrashProbe } from "./crashProbe.js";
 import { DirectServer } from "./directServer.js";
+import { drainServer } from "./drainServer.js";
+import { EndpointChecks } from "./endpointChecks.js";
 import { EndpointConnections } from "./endpointConnections.js";
 import { EndpointPermits } from "./endpointPermits.js";
-import { EndpointProbes } from "./endpointProbes.js";
 import { type BufferedBytes, GatewayMetrics } from "./gatewayMetrics.js";
+import { HeldRequests } from "./heldRequests.js";
 import { PeerReports } from "./peerReports.js";
 import { createReadinessServer } from "./readinessServer.js";
 import { serveRequest } from "./requestTask.js";
+import { createRouterNode } from "./routerNode.js";
 
 /** Options of {@link Gateway}. */
 export interface GatewayOptions {
@@ -80,15 +82,6 @@
 
 const housekeepingInterval: Milliseconds = 150;
 
-/**
- * Share of the stop timeout during which connections are still accepted: the load balancer checks readiness each second
- * and needs two answers.
- */
-const acceptShare = 0.36;
-
-/** Time for which a stopping router waits for the first request on a connection. */
-const firstRequestWait: Milliseconds = 1_000;
-
 /** Time reserved for sending the last answers before the process must end. */
 const stopMargin: Milliseconds = 400;
 
@@ -108,9 +101,10 @@
     );
     private readonly demandTracker = new DemandTracker();
     private readonly answerBuffers: AnswerBuffers;
+    private readonly held: HeldRequests;
     private readonly retryBudget: FleetRetryBudget;
     private readonly endpointTable: EndpointTable;
-    private readonly probes: EndpointProbes;
+    private readonly endpointChecks: EndpointChecks;
     private readonly ledger: SharedLedger;
     private readonly reports: PeerReports;
     private readonly innerNode: InnerNode;
@@ -123,7 +117,6 @@
     private readonly server: DirectServer;
     private readonly readiness: Server;
     private readonly random = seededRandom(randomInt(maxSeed));
-    private readonly incarnation = randomUUID();
     /** The current settings. */
     private settings: ResolvedGatewayConfig;
     private table: RouteTable | undefined;
@@ -150,14 +143,14 @@
             askRouter: (owner, request) => this.sync.requestPermit(owner, request),
         });
         this.endpointTable = new EndpointTable((instance) => this.onEndpointRemoved(instance));
-        const { endpointTable, state } = this;
-        this.probes = new EndpointProbes({ ...options, endpointTable, state });
+        this.endpointChecks = this.createEndpointChecks();
         this.ledger = new SharedLedger({
             startsFull: config.isFirstStart,
             tolerance: config.rateTolerance,
             ownName: formatAddress(config.inner),
         });
         this.watcherSelection = new WatcherSelection(formatAddress(config.inner), clock);
+        this.held = new HeldRequests({ clock, settings: () => this.settings.hold });
         this.reports = new PeerReports({
             clock,
             isFirstStart: config.isFirstStart,
@@ -165,6 +158,7 @@
             endpointTable: this.endpointTable,
             crashTracker: this.crashTracker,
             demandTracker: this.demandTracker,
+            accountWork: () => this.settings.hold.fairShares ? this.held.work : undefined,
             prefixIndex: this.prefixIndex,
             unheardRouterNames: () => this.sync.unheardRouterNames(),
             storeAnswerAge: () => this.endpointsWatcher.lastAnswerAge,
@@ -173,9 +167,8 @@
             desiredVersion: (model) => this.state.desiredWeightsOf(model)?.version,
             agentOf: options.agentOf,
         });
-        this.innerNode = this.createInnerNode();
+        this.innerNode = createRouterNode(options, () => this.state.configuration?.version ?? 0);
         this.sync = this.createSync();
-        this.metrics.observeExchanges(() => this.sync.counts);
         this.accountTokens = new AccountTokens({ clock, ledger: this.ledger, sync: this.sync });
         this.endpointsWatcher = this.createWatcher(FleetScope.Endpoints, {
             batchDelay: registrationBatchDelay,
@@ -222,20 +215,15 @@
      */
     async drain(): Promise<void> {
         const { clock, logger } = this.options;
-        const { stopTimeout } = this.settings;
-        const end = clock.now() + stopTimeout - stopMargin;
         this.isStopping = true;
-        await sleep(clock, stopTimeout * acceptShare);
-        this.drainDeadline = end;
-        logger.info("stopped accepting connections", { running: this.server.runningRequests });
-        const pollInterval = 50;
-        do {
-            // Connections that were not accepted, and requests that were not read, would be reset.
-            await this.server.acceptPending();
-            this.server.closeIdle();
-            await sleep(clock, pollInterval);
-        }
-        while (this.server.isInUse(firstRequestWait) && clock.now() < end);
+        await drainServer({
+            clock,
+            logger,
+            server: this.server,
+            stopTimeout: this.settings.stopTimeout,
+            stopMargin,
+            onAcceptEnd: (end) => void (this.drainDeadline = end),
+        });
         await this.server.answerRunning(stopMargin / 2);
         this.stop();
     }
@@ -268,24 +256,21 @@
         this.watchers.forEach((watcher) => watcher.stop());
         this.sync.stop();
         this.innerNode.stop();
+        this.held.stop();
         this.server.stop();
         this.readiness.close();
         this.connections.stop();
     }
 
-    private createInnerNode(): InnerNode {
-        const { clock, config, logger } = this.options;
-        return new InnerNode({
-            role: ProcessRole.Router,
-            instance: config.instance,
-            incarnation: this.incarnation,
-            fleetKeys: config.fleetKeys,
-            clock,
-            logger: logger.scope("inner"),
-            revision: () => this.state.configuration?.version ?? 0,
-            onRevision: () => {},
-            onMessage: () => {},
-            onClosed: () => {},
+    private createEndpointChecks(): EndpointChecks {
+        return new EndpointChecks({
+            ...this.options,
+            state: this.state,
+            logger: this.options.logger.scope("endpoints"),
+            endpointTable: this.endpointTable,
+            endpointModel: () => this.settings.endpointModel,
+            routerCount: () => 1 + this.sync.liveRouterCount(),
+            random: () => this.random.unit(),
         });
     }
 
@@ -350,12 +335,16 @@
             retryBudget: this.retryBudget,
             crashTracker: this.crashTracker,
             demandTracker: this.demandTracker,
+            held: this.held,
             weightsBounds: () => this.settings.weights,
+            endpointModel: () => this.settings.endpointModel,
             metrics: this.metrics,
             routerCount: () => 1 + this.sync.liveRouterCount(),
             random,
         };
         this.metrics.registerBuffers(this.options.registry, () => this.bufferedBytes());
+        this.metrics.observeExchanges(() => this.sync.counts);
+        this.metrics.holds.observe(() => this.held);
         return new DirectServer({
             clock,
             logger: context.logger,
@@ -437,7 +426,7 @@
         if (newFacts.some((fact) => fact.kind === FactKind.Endpoint)) {
             this.areEndpointsKnown = true;
             this.endpointTable.update(this.state);
-            this.probes.run();
+            this.endpointChecks.probe();
         }
         if (isUrgent) {
             this.sync.passOn(from === storeName, (agent) => this.isOwnerOf(agent));
@@ -469,7 +458,7 @@
         if (this.state.expire(now).length > 0) {
             this.endpointTable.update(this.state);
         }
-        this.probes.run();
+        this.endpointChecks.run();
         const live = this.sync.liveRouterNames();
         this.setLiveRouterNames([formatAddress(this.options.config.inner), ...live].sort());
         this.reports.prepareReports(now);
--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -14,6 +14,7 @@
 } from "@redwingpin/common";
 import type { ExchangeCounts } from "@redwingpin/fleet";
 import { Counter, Histogram, type Registry } from "prom-client";
+import { HoldMetrics } from "./holdMetrics.js";
 
 const millisecondsPerSecond = 1_000;
 const waitBuckets = [0.001, 0.005, 0.025, 0.1, 0.25, 0.5, 1, 2.5];
@@ -28,6 +29,7 @@
 
 /** Metrics of the requests on direct routes. */
 export class GatewayMetrics {
+    readonly holds: HoldMetrics;
     private readonly reasons: ReasonCounters;
     private readonly requests: Counter<"route" | "outcome">;
     private readonly deniedRetries: Counter<"reason">;
@@ -42,6 +44,7 @@
 
     constructor(private readonly registry: Registry) {
         const registers = [registry];
+        this.holds = new HoldMetrics(registry);
         this.reasons = createReasonCounters(registry);
         this.requests = new Counter({
             name: "redwingpin_direct_requests_total",
@@ -85,20 +88,16 @@
             buckets: waitBuckets,
             registers,
         });
-        this.duration = new Histogram({
-            name: "redwingpin_direct_request_seconds",
-            help: "Time from a request's arrival to its end, by route",
-            labelNames: ["route"],
-            buckets: latencyBuckets,
-            registers,
-        });
-        this.firstAnswer = new Histogram({
-            name: "redwingpin_direct_first_answer_seconds",
-            help: "Time from a request's arrival to the first event or the whole answer, by route",
-            labelNames: ["route"],
-            buckets: latencyBuckets,
-            registers,
-        });
+        this.duration = createRouteHistogram(
+            registry,
+            "redwingpin_direct_request_seconds",
+            "Time from a request's arrival to its end, by route",
+        );
+        this.firstAnswer = createRouteHistogram(
+            registry,
+            "redwingpin_direct_first_answer_seconds",
+            "Time from a request's arrival to the first event or the whole answer, by route",
+        );
     }
 
     /** Registers the gauges of what is buffered. */
@@ -201,3 +200,14 @@
         registers: [registry],
     });
 }
+
+/** Histogram of a latency, by route. */
+function createRouteHistogram(registry: Registry, name: string, help: string): Histogram<"route"> {
+    return new Histogram({
+        name,
+        help,
+        labelNames: ["route"],
+        buckets: latencyBuckets,
+        registers: [registry],
+    });
+}
