Send peers configurations above the limit of a frame in parts

Cause: a configuration was one frame, and a frame above 2 MiB closes the connection. Peers of the earlier release get and send whole configurations as before.

--- a/packages/fleet/src/__tests__/fleetFixture.ts
+++ b/packages/fleet/src/__tests__/fleetFixture.ts
@@ -1,4 +1,10 @@
-import { type DirectConfiguration, type DirectEndpoint, FactKind, type FleetFact } from "../index.js";
+import {
+    type DirectAccount,
+    type DirectConfiguration,
+    type DirectEndpoint,
+    FactKind,
+    type FleetFact,
+} from "../index.js";
 
 /** A configuration without routes. */
 export function configurationFixture(version: number): DirectConfiguration {
@@ -11,6 +17,19 @@
     };
 }
 
+/** An account without limits. */
+export function accountFixture(name: string, keyDigests: readonly string[]): DirectAccount {
+    return {
+        name,
+        keyDigests,
+        tokensPerSecond: 0,
+        burstTokens: 0,
+        tokensPerPlainRequest: 1,
+        countsRequests: false,
+        isolated: false,
+    };
+}
+
 /** An endpoint that serves version 1 of one model. */
 export function endpointFixture(instance: string, more: Partial<DirectEndpoint> = {}): DirectEndpoint {
     return {
--- a/packages/fleet/src/__tests__/fleetSync.spec.ts
+++ b/packages/fleet/src/__tests__/fleetSync.spec.ts
@@ -1,5 +1,5 @@
 import { seededRandom, silentLogger, systemClock } from "@redwingpin/common";
-import { type InnerAddress, InnerNode, ProcessRole } from "@redwingpin/protocol";
+import { type InnerAddress, InnerNode, maxFrameBytes, ProcessRole } from "@redwingpin/protocol";
 import { expect } from "chai";
 import {
     agentInterval,
@@ -11,7 +11,7 @@
     formatAddress,
     routerInterval,
 } from "../index.js";
-import { configurationFixture } from "./fleetFixture.js";
+import { accountFixture, configurationFixture } from "./fleetFixture.js";
 
 const fleetKeys = [{ identity: "fleet", secret: Buffer.alloc(32, 7) }] as const;
 
@@ -140,6 +140,33 @@
         }
     });
 
+    // Regression test: a configuration above the limit of a frame closed the connections of all peers that offered it, so that
+    // a router that the store rejected accepted a withdrawn key until the store served it again.
+    it("fetches a configuration that exceeds the limit of a frame, in parts, while its peers serve others", async () => {
+        const routers = await Promise.all([1, 2, 3, 4, 5, 6].map((tokens) => routerFixture(tokens)));
+        const [informed, ...behind] = routers;
+        const random = seededRandom(9);
+        const digits = (count: number) =>
+            Array.from({ length: count }, () => Math.floor(16 * random.unit()).toString(16)).join("");
+        const keys = Array.from({ length: 40_000 }, () => digits(64));
+        const accounts = [accountFixture("makers", keys)];
+        const fact = {
+            kind: FactKind.Configuration,
+            revision: 9,
+            configuration: { ...configurationFixture(7), accounts },
+        } as const;
+        expect(JSON.stringify(fact).length).to.be.greaterThan(maxFrameBytes);
+        informed.state.applyFact(fact, 0);
+        const started = routers.map((router) => router.start([routers[0].address]));
+        try {
+            await until(() => behind.every(({ state }) => state.configuration?.version === 7));
+            behind.forEach(({ facts }) => expect(facts).to.deep.equal([fact]));
+        }
+        finally {
+            started.forEach(({ stop }) => stop());
+        }
+    });
+
     it("makes no more exchanges per second in a larger fleet", () => {
         for (const peers of [4, 26, 300]) {
             expect(peers * 1_000 / routerInterval(peers, true), `${peers} peers`).to.be.at.most(41);
--- a/packages/fleet/src/decision/configurationFetch.ts
+++ b/packages/fleet/src/decision/configurationFetch.ts
@@ -10,7 +10,7 @@
 /** Time that the store needs to deliver a configuration of the largest size over a slow link. */
 const storeDeliveryTimeout: Milliseconds = 900;
 
-/** Time limit of a fetch from a peer; a megabyte takes 1.2 s at 7 Mbit/s. */
+/** Time limit of a fetch from a peer, or of its first part; a megabyte takes 1.2 s at 7 Mbit/s. */
 export const fetchTimeout: Milliseconds = 1_500;
 
 interface Offer<Source> {
@@ -55,6 +55,11 @@
         return this.offer.source;
     }
 
+    /** Records that a part of the configuration has arrived; further parts have the time limit of a fetch each. */
+    recordProgress(now: Milliseconds): void {
+        this.fetchStartedAt = now;
+    }
+
     /** Records the end of a fetch. If the peer did not deliver, its offer is dropped and the next one is used. */
     recordResult(delivered: boolean): void {
         this.fetchStartedAt = undefined;
--- a/packages/fleet/src/fleetMessages.ts
+++ b/packages/fleet/src/fleetMessages.ts
@@ -15,6 +15,7 @@
     isTagged,
 } from "@redwingpin/common";
 import type { InnerAddress } from "@redwingpin/protocol";
+import type { ConfigurationPart, TransferPosition } from "./decision/configurationAssembly.js";
 import type { FleetFact, FleetWatermark } from "./decision/fleetState.js";
 import type { WatcherAnswer } from "./decision/watcherSelection.js";
 import type { ModelWeights } from "./directConfiguration.js";
@@ -245,12 +246,18 @@
     readonly kind: FleetMessageKind.FetchConfiguration;
     /** Version that the sender has; 0 for none. */
     readonly version: number;
+    /** What the sender has of the next version. Absent from earlier releases, which expect the whole configuration. */
+    readonly transfer?: TransferPosition;
 }
 
 /** Answers a {@link FetchConfigurationCall}. */
 export interface ConfigurationReply {
-    /** The configuration; empty if the sender has none that is newer. */
+    /** The configuration; empty if the sender has none that is newer, or sends a part of it. */
     readonly news: readonly FleetFact[];
+    /** The part that the call asked for, or the first one if the position is of another encoding. */
+    readonly part?: ConfigurationPart;
+    /** True if the sender sends its configuration to others at present. */
+    readonly busy?: boolean;
 }
 
 /**
@@ -379,7 +386,10 @@
 });
 const isFactsMessage = isShaped({ news: isListOf(isFact), mark: isShaped(markShape) });
 const isReplicaMessage = isShaped({ replica: isShaped(replicaShape) });
-const isFetch = isShaped({ version: isNonNegativeInteger });
+const isFetch = isShaped({
+    version: isNonNegativeInteger,
+    transfer: isOptional(isShaped({ digest: isString, offset: isNonNegativeInteger })),
+});
 const isPermit = isShaped({
     endpoint: isString,
     perSecond: isOptional(isPositiveNumber),
@@ -395,7 +405,17 @@
     granted: {},
     denied: { level: (value: unknown) => Number.isFinite(value), retryAfter: isNonNegativeNumber },
 });
-const isConfigurationReply = isShaped({ news: isListOf(isFact) });
+const isConfigurationReply = isShaped({
+    news: isListOf(isFact),
+    part: isOptional(isShaped({
+        version: isNonNegativeInteger,
+        digest: isString,
+        totalBytes: isNonNegativeInteger,
+        offset: isNonNegativeInteger,
+        bytes: (value: unknown) => value instanceof Uint8Array,
+    })),
+    busy: isOptional(isBoolean),
+});
 const isReply = isShaped({
     mark: isShaped(markShape),
     news: isListOf(isFact),
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * from "./decision/configurationAssembly.js";
 export * from "./decision/configurationFetch.js";
 export * from "./decision/crashEvidence.js";
 export * from "./decision/crashTracker.js";
--- a/packages/fleet/src/node/fleetSync.ts
+++ b/packages/fleet/src/node/fleetSync.ts
@@ -16,7 +16,6 @@
     ProcessRole,
     Topic,
 } from "@redwingpin/protocol";
-import { ConfigurationFetch, fetchTimeout } from "../decision/configurationFetch.js";
 import type { FleetFact, FleetState } from "../decision/fleetState.js";
 import { formatAddress, PeerTable } from "../decision/peerTable.js";
 import {
@@ -26,7 +25,6 @@
     type PermitCall,
     type PermitReply,
     type PermitRequest,
-    readConfigurationReply,
     readFleetMessage,
     readPermitReply,
     readSyncReply,
@@ -38,6 +36,7 @@
     type TokenReply,
     type TokenRequest,
 } from "../fleetMessages.js";
+import { ConfigurationExchange } from "./configurationExchange.js";
 import { ReportDeliveries } from "./reportDeliveries.js";
 
 /** Interval of exchanges while there is something to report. */
@@ -152,7 +151,7 @@
     private readonly peers: PeerTable;
     /** Running exchanges, by the peer's name. */
     private readonly exchanges = new Map<string, Promise<void>>();
-    private readonly configurationFetch = new ConfigurationFetch<Hello>();
+    private readonly configurations: ConfigurationExchange;
     private readonly deliveries: ReportDeliveries;
     private replyCount = 0;
     /** The report of the last reply to each router. */
@@ -168,6 +167,7 @@
 
     constructor(private readonly options: FleetSyncOptions) {
         this.peers = new PeerTable(options.address, options.clock);
+        this.configurations = new ConfigurationExchange(options);
         this.deliveries = new ReportDeliveries(options.clock, (routers) => this.deliverTo(routers));
         options.innerNode.handle(Topic.Fleet, (body, from) => this.handleMessage(body, from));
     }
@@ -179,6 +179,7 @@
 
     stop(): void {
         this.stopped = true;
+        this.configurations.stop();
         this.cancelTick?.();
     }
 
@@ -304,7 +305,7 @@
             return;
         }
         this.runDueExchanges();
-        this.fetchConfiguration();
+        this.configurations.run();
         this.cancelTick = this.options.clock.schedule(tickInterval, () => this.tick());
     }
 
@@ -328,54 +329,6 @@
         }
     }
 
-    private get configurationVersion(): number {
-        return this.options.state.watermark().configuration;
-    }
-
-    /** Records the version of the configuration that a peer has, and fetches it if due. */
-    private recordOffer(peer: Hello, version: number): void {
-        const now = this.options.clock.now();
-        const ownVersion = this.configurationVersion;
-        if (this.configurationFetch.recordOffer(peer, version, ownVersion, now)) {
-            this.options.logger.info("a peer has a newer configuration", {
-                peer: peer.instance,
-                version,
-                ownVersion,
-            });
-        }
-        this.fetchConfiguration();
-    }
-
-    private fetchConfiguration(): void {
-        const { clock, isStoreReachable } = this.options;
-        const peer = this.configurationFetch.selectSource(
-            this.configurationVersion,
-            isStoreReachable(),
-            clock.now(),
-        );
-        if (peer !== undefined && !this.stopped) {
-            void this.fetchFrom(peer);
-        }
-    }
-
-    private async fetchFrom(peer: Hello): Promise<void> {
-        const { innerNode, logger, onFacts } = this.options;
-        const version = this.configurationVersion;
-        const connection = innerNode.openConnections().find((candidate) => candidate.peer === peer);
-        const call = { kind: FleetMessageKind.FetchConfiguration, version };
-        const answer = await connection?.call(Topic.Fleet, call, fetchTimeout);
-        const reply = answer?.isOk() ? readConfigurationReply(answer.value) : undefined;
-        const delivered = reply !== undefined && reply.news.length > 0;
-        if (!delivered) {
-            const error = answer?.isErr() ? answer.error.message : "no configuration in the answer";
-            logger.warn("a peer did not deliver its configuration", { peer: peer.instance, version, error });
-        }
-        this.configurationFetch.recordResult(delivered);
-        if (delivered) {
-            onFacts(reply.news, peer);
-        }
-    }
-
     private exchange(address: InnerAddress): Promise<void> {
         const name = formatAddress(address);
         const exchange = this.callPeer(address).finally(() => {
@@ -424,10 +377,10 @@
             onFacts(reply.news, connection.peer);
         }
         state.recordEndpointsRevision(reply.mark.endpoints);
-        this.recordOffer(connection.peer, reply.mark.configuration);
+        this.configurations.recordOffer(connection.peer, reply.mark.configuration);
         onReport(connection.peer, reply.report, address);
         const facts = state.factsSince(reply.mark, this.options.clock.now());
-        if (facts.length > 0 || reply.mark.configuration < this.configurationVersion) {
+        if (facts.length > 0 || reply.mark.configuration < this.configurations.version) {
             connection.notify(Topic.Fleet, {
                 kind: FleetMessageKind.Facts,
                 news: facts,
@@ -456,19 +409,19 @@
                     this.options.innerNode.reuseConnection(from, message.address);
                 }
                 this.options.onReport(from, message.report, message.address);
-                this.recordOffer(from, message.mark.configuration);
+                this.configurations.recordOffer(from, message.mark.configuration);
                 return this.replyTo(message, from);
             }
             case FleetMessageKind.Facts:
                 this.options.onFacts(message.news, from);
                 this.options.state.recordEndpointsRevision(message.mark.endpoints);
-                this.recordOffer(from, message.mark.configuration);
+                this.configurations.recordOffer(from, message.mark.configuration);
                 return undefined;
             case FleetMessageKind.Replica:
                 this.options.onReplicaStatus(message.replica);
                 return undefined;
             case FleetMessageKind.FetchConfiguration:
-                return { news: this.options.state.configurationSince(message.version) };
+                return this.configurations.answer(message, from);
             case FleetMessageKind.Permit:
                 return this.options.onPermitRequest?.(message, from);
             case FleetMessageKind.Tokens:
