--- a/packages/fleet/src/decision/fleetState.ts
+++ b/packages/fleet/src/decision/fleetState.ts
@@ -7,12 +7,15 @@
 import type { Milliseconds } from "@redwingpin/common";
 import type { DirectConfiguration, DirectEndpoint } from "../directConfiguration.js";
 import { eraOf, revisionOf } from "../storePosition.js";
+import { type VersionRolloutNews, VersionRollouts } from "./versionRollouts.js";
 
 export enum FactKind {
     Configuration = "configuration",
     Weights = "weights",
     Endpoint = "endpoint",
     Listing = "listing",
+    /** An order to move a service to another version of its software, with its phase. */
+    VersionRollout = "versionRollout",
 }
 
 /** One fact. `revision` is the position in the store's history of the record that states it, see `storePosition.ts`. */
@@ -38,13 +41,16 @@
         readonly endpoint: DirectEndpoint | undefined;
     }
     /** At this position, exactly these endpoints were registered. */
-    | { readonly kind: FactKind.Listing; readonly revision: number; readonly instances: readonly string[]; };
+    | { readonly kind: FactKind.Listing; readonly revision: number; readonly instances: readonly string[]; }
+    | VersionRolloutNews & { readonly kind: FactKind.VersionRollout; };
 
 /** Version of the configuration and revisions of the store up to which a process has the facts. */
 export interface FleetWatermark {
     readonly configuration: number;
     readonly weights: number;
     readonly endpoints: number;
+    /** What is known of version rollouts, see {@link VersionRollouts.mark}; absent if none is known. */
+    readonly rollouts?: string;
 }
 
 /** Weights that a model should run. */
@@ -136,6 +142,7 @@
     private readonly tombstones = new Map<string, number>();
     /** Of known and removed endpoints, the latest ones last. */
     private readonly pastRegistrations = new Map<string, readonly PastRegistration[]>();
+    readonly versionRollouts = new VersionRollouts();
     private endpointsRevision = 0;
     private listing: FleetFact & { readonly kind: FactKind.Listing; } | undefined;
 
@@ -166,6 +173,7 @@
             configuration: this.configurationFact?.value.version ?? 0,
             weights: this.weightsRevision(),
             endpoints: this.endpointsRevision,
+            rollouts: this.versionRollouts.mark(),
         };
     }
 
@@ -185,6 +193,8 @@
             case FactKind.Listing:
                 this.listing = fact.revision > (this.listing?.revision ?? -1) ? fact : this.listing;
                 return false;
+            case FactKind.VersionRollout:
+                return this.versionRollouts.apply(fact, now);
         }
     }
 
@@ -214,6 +224,7 @@
         switch (fact.kind) {
             case FactKind.Configuration:
             case FactKind.Weights:
+            case FactKind.VersionRollout:
                 return true;
             case FactKind.Endpoint: {
                 const leaves = fact.endpoint === undefined || fact.endpoint.leaving;
@@ -235,13 +246,15 @@
 
     /**
      * Sets the age of new versions of weights in a batch to `changedWithin`, the longest time for which they can have been
-     * the desired ones, if that is known. Versions that the process knows keep their times.
+     * the desired ones, if that is known, and that of new orders. Versions that the process knows keep their times.
      */
     dateNewWeights(facts: readonly FleetFact[], changedWithin: Milliseconds | undefined): FleetFact[] {
         return facts.map((fact) =>
             changedWithin !== undefined && fact.kind === FactKind.Weights
                 && fact.version > (this.weights.get(fact.model)?.version ?? 0)
                 ? { ...fact, age: changedWithin }
+                : fact.kind === FactKind.VersionRollout
+                ? { ...fact, ...this.versionRollouts.date(fact, changedWithin) }
                 : fact
         );
     }
@@ -303,6 +316,14 @@
                 facts.push({ kind: FactKind.Endpoint, revision, instance, endpoint: undefined });
             }
         }
+        if (mark.rollouts !== this.versionRollouts.mark()) {
+            facts.push(
+                ...this.versionRollouts.news(now).map((news): FleetFact => ({
+                    kind: FactKind.VersionRollout,
+                    ...news,
+                })),
+            );
+        }
         return facts;
     }
 
--- a/packages/fleet/src/directConfiguration.ts
+++ b/packages/fleet/src/directConfiguration.ts
@@ -125,6 +125,8 @@
     readonly slots: number;
     /** True once the endpoint accepts no new work. */
     readonly leaving: boolean;
+    /** Version of its software; absent from peers of earlier releases. */
+    readonly version?: string;
     /** Version of the weights of each model that it serves, as last registered. */
     readonly weights: readonly ModelWeights[];
 }
--- a/packages/fleet/src/fleetMessages.ts
+++ b/packages/fleet/src/fleetMessages.ts
@@ -143,6 +143,38 @@
     readonly store: string;
 }
 
+/** Outcomes of requests to one version of a service on one route, as counts since the order that they belong to. */
+export interface VersionOutcomes {
+    readonly route: string;
+    /** True for the version that the order names, false for all others together. */
+    readonly isNew: boolean;
+    readonly started: number;
+    readonly ended: number;
+    /** Requests that were answered or whose connection broke: what the other counts add up to. */
+    readonly answered: number;
+    readonly failed: number;
+    /** Answers that did not fail by the ratio of their latency to the predicted one, in steps of a factor. */
+    readonly latencies: readonly number[];
+    /** Requests that ended by their duration, in steps of a factor. */
+    readonly durations: readonly number[];
+}
+
+/** What a router reports of one version rollout to the routers that decide on it. */
+export interface VersionReport {
+    readonly service: string;
+    /** Position of the order. */
+    readonly order: number;
+    /** Increases with each report of one incarnation of a router. */
+    readonly number: number;
+    /** Last phase that the router knew. */
+    readonly phase: string;
+    /** Requests for the service since the order. */
+    readonly requests: number;
+    /** Requests that were sent to the new version. */
+    readonly exposed: number;
+    readonly rows: readonly VersionOutcomes[];
+}
+
 /** A report without content. */
 export const emptyReport: PeerReport = {
     age: 0,
@@ -185,6 +217,8 @@
     readonly relayed: readonly RelayedSpending[];
     /** Statuses of the replicas whose agents the sender owns, if the receiver is a router. */
     readonly replicas: readonly RelayedStatus[];
+    /** While orders for other versions run, to the routers that decide on them; absent from earlier releases. */
+    readonly versions?: readonly VersionReport[];
     /** From the owner of an agent: the agent's service, while replicas of it serve superseded weights. */
     readonly service?: ServiceProgress;
 }
@@ -308,6 +342,7 @@
     configuration: isNonNegativeInteger,
     weights: isNonNegativeInteger,
     endpoints: isNonNegativeInteger,
+    rollouts: isOptional(isString),
 };
 const isAddress = isShaped({ host: isString, port: isNonNegativeInteger });
 const isWeights = isShaped({ model: isString, version: isNonNegativeInteger });
@@ -369,6 +404,24 @@
     replica: isOptional(isShaped(replicaShape)),
     replicas: isListOf(isShaped({ status: isShaped(replicaShape), age: isNonNegativeNumber })),
     service: isOptional(isShaped({ replicas: isListOf(isProgress), spare: isNonNegativeInteger })),
+    versions: isOptional(isListOf(isShaped({
+        service: isString,
+        order: isNonNegativeInteger,
+        number: isNonNegativeInteger,
+        phase: isString,
+        requests: isNonNegativeInteger,
+        exposed: isNonNegativeInteger,
+        rows: isListOf(isShaped({
+            route: isString,
+            isNew: isBoolean,
+            started: isNonNegativeInteger,
+            ended: isNonNegativeInteger,
+            answered: isNonNegativeInteger,
+            failed: isNonNegativeInteger,
+            latencies: isListOf(isNonNegativeInteger),
+            durations: isListOf(isNonNegativeInteger),
+        })),
+    }))),
 };
 const isFact = isShaped({ kind: isString, revision: isNonNegativeInteger });
 const isSync = isShaped({
--- a/packages/fleet/src/node/logFact.ts
+++ b/packages/fleet/src/node/logFact.ts
@@ -39,6 +39,20 @@
                 from,
             });
             return;
+        case FactKind.VersionRollout:
+            logger.info("version rollout changed", {
+                service: fact.service,
+                to: fact.to,
+                phase: fact.phase,
+                duration: fact.duration,
+                age: fact.age === undefined ? undefined : Math.round(fact.age),
+                decidedBy: fact.decidedBy,
+                reason: fact.reason,
+                stored: fact.isStored,
+                revision,
+                from,
+            });
+            return;
         case FactKind.Listing:
             // The removals that follow from it are logged.
             return;
