Execute orders for other versions of a service at routers whose settings have the bounds for them

The state is written with a condition on its record and on the order; requests go to the version that the plan allows. Without bounds.exposureShare, orders are ignored as before.

--- a/packages/delivery/src/decision/rolloutState.ts
+++ b/packages/delivery/src/decision/rolloutState.ts
@@ -31,6 +31,9 @@
 /** New responses that are needed for the commitment before its last chance. */
 const answersToCommit = 25;
 
+/** A suspicious version with this many bad responses is rejected: after 50 the time for the rollback begins. */
+const badWithoutDelay = 30;
+
 /** The new version needs this part of the old one's slots; less shortly before the time limit. */
 const requiredSlots = 0.5;
 const lastRequiredSlots = 0.25;
@@ -66,7 +69,9 @@
     }
     const elapsed = now - startedAt;
     const schedule = scheduleOf(rollout.duration, input.traffic.drainTime);
-    if (verdict.isBad && elapsed >= rank * rejectionDelay) {
+    const isBad = verdict.isBad
+        || (verdict.evidence >= suspiciousEvidence && verdict.newBad >= badWithoutDelay);
+    if (isBad && elapsed >= rank * rejectionDelay) {
         return { phase: VersionPhase.RolledBack, reason: describeVerdict(verdict) };
     }
     const delay = rank * deciderDelay;
--- a/packages/gateway/src/gatewayConfig.ts
+++ b/packages/gateway/src/gatewayConfig.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Milliseconds } from "@redwingpin/common";
+import type { ExposureBounds } from "@redwingpin/delivery";
 import type { FleetKeys, InnerAddress } from "@redwingpin/protocol";
 import type { WeightsBounds } from "./decision/endpointChoice.js";
 import type { RetryBudgetBounds } from "./decision/fleetRetryBudget.js";
@@ -33,6 +34,8 @@
     readonly weights: WeightsBounds;
     /** Tokens that an account may spend beyond its rate and burst, over all routers. */
     readonly rateTolerance: RateTolerance;
+    /** Bounds on the exposure to new versions of services; without them, orders for other versions are not executed. */
+    readonly exposure?: ExposureBounds;
     /** Maximum time from the stop signal to the end of the process. */
     readonly stopTimeout: Milliseconds;
     /** Maximum total size of buffered request bodies, in bytes. */
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -22,3 +22,4 @@
 export * from "./gatewayConfig.js";
 export * from "./headerCodec.js";
 export * from "./node/gateway.js";
+export * from "./node/gatewayOptions.js";
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -5,24 +5,21 @@
  */
 import {
     type CancelTimer,
-    type Clock,
     listenOn,
-    type Logger,
     maxSeed,
     type Milliseconds,
     RendezvousOwnerCache,
     seededRandom,
     sleep,
 } from "@redwingpin/common";
+import type { VersionDelivery } from "@redwingpin/delivery";
 import {
     CrashTracker,
-    type DirectEndpoint,
     type FactBatch,
     type FactBatchContext,
     FactKind,
     type FleetFact,
     FleetScope,
-    type FleetSource,
     FleetState,
     FleetSync,
     formatAddress,
@@ -33,10 +30,9 @@
     type StoreWatcherOptions,
     WatcherSelection,
 } from "@redwingpin/fleet";
-import { type InnerAddress, InnerNode, ProcessRole } from "@redwingpin/protocol";
+import { type InnerAddress, type InnerNode, ProcessRole } from "@redwingpin/protocol";
 import { randomInt, randomUUID } from "node:crypto";
 import type { Server } from "node:http";
-import type { Registry } from "prom-client";
 import { AnswerBuffers } from "../decision/answerBuffers.js";
 import { DemandTracker } from "../decision/demandTracker.js";
 import { EndpointTable } from "../decision/endpointTable.js";
@@ -46,35 +42,20 @@
 import { SharedLedger } from "../decision/sharedLedger.js";
 import { endsBeforeStop, type RequestTimeLimits } from "../decision/stopPolicy.js";
 import type { ResolvedGatewayConfig } from "../gatewayConfig.js";
-import type { HeaderCodec } from "../headerCodec.js";
 import { AccountTokens } from "./accountTokens.js";
 import { CrashProbe } from "./crashProbe.js";
+import { createDelivery } from "./deliverySetup.js";
 import { DirectServer } from "./directServer.js";
 import { EndpointConnections } from "./endpointConnections.js";
 import { EndpointPermits } from "./endpointPermits.js";
 import { type BufferedBytes, GatewayMetrics } from "./gatewayMetrics.js";
+import { createInnerNode } from "./gatewayNode.js";
+import type { GatewayOptions } from "./gatewayOptions.js";
 import { LossProbe } from "./lossProbe.js";
 import { PeerReports } from "./peerReports.js";
 import { createReadinessServer } from "./readinessServer.js";
 import { serveRequest } from "./requestTask.js";
 
-/** Options of {@link Gateway}. */
-export interface GatewayOptions {
-    readonly config: ResolvedGatewayConfig;
-    readonly clock: Clock;
-    readonly logger: Logger;
-    readonly registry: Registry;
-    readonly source: FleetSource;
-    readonly headerCodec: HeaderCodec;
-    /**
-     * The latest time at which the current turn of the event loop can have begun.
-     * @default now
-     */
-    readonly turnStartedBy?: () => Milliseconds;
-    /** Address of the agent of an endpoint; `undefined` for endpoints without an agent. */
-    readonly agentOf: (endpoint: DirectEndpoint) => InnerAddress | undefined;
-}
-
 /** Many registrations often change together: changes within this time are handled in one batch. */
 const registrationBatchDelay: Milliseconds = 120;
 
@@ -116,6 +97,8 @@
     private readonly innerNode: InnerNode;
     private readonly sync: FleetSync;
     private readonly accountTokens: AccountTokens;
+    /** Absent if orders for other versions are not executed. */
+    private readonly delivery: VersionDelivery | undefined;
     private readonly watchers: readonly StoreWatcher[];
     private readonly operatorWatcher: StoreWatcher;
     private readonly endpointsWatcher: StoreWatcher;
@@ -172,11 +155,13 @@
             isOwnerOf: (agent) => this.isOwnerOf(agent),
             desiredVersion: (model) => this.state.desiredWeightsOf(model)?.version,
             agentOf: options.agentOf,
+            delivery: () => this.delivery,
         });
-        this.innerNode = this.createInnerNode();
+        this.innerNode = createInnerNode(options, this.incarnation, this.state);
         this.sync = this.createSync();
         this.metrics.observeExchanges(() => this.sync.counts);
         this.accountTokens = new AccountTokens({ clock, ledger: this.ledger, sync: this.sync });
+        this.delivery = this.createDelivery();
         this.endpointsWatcher = this.createWatcher(FleetScope.Endpoints, {
             batchDelay: registrationBatchDelay,
             isNeeded: () => this.watcherSelection.isSelected(this.sync.liveRouterNames()),
@@ -201,7 +186,8 @@
 
     /** True while the load balancer should send connections to this router. */
     isReady(): boolean {
-        return !this.isStopping && this.table !== undefined && this.areEndpointsKnown;
+        return !this.isStopping && this.table !== undefined && this.areEndpointsKnown
+            && this.delivery?.hasUnread !== true;
     }
 
     /** Number of requests that are being served. */
@@ -273,19 +259,17 @@
         this.connections.stop();
     }
 
-    private createInnerNode(): InnerNode {
-        const { clock, config, logger } = this.options;
-        return new InnerNode({
-            role: ProcessRole.Router,
-            instance: config.instance,
+    private createDelivery(): VersionDelivery | undefined {
+        return createDelivery({
+            ...this.options,
+            random: this.random,
             incarnation: this.incarnation,
-            fleetKeys: config.fleetKeys,
-            clock,
-            logger: logger.scope("inner"),
-            revision: () => this.state.configuration?.version ?? 0,
-            onRevision: () => {},
-            onMessage: () => {},
-            onClosed: () => {},
+            settings: () => this.settings,
+            rollouts: this.state.versionRollouts,
+            endpointTable: this.endpointTable,
+            liveRouterNames: () => this.liveRouterNames,
+            applyFact: (fact) => this.applyFacts([fact], storeName),
+            deliverReports: (routers) => void this.sync.deliverReports(routers),
         });
     }
 
@@ -354,6 +338,7 @@
             metrics: this.metrics,
             routerCount: () => 1 + this.sync.liveRouterCount(),
             random,
+            delivery: this.delivery,
         };
         this.metrics.registerBuffers(this.options.registry, () => this.bufferedBytes());
         return new DirectServer({
@@ -474,6 +459,7 @@
         this.setLiveRouterNames([formatAddress(this.options.config.inner), ...live].sort());
         this.reports.prepareReports(now);
         this.accountTokens.updateFleet();
+        this.delivery?.run();
         this.cancelHousekeeping = clock.schedule(housekeepingInterval, () => this.housekeep());
     }
 }
--- /dev/null
+++ b/packages/gateway/src/node/gatewayNode.ts
@@ -0,0 +1,36 @@
+/**
+ * Connections of a gateway with its peers.
+ *
+ * @module
+ */
+import type { Clock, Logger } from "@redwingpin/common";
+import type { FleetState } from "@redwingpin/fleet";
+import { InnerNode, ProcessRole } from "@redwingpin/protocol";
+import type { ResolvedGatewayConfig } from "../gatewayConfig.js";
+
+/** Options of {@link createInnerNode}. */
+export interface GatewayNodeOptions {
+    readonly config: ResolvedGatewayConfig;
+    readonly clock: Clock;
+    readonly logger: Logger;
+}
+
+/** Creates the node through which a gateway calls its peers and is called by them. */
+export function createInnerNode(
+    { clock, config, logger }: GatewayNodeOptions,
+    incarnation: string,
+    state: FleetState,
+): InnerNode {
+    return new InnerNode({
+        role: ProcessRole.Router,
+        instance: config.instance,
+        incarnation,
+        fleetKeys: config.fleetKeys,
+        clock,
+        logger: logger.scope("inner"),
+        revision: () => state.configuration?.version ?? 0,
+        onRevision: () => {},
+        onMessage: () => {},
+        onClosed: () => {},
+    });
+}
--- a/packages/gateway/src/node/peerReports.ts
+++ b/packages/gateway/src/node/peerReports.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { Clock, Milliseconds } from "@redwingpin/common";
+import type { VersionDelivery } from "@redwingpin/delivery";
 import {
     type AccountSpending,
     agentInterval,
@@ -64,6 +65,8 @@
     /** Desired version of a model's weights. */
     readonly desiredVersion: (model: string) => number | undefined;
     readonly agentOf: (endpoint: DirectEndpoint) => InnerAddress | undefined;
+    /** The version rollouts, if they are executed. */
+    readonly delivery?: () => VersionDelivery | undefined;
 }
 
 /** Creates and applies reports. */
@@ -117,6 +120,7 @@
                 now,
             ),
             replicas: this.ownedEndpoints.flatMap((endpointState) => endpointState.lastStatus(now) ?? []),
+            versions: this.options.delivery?.()?.reportsFor(address && formatAddress(address)),
         };
     }
 
@@ -221,6 +225,7 @@
         if (peer.role !== ProcessRole.Router) {
             return;
         }
+        this.options.delivery?.()?.observe(peer.incarnation, report.versions ?? []);
         const isYounger = report.age < now - this.startedAt;
         if (address !== undefined) {
             const { age, missing } = report;
--- a/packages/gateway/src/node/requestTask.ts
+++ b/packages/gateway/src/node/requestTask.ts
@@ -11,12 +11,14 @@
     type RetryReason,
     runDecision,
 } from "@redwingpin/common";
+import type { RequestVersions, VersionDelivery } from "@redwingpin/delivery";
 import type { CrashTracker, FleetState } from "@redwingpin/fleet";
 import type { ServerResponse } from "node:http";
 import type { AnswerBuffers } from "../decision/answerBuffers.js";
 import {
     type AttemptEffect,
     type AttemptEvent,
+    type AttemptOutcome,
     planAttempts,
     type RequestOutcome,
 } from "../decision/attemptPlan.js";
@@ -32,17 +34,19 @@
 import type { PrefixIndex } from "../decision/prefixIndex.js";
 import { PrefixPlacement } from "../decision/prefixPlacement.js";
 import type { AnswerMetadata, DispatchMetadata, HeaderCodec } from "../headerCodec.js";
-import { endToEndHeaders, writeOwnAnswer, writeWholeAnswer } from "./answerWriter.js";
+import { writeOwnAnswer, writeWholeAnswer } from "./answerWriter.js";
 import { notRunStatuses, runAttempt, type StreamProgress } from "./attempt.js";
 import { recordAttempt, recordSignals, trackLoad } from "./attemptRecord.js";
 import type { DirectRequest } from "./callerRequest.js";
 import type { CrashProbe } from "./crashProbe.js";
 import type { EndpointConnections } from "./endpointConnections.js";
+import { endpointHeaders } from "./endpointHeaders.js";
 import type { EndpointPermits } from "./endpointPermits.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
 import { type PromptContext, readPromptContext } from "./promptContext.js";
 import { RequestCrashes } from "./requestCrashes.js";
 import { detectStalls } from "./stallDetector.js";
+import { allowedGroups, trackVersion } from "./versionOutcome.js";
 
 /** Share of an engine's cache that all routers together rely on. */
 const usableCacheShare = 0.6;
@@ -72,6 +76,8 @@
     readonly routerCount: () => number;
     /** Returns a random number that is at least 0 and less than 1. */
     readonly random: () => number;
+    /** The version rollouts; absent if orders for other versions are not executed. */
+    readonly delivery?: VersionDelivery;
 }
 
 /** Serves a request to its end. */
@@ -90,6 +96,8 @@
     private readonly crashes: RequestCrashes;
     private readonly prompt: PromptContext | undefined;
     private readonly placement: PrefixPlacement | undefined;
+    /** Present while the service has an order for another version. */
+    private readonly versions: RequestVersions | undefined;
     private attempts = 0;
 
     constructor(
@@ -99,6 +107,7 @@
     ) {
         this.progress = { started: false, lastEvent: request.metadata.lastEvent, events: 0 };
         this.crashes = new RequestCrashes(context, request);
+        this.versions = context.delivery?.open(request.service.name);
         this.prompt = readPromptContext(request, context.state);
         this.placement = this.prompt && new PrefixPlacement({
             prefixIndex: context.prefixIndex,
@@ -180,10 +189,21 @@
     }
 
     private chooseCandidate(now: Milliseconds): Choice | undefined {
+        const all = this.context.endpointTable.ofService(this.request.service.name);
+        for (const endpointStates of allowedGroups(this.versions, all, now)) {
+            const choice = this.chooseFrom(endpointStates, now);
+            if (choice !== undefined) {
+                return choice;
+            }
+        }
+        return undefined;
+    }
+
+    private chooseFrom(endpointStates: readonly EndpointState[], now: Milliseconds): Choice | undefined {
         const { endpointTable, dataCentre, weightsBounds } = this.context;
         const { service } = this.request;
         return chooseEndpoint({
-            endpointStates: endpointTable.ofService(service.name),
+            endpointStates,
             now,
             dataCentre,
             speed: endpointTable.speed(service.name),
@@ -230,6 +250,7 @@
         this.context.demandTracker.record(request.service.name, choice.tokensToProcess, sentAt);
         const tokensAhead = choice.endpointState.waitingTokens;
         const load = trackLoad(choice);
+        const recordVersion = trackVersion(this.versions, this.context, request, choice);
         let firstAnswerAt: Milliseconds | undefined;
         const metadata = this.createDispatchMetadata(choice, sentAt);
         const stopStallDetection = detectStalls(clock, this.context.logger, {
@@ -247,7 +268,7 @@
                 endpoint,
                 method: request.method,
                 url: request.url,
-                headers: this.endpointHeaders(metadata),
+                headers: endpointHeaders(headerCodec, request, metadata),
                 body: request.body,
                 agent: this.context.connections.agentOf(endpoint, request.service.maxConnections),
             },
@@ -265,10 +286,8 @@
                 onWeightsMismatch: (answer) => this.recordWeights(choice.endpointState, answer),
             },
         }).finally(stopStallDetection).finally(() => load.release());
-        if (outcome.kind === "delivered" && firstAnswerAt !== undefined) {
-            const speed = this.context.endpointTable.speed(request.service.name);
-            speed.observeStream(request.metadata.outputTokens, clock.now() - firstAnswerAt);
-        }
+        recordVersion(outcome, firstAnswerAt);
+        this.recordStreamSpeed(outcome, firstAnswerAt);
         recordAttempt(this.context, request, choice, outcome, {
             number: this.attempts,
             sentAt,
@@ -279,6 +298,14 @@
         return { kind: "ended", outcome };
     }
 
+    private recordStreamSpeed(outcome: AttemptOutcome, firstAnswerAt: Milliseconds | undefined): void {
+        if (outcome.kind === "delivered" && firstAnswerAt !== undefined) {
+            const { clock, endpointTable } = this.context;
+            const speed = endpointTable.speed(this.request.service.name);
+            speed.observeStream(this.request.metadata.outputTokens, clock.now() - firstAnswerAt);
+        }
+    }
+
     private createDispatchMetadata(choice: Choice, now: Milliseconds): DispatchMetadata {
         const { placement, prompt, request } = this;
         const resumed = this.progress.started ? this.progress.lastEvent : undefined;
@@ -301,22 +328,6 @@
         };
     }
 
-    private endpointHeaders(metadata: DispatchMetadata): string[] {
-        const { body, method, rawHeaders } = this.request;
-        const fields = this.context.headerCodec.endpointHeaders(endToEndHeaders(rawHeaders), metadata);
-        const kept: string[] = [];
-        for (let index = 0; index < fields.length; index += 2) {
-            const name = fields[index].toLowerCase();
-            if (name !== "content-length" && name !== "expect") {
-                kept.push(fields[index], fields[index + 1]);
-            }
-        }
-        if (body.length > 0 || (method !== "GET" && method !== "HEAD")) {
-            kept.push("content-length", String(body.length));
-        }
-        return kept;
-    }
-
     private recordFirstAnswer(
         choice: Choice,
         metadata: DispatchMetadata,
