--- a/packages/command/src/requestExplanation.ts
+++ b/packages/command/src/requestExplanation.ts
@@ -35,6 +35,8 @@
     "store reached",
     "peer lost",
     "configuration in force",
+    "version rollout changed",
+    "version rollout decided",
 ]);
 
 /** Parses log lines. Skips lines without a JSON object, and the text that a log collector adds before the object. */
--- a/packages/delivery/src/__tests__/rolloutDecisions.spec.ts
+++ b/packages/delivery/src/__tests__/rolloutDecisions.spec.ts
@@ -1,6 +1,14 @@
-import { seededRandom } from "@redwingpin/common";
-import { VersionPhase, type VersionRollout, VersionState, type VersionStatus } from "@redwingpin/fleet";
+import { FakeClock, seededRandom, silentLogger } from "@redwingpin/common";
+import {
+    type DirectEndpoint,
+    VersionPhase,
+    type VersionRollout,
+    VersionRollouts,
+    VersionState,
+    type VersionStatus,
+} from "@redwingpin/fleet";
 import { expect } from "chai";
+import { errAsync } from "neverthrow";
 import { StatusRecord } from "../decision/statusRecord.js";
 import {
     decidePhase,
@@ -9,6 +17,7 @@
     OutcomeTotals,
     prefersNewVersion,
     type Verdict,
+    VersionDelivery,
     VersionTest,
 } from "../index.js";
 
@@ -108,17 +117,18 @@
     });
 });
 
+const rollout: VersionRollout = {
+    service: "s",
+    to: "v2",
+    duration,
+    revision: 40,
+    phase: VersionPhase.Canary,
+    isStored: false,
+    startedAt: 0,
+    phaseAt: 0,
+};
+
 describe("phases of a rollout", () => {
-    const rollout: VersionRollout = {
-        service: "s",
-        to: "v2",
-        duration,
-        revision: 40,
-        phase: VersionPhase.Canary,
-        isStored: false,
-        startedAt: 0,
-        phaseAt: 0,
-    };
     const good: Verdict = {
         ...{ evidence: 0, isBad: false, route: "", kind: "failed" },
         ...{ newBad: 0, newAnswered: 50, oldBad: 0, oldAnswered: 50 },
@@ -166,6 +176,9 @@
         const committed = { ...rollout, phase: VersionPhase.Committed, phaseAt: 8_000 };
         const counts = new OutcomeCounts();
         const end = counts.start("route", false, 0);
+        for (let request = 0; request < 60; request++) {
+            counts.start("route", true, 0)({ kind: "answered", ratio: 1 }, 100);
+        }
         const totals = new OutcomeTotals();
         const report = () => totals.observe("router", counts.report("s", 40, VersionPhase.Committed), 9_000);
         report();
@@ -216,3 +229,52 @@
         expect(record.nextCall({ ...status, order: 50 }, false, 0)).to.deep.include({ expectedRevision: 42 });
     });
 });
+
+describe("a router without news", () => {
+    // Guards against a router that was paused or partitioned while a version was rejected, and sends it requests afterwards.
+    it("sends nothing to the new version after a pause or without contact with peers", () => {
+        const clock = new FakeClock();
+        const rollouts = new VersionRollouts();
+        rollouts.apply({ ...rollout, phase: VersionPhase.Full, age: 0 }, 0);
+        const delivery = new VersionDelivery({
+            ...{
+                clock,
+                random: seededRandom(1),
+                logger: silentLogger,
+                ownName: "a",
+                incarnation: "a",
+                rollouts,
+            },
+            bounds: () => bounds,
+            store: {
+                read: () => errAsync({ kind: "unavailable", message: "" }),
+                write: () => errAsync({ kind: "unavailable", message: "" }),
+            },
+            liveRouterNames: () => ["a", "b"],
+            slots: () => ({ newSlots: 10, oldSlots: 10 }),
+            announce: () => {},
+            deliverReports: () => {},
+        });
+        const endpoints = ["v1", "v2"].map((version) => ({ endpoint: { version } as DirectEndpoint }));
+        const first = () =>
+            delivery.open("s")?.groups(endpoints, clock.now(), () => false)[0][0].endpoint.version;
+        delivery.observe("b", []);
+        delivery.run();
+        expect(first()).to.equal("v2");
+        clock.advance(1_200);
+        expect(first()).to.equal("v1");
+        delivery.run();
+        expect(first()).to.equal("v1");
+        for (let turn = 0; turn < 9; turn++) {
+            clock.advance(150);
+            delivery.observe("b", []);
+            delivery.run();
+        }
+        expect(first()).to.equal("v2");
+        for (let turn = 0; turn < 14; turn++) {
+            clock.advance(150);
+            delivery.run();
+        }
+        expect(first()).to.equal("v1");
+    });
+});
--- a/packages/delivery/src/decision/requestVersions.ts
+++ b/packages/delivery/src/decision/requestVersions.ts
@@ -22,6 +22,8 @@
     readonly rollout: () => VersionRollout;
     readonly counts: OutcomeCounts;
     readonly exposure: (requestDraw: number) => ExposureInput;
+    /** True while a verdict may have been missed: the new version may have been rejected. */
+    readonly mayHaveMissedVerdict: () => boolean;
 }
 
 /** True if an endpoint runs the version that an order names. */
@@ -71,10 +73,7 @@
     private byShare<T>(ofNew: readonly T[], ofOld: readonly T[]): readonly (readonly T[])[] {
         const exposure = this.access.exposure(this.requestDraw);
         this.prefersNew ??= prefersNewVersion(exposure);
-        if (this.hasFailedOnNew) {
-            return [ofOld];
-        }
-        if (!isWithinLimit(exposure)) {
+        if (this.hasFailedOnNew || this.access.mayHaveMissedVerdict() || !isWithinLimit(exposure)) {
             return [ofOld];
         }
         return this.prefersNew ? [ofNew, ofOld] : [ofOld, ofNew];
--- a/packages/delivery/src/decision/rolloutPlan.ts
+++ b/packages/delivery/src/decision/rolloutPlan.ts
@@ -53,7 +53,7 @@
 const drainFactor = 1.2;
 
 /** The last time before the time limit at which the store has to be written. */
-const lastWrite: Milliseconds = 1_000;
+const lastWrite: Milliseconds = 1_200;
 
 /** What is known of a service's traffic. */
 export interface ServiceTraffic {
--- a/packages/delivery/src/decision/rolloutState.ts
+++ b/packages/delivery/src/decision/rolloutState.ts
@@ -31,6 +31,9 @@
 /** New responses that are needed for the commitment before its last chance. */
 const answersToCommit = 25;
 
+/** With fewer new responses, completion waits for the last write: slow ones may not have arrived. */
+const answersToComplete = 60;
+
 /** A suspicious version with this many bad responses is rejected: after 50 the time for the rollback begins. */
 const badWithoutDelay = 30;
 
@@ -76,14 +79,15 @@
     }
     const delay = rank * deciderDelay;
     const isLastChance = elapsed >= schedule.lastChanceAt + delay;
+    const isLastWrite = elapsed >= schedule.lastWriteAt + delay;
     if (verdict.evidence >= suspiciousEvidence) {
         // Shortly before the time limit, what is more likely decides.
-        return isLastChance && phaseRank(phase) < phaseRank(VersionPhase.Committed)
+        return isLastWrite || (isLastChance && phase !== VersionPhase.Committed)
             ? { phase: VersionPhase.RolledBack, reason: `at the time limit, ${describeVerdict(verdict)}` }
             : undefined;
     }
     if (phase === VersionPhase.Committed) {
-        return isDrained(input) || elapsed >= schedule.lastWriteAt + delay
+        return isLastWrite || (isDrained(input) && answeredByNew(input.totals) >= answersToComplete)
             ? { phase: VersionPhase.Completed, reason: describeRunning(input) }
             : undefined;
     }
--- a/packages/delivery/src/node/versionDelivery.ts
+++ b/packages/delivery/src/node/versionDelivery.ts
@@ -37,6 +37,15 @@
 /** A router that cannot read a state counts as not ready for at most this time. */
 const maxUnreadTime: Milliseconds = 3_000;
 
+/** A process that ran nothing for this time was paused, or is about to end: it may have missed a verdict. */
+const maxPause: Milliseconds = 1_000;
+
+/** Time after a pause in which facts from peers arrive. */
+const recoveryTime: Milliseconds = 1_000;
+
+/** Part of the time for a rollback after which a router without contact with peers sends nothing to a new version. */
+const silenceShare = 0.4;
+
 /** Slots of the endpoints of a service that take requests. */
 export interface ServiceSlots {
     readonly newSlots: number;
@@ -77,9 +86,16 @@
     private readonly owners = new RendezvousOwnerCache(deciderCount);
     private readonly startedAt: Milliseconds;
     private reportedAt: Milliseconds = -Infinity;
+    private ranAt: Milliseconds;
+    private recoversUntil: Milliseconds = -Infinity;
+    private contactAt: Milliseconds;
+    /** True once this router has had contact with another one. */
+    private hasPeers = false;
 
     constructor(private readonly options: VersionDeliveryOptions) {
         this.startedAt = options.clock.now();
+        this.ranAt = this.startedAt;
+        this.contactAt = this.startedAt;
     }
 
     /** The versions for a request to a service; `undefined` if the service has no order. */
@@ -92,6 +108,7 @@
         return new RequestVersions({
             rollout: () => this.options.rollouts.of(service) ?? rollout,
             counts: delivery.counts,
+            mayHaveMissedVerdict: () => this.mayHaveMissedVerdict(),
             exposure: (requestDraw) => delivery.exposure(this.rolloutOf(rollout), requestDraw),
         }, this.options.random.unit());
     }
@@ -112,9 +129,19 @@
         return reports.length === 0 ? undefined : reports;
     }
 
-    /** Applies the reports of another router. */
+    /** True after a pause, and while there is no contact with peers, through which verdicts arrive. */
+    private mayHaveMissedVerdict(): boolean {
+        const now = this.options.clock.now();
+        const maxSilence = silenceShare * this.options.bounds().rollback;
+        return now < this.recoversUntil || now - this.ranAt > maxPause
+            || (this.hasPeers && now - this.contactAt > maxSilence);
+    }
+
+    /** Records contact with another router, and applies its reports. */
     observe(incarnation: string, reports: readonly VersionReport[]): void {
         const now = this.options.clock.now();
+        this.contactAt = now;
+        this.hasPeers = true;
         for (const report of reports) {
             const rollout = this.options.rollouts.of(report.service);
             if (rollout !== undefined && revisionOf(rollout.revision) === revisionOf(report.order)) {
@@ -125,6 +152,11 @@
 
     /** Reports, decides and writes what is due. */
     run(): void {
+        const now = this.options.clock.now();
+        if (now - this.ranAt > maxPause) {
+            this.recoversUntil = now + recoveryTime;
+        }
+        this.ranAt = now;
         this.reportIfDue();
         for (const rollout of this.options.rollouts.all()) {
             const rank = this.deciders(rollout).indexOf(this.options.ownName);
--- a/packages/gateway/src/node/attemptRecord.ts
+++ b/packages/gateway/src/node/attemptRecord.ts
@@ -68,6 +68,7 @@
         request: request.metadata.attempt,
         attempt: details.number,
         endpoint: endpointState.endpoint.instance,
+        software: endpointState.endpoint.version,
         outcome: outcome.kind,
         detail: outcomeDetail(outcome),
         ...details.hasCrashedEndpoint && describeSuspect(request, outcome),
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -76,6 +76,9 @@
 /** Source of facts that were read from the store, in log lines; other sources are instances of peers. */
 const storeName = "store";
 
+/** Source of the decisions of this router, in log lines. */
+const ownDecision = "this router";
+
 /** Serves the callers of direct routes. */
 export class Gateway {
     private readonly state = new FleetState();
@@ -268,7 +271,7 @@
             rollouts: this.state.versionRollouts,
             endpointTable: this.endpointTable,
             liveRouterNames: () => this.liveRouterNames,
-            applyFact: (fact) => this.applyFacts([fact], storeName),
+            applyFact: (fact) => this.applyFacts([fact], ownDecision),
             deliverReports: (routers) => void this.sync.deliverReports(routers),
         });
     }
@@ -425,7 +428,7 @@
             this.lossProbe.run();
         }
         if (isUrgent) {
-            this.sync.passOn(from === storeName, (agent) => this.isOwnerOf(agent));
+            this.sync.passOn(from === storeName || from === ownDecision, (agent) => this.isOwnerOf(agent));
         }
     }
 
