--- a/packages/gateway/src/__tests__/roomSearch.spec.ts
+++ b/packages/gateway/src/__tests__/roomSearch.spec.ts
@@ -115,6 +115,7 @@
             tried: new Set(),
             prompt: isEngine ? prompt : undefined,
             placement: isEngine ? placement : undefined,
+            versions: undefined,
         });
         const response = new ServerResponse(new IncomingMessage(new Socket()));
         return new RoomSearch(context, request, response, selection).find();
--- a/packages/gateway/src/node/endpointSelection.ts
+++ b/packages/gateway/src/node/endpointSelection.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { type Milliseconds, RefusalReason } from "@redwingpin/common";
+import type { RequestVersions } from "@redwingpin/delivery";
 import { expectedRunning, maxHold, roomAtEndpoint } from "@redwingpin/scheduling";
 import {
     type Choice,
@@ -17,6 +18,7 @@
 import type { DirectRequest } from "./callerRequest.js";
 import type { HeldRequests } from "./heldRequests.js";
 import type { PromptContext } from "./promptContext.js";
+import { allowedGroups } from "./versionOutcome.js";
 
 /** Retry delay for callers when no endpoint can take a request. */
 const noEndpointRetryAfter: Milliseconds = 400;
@@ -39,6 +41,8 @@
     readonly tried: ReadonlySet<string>;
     readonly prompt: PromptContext | undefined;
     readonly placement: PrefixPlacement | undefined;
+    /** Present while the service has an order for another software version. */
+    readonly versions: RequestVersions | undefined;
 }
 
 /** Selects endpoints for one request. */
@@ -52,7 +56,13 @@
 
     /** The best endpoint, whether or not it has room; `undefined` if none can take the request. */
     best(now: Milliseconds): Choice | undefined {
-        return this.choose(this.endpointStates(), now);
+        for (const endpointStates of this.groups(now)) {
+            const choice = this.choose(endpointStates, now);
+            if (choice !== undefined) {
+                return choice;
+            }
+        }
+        return undefined;
     }
 
     /** `best` if it has room, or else the best of those that have; `undefined` if none has. */
@@ -60,7 +70,9 @@
         if (this.hasRoom(best, now)) {
             return best;
         }
-        const others = this.endpointStates().filter((endpointState) => this.mayHaveRoom(endpointState, now));
+        // Only endpoints of the same version: the share of a new version does not depend on where there is room.
+        const group = this.groups(now).find((endpointStates) => endpointStates.includes(best.endpointState));
+        const others = group?.filter((endpointState) => this.mayHaveRoom(endpointState, now)) ?? [];
         const other = others.length === 0 ? undefined : this.choose(others, now);
         if (other === undefined || !this.hasRoom(other, now)) {
             return undefined;
@@ -150,6 +162,11 @@
         return new Map(states.map((endpointState, index) => [endpointState, loads[index]]));
     }
 
+    /** Groups of endpoints that a rollout allows for the request, the preferred one first. */
+    private groups(now: Milliseconds): readonly (readonly EndpointState[])[] {
+        return allowedGroups(this.selected.versions, this.endpointStates(), now);
+    }
+
     /** Starts at a random one, since the first of those that are alike is selected. */
     private endpointStates(): readonly EndpointState[] {
         const { endpointTable, held, random } = this.context;
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -5,23 +5,20 @@
  */
 import {
     type CancelTimer,
-    type Clock,
     listenOn,
-    type Logger,
     maxSeed,
     type Milliseconds,
     RendezvousOwnerCache,
     seededRandom,
 } from "@redwingpin/common";
+import type { VersionDelivery } from "@redwingpin/delivery";
 import {
     CrashTracker,
-    type DirectEndpoint,
     type FactBatch,
     type FactBatchContext,
     FactKind,
     type FleetFact,
     FleetScope,
-    type FleetSource,
     FleetState,
     FleetSync,
     formatAddress,
@@ -33,9 +30,8 @@
     WatcherSelection,
 } from "@redwingpin/fleet";
 import { type InnerAddress, type InnerNode, ProcessRole } from "@redwingpin/protocol";
-import { randomInt } from "node:crypto";
+import { randomInt, randomUUID } from "node:crypto";
 import type { Server } from "node:http";
-import type { Registry } from "prom-client";
 import { AnswerBuffers } from "../decision/answerBuffers.js";
 import { DemandTracker } from "../decision/demandTracker.js";
 import { EndpointTable } from "../decision/endpointTable.js";
@@ -45,37 +41,21 @@
 import { SharedLedger } from "../decision/sharedLedger.js";
 import { endsBeforeStop, type RequestTimeLimits } from "../decision/stopPolicy.js";
 import type { ResolvedGatewayConfig } from "../gatewayConfig.js";
-import type { HeaderCodec } from "../headerCodec.js";
 import { AccountTokens } from "./accountTokens.js";
 import { CrashProbe } from "./crashProbe.js";
+import { createDelivery } from "./deliverySetup.js";
 import { DirectServer } from "./directServer.js";
 import { drainServer } from "./drainServer.js";
 import { EndpointChecks } from "./endpointChecks.js";
 import { EndpointConnections } from "./endpointConnections.js";
 import { EndpointPermits } from "./endpointPermits.js";
 import { type BufferedBytes, GatewayMetrics } from "./gatewayMetrics.js";
+import { createInnerNode } from "./gatewayNode.js";
+import type { GatewayOptions } from "./gatewayOptions.js";
 import { HeldRequests } from "./heldRequests.js";
 import { PeerReports } from "./peerReports.js";
 import { createReadinessServer } from "./readinessServer.js";
 import { serveRequest } from "./requestTask.js";
-import { createRouterNode } from "./routerNode.js";
-
-/** Options of {@link Gateway}. */
-export interface GatewayOptions {
-    readonly config: ResolvedGatewayConfig;
-    readonly clock: Clock;
-    readonly logger: Logger;
-    readonly registry: Registry;
-    readonly source: FleetSource;
-    readonly headerCodec: HeaderCodec;
-    /**
-     * The latest time at which the current turn of the event loop can have begun.
-     * @default now
-     */
-    readonly turnStartedBy?: () => Milliseconds;
-    /** Address of the agent of an endpoint; `undefined` for endpoints without an agent. */
-    readonly agentOf: (endpoint: DirectEndpoint) => InnerAddress | undefined;
-}
 
 /** Many registrations often change together: changes within this time are handled in one batch. */
 const registrationBatchDelay: Milliseconds = 120;
@@ -88,6 +68,9 @@
 /** Source of facts that were read from the store, in log lines; other sources are instances of peers. */
 const storeName = "store";
 
+/** Source of the decisions of this router, in log lines. */
+const ownDecision = "this router";
+
 /** Serves the callers of direct routes. */
 export class Gateway {
     private readonly state = new FleetState();
@@ -110,6 +93,8 @@
     private readonly innerNode: InnerNode;
     private readonly sync: FleetSync;
     private readonly accountTokens: AccountTokens;
+    /** Absent if orders for other versions are not executed. */
+    private readonly delivery: VersionDelivery | undefined;
     private readonly watchers: readonly StoreWatcher[];
     private readonly operatorWatcher: StoreWatcher;
     private readonly endpointsWatcher: StoreWatcher;
@@ -117,6 +102,7 @@
     private readonly server: DirectServer;
     private readonly readiness: Server;
     private readonly random = seededRandom(randomInt(maxSeed));
+    private readonly incarnation = randomUUID();
     /** The current settings. */
     private settings: ResolvedGatewayConfig;
     private table: RouteTable | undefined;
@@ -166,10 +152,12 @@
             isOwnerOf: (agent) => this.isOwnerOf(agent),
             desiredVersion: (model) => this.state.desiredWeightsOf(model)?.version,
             agentOf: options.agentOf,
+            delivery: () => this.delivery,
         });
-        this.innerNode = createRouterNode(options, () => this.state.configuration?.version ?? 0);
+        this.innerNode = createInnerNode(options, this.incarnation, this.state);
         this.sync = this.createSync();
         this.accountTokens = new AccountTokens({ clock, ledger: this.ledger, sync: this.sync });
+        this.delivery = this.createDelivery();
         this.endpointsWatcher = this.createWatcher(FleetScope.Endpoints, {
             batchDelay: registrationBatchDelay,
             isNeeded: () => this.watcherSelection.isSelected(this.sync.liveRouterNames()),
@@ -183,10 +171,10 @@
     }
 
     async start(): Promise<void> {
-        const { config } = this.options;
-        await this.innerNode.listen(config.inner.host, config.inner.port);
-        await listenOn(this.readiness, config.readiness.host, config.readiness.port, this.options);
-        await this.server.listen(config.callers.host, config.callers.port);
+        const { callers, inner, readiness } = this.options.config;
+        await this.innerNode.listen(inner.host, inner.port);
+        await listenOn(this.readiness, readiness.host, readiness.port, this.options);
+        await this.server.listen(callers.host, callers.port);
         this.watchers.forEach((watcher) => watcher.start());
         this.sync.start();
         this.housekeep();
@@ -194,7 +182,8 @@
 
     /** True while the load balancer should send connections to this router. */
     isReady(): boolean {
-        return !this.isStopping && this.table !== undefined && this.areEndpointsKnown;
+        return !this.isStopping && this.table !== undefined && this.areEndpointsKnown
+            && this.delivery?.hasUnread !== true;
     }
 
     /** Number of requests that are being served. */
@@ -214,11 +203,9 @@
      * running requests.
      */
     async drain(): Promise<void> {
-        const { clock, logger } = this.options;
         this.isStopping = true;
         await drainServer({
-            clock,
-            logger,
+            ...this.options,
             server: this.server,
             stopTimeout: this.settings.stopTimeout,
             stopMargin,
@@ -266,14 +253,28 @@
         return new EndpointChecks({
             ...this.options,
             state: this.state,
-            logger: this.options.logger.scope("endpoints"),
             endpointTable: this.endpointTable,
+            logger: this.options.logger.scope("endpoints"),
             endpointModel: () => this.settings.endpointModel,
             routerCount: () => 1 + this.sync.liveRouterCount(),
             random: () => this.random.unit(),
         });
     }
 
+    private createDelivery(): VersionDelivery | undefined {
+        return createDelivery({
+            ...this.options,
+            random: this.random,
+            incarnation: this.incarnation,
+            settings: () => this.settings,
+            rollouts: this.state.versionRollouts,
+            endpointTable: this.endpointTable,
+            liveRouterNames: () => this.liveRouterNames,
+            applyFact: (fact) => this.applyFacts([fact], ownDecision),
+            deliverReports: (routers) => void this.sync.deliverReports(routers),
+        });
+    }
+
     private createSync(): FleetSync {
         const { clock, config, logger } = this.options;
         return new FleetSync({
@@ -341,6 +342,7 @@
             metrics: this.metrics,
             routerCount: () => 1 + this.sync.liveRouterCount(),
             random,
+            delivery: this.delivery,
         };
         this.metrics.registerBuffers(this.options.registry, () => this.bufferedBytes());
         this.metrics.observeExchanges(() => this.sync.counts);
@@ -399,12 +401,13 @@
 
     /** True if this router, of all live routers, owns an agent: it is the one that forwards facts to it. */
     private isOwnerOf(agent: InnerAddress): boolean {
-        const own = formatAddress(this.options.config.inner);
-        return this.agentOwners.ownerOf(formatAddress(agent), this.liveRouterNames) === own;
+        const owner = this.agentOwners.ownerOf(formatAddress(agent), this.liveRouterNames);
+        return owner === formatAddress(this.options.config.inner);
     }
 
-    /** Sets the live routers. If they have changed, immediately exchanges with the agents that this router owns now. */
-    private setLiveRouterNames(routers: readonly string[]): void {
+    /** Updates the live routers. If they have changed, immediately exchanges with the agents that this router owns now. */
+    private updateLiveRouterNames(): void {
+        const routers = [formatAddress(this.options.config.inner), ...this.sync.liveRouterNames()].sort();
         if (routers.join() !== this.liveRouterNames.join()) {
             this.liveRouterNames = routers;
             this.sync.exchangeWithAgents((agent) => this.isOwnerOf(agent));
@@ -429,7 +432,7 @@
             this.endpointChecks.probe();
         }
         if (isUrgent) {
-            this.sync.passOn(from === storeName, (agent) => this.isOwnerOf(agent));
+            this.sync.passOn(from === storeName || from === ownDecision, (agent) => this.isOwnerOf(agent));
         }
     }
 
@@ -453,16 +456,15 @@
     }
 
     private housekeep(): void {
-        const { clock } = this.options;
-        const now = clock.now();
+        const now = this.options.clock.now();
         if (this.state.expire(now).length > 0) {
             this.endpointTable.update(this.state);
         }
         this.endpointChecks.run();
-        const live = this.sync.liveRouterNames();
-        this.setLiveRouterNames([formatAddress(this.options.config.inner), ...live].sort());
+        this.updateLiveRouterNames();
         this.reports.prepareReports(now);
         this.accountTokens.updateFleet();
-        this.cancelHousekeeping = clock.schedule(housekeepingInterval, () => this.housekeep());
+        this.delivery?.run();
+        this.cancelHousekeeping = this.options.clock.schedule(housekeepingInterval, () => this.housekeep());
     }
 }
--- a/packages/gateway/src/node/requestTask.ts
+++ b/packages/gateway/src/node/requestTask.ts
@@ -11,12 +11,14 @@
     type RetryReason,
     runDecision,
 } from "@redwingpin/common";
+import type { RequestVersions, VersionDelivery } from "@redwingpin/delivery";
 import type { CrashTracker, FleetState } from "@redwingpin/fleet";
 import type { ServerResponse } from "node:http";
 import type { AnswerBuffers } from "../decision/answerBuffers.js";
 import {
     type AttemptEffect,
     type AttemptEvent,
+    type AttemptOutcome,
     planAttempts,
     type RequestOutcome,
 } from "../decision/attemptPlan.js";
@@ -28,12 +30,12 @@
 import type { PrefixIndex } from "../decision/prefixIndex.js";
 import { PrefixPlacement } from "../decision/prefixPlacement.js";
 import type { AnswerMetadata, DispatchMetadata, HeaderCodec } from "../headerCodec.js";
-import { endToEndHeaders } from "./answerWriter.js";
 import { runAttempt, type StreamProgress } from "./attempt.js";
 import { recordAttempt, recordExcess, recordSignals, type TrackedLoad, trackLoad } from "./attemptRecord.js";
 import type { DirectRequest } from "./callerRequest.js";
 import type { CrashProbe } from "./crashProbe.js";
 import type { EndpointConnections } from "./endpointConnections.js";
+import { endpointHeaders } from "./endpointHeaders.js";
 import type { EndpointPermits } from "./endpointPermits.js";
 import { EndpointSelection } from "./endpointSelection.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
@@ -43,6 +45,7 @@
 import { RequestCrashes } from "./requestCrashes.js";
 import { RoomSearch } from "./roomSearch.js";
 import { detectStalls } from "./stallDetector.js";
+import { trackVersion } from "./versionOutcome.js";
 
 /** Share of an engine's cache that all routers together rely on. */
 const usableCacheShare = 0.6;
@@ -72,6 +75,8 @@
     readonly routerCount: () => number;
     /** Returns a random number that is at least 0 and less than 1. */
     readonly random: () => number;
+    /** The version rollouts; absent if orders for other versions are not executed. */
+    readonly delivery?: VersionDelivery;
 }
 
 /** Serves a request to its end. */
@@ -99,6 +104,8 @@
     private readonly placement: PrefixPlacement | undefined;
     private readonly selection: EndpointSelection;
     private readonly roomSearch: RoomSearch;
+    /** Present while the service has an order for another version. */
+    private readonly versions: RequestVersions | undefined;
     private attempts = 0;
     /** Number of attempts that may have run. */
     private runs = 0;
@@ -110,6 +117,7 @@
     ) {
         this.progress = { started: false, lastEvent: request.metadata.lastEvent, events: 0 };
         this.crashes = new RequestCrashes(context, request);
+        this.versions = context.delivery?.open(request.service.name);
         this.prompt = readPromptContext(request, context.state);
         this.placement = this.prompt && new PrefixPlacement({
             prefixIndex: context.prefixIndex,
@@ -120,8 +128,8 @@
             megabitsPerSecond: request.service.engine?.linkMegabitsPerSecond,
             bytesPerToken: request.service.engine?.bytesPerToken ?? 0,
         });
-        const { placement, prompt, tried } = this;
-        this.selection = new EndpointSelection(context, { request, tried, prompt, placement });
+        const { placement, prompt, tried, versions } = this;
+        this.selection = new EndpointSelection(context, { request, tried, prompt, placement, versions });
         this.roomSearch = new RoomSearch(context, request, response, this.selection);
     }
 
@@ -200,6 +208,7 @@
         this.tried.add(endpoint.instance);
         this.context.demandTracker.record(request.service.name, choice.tokensToProcess, sentAt);
         const { abandonment, hadNoQueue, load } = this.trackAttempt(choice);
+        const recordVersion = trackVersion(this.versions, this.context, request, choice);
         let firstAnswerAt: Milliseconds | undefined;
         const metadata = this.createDispatchMetadata(choice, sentAt);
         const stopStallDetection = detectStalls(clock, this.context.logger, {
@@ -217,7 +226,7 @@
                 endpoint,
                 method: request.method,
                 url: request.url,
-                headers: this.endpointHeaders(metadata),
+                headers: endpointHeaders(headerCodec, request, metadata),
                 body: request.body,
                 agent: this.context.connections.agentOf(endpoint, request.service.maxConnections),
             },
@@ -237,11 +246,9 @@
             },
             abandonment,
         }).finally(stopStallDetection).finally(() => load.release());
-        if (outcome.kind === "delivered" && firstAnswerAt !== undefined) {
-            const speed = this.context.endpointTable.speed(request.service.name);
-            speed.observeStream(request.metadata.outputTokens, clock.now() - firstAnswerAt);
-        }
         this.runs += outcome.kind === "notRun" ? 0 : 1;
+        recordVersion(outcome, firstAnswerAt);
+        this.recordStreamSpeed(outcome, firstAnswerAt);
         recordAttempt(this.context, request, choice, outcome, {
             number: this.attempts,
             sentAt,
@@ -299,6 +306,14 @@
             && now + next.latency < deadline;
     }
 
+    private recordStreamSpeed(outcome: AttemptOutcome, firstAnswerAt: Milliseconds | undefined): void {
+        if (outcome.kind === "delivered" && firstAnswerAt !== undefined) {
+            const { clock, endpointTable } = this.context;
+            const speed = endpointTable.speed(this.request.service.name);
+            speed.observeStream(this.request.metadata.outputTokens, clock.now() - firstAnswerAt);
+        }
+    }
+
     private createDispatchMetadata(choice: Choice, now: Milliseconds): DispatchMetadata {
         const { placement, prompt, request } = this;
         const resumed = this.progress.started ? this.progress.lastEvent : undefined;
@@ -321,22 +336,6 @@
         };
     }
 
-    private endpointHeaders(metadata: DispatchMetadata): string[] {
-        const { body, method, rawHeaders } = this.request;
-        const fields = this.context.headerCodec.endpointHeaders(endToEndHeaders(rawHeaders), metadata);
-        const kept: string[] = [];
-        for (let index = 0; index < fields.length; index += 2) {
-            const name = fields[index].toLowerCase();
-            if (name !== "content-length" && name !== "expect") {
-                kept.push(fields[index], fields[index + 1]);
-            }
-        }
-        if (body.length > 0 || (method !== "GET" && method !== "HEAD")) {
-            kept.push("content-length", String(body.length));
-        }
-        return kept;
-    }
-
     private recordFirstAnswer(
         choice: Choice,
         metadata: DispatchMetadata,
