--- a/packages/agent/src/node/agent.ts
+++ b/packages/agent/src/node/agent.ts
@@ -165,7 +165,7 @@
         this.monitor.stop();
         this.cache.stop();
         this.innerNode.stop();
-        void this.endpoint.stop();
+        this.endpoint.stop();
     }
 
     /** Current status of the endpoint. */
