Keep removed endpoints only after outages in which registrations may have expired

Requests reached a replica up to 2.1 s after its removal was acknowledged if the watches had been cut just before; drainMs is 2,000 ms.

Cause: any failed call to the store started the grace period of 1.8 s that is meant for registrations that expired while the store was unavailable. Now an outage has to last 500 ms, or a call to stay unanswered beyond its time, or the store to be restored.

The new spec of the watcher fails if each failure counts.

--- a/packages/fleet/src/__tests__/storeWatcher.spec.ts
+++ b/packages/fleet/src/__tests__/storeWatcher.spec.ts
@@ -159,7 +159,46 @@
         expect(calls.filter((call) => call === "read").length).to.be.within(3, 10);
     });
 
-    it("counts a restoration of the store as a failure, so that registrations may return", async () => {
+    // Regression test: an endpoint whose registration was removed just after a watch had been cut stayed in use for the grace
+    // period of an outage, so that requests reached it for more than two seconds after its removal.
+    it("counts a call that is cut off and succeeds when repeated as no outage", async () => {
+        const cut = errAsync({ kind: "unavailable", message: "reset" } as const);
+        const { calls, clock, watcher } = startWatcher([
+            okAsync({ facts: [], revision: 5 }),
+            cut,
+            okAsync({ facts: [], revision: 6 }),
+        ]);
+        await settle();
+        clock.advance(200);
+        await settle();
+        expect(calls).to.deep.equal(["read", "watch 5", "watch 5", "watch 6"]);
+        expect([watcher.isReachable, watcher.lastOutageAt]).to.deep.equal([true, -Infinity]);
+    });
+
+    // Guards against replicas that are dropped since their registrations expired while the store was unavailable.
+    it("counts failures that last, and a call that the store leaves unanswered, as an outage", async () => {
+        const down = () => errAsync<FactBatch, SourceError>({ kind: "unavailable", message: "down" });
+        const failing = startWatcher([
+            okAsync({ facts: [], revision: 5 }),
+            ...Array.from({ length: 50 }, down),
+        ]);
+        for (let time = 0; time < 2_000; time += 10) {
+            failing.clock.advance(10);
+            await settle();
+        }
+        expect(failing.watcher.lastOutageAt).to.be.within(500, 2_000);
+        const answers: ResultAsync<FactBatch, SourceError>[] = [okAsync({ facts: [], revision: 5 })];
+        const silent = startWatcher(answers);
+        answers.push(
+            new ResultAsync(new Promise((resolve) => silent.clock.schedule(3_600, () => resolve(down())))),
+        );
+        await settle();
+        silent.clock.advance(3_600);
+        await settle();
+        expect(silent.watcher.lastOutageAt).to.equal(3_600);
+    });
+
+    it("counts a restoration of the store as an outage, so that registrations may return", async () => {
         const { calls, clock, watcher } = startWatcher([
             okAsync({ facts: [], revision: 5 }),
             errAsync({ kind: "restored", message: "restored" }),
@@ -168,6 +207,6 @@
         clock.advance(400);
         await settle();
         expect(calls).to.deep.equal(["read", "watch 5", "read", "watch 30"]);
-        expect(watcher.lastFailureAt).to.equal(400);
+        expect(watcher.lastOutageAt).to.equal(400);
     });
 });
--- a/packages/fleet/src/decision/fleetState.ts
+++ b/packages/fleet/src/decision/fleetState.ts
@@ -171,8 +171,8 @@
 
     /**
      * Applies a fact; returns whether it is newer than what is known. `storeFailedAt` is when the store was last
-     * unreachable: an endpoint whose registration is removed soon after that is kept for
-     * {@link registrationGraceMilliseconds}, so that it can register again.
+     * unreachable for so long that registrations may have expired: an endpoint whose registration is removed soon after that
+     * is kept for {@link registrationGraceMilliseconds}, so that it can register again.
      */
     applyFact(fact: FleetFact, now: Milliseconds, storeFailedAt = -Infinity): boolean {
         switch (fact.kind) {
--- a/packages/fleet/src/node/storeWatcher.ts
+++ b/packages/fleet/src/node/storeWatcher.ts
@@ -16,6 +16,12 @@
 /** Maximum delay after errors, and thus about the time after which a store that is reachable again is used. */
 const maxRetryDelay: Milliseconds = 1_000;
 
+/**
+ * Minimum duration of an outage in which registrations may have expired: they outlive several missed renewals. A call that
+ * failed in between, such as a watch whose connection was closed, is no outage.
+ */
+const minOutage: Milliseconds = 500;
+
 /** Completeness and age of a batch of facts. */
 export interface FactBatchContext {
     /** True for a snapshot of the whole scope, false for changes. */
@@ -58,6 +64,9 @@
     private stopped = false;
     private reachable: boolean | undefined;
     private failedAt: Milliseconds = -Infinity;
+    /** Since when the store has given no answer, as far as known; set while calls fail. */
+    private outageSince: Milliseconds = -Infinity;
+    private outageAt: Milliseconds = -Infinity;
     /** True after the history was gone, until a watch is answered. */
     private wasReadAgain = false;
     /** Number of calls that have failed since the last answer. */
@@ -79,9 +88,9 @@
         return this.reachable === true;
     }
 
-    /** When the last call failed, on the process's clock. */
-    get lastFailureAt(): Milliseconds {
-        return this.failedAt;
+    /** When a call last failed in an outage in which registrations may have expired, or the store was restored. */
+    get lastOutageAt(): Milliseconds {
+        return this.outageAt;
     }
 
     start(): void {
@@ -113,6 +122,7 @@
         const waitTime = this.isIdle ? 0 : wait();
         this.isIdle = false;
         const calledAt = this.options.clock.now();
+        const minDuration = complete ? 0 : waitTime;
         const result = this.revision === undefined
             ? await source.read(scope)
             : await source.watch(scope, Math.max(this.revision, knownRevision?.() ?? 0), waitTime);
@@ -121,7 +131,7 @@
         }
         return result.match(
             (batch) => this.handleBatch(batch, complete),
-            (error) => this.handleFailure(error, calledAt),
+            (error) => this.handleFailure(error, calledAt, minDuration),
         );
     }
 
@@ -153,6 +163,9 @@
         if (!this.wasReadAgain) {
             this.retryDelay = firstRetryDelay;
         }
+        if (this.failures > 0) {
+            this.recordOutage(this.answeredAt);
+        }
         this.failures = 0;
         this.revision = Math.max(this.revision ?? 0, batch.revision);
         this.options.onBatch(batch, { complete, changedWithin });
@@ -166,6 +179,7 @@
         if (error.kind === "restored") {
             // Registrations that the store has lost are back within the grace period, as after an outage.
             this.failedAt = clock.now();
+            this.outageAt = this.failedAt;
             logger.warn("store was restored from a copy; reading a new snapshot", fields);
         }
         else {
@@ -187,12 +201,30 @@
         return delay;
     }
 
-    private handleFailure(error: SourceError, calledAt: Milliseconds): Milliseconds {
+    /** Records the last failure as one of an outage if no call has been answered for long enough. */
+    private recordOutage(now: Milliseconds): void {
+        if (now - this.outageSince >= minOutage) {
+            this.outageAt = this.failedAt;
+        }
+    }
+
+    /** `minDuration` is the time that the store may take for the call. */
+    private handleFailure(
+        error: SourceError,
+        calledAt: Milliseconds,
+        minDuration: Milliseconds,
+    ): Milliseconds {
         const { clock, logger, scope } = this.options;
         if (error.kind !== "unavailable") {
             return this.readAgain(error);
         }
         this.failedAt = clock.now();
+        if (this.failures === 0) {
+            // A call that lasted longer than it may has not been answered at any time since its start.
+            const wasSilent = this.failedAt - calledAt >= minDuration;
+            this.outageSince = wasSilent ? calledAt : this.failedAt;
+        }
+        this.recordOutage(this.failedAt);
         this.failures += 1;
         const fields = {
             records: scope,
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -425,8 +425,8 @@
     /** Applies facts; logs those that are new, and applies their effects. */
     private applyFacts(facts: readonly FleetFact[], from: string): void {
         const now = this.options.clock.now();
-        const lastFailureAt = Math.max(...this.watchers.map((watcher) => watcher.lastFailureAt));
-        const { isUrgent, newFacts } = this.state.applyFacts(facts, now, lastFailureAt);
+        const lastOutageAt = Math.max(...this.watchers.map((watcher) => watcher.lastOutageAt));
+        const { isUrgent, newFacts } = this.state.applyFacts(facts, now, lastOutageAt);
         if (newFacts.length === 0) {
             return;
         }
