Tell good versions from bad ones with more tests taken into account, and decide shortly before the time limit

Significance now takes the number of tests and windows into account, suspicion delays the commitment and completion only, and completion waits for slow responses.

--- a/packages/delivery/src/decision/rolloutPlan.ts
+++ b/packages/delivery/src/decision/rolloutPlan.ts
@@ -92,7 +92,7 @@
     return {
         halfAt: Math.max(0, commitAt - 2 * watch),
         watch,
-        lastChanceAt: duration - Math.min(reserve, minReserve),
+        lastChanceAt: duration - Math.min(reserve, Math.max(minReserve, drainFactor * drainTime + lastWrite)),
         lastWriteAt: duration - lastWrite,
     };
 }
--- a/packages/delivery/src/decision/rolloutState.ts
+++ b/packages/delivery/src/decision/rolloutState.ts
@@ -10,7 +10,7 @@
 import { isDecided, phaseRank, VersionPhase, type VersionRollout } from "@redwingpin/fleet";
 import { type OutcomeTotals, runningOf, sum } from "./outcomeCounts.js";
 import { type RolloutSchedule, scheduleOf, type ServiceTraffic } from "./rolloutPlan.js";
-import { doubtfulEvidence, suspiciousEvidence, type Verdict } from "./versionVerdict.js";
+import { doubtfulEvidence, isLikelyBad, suspiciousEvidence, type Verdict } from "./versionVerdict.js";
 
 /** Number of routers that decide on a service. */
 export const deciderCount = 3;
@@ -31,6 +31,9 @@
 /** New responses that are needed for the commitment before its last chance. */
 const answersToCommit = 25;
 
+/** Minimum time from the commitment to completion, as a multiple of the time of the phases before. */
+const watchAfterCommitment = 1.25;
+
 /** With fewer new responses, completion waits for the last write: slow ones may not have arrived. */
 const answersToComplete = 60;
 
@@ -80,14 +83,18 @@
     const delay = rank * deciderDelay;
     const isLastChance = elapsed >= schedule.lastChanceAt + delay;
     const isLastWrite = elapsed >= schedule.lastWriteAt + delay;
-    if (verdict.evidence >= suspiciousEvidence) {
+    if (
+        (isLastWrite || (isLastChance && phase !== VersionPhase.Committed))
+        && isLikelyBad(verdict, answeredByNew(input.totals))
+    ) {
         // Shortly before the time limit, what is more likely decides.
-        return isLastWrite || (isLastChance && phase !== VersionPhase.Committed)
-            ? { phase: VersionPhase.RolledBack, reason: `at the time limit, ${describeVerdict(verdict)}` }
-            : undefined;
+        return { phase: VersionPhase.RolledBack, reason: `at the time limit, ${describeVerdict(verdict)}` };
     }
     if (phase === VersionPhase.Committed) {
-        return isLastWrite || (isDrained(input) && answeredByNew(input.totals) >= answersToComplete)
+        const isWatched = verdict.evidence < suspiciousEvidence
+            && now - rollout.phaseAt >= watchAfterCommitment * schedule.watch
+            && answeredByNew(input.totals) >= answersToComplete;
+        return isLastWrite || (isDrained(input) && isWatched)
             ? { phase: VersionPhase.Completed, reason: describeRunning(input) }
             : undefined;
     }
@@ -164,7 +171,9 @@
 
 /** The verdict with its inputs, for logs. */
 export function describeVerdict(verdict: Verdict): string {
-    const { evidence, kind, newAnswered, newBad, oldAnswered, oldBad, route } = verdict;
-    return `evidence ${evidence.toFixed(1)}: ${kind} ${newBad} of ${newAnswered} new, `
+    const { evidence, significance, kind, newAnswered, newBad, oldAnswered, oldBad, route } = verdict;
+    return `evidence ${evidence.toFixed(1)}, significance ${
+        significance.toFixed(1)
+    }: ${kind} ${newBad} of ${newAnswered} new, `
         + `${oldBad} of ${oldAnswered} old${route === "" ? "" : ` on route ${route}`}`;
 }
--- a/packages/delivery/src/decision/versionVerdict.ts
+++ b/packages/delivery/src/decision/versionVerdict.ts
@@ -14,17 +14,25 @@
 import type { VersionOutcomes } from "@redwingpin/fleet";
 import { type RouteTotals, sum } from "./outcomeCounts.js";
 
-/** Probability of rejecting a good version in the first windows, for one route and kind. */
+/** Probability of rejecting a good version in one window, for one kind of bad response. */
 const errorRate = 1e-3;
-const firstWindows = 4;
 
 /** Evidence, as the logarithm of a likelihood ratio, from which a version is rejected. */
 export const rejectionEvidence = Math.log(1 / errorRate);
 
-/** Evidence from which the share of the new version is not increased. */
+/** Evidence from which a committed rollout is not completed before the last write. */
 export const suspiciousEvidence = 2.5;
 
-/** Evidence from which the rollout is not committed before its last chance. */
+/** Evidence from which a version is rejected at the time limit; significance if it has given more than a few responses. */
+const likelyEvidence = 1.9;
+const fewAnswers = 50;
+
+/** True if a version is more likely bad than good, for a decision at the time limit. */
+export function isLikelyBad({ evidence, significance }: Verdict, newAnswered: number): boolean {
+    return (newAnswered < fewAnswers ? evidence : significance) >= likelyEvidence;
+}
+
+/** Evidence from which a rollout is not committed before its last chance. */
 export const doubtfulEvidence = 1.5;
 
 /** Alternatives: ratios of the odds that a bad response is one of the new version. */
@@ -85,8 +93,10 @@
 
 /** The strongest evidence against a version. */
 export interface Verdict {
-    /** Logarithm of the likelihood ratio, see {@link rejectionEvidence}. */
+    /** Logarithm of the likelihood ratio. */
     readonly evidence: number;
+    /** The evidence less what the number of tests explains, see {@link rejectionEvidence}. */
+    readonly significance: number;
     readonly isBad: boolean;
     readonly route: string;
     /** `failed` or `slow`. */
@@ -105,7 +115,10 @@
 
     /** Takes the totals of all routes. */
     observe(routes: readonly RouteTotals[]): Verdict {
-        let worst: Verdict = { ...emptyWindow, evidence: 0, isBad: false, route: "", kind: "failed" };
+        let worst: Verdict = {
+            ...emptyWindow,
+            ...{ evidence: 0, significance: 0, isBad: false, route: "", kind: "failed" },
+        };
         this.setSlowSteps(routes);
         const kinds: readonly (readonly [string, (totals: RouteTotals) => Window])[] = [
             ["failed", (totals) => windowOf(totals, (row) => row.failed)],
@@ -115,17 +128,25 @@
             const windows = routes.map((totals) => ({ route: totals.route, window: toWindow(totals) }));
             const all = windows.map(({ window }) => window).reduce(add, emptyWindow);
             for (const { route, window } of [{ route: allRoutes, window: all }, ...windows]) {
-                const value = this.update(`${kind} ${route}`, window);
-                if (value > worst.evidence) {
-                    const isBad = value >= rejectionEvidence && window.newBad >= minBad;
-                    worst = { ...window, evidence: value, isBad, route, kind };
-                }
+                const { evidence, windows } = this.update(`${kind} ${route}`, window);
+                // Each route and window is a further test, so that its evidence has to be stronger.
+                const tests = (1 + windows) * (route === allRoutes ? 1 : routes.length + 1);
+                const significance = evidence - Math.log(tests);
+                const isBad = significance >= rejectionEvidence && window.newBad >= minBad;
+                const isWorst = significance > worst.significance
+                    || (worst.significance <= 0 && evidence > worst.evidence);
+                worst = {
+                    ...isWorst ? { ...window, route, kind } : worst,
+                    evidence: Math.max(evidence, worst.evidence),
+                    significance: Math.max(significance, worst.significance),
+                    isBad: isBad || worst.isBad,
+                };
             }
         }
         return worst;
     }
 
-    private update(key: string, now: Window): number {
+    private update(key: string, now: Window): { evidence: number; windows: number; } {
         const known = this.evidence.get(key)
             ?? { base: emptyWindow, sums: oddsRatios.map(() => 0), absolute: 0, windows: 0, recentShare: 0 };
         this.evidence.set(key, known);
@@ -144,8 +165,7 @@
             known.recentShare = Math.max(shareOf(window), known.recentShare * shareMemory);
         }
         const mixture = Math.log(sum(sums.map(Math.exp)) / oddsRatios.length);
-        const repetition = Math.log(Math.max(1, known.windows / firstWindows));
-        return Math.max(mixture, isWorse(now) ? absolute : 0) - repetition;
+        return { evidence: Math.max(mixture, isWorse(now) ? absolute : 0), windows: known.windows };
     }
 
     /**
