gateway: estimate the speed of each endpoint, and count memory in the choice only on request

Each endpoint now has an estimate of its slowness relative to its service, from times to the first event and between events.

Choice.fits and Choice.startsIn are computed in any case. The prediction credits requests of other routers that have ended, and uses the time for which tokens, not requests, are held. Trials at unresponsive endpoints are rarer: each costs a late request.

--- a/packages/fleet/src/fleetMessages.ts
+++ b/packages/fleet/src/fleetMessages.ts
@@ -45,6 +45,10 @@
     readonly silentFor?: number;
     /** Milliseconds since the router received bytes from the endpoint; present if others find it unresponsive. */
     readonly answeredAge?: number;
+    /** Times of the endpoint's answers as a multiple of those of its service; absent if the router knows no difference. */
+    readonly slowness?: number;
+    /** Number of measurements behind `slowness`, by their remaining weight. */
+    readonly evidence?: number;
 }
 
 /** A request whose endpoint crashed before the answer was complete, as the sender itself has observed. */
@@ -340,6 +344,8 @@
             running: isNonNegativeNumber,
             silentFor: isOptional(isNonNegativeNumber),
             answeredAge: isOptional(isNonNegativeNumber),
+            slowness: isOptional(isPositiveNumber),
+            evidence: isOptional(isNonNegativeNumber),
         }),
     ),
     crashes: isListOf(isShaped({})),
--- a/packages/gateway/src/__tests__/attemptPlan.spec.ts
+++ b/packages/gateway/src/__tests__/attemptPlan.spec.ts
@@ -35,6 +35,7 @@
         likelyCachedTokens: 0,
         fetchTime: 0,
         cost: 0,
+        serviceLatency: 0,
         startsIn: 0,
         fits: true,
         memoryTokens: 0,
--- a/packages/gateway/src/__tests__/endpointPermits.spec.ts
+++ b/packages/gateway/src/__tests__/endpointPermits.spec.ts
@@ -30,6 +30,7 @@
         fetchTime: 0,
         latency: 0,
         cost: 0,
+        serviceLatency: 0,
         startsIn: 0,
         fits: true,
         memoryTokens: 0,
--- a/packages/gateway/src/__tests__/gatewayFixture.ts
+++ b/packages/gateway/src/__tests__/gatewayFixture.ts
@@ -2,8 +2,8 @@
 import {
     type CacheStore,
     type ChoiceInput,
+    defaultEndpointModel,
     EndpointState,
-    fullEndpointModel,
     ServiceSpeed,
 } from "../index.js";
 import { type BlockBody, BlockPool } from "../node/blockPool.js";
@@ -87,7 +87,7 @@
         elapsed: 0,
         tried: new Set(),
         isRepeatable: true,
-        model: fullEndpointModel,
+        model: defaultEndpointModel,
         prompt: {
             model: "drafting",
             desiredWeights: undefined,
--- a/packages/gateway/src/__tests__/routerFixture.ts
+++ b/packages/gateway/src/__tests__/routerFixture.ts
@@ -14,10 +14,10 @@
 import { Registry } from "prom-client";
 import {
     AnswerBuffers,
+    defaultEndpointModel,
     DemandTracker,
     EndpointTable,
     FleetRetryBudget,
-    fullEndpointModel,
     type HeaderCodec,
     PrefixIndex,
     type RawHeaders,
@@ -96,7 +96,7 @@
 export async function routerFixture(
     endpoints: readonly RawEndpoint[],
     more: Partial<DirectRoute> = {},
-    endpointModel = fullEndpointModel,
+    endpointModel = defaultEndpointModel,
 ) {
     const route = { ...unrepeatableRoute, ...more };
     const configuration: DirectConfiguration = {
--- a/packages/gateway/src/decision/endpointChoice.ts
+++ b/packages/gateway/src/decision/endpointChoice.ts
@@ -71,12 +71,14 @@
     readonly fetchTime: Milliseconds;
     /** Predicted time from now to the first event. */
     readonly latency: Milliseconds;
-    /** Predicted time from now until the endpoint starts on the request; part of `latency`. */
+    /** What `latency` would be at an endpoint of the usual speed of its service. */
+    readonly serviceLatency: Milliseconds;
+    /** Predicted time from now until the endpoint starts on the request. */
     readonly startsIn: Milliseconds;
     /** False if the endpoint has no memory, or no free slot, for the request now. True if nothing is known about it. */
     readonly fits: boolean;
     /**
-     * Predicted latency, plus the delay that processing this prompt adds to the requests queued at the endpoint, and to
+     * Predicted latency, plus the work of a preemption if the request does not fit, plus the delay that processing this prompt adds to the requests queued at the endpoint, and to
      * those that the engine could have served in the time in which it repeats the work of another one.
      */
     readonly cost: Milliseconds;
@@ -150,7 +152,8 @@
     if (nextLoadAt === undefined) {
         return true;
     }
-    const stream = (input.prompt?.outputTokens ?? 0) * input.speed.timePerOutputToken;
+    const slowness = input.model.speed ? choice.endpointState.estimate.slowness : 1;
+    const stream = (input.prompt?.outputTokens ?? 0) * input.speed.timePerOutputToken * slowness;
     return input.now + choice.latency + stream <= nextLoadAt;
 }
 
@@ -179,11 +182,7 @@
 
 function isBetter(left: Choice, right: Choice): boolean {
     const difference = left.worth - right.worth;
-    if (Math.abs(difference) > minWorthDifference) {
-        return difference > 0;
-    }
-    // A request that does not fit preempts one that runs, or waits until others end.
-    return left.fits === right.fits ? left.cost < right.cost : left.fits;
+    return Math.abs(difference) > minWorthDifference ? difference > 0 : left.cost < right.cost;
 }
 
 /** Whether a request fits into an endpoint's memory or, for plain services, slots. */
@@ -191,11 +190,8 @@
     endpointState: EndpointState,
     memoryTokens: number,
     running: number,
-    { model, now, prompt, speed }: ChoiceInput,
+    { now, prompt, speed }: ChoiceInput,
 ): MemoryPrediction {
-    if (!model.memory) {
-        return { fits: true, freeIn: 0 };
-    }
     if (prompt !== undefined) {
         return endpointState.predictMemory(memoryTokens, now);
     }
@@ -217,17 +213,26 @@
         : otherDataCentreLatency;
     const memoryTokens = prompt === undefined ? 0 : prompt.promptTokens + prompt.outputTokens;
     const memory = predictFit(endpointState, memoryTokens, running, input);
-    const startsIn = prompt === undefined
-        ? memory.freeIn
-        : Math.max(waitingTokens / speed.tokensPerMillisecond, memory.freeIn);
-    const latency = prompt === undefined
-        ? speed.baseLatency * (1 + running / Math.max(1, endpointState.endpoint.slots)) + dataCentreLatency
-        : speed.baseLatency + reusable.fetchTime + running * latencyPerRunningRequest + dataCentreLatency
-            + startsIn + processingTime;
+    const memoryWait = input.model.memory ? memory.freeIn : 0;
+    const slowness = input.model.speed ? endpointState.estimate.slowness : 1;
+    const queueTime = waitingTokens / speed.tokensPerMillisecond;
+    const latencyAt = (factor: number) =>
+        prompt === undefined
+            ? factor * speed.baseLatency * (1 + running / Math.max(1, endpointState.endpoint.slots))
+                + dataCentreLatency
+            : factor * (speed.baseLatency + running * latencyPerRunningRequest + processingTime)
+                + reusable.fetchTime + dataCentreLatency + Math.max(factor * queueTime, memoryWait);
+    const startsIn = prompt === undefined ? memory.freeIn : Math.max(slowness * queueTime, memory.freeIn);
+    const latency = latencyAt(slowness);
     const worth = worthOfLatency(input.elapsed + latency, input.targetLatency)
         * worthOfWeights(version, input);
     const waitingRequests = prompt === undefined ? 0 : waitingTokens / Math.max(1, prompt.promptTokens);
-    const cost = latency + waitingRequests * processingTime
+    // A request that does not fit preempts another one, whose prompt is processed again. Excluding such engines altogether
+    // would send the requests of all routers to the few that fitted at their last report.
+    const preemptionCost = memory.fits || !input.model.memory
+        ? 0
+        : slowness * (prompt?.promptTokens ?? 0) / speed.tokensPerMillisecond;
+    const cost = latency + preemptionCost + slowness * waitingRequests * processingTime
         + repetitionWeight * reusable.repeated / speed.tokensPerMillisecond;
     return {
         endpointState,
@@ -236,6 +241,7 @@
         likelyCachedTokens: reusable.likelyCached,
         fetchTime: reusable.fetchTime,
         latency,
+        serviceLatency: latencyAt(1),
         startsIn,
         fits: memory.fits,
         memoryTokens,
--- a/packages/gateway/src/decision/endpointModelSettings.ts
+++ b/packages/gateway/src/decision/endpointModelSettings.ts
@@ -8,7 +8,10 @@
 export interface EndpointModelSettings {
     /** Unresponsive endpoints are avoided, and requests that may run again leave them. */
     readonly unresponsiveness: boolean;
-    /** Endpoints without memory for a request are avoided. */
+    /**
+     * The wait for memory counts in the choice of an endpoint. Off by default: in simulations of long prompts beside short
+     * ones, more requests were late with it.
+     */
     readonly memory: boolean;
     /** The speed of each endpoint is used instead of that of its service. */
     readonly speed: boolean;
@@ -16,10 +19,10 @@
     readonly cost: boolean;
 }
 
-/** Uses all parts. */
-export const fullEndpointModel: EndpointModelSettings = {
+/** The parts that are used by default. */
+export const defaultEndpointModel: EndpointModelSettings = {
     unresponsiveness: true,
-    memory: true,
+    memory: false,
     speed: true,
     cost: true,
 };
--- a/packages/gateway/src/decision/endpointState.ts
+++ b/packages/gateway/src/decision/endpointState.ts
@@ -5,6 +5,7 @@
  */
 import type { Milliseconds } from "@redwingpin/common";
 import type { DirectEndpoint, EndpointLoad, RelayedStatus, ReplicaStatus } from "@redwingpin/fleet";
+import { EndpointEstimate, type SlownessReport } from "@redwingpin/placement";
 import {
     EndpointMemory,
     EndpointSignals,
@@ -16,6 +17,7 @@
 import { EndpointHealth } from "./endpointHealth.js";
 import { PermitThreshold } from "./permitThreshold.js";
 import { ServiceSpeed } from "./serviceSpeed.js";
+import { type MeasuredStream, StreamPace } from "./streamPace.js";
 
 /** Time for which an agent's status takes precedence over the registration; one exchange may fail meanwhile. */
 const statusLifetime: Milliseconds = 3_500;
@@ -41,6 +43,8 @@
     readonly signals = new EndpointSignals();
     readonly permitThreshold = new PermitThreshold();
     readonly responses = new ResponseMonitor();
+    readonly estimate = new EndpointEstimate();
+    private readonly streamPace = new StreamPace();
     private readonly memory = new EndpointMemory();
     private status: Reported<ReplicaStatus> | undefined;
     private observedWeights: Reported<{ readonly model: string; readonly version: number; }> | undefined;
@@ -83,11 +87,41 @@
         return status?.value.loadsIn === undefined ? undefined : status.at + status.value.loadsIn;
     }
 
+    /** Registers a stream whose first event has arrived, to measure its pace; the returned function ends it. */
+    openStream(stream: MeasuredStream, now: Milliseconds): (endedAt: Milliseconds) => void {
+        return this.streamPace.open(stream, now);
+    }
+
+    /** Applies the time to a request's first event or whole answer; `predicted` is that of any endpoint of the service. */
+    observeAnswerTime(
+        route: string,
+        measured: Milliseconds,
+        predicted: Milliseconds,
+        now: Milliseconds,
+    ): void {
+        this.estimate.observe("answer", this.speed.answerNorm(route).observe(measured, predicted), now);
+    }
+
+    /** Measures the pace of the running streams, and computes the estimate anew. */
+    updateEstimate(now: Milliseconds): void {
+        for (const time of this.streamPace.measure(now)) {
+            const { eventNorm, eventTime } = this.speed;
+            const running = this.totalRunning(now);
+            const predicted = eventTime.predict(running);
+            if (predicted !== undefined) {
+                this.estimate.observe("event", eventNorm.observe(time, predicted), now);
+            }
+            eventTime.observe(running, time);
+        }
+        this.estimate.update(now);
+    }
+
     /** Predicts whether a request that will hold `tokens` of memory fits into the endpoint, or when it will. */
     predictMemory(tokens: number, now: Milliseconds): MemoryPrediction {
         const status = this.freshStatus(now);
         return this.memory.predict({
             tokens,
+            now,
             report: status && { ...status.value, at: status.at },
             othersRunning: this.totalRunning(now) - this.running,
             slots: Math.max(1, this.endpoint.slots),
@@ -199,6 +233,7 @@
         if (load !== undefined) {
             this.responses.observePeer(load, now);
         }
+        this.estimate.observePeer(router, slownessOf(load), now);
         if (load === undefined) {
             this.loads.delete(router);
         }
@@ -234,3 +269,9 @@
         return loads;
     }
 }
+
+function slownessOf(load: EndpointLoad | undefined): SlownessReport | undefined {
+    return load?.slowness === undefined || load.evidence === undefined
+        ? undefined
+        : { slowness: load.slowness, evidence: load.evidence };
+}
--- a/packages/gateway/src/decision/endpointTable.ts
+++ b/packages/gateway/src/decision/endpointTable.ts
@@ -24,10 +24,10 @@
 const maxCheckInterval: Milliseconds = 450;
 
 /** Interval of the trials of all routers together at one unresponsive endpoint. */
-const fleetTrialInterval: Milliseconds = 500;
+const fleetTrialInterval: Milliseconds = 2_000;
 
 const minTrialInterval: Milliseconds = 1_000;
-const maxTrialInterval: Milliseconds = 8_000;
+const maxTrialInterval: Milliseconds = 60_000;
 
 /** Trials of one router are from half to one and a half intervals apart, so that those of all routers are spread. */
 const trialJitter = 0.5;
@@ -132,6 +132,13 @@
         return speed;
     }
 
+    /** Measures the pace of the running streams, and computes the estimates of the endpoints anew. */
+    updateEstimates(now: Milliseconds): void {
+        for (const endpointState of this.endpointStates.values()) {
+            endpointState.updateEstimate(now);
+        }
+    }
+
     /**
      * Finds endpoints whose answers are overdue, and notifies the requests concerned. Returns the endpoints that were not
      * known as unresponsive. Does nothing for a service of which most endpoints are silent: then the cause is more likely
@@ -185,14 +192,20 @@
 
     /** This router's own load, for its peers. */
     ownLoads(now: Milliseconds): EndpointLoad[] {
-        return [...this.endpointStates.values()]
-            .filter(({ responses, running }) => running > 0 || responses.isSilent)
-            .map((endpointState) => ({
-                instance: endpointState.endpoint.instance,
-                waitingTokens: endpointState.waitingTokens,
-                running: endpointState.running,
-                ...endpointState.responses.report(now),
-            }));
+        return [...this.endpointStates.values()].flatMap(
+            ({ endpoint, estimate, responses, running, waitingTokens }) => {
+                const slowness = estimate.report(now);
+                return running > 0 || responses.isSilent || slowness !== undefined
+                    ? {
+                        instance: endpoint.instance,
+                        waitingTokens,
+                        running,
+                        ...responses.report(now),
+                        ...slowness,
+                    }
+                    : [];
+            },
+        );
     }
 }
 
--- a/packages/gateway/src/decision/serviceSpeed.ts
+++ b/packages/gateway/src/decision/serviceSpeed.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Milliseconds } from "@redwingpin/common";
+import { ServiceNorm, StepTime } from "@redwingpin/placement";
 import { ResponsePace, ServiceMemory } from "@redwingpin/scheduling";
 
 /** Initial estimate of the prompt-processing speed, used until answers have been measured. */
@@ -27,6 +28,11 @@
     baseLatency = initialBaseLatency;
     /** Moving average of the time from one output token to the next. */
     timePerOutputToken = initialTimePerOutputToken;
+    /** Time from one event of a stream to the next, by the number of running requests. */
+    readonly eventTime = new StepTime();
+    /** How measured times of events compare with `eventTime`. */
+    readonly eventNorm = new ServiceNorm();
+    private readonly answerNorms = new Map<string, ServiceNorm>();
     /** What the service's requests hold of the engines' memory. */
     readonly memory = new ServiceMemory();
     /** Usual pauses of all endpoints of the service. */
@@ -48,6 +54,13 @@
         }
     }
 
+    /** How times to the first event or whole answer compare with the predicted ones, on one route. */
+    answerNorm(route: string): ServiceNorm {
+        const norm = this.answerNorms.get(route) ?? new ServiceNorm();
+        this.answerNorms.set(route, norm);
+        return norm;
+    }
+
     /** Applies the time from the first event of a stream to its end. */
     observeStream(outputTokens: number, duration: Milliseconds): void {
         if (outputTokens > 0) {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -21,6 +21,7 @@
 export * from "./decision/sharedLedger.js";
 export * from "./decision/sharedParts.js";
 export * from "./decision/spendingRelay.js";
+export * from "./decision/streamPace.js";
 export * from "./decision/transferTime.js";
 export * from "./gatewayConfig.js";
 export * from "./headerCodec.js";
--- a/packages/gateway/src/node/attemptRecord.ts
+++ b/packages/gateway/src/node/attemptRecord.ts
@@ -10,6 +10,7 @@
 import type { AttemptOutcome } from "../decision/attemptPlan.js";
 import type { Choice } from "../decision/endpointChoice.js";
 import type { EndpointState, EndpointTable } from "../decision/endpointTable.js";
+import type { MeasuredStream } from "../decision/streamPace.js";
 import type { AnswerMetadata } from "../headerCodec.js";
 import type { DirectRequest } from "./callerRequest.js";
 import type { EndpointPermits } from "./endpointPermits.js";
@@ -73,6 +74,7 @@
         ...details.hasCrashedEndpoint && describeSuspect(request, outcome),
         took: Math.round(now - details.sentAt),
         predicted: Math.round(choice.latency),
+        slowness: Number((choice.latency / Math.max(1, choice.serviceLatency)).toFixed(1)),
         worth: Number(choice.worth.toFixed(2)),
         readTokens: choice.tokensToProcess,
         version: choice.version,
@@ -158,7 +160,7 @@
 export function trackLoad(
     clock: Clock,
     choice: Choice,
-    monitoring: Pick<OwedAnswerOptions, "isBlocked" | "onOverdue">,
+    monitoring: Pick<OwedAnswerOptions, "isBlocked" | "onOverdue"> & MeasuredStream,
 ): TrackedLoad {
     const { endpointState, tokensToProcess } = choice;
     const owed = endpointState.openAnswer({
@@ -168,6 +170,7 @@
     });
     const endMemory = endpointState.openMemory(choice.memoryTokens, clock.now());
     let isWaiting = true;
+    let endStream: (endedAt: Milliseconds) => void = () => {};
     endpointState.running += 1;
     endpointState.waitingTokens += tokensToProcess;
     const recordAnswer = () => {
@@ -178,11 +181,15 @@
     };
     return {
         recordAnswer: () => {
+            if (isWaiting) {
+                endStream = endpointState.openStream(monitoring, clock.now());
+            }
             recordAnswer();
             owed.begin(clock.now());
         },
         release: () => {
             owed.close();
+            endStream(clock.now());
             endMemory(clock.now(), !isWaiting);
             recordAnswer();
             endpointState.running -= 1;
--- a/packages/gateway/src/node/endpointChecks.ts
+++ b/packages/gateway/src/node/endpointChecks.ts
@@ -32,6 +32,9 @@
     run(): void {
         this.lossProbe.run();
         const { clock, endpointModel, endpointTable, logger, random, routerCount } = this.options;
+        if (endpointModel().speed) {
+            endpointTable.updateEstimates(clock.now());
+        }
         if (!endpointModel().unresponsiveness) {
             return;
         }
--- a/packages/gateway/src/node/requestTask.ts
+++ b/packages/gateway/src/node/requestTask.ts
@@ -293,6 +293,7 @@
     private trackAttempt(choice: Choice): { readonly abandonment: AbortSignal; readonly load: TrackedLoad; } {
         const abandonment = new AbortController();
         const load = trackLoad(this.context.clock, choice, {
+            events: () => this.progress.events,
             isBlocked: () => this.response.writableNeedDrain,
             onOverdue: () => {
                 if (this.canContinueElsewhere()) {
@@ -364,12 +365,23 @@
         latency: Milliseconds,
         hadNoQueue: boolean,
     ): void {
-        const { endpointTable, clock, prefixIndex, metrics, routerCount } = this.context;
+        const { endpointModel, endpointTable, clock, prefixIndex, metrics, routerCount } = this.context;
         const { placement, prompt, request } = this;
         metrics.recordFirstAnswer(request.route.name, clock.now() - request.arrival);
+        const { endpointState, fetchTime, serviceLatency } = choice;
         if (hadNoQueue && choice.likelyCachedTokens === 0) {
             const speed = endpointTable.speed(request.service.name);
-            speed.observe(choice.tokensToProcess, latency, choice.fetchTime);
+            const slowness = endpointModel().speed ? endpointState.estimate.slowness : 1;
+            speed.observe(choice.tokensToProcess, (latency - fetchTime) / slowness, 0);
+        }
+        if (choice.likelyCachedTokens === 0) {
+            const { name } = request.route;
+            endpointState.observeAnswerTime(
+                name,
+                latency - fetchTime,
+                serviceLatency - fetchTime,
+                clock.now(),
+            );
         }
         if (prompt === undefined || placement === undefined) {
             return;
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -4,6 +4,7 @@
  * @module
  */
 export * from "./decision/ejection.js";
+export * from "./decision/endpointEstimate.js";
 export * from "./decision/endpointTable.js";
 export * from "./decision/placement.js";
 export * from "./decision/prefixBlocks.js";
@@ -11,3 +12,4 @@
 export * from "./decision/prefixTable.js";
 export * from "./decision/rendezvous.js";
 export * from "./decision/retryBudget.js";
+export * from "./decision/stepTime.js";
--- a/packages/scheduling/src/decision/memoryModel.ts
+++ b/packages/scheduling/src/decision/memoryModel.ts
@@ -27,32 +27,42 @@
 export class ServiceMemory {
     /** Mean of tokens times time. */
     private tokenTime: number | undefined;
+    private meanTokens: number | undefined;
     private meanHoldTime: Milliseconds | undefined;
     private measuredTokens: number | undefined;
 
-    /** Mean memory, over time, that was predicted for the requests; `undefined` until one has ended. */
+    /** Mean memory that was predicted for a request; `undefined` until one has ended. */
     get tokensPerRequest(): number | undefined {
-        return this.tokenTime === undefined || this.meanHoldTime === undefined
-            ? undefined
-            : this.tokenTime / Math.max(1, this.meanHoldTime);
+        return this.meanTokens;
     }
 
-    /** Mean time for which a request holds its memory; `undefined` until one has ended. */
+    /** Mean time for which a request holds its slot; `undefined` until one has ended. */
     get holdTime(): Milliseconds | undefined {
         return this.meanHoldTime;
     }
 
+    /** Mean time for which a token is held; long requests hold most of the memory, and for longer. */
+    get tokenHoldTime(): Milliseconds | undefined {
+        return this.tokenTime === undefined || this.meanTokens === undefined
+            ? undefined
+            : this.tokenTime / Math.max(1, this.meanTokens);
+    }
+
     /** Memory that requests hold, as a multiple of the predicted one: less if they share parts of their prompts. */
     get scale(): number {
-        const predicted = this.tokensPerRequest;
-        return this.measuredTokens === undefined || predicted === undefined
-            ? 1
-            : Math.min(maxScale, Math.max(minScale, this.measuredTokens / Math.max(1, predicted)));
+        const { measuredTokens, meanHoldTime, tokenTime } = this;
+        if (measuredTokens === undefined || meanHoldTime === undefined || tokenTime === undefined) {
+            return 1;
+        }
+        // Of the requests that run at one time, long ones are more.
+        const predicted = tokenTime / Math.max(1, meanHoldTime);
+        return Math.min(maxScale, Math.max(minScale, measuredTokens / Math.max(1, predicted)));
     }
 
     /** Applies a request that has ended. */
     observe(tokens: number, holdTime: Milliseconds): void {
         this.tokenTime = average(this.tokenTime, tokens * holdTime);
+        this.meanTokens = average(this.meanTokens, tokens);
         this.meanHoldTime = average(this.meanHoldTime, holdTime);
     }
 
@@ -83,6 +93,7 @@
 export interface MemoryQuery {
     /** Tokens that the request will hold. */
     readonly tokens: number;
+    readonly now: Milliseconds;
     readonly report: EngineReport | undefined;
     /** Number of requests of other routers at the engine, as last reported. */
     readonly othersRunning: number;
@@ -125,7 +136,7 @@
     }
 
     /** Predicts whether a request fits into the engine's memory and slots. */
-    predict({ othersRunning, report, service, slots, tokens }: MemoryQuery): MemoryPrediction {
+    predict({ now, othersRunning, report, service, slots, tokens }: MemoryQuery): MemoryPrediction {
         if (report === undefined || report.cacheTotal <= 0) {
             return fitting;
         }
@@ -151,7 +162,10 @@
             }
         }
         const requests = report.running + report.queued;
-        const othersSince = Math.max(0, othersRunning - Math.max(0, requests - ownReported));
+        // Negative if more requests of others have ended than were sent; no more than can have ended since the report.
+        const othersReported = Math.max(0, requests - ownReported);
+        const endedShare = Math.min(1, (now - reportedAt) / Math.max(1, service.holdTime ?? Infinity));
+        const othersSince = Math.max(-othersReported * endedShare, othersRunning - othersReported);
         const unheld = (othersSince + report.queued) * (service.tokensPerRequest ?? tokens);
         const used = Math.max(0, report.cacheUsed + service.scale * (tokensChange + unheld));
         const missingTokens = Math.min(service.scale * tokens, report.cacheTotal)
@@ -160,13 +174,13 @@
         if (missingTokens <= 0 && missingSlots <= 0) {
             return fitting;
         }
-        const { holdTime } = service;
-        if (holdTime === undefined) {
+        const { holdTime, tokenHoldTime } = service;
+        if (holdTime === undefined || tokenHoldTime === undefined) {
             return { fits: false, freeIn: 0 };
         }
         // What is held is released within the hold time on average, at a steady rate.
-        const tokensShare = missingTokens / Math.max(1, used);
-        const slotsShare = missingSlots / Math.max(1, slots);
-        return { fits: false, freeIn: Math.max(0, tokensShare, slotsShare) * holdTime };
+        const memoryFreeIn = tokenHoldTime * missingTokens / Math.max(1, used);
+        const slotFreeIn = holdTime * missingSlots / Math.max(1, slots);
+        return { fits: false, freeIn: Math.max(0, memoryFreeIn, slotFreeIn) };
     }
 }
