gateway: use the caller's estimate of the output tokens

The choice counted the maximum of output tokens for each request, although callers state an estimate that is correct at the median (Redwingpin-Length-Hint). The estimate is used for the memory that a request holds and for the time that its stream takes. It is not calibrated by route yet.

The setting endpointModel.cost = false switches this off.

--- a/packages/gateway/src/decision/endpointModelSettings.ts
+++ b/packages/gateway/src/decision/endpointModelSettings.ts
@@ -15,7 +15,7 @@
     readonly memory: boolean;
     /** The speed of each endpoint is used instead of that of its service. */
     readonly speed: boolean;
-    /** The output tokens are predicted from those of earlier requests and from the caller's estimate. */
+    /** The caller's estimate of the output tokens is used instead of their maximum. */
     readonly cost: boolean;
 }
 
--- a/packages/gateway/src/headerCodec.ts
+++ b/packages/gateway/src/headerCodec.ts
@@ -25,7 +25,10 @@
     readonly maxWait?: Milliseconds;
     readonly model?: string;
     readonly promptTokens: number;
+    /** Maximum number of output tokens. */
     readonly outputTokens: number;
+    /** The caller's estimate of the output tokens, which is often far off. */
+    readonly expectedOutputTokens?: number;
     /** True if the request states its token counts. */
     readonly hasTokenCounts: boolean;
     readonly parts: readonly PromptPart[];
--- a/packages/gateway/src/node/requestTask.ts
+++ b/packages/gateway/src/node/requestTask.ts
@@ -12,6 +12,7 @@
     runDecision,
 } from "@redwingpin/common";
 import type { CrashTracker, FleetState } from "@redwingpin/fleet";
+import { predictOutputTokens } from "@redwingpin/scheduling";
 import type { ServerResponse } from "node:http";
 import type { AnswerBuffers } from "../decision/answerBuffers.js";
 import {
@@ -212,7 +213,7 @@
             model: prompt.model,
             desiredWeights: prompt.desiredWeights,
             promptTokens: this.request.metadata.promptTokens,
-            outputTokens: this.request.metadata.outputTokens,
+            outputTokens: this.outputTokens(),
             reusable: (endpointState, version) => {
                 const { cached, fetchable, ...rest } = placement.sourceFor(endpointState, version, now);
                 return { tokens: cached + fetchable, ...rest };
@@ -220,6 +221,11 @@
         };
     }
 
+    private outputTokens(): number {
+        const { metadata } = this.request;
+        return this.context.endpointModel().cost ? predictOutputTokens(metadata) : metadata.outputTokens;
+    }
+
     private spendRetry(reason: RetryReason): boolean {
         const { clock, logger, metrics, retryBudget, routerCount } = this.context;
         const allowed = retryBudget.trySpend(this.request.service.name, routerCount(), clock.now());
@@ -276,7 +282,7 @@
         }).finally(stopStallDetection).finally(() => load.release());
         if (outcome.kind === "delivered" && firstAnswerAt !== undefined) {
             const speed = this.context.endpointTable.speed(request.service.name);
-            speed.observeStream(request.metadata.outputTokens, clock.now() - firstAnswerAt);
+            speed.observeStream(this.outputTokens(), clock.now() - firstAnswerAt);
         }
         this.runs += outcome.kind === "notRun" ? 0 : 1;
         recordAttempt(this.context, request, choice, outcome, {
