--- a/packages/gateway/src/decision/endpointChoice.ts
+++ b/packages/gateway/src/decision/endpointChoice.ts
@@ -193,7 +193,7 @@
     { now, prompt, speed }: ChoiceInput,
 ): MemoryPrediction {
     if (prompt !== undefined) {
-        return endpointState.predictMemory(memoryTokens, now);
+        return endpointState.predictMemory(memoryTokens, running - endpointState.running, now);
     }
     const slots = Math.max(1, endpointState.endpoint.slots);
     const missing = Math.max(0, running + 1 - slots);
--- a/packages/gateway/src/decision/endpointState.ts
+++ b/packages/gateway/src/decision/endpointState.ts
@@ -117,13 +117,13 @@
     }
 
     /** Predicts whether a request that will hold `tokens` of memory fits into the endpoint, or when it will. */
-    predictMemory(tokens: number, now: Milliseconds): MemoryPrediction {
+    predictMemory(tokens: number, othersRunning: number, now: Milliseconds): MemoryPrediction {
         const status = this.freshStatus(now);
         return this.memory.predict({
             tokens,
             now,
             report: status && { ...status.value, at: status.at },
-            othersRunning: this.totalRunning(now) - this.running,
+            othersRunning,
             slots: Math.max(1, this.endpoint.slots),
             service: this.speed.memory,
         });
