--- a/packages/gateway/src/__tests__/roomSearch.spec.ts
+++ b/packages/gateway/src/__tests__/roomSearch.spec.ts
@@ -6,9 +6,9 @@
 import { Socket } from "node:net";
 import { Registry } from "prom-client";
 import {
+    defaultEndpointModel,
     type EndpointState,
     EndpointTable,
-    fullEndpointModel,
     PrefixIndex,
     PrefixPlacement,
     RouteTable,
@@ -73,7 +73,7 @@
         random: () => 0,
         dataCentre: "hobart",
         endpointTable,
-        endpointModel: () => fullEndpointModel,
+        endpointModel: () => ({ ...defaultEndpointModel, memory: true }),
         weightsBounds: () => ({ reducedWorthAfter: 1_500, worthReduction: 0.2, forbiddenAfter: 9_500 }),
         routerCount: () => 1,
     };
--- a/packages/gateway/src/__tests__/routerFixture.ts
+++ b/packages/gateway/src/__tests__/routerFixture.ts
@@ -15,10 +15,10 @@
 import { Registry } from "prom-client";
 import {
     AnswerBuffers,
+    defaultEndpointModel,
     DemandTracker,
     EndpointTable,
     FleetRetryBudget,
-    fullEndpointModel,
     type HeaderCodec,
     PrefixIndex,
     type RawHeaders,
@@ -98,7 +98,7 @@
 export async function routerFixture(
     endpoints: readonly RawEndpoint[],
     more: Partial<DirectRoute> = {},
-    endpointModel = fullEndpointModel,
+    endpointModel = defaultEndpointModel,
     hold: HoldSettings = holdNothing,
 ) {
     const route = { ...unrepeatableRoute, ...more };
--- a/packages/gateway/src/node/endpointChecks.ts
+++ b/packages/gateway/src/node/endpointChecks.ts
@@ -37,6 +37,9 @@
     run(): void {
         this.probe();
         const { clock, endpointModel, endpointTable, logger, random, routerCount } = this.options;
+        if (endpointModel().speed) {
+            endpointTable.updateEstimates(clock.now());
+        }
         if (!endpointModel().unresponsiveness) {
             return;
         }
--- a/packages/gateway/src/node/endpointSelection.ts
+++ b/packages/gateway/src/node/endpointSelection.ts
@@ -5,7 +5,7 @@
  */
 import { type Milliseconds, RefusalReason } from "@redwingpin/common";
 import type { RequestVersions } from "@redwingpin/delivery";
-import { expectedRunning, maxHold, roomAtEndpoint } from "@redwingpin/scheduling";
+import { expectedRunning, maxHold, predictOutputTokens, roomAtEndpoint } from "@redwingpin/scheduling";
 import {
     type Choice,
     chooseEndpoint,
@@ -54,6 +54,12 @@
 
     constructor(private readonly context: SelectionContext, private readonly selected: SelectedRequest) {}
 
+    /** Number of tokens that the request is expected to generate. */
+    get outputTokens(): number {
+        const { metadata } = this.selected.request;
+        return this.context.endpointModel().cost ? predictOutputTokens(metadata) : metadata.outputTokens;
+    }
+
     /** The best endpoint, whether or not it has room; `undefined` if none can take the request. */
     best(now: Milliseconds): Choice | undefined {
         for (const endpointStates of this.groups(now)) {
@@ -152,12 +158,12 @@
 
     private computeOtherLoads(now: Milliseconds): ReadonlyMap<EndpointState, number> {
         const { endpointTable } = this.context;
-        const { service, metadata } = this.selected.request;
+        const { service } = this.selected.request;
         const speed = endpointTable.speed(service.name);
         const states = endpointTable.ofService(service.name);
         const loads = expectedRunning(
             states.map((endpointState) => endpointState.reportedRunning(now)),
-            speed.baseLatency + metadata.outputTokens * speed.timePerOutputToken,
+            speed.baseLatency + this.outputTokens * speed.timePerOutputToken,
         );
         return new Map(states.map((endpointState, index) => [endpointState, loads[index]]));
     }
@@ -206,7 +212,7 @@
             model: prompt.model,
             desiredWeights: prompt.desiredWeights,
             promptTokens: request.metadata.promptTokens,
-            outputTokens: request.metadata.outputTokens,
+            outputTokens: this.outputTokens,
             reusable: (endpointState, version) => {
                 const { cached, fetchable, ...rest } = placement.sourceFor(endpointState, version, now);
                 return { tokens: cached + fetchable, ...rest };
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -11,6 +11,7 @@
 export * from "./decision/holdPolicy.js";
 export * from "./decision/memoryModel.js";
 export * from "./decision/prefixSummary.js";
+export * from "./decision/requestCost.js";
 export * from "./decision/requestWait.js";
 export * from "./decision/responseMonitor.js";
 export * from "./decision/startPace.js";
