Deliver a complete response also if bytes follow it that are no response

Callers got 502 instead of a complete response, if the endpoint sent further bytes in the same read.

Cause: the HTTP parser fails on these bytes before the end of the response has been handled, and the exchange took the failure for one of the response.

--- a/packages/agent/src/node/endpointClient.ts
+++ b/packages/agent/src/node/endpointClient.ts
@@ -1,7 +1,6 @@
 /**
- * The HTTP client for the agent's endpoint. It uses Node's client, since undici accepts two kinds of truncated responses as
- * complete: a chunked response that ends before its last chunk, if the endpoint announced that it will close the connection;
- * and a response without a length whose connection was reset.
+ * The HTTP client for the agent's endpoint. It uses Node's client, since undici accepts a response without a length whose
+ * connection was reset as complete.
  *
  * @module
  */
--- a/packages/common/src/endpointExchange.ts
+++ b/packages/common/src/endpointExchange.ts
@@ -102,7 +102,12 @@
             socket.destroy();
             this.fail("the endpoint switched to another protocol");
         });
-        this.request.on("error", (error) => this.fail(error.message));
+        this.request.on("error", (error) => {
+            // The parser fails on bytes that follow a complete answer in the same read. They belong to no request.
+            if (this.answer?.complete !== true) {
+                this.fail(error.message);
+            }
+        });
         this.request.once("close", () => {
             if (this.answer === undefined) {
                 this.fail("the connection closed without an answer");
--- a/packages/gateway/src/__tests__/faultyAnswers.spec.ts
+++ b/packages/gateway/src/__tests__/faultyAnswers.spec.ts
@@ -214,6 +214,31 @@
         expect(await router.call("a")).to.deep.equal({ status: 204, text: "", isComplete: true });
     });
 
+    // Guards against a complete answer that its caller does not get: bytes after it, in the same read, make the parser fail.
+    for (const status of ["200 OK", "204 No Content"]) {
+        for (const after of ["stray", "\0\0", "HTTP/1.1 2000\r\n\r\n", "stray".repeat(4_000)]) {
+            const what = `${status} and ${after.length} further bytes`;
+            it(`of status ${what} reach their caller, and the connection is not used again`, async () => {
+                const sockets: Socket[] = [];
+                const { router } = await start(1, (socket, _request, text) => {
+                    const complete = status === "200 OK"
+                        ? answer(attemptIn(text), "served")
+                        : `HTTP/1.1 ${status}\r\nx-attempt: ${attemptIn(text)}\r\n\r\n`;
+                    sockets.push(socket);
+                    socket.write(complete + (attemptIn(text) === "odd" ? after : ""));
+                });
+                const expected = {
+                    status: Number(status.slice(0, 3)),
+                    text: status === "200 OK" ? "served" : "",
+                    isComplete: true,
+                };
+                expect(await router.call("odd")).to.deep.equal(expected);
+                expect(await router.call("next")).to.deep.equal(expected);
+                expect(new Set(sockets).size).to.equal(2);
+            });
+        }
+    }
+
     // Guards against an empty or short success that is framed as whole.
     it("that stop anywhere before their end are never complete", async () => {
         const whole = "HTTP/1.1 200 OK\r\nx-attempt: a\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody";
