Let bodies without progress give way to bodies that need their memory

Callers got 503 for each request with a body while 2,000 clients had sent one byte of a chunked body and stayed: each held a block of 16 KiB for up to 30 s, and open requests held their heads. A body without a byte for 2 s, or an old one below 500 bytes per second, is now refused with 503 if memory is short, and its connection closed. Refusals moved from directServer.ts to requestRefusals.ts.

--- a/packages/gateway/src/node/bodyReader.ts
+++ b/packages/gateway/src/node/bodyReader.ts
@@ -3,8 +3,9 @@
  *
  * @module
  */
-import { type Milliseconds, RefusalReason } from "@redwingpin/common";
+import { type Clock, type Milliseconds, RefusalReason } from "@redwingpin/common";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { OpenBodies } from "../decision/openBodies.js";
 import type { BlockBody, BlockPool } from "./blockPool.js";
 import type { CheckFailure } from "./callerChecks.js";
 import { recordReceivedBytes } from "./receivedBytes.js";
@@ -25,6 +26,9 @@
     /** Maximum size in bytes. */
     readonly limit: number;
     readonly attempt: string;
+    /** The bodies that are being read; those without progress give way if the pool has no memory. */
+    readonly openBodies: OpenBodies;
+    readonly clock: Clock;
 }
 
 /**
@@ -32,7 +36,7 @@
  * is no memory is refused before it is read.
  */
 export function readBody(
-    { attempt, limit, pool, request }: BodyReadOptions,
+    { attempt, clock, limit, openBodies, pool, request }: BodyReadOptions,
 ): Promise<BlockBody | CheckFailure | undefined> {
     const stated = Number(request.headers["content-length"] ?? 0);
     const findFailure = (bytes: number): CheckFailure | undefined => {
@@ -43,17 +47,13 @@
         const message = `the body has more than ${largest} bytes`;
         return { status: 413, reason: RefusalReason.BodyTooLarge, message, attempt };
     };
-    const noMemory: CheckFailure = {
-        status: 503,
-        reason: RefusalReason.QueueFull,
-        message: "the router buffers too many bytes of request bodies",
-        attempt,
-        retryAfter: memoryRetryAfter,
-    };
     const tooLarge = findFailure(stated);
-    const body = tooLarge === undefined ? pool.open(stated) : undefined;
+    let body = tooLarge === undefined ? pool.open(stated) : undefined;
+    while (body === undefined && tooLarge === undefined && openBodies.yieldSlowest(clock.now())) {
+        body = pool.open(stated);
+    }
     if (body === undefined) {
-        return Promise.resolve(tooLarge ?? noMemory);
+        return Promise.resolve(tooLarge ?? noMemoryFailure(attempt));
     }
     return new Promise((resolve) => {
         let isOver = false;
@@ -62,22 +62,27 @@
                 return;
             }
             isOver = true;
+            progress.close();
             request.off("data", onData);
             if (result !== body) {
                 body.release();
             }
             resolve(result);
         };
+        const progress = openBodies.open(clock.now(), () => end(yieldedFailure(attempt)));
         const onData = (chunk: Buffer) => {
             recordReceivedBytes(chunk.length);
+            progress.recordProgress(chunk.length, clock.now());
             const failure = findFailure(body.length + chunk.length);
             if (failure !== undefined) {
                 end(failure);
             }
-            else if (!body.append(chunk)) {
-                end(noMemory);
+            else if (!append(chunk)) {
+                end(noMemoryFailure(attempt));
             }
         };
+        const append = (chunk: Buffer): boolean =>
+            !isOver && (body.append(chunk) || openBodies.yieldSlowest(clock.now()) && append(chunk));
         request.on("data", onData);
         request.once("end", () => end(body));
         request.once("close", () => end(request.complete ? body : undefined));
@@ -85,6 +90,21 @@
     });
 }
 
+function noMemoryFailure(attempt: string): CheckFailure {
+    return {
+        status: 503,
+        reason: RefusalReason.QueueFull,
+        message: "the router buffers too many bytes of request bodies",
+        attempt,
+        retryAfter: memoryRetryAfter,
+    };
+}
+
+function yieldedFailure(attempt: string): CheckFailure {
+    const message = "the body made no progress, and the router needs its memory";
+    return { ...noMemoryFailure(attempt), message, hasYielded: true };
+}
+
 /** Whether the connection of a refused request can be used again, since the rest of its body is short enough to read. */
 export function canDiscard(request: IncomingMessage): boolean {
     return request.headers["transfer-encoding"] === undefined
@@ -122,3 +142,9 @@
     request.once("end", end);
     request.once("close", end);
 }
+
+/** Ends an answer whose request makes no progress, and its connection: nothing arrives that could reset it. */
+export function endWithConnection(request: IncomingMessage, response: ServerResponse): void {
+    response.once("finish", () => request.socket.destroySoon());
+    response.end();
+}
--- a/packages/gateway/src/node/callerChecks.ts
+++ b/packages/gateway/src/node/callerChecks.ts
@@ -27,6 +27,8 @@
     readonly needsReport?: boolean;
     readonly account?: string;
     readonly tokens?: number;
+    /** True if the body made no progress and its memory was needed: the rest of it is not read. */
+    readonly hasYielded?: boolean;
 }
 
 /** Retry delay for callers of a router that has no configuration yet. */
--- a/packages/gateway/src/node/directServer.ts
+++ b/packages/gateway/src/node/directServer.ts
@@ -16,22 +16,23 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { Server as NetServer, type Socket } from "node:net";
 import type { RequestOutcome } from "../decision/attemptPlan.js";
+import { OpenBodies } from "../decision/openBodies.js";
 import type { RequestTimeLimits } from "../decision/stopPolicy.js";
 import type { HeaderCodec } from "../headerCodec.js";
 import { untilSent, writeOwnAnswer } from "./answerWriter.js";
 import { type BlockBody, BlockPool } from "./blockPool.js";
-import { canDiscard, endAfterBody, readBody } from "./bodyReader.js";
+import { type BodyReadOptions, readBody } from "./bodyReader.js";
 import {
     checkComplete,
     type CheckContext,
     type CheckedHead,
-    type CheckFailure,
     checkHead,
     requestDeadline,
 } from "./callerChecks.js";
 import type { DirectRequest } from "./callerRequest.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
 import { openRequestBytes, openRequestLimit } from "./openRequests.js";
+import { RequestRefusals, type RequestTimings, roundedTimings } from "./requestRefusals.js";
 import { RequestTurns } from "./requestTurns.js";
 import { answerClientError, refusalOf } from "./serverRefusals.js";
 
@@ -78,16 +79,6 @@
     readonly refund: (request: DirectRequest) => void;
 }
 
-/** Where a request spent its time before it was served, in milliseconds, for its log line. */
-interface RequestTimings {
-    /** From its arrival until its body was read. */
-    read?: Milliseconds;
-    /** In the queue of complete requests. */
-    queued?: Milliseconds;
-    /** Charging its account, which may wait for other routers. */
-    charged?: Milliseconds;
-}
-
 /** Serves callers. */
 export class DirectServer {
     private readonly server: Server;
@@ -95,6 +86,9 @@
     private readonly pendingAnswers = new Map<ServerResponse, string>();
     private readonly bodies: BlockPool;
     private readonly turns: RequestTurns;
+    private readonly openBodies = new OpenBodies();
+    private readonly bodyOptions: Pick<BodyReadOptions, "pool" | "openBodies" | "clock">;
+    private readonly refusals: RequestRefusals;
     private acceptedConnections = 0;
     /** Time at which each connection that has brought no request yet was accepted. */
     private readonly unusedConnections = new Map<Socket, Milliseconds>();
@@ -108,7 +102,9 @@
 
     constructor(private readonly context: DirectServerContext) {
         this.bodies = new BlockPool(context.maxBufferedBytes);
+        this.bodyOptions = { pool: this.bodies, openBodies: this.openBodies, clock: context.clock };
         this.turns = new RequestTurns(context.clock);
+        this.refusals = new RequestRefusals(context);
         this.maxHeadBytes = context.maxHeadBytes ?? openRequestLimit();
         this.server = createServer({
             maxHeaderSize: maxHeaderBytes,
@@ -223,8 +219,9 @@
 
     private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
         const { clock, turnStartedBy } = this.context;
+        const { socket } = request;
         const arrival = turnStartedBy?.() ?? clock.now();
-        this.unusedConnections.delete(request.socket);
+        this.unusedConnections.delete(socket);
         response.on("error", () => response.destroy());
         // An answer that began before the stop leaves its connection open for one more request: closing it here could cut
         // off a request that has already arrived.
@@ -240,7 +237,7 @@
             await this.serve(request, response, arrival, identity);
         }
         catch (error) {
-            this.answerInternalError(request, response, error, identity.attempt);
+            this.refusals.answerInternalError(request, response, error, identity.attempt);
         }
         finally {
             this.unsentAnswers += 1;
@@ -251,36 +248,6 @@
         }
     }
 
-    /** Answers a request that failed by a fault of the router: it may have run. */
-    private answerInternalError(
-        request: IncomingMessage,
-        response: ServerResponse,
-        error: unknown,
-        attempt: string | undefined,
-    ): void {
-        const { headerCodec, logger, metrics } = this.context;
-        metrics.recordInternalError();
-        logger.error("request failed with an internal error", { request: attempt, error: String(error) });
-        if (response.headersSent) {
-            // An interrupted answer must not look complete.
-            response.destroy();
-            return;
-        }
-        metrics.recordRefusal(RefusalReason.OutcomeUnknown);
-        // Fields of the answer that could not be passed on.
-        response.getHeaderNames().filter((name) => name !== "connection")
-            .forEach((name) => response.removeHeader(name));
-        if (!request.complete) {
-            response.setHeader("connection", "close");
-        }
-        writeOwnAnswer(response, {
-            status: 502,
-            code: RefusalReason.OutcomeUnknown,
-            message: "the request failed inside the router; it may have run",
-            headers: headerCodec.ownAnswerHeaders(attempt),
-        });
-    }
-
     /** Serves a request, and sets its attempt in `identity` as soon as it is known. */
     private async serve(
         request: IncomingMessage,
@@ -288,9 +255,9 @@
         arrival: Milliseconds,
         identity: { attempt?: string; },
     ): Promise<void> {
-        if (this.headBytes > this.maxHeadBytes) {
+        if (this.headBytes > this.maxHeadBytes && !this.releaseMemory()) {
             const message = "the router serves too many requests at once";
-            this.refuse(request, response, {
+            this.refusals.refuse(request, response, {
                 status: 503,
                 reason: RefusalReason.QueueFull,
                 message,
@@ -302,14 +269,14 @@
         if (head.isErr()) {
             // A turn must not grow with the number of refused requests either.
             await this.turns.wait(request, response, arrival + requestTimeout);
-            this.refuse(request, response, head.error);
+            this.refusals.refuse(request, response, head.error);
             return;
         }
         const { attempt, maxWait } = head.value.metadata;
         identity.attempt = attempt;
         if (!this.context.accepts({ timeout: head.value.route.timeout, maxWait })) {
             const message = "the router is stopping; retry at another router";
-            this.refuse(request, response, {
+            this.refusals.refuse(request, response, {
                 status: 503,
                 reason: RefusalReason.Stopping,
                 message,
@@ -319,12 +286,12 @@
             return;
         }
         const limit = head.value.table.configuration.limits.bodyBytes;
-        const body = await readBody({ request, pool: this.bodies, limit, attempt });
+        const body = await readBody({ ...this.bodyOptions, request, limit, attempt });
         if (body === undefined) {
             return;
         }
         if ("status" in body) {
-            this.refuse(request, response, body);
+            this.refusals.refuse(request, response, body);
             return;
         }
         const timings: RequestTimings = { read: this.context.clock.now() - arrival };
@@ -338,6 +305,11 @@
         }
     }
 
+    /** Ends one request that holds memory without progress; returns false if there is none. */
+    private releaseMemory(): boolean {
+        return this.openBodies.yieldSlowest(this.context.clock.now());
+    }
+
     /** Waits for the turn of a request. Resolves with false if it is not to be served; it has been answered then. */
     private async isAdmitted(
         head: CheckedHead,
@@ -364,7 +336,7 @@
             return false;
         }
         const { random } = this.context.checks;
-        this.refuse(request, response, { ...refusalOf(admission, random()), status: 503, attempt });
+        this.refusals.refuse(request, response, { ...refusalOf(admission, random()), status: 503, attempt });
         return false;
     }
 
@@ -381,7 +353,7 @@
         const checked = await checkComplete(checks, head, request, body, arrival);
         timings.charged = clock.now() - start;
         if (checked.isErr()) {
-            this.refuse(request, response, checked.error, timings);
+            this.refusals.refuse(request, response, checked.error, timings);
             return;
         }
         const accepted = checked.value;
@@ -401,47 +373,10 @@
             detail: outcome.kind === "unknown" ? outcome.detail : undefined,
             tokens: accepted.tokens,
             took: Math.round(clock.now() - arrival),
-            ...rounded(timings),
+            ...roundedTimings(timings),
             configuration: accepted.table.configuration.version,
         });
     }
-
-    private refuse(
-        request: IncomingMessage,
-        response: ServerResponse,
-        failure: CheckFailure,
-        timings: RequestTimings = {},
-    ): void {
-        const { headerCodec, logger, metrics } = this.context;
-        metrics.recordRefusal(failure.reason);
-        logger.info("refused", {
-            request: failure.attempt,
-            reason: failure.reason,
-            status: failure.status,
-            detail: failure.message,
-            account: failure.account,
-            tokens: failure.tokens,
-            tokensLeft: failure.level,
-            untold: failure.needsReport,
-            retryAfter: failure.retryAfter === undefined ? undefined : Math.round(failure.retryAfter),
-            ...rounded(timings),
-        });
-        const isComplete = request.complete;
-        if (!isComplete && !canDiscard(request)) {
-            response.setHeader("connection", "close");
-        }
-        writeOwnAnswer(response, {
-            status: failure.status,
-            code: failure.reason,
-            message: failure.message,
-            retryAfter: failure.retryAfter,
-            headers: headerCodec.ownAnswerHeaders(failure.attempt),
-        }, isComplete ? undefined : () => endAfterBody(request, response));
-    }
-}
-
-function rounded(timings: RequestTimings): Record<string, number> {
-    return Object.fromEntries(Object.entries(timings).map(([name, value]) => [name, Math.round(value)]));
 }
 
 /** Resolves at the end of a turn of the event loop, after input has been read. */
--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -14,6 +14,7 @@
 } from "@redwingpin/common";
 import type { ExchangeCounts } from "@redwingpin/fleet";
 import { Counter, Histogram, type Registry } from "prom-client";
+import { ClientLimitMetrics } from "./clientLimitMetrics.js";
 
 const millisecondsPerSecond = 1_000;
 const waitBuckets = [0.001, 0.005, 0.025, 0.1, 0.25, 0.5, 1, 2.5];
@@ -28,6 +29,7 @@
 
 /** Metrics of the requests on direct routes. */
 export class GatewayMetrics {
+    readonly clientLimits: ClientLimitMetrics;
     private readonly reasons: ReasonCounters;
     private readonly requests: Counter<"route" | "outcome">;
     private readonly deniedRetries: Counter<"reason">;
@@ -41,6 +43,7 @@
 
     constructor(private readonly registry: Registry) {
         const registers = [registry];
+        this.clientLimits = new ClientLimitMetrics(registry);
         this.reasons = createReasonCounters(registry);
         this.requests = new Counter({
             name: "redwingpin_direct_requests_total",
