Bound callers' connections, unfinished heads and pipelined requests

Beside 1,900 heads without end, a router had 204 to 211 MB of its machine's 178 MB. Unfinished heads count toward the memory for bodies.

--- a/packages/gateway/src/__tests__/blockPool.spec.ts
+++ b/packages/gateway/src/__tests__/blockPool.spec.ts
@@ -63,6 +63,21 @@
         expect(small.append(Buffer.alloc(4 * blockBytes))).to.equal(true);
     });
 
+    // Guards against bodies and heads that each stay within their limits, and together exceed the memory of the machine.
+    it("reserves and keeps only what is left beside other memory", () => {
+        let otherBytes = 0;
+        const pool = new BlockPool(64 * blockBytes, () => otherBytes);
+        const body = openBody(pool, Buffer.alloc(32 * blockBytes));
+        const used = new Set(body.parts().map(({ buffer }) => buffer));
+        body.release();
+        otherBytes = 40 * blockBytes;
+        expect(pool.open(13 * blockBytes)).to.equal(undefined);
+        expect(pool.open(12 * blockBytes)).not.to.equal(undefined);
+        pool.trim();
+        const taken = Array.from({ length: 32 }, () => pool.take());
+        expect(taken.filter(({ buffer }) => used.has(buffer))).to.have.length(12);
+    });
+
     it("accepts a body of its maximum size when it is empty, and none above", () => {
         const pool = new BlockPool(64 * blockBytes);
         expect(pool.open(pool.maxBodyBytes + 1)).to.equal(undefined);
--- a/packages/gateway/src/node/blockPool.ts
+++ b/packages/gateway/src/node/blockPool.ts
@@ -15,8 +15,8 @@
     private readonly maxBlocks: number;
     private reserved = 0;
 
-    /** `maxBytes` is the maximum total size of the bodies. */
-    constructor(maxBytes: number) {
+    /** `maxBytes` is the maximum total size of the bodies and of what else counts, `otherBytes`. */
+    constructor(maxBytes: number, private readonly otherBytes: () => number = () => 0) {
         this.maxBlocks = Math.floor(maxBytes / blockBytes);
     }
 
@@ -41,7 +41,7 @@
      * bodies leave room for smaller ones, whatever the sizes are.
      */
     reserve(held: number, added: number): boolean {
-        if (this.maxBlocks - this.reserved - added < held + added) {
+        if (this.availableBlocks - this.reserved - added < held + added) {
             return false;
         }
         this.reserved += added;
@@ -57,6 +57,19 @@
     giveBack(reserved: number, blocks: readonly Buffer[]): void {
         this.reserved -= reserved;
         this.free.push(...blocks);
+        this.trim();
+    }
+
+    /** Frees unused blocks whose memory is needed for what else counts. */
+    trim(): void {
+        const kept = Math.max(0, this.availableBlocks - this.reserved);
+        if (this.free.length > kept) {
+            this.free.length = kept;
+        }
+    }
+
+    private get availableBlocks(): number {
+        return this.maxBlocks - Math.ceil(this.otherBytes() / blockBytes);
     }
 }
 
--- a/packages/gateway/src/node/directServer.ts
+++ b/packages/gateway/src/node/directServer.ts
@@ -16,6 +16,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { Server as NetServer, type Socket } from "node:net";
 import type { RequestOutcome } from "../decision/attemptPlan.js";
+import type { ConnectionLimits } from "../decision/connectionBudget.js";
 import { OpenBodies } from "../decision/openBodies.js";
 import type { RequestTimeLimits } from "../decision/stopPolicy.js";
 import type { HeaderCodec } from "../headerCodec.js";
@@ -29,6 +30,7 @@
     checkHead,
     requestDeadline,
 } from "./callerChecks.js";
+import { CallerConnections, defaultConnectionLimits } from "./callerConnections.js";
 import type { DirectRequest } from "./callerRequest.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
 import { openRequestBytes, openRequestLimit } from "./openRequests.js";
@@ -74,6 +76,8 @@
     readonly maxHeadBytes?: number;
     /** Maximum total size of buffered request bodies, in bytes. */
     readonly maxBufferedBytes: number;
+    /** Limits of callers' connections; a default is used for each that is absent. */
+    readonly connectionLimits?: Partial<ConnectionLimits>;
     readonly serve: (request: DirectRequest, response: ServerResponse) => Promise<RequestOutcome>;
     /** Returns the tokens that were charged for a request that has not run. */
     readonly refund: (request: DirectRequest) => void;
@@ -86,6 +90,7 @@
     private readonly pendingAnswers = new Map<ServerResponse, string>();
     private readonly bodies: BlockPool;
     private readonly turns: RequestTurns;
+    private readonly connections: CallerConnections;
     private readonly openBodies = new OpenBodies();
     private readonly bodyOptions: Pick<BodyReadOptions, "pool" | "openBodies" | "clock">;
     private readonly refusals: RequestRefusals;
@@ -101,9 +106,14 @@
     private readonly maxHeadBytes: number;
 
     constructor(private readonly context: DirectServerContext) {
-        this.bodies = new BlockPool(context.maxBufferedBytes);
+        this.bodies = new BlockPool(context.maxBufferedBytes, () => this.connections.unfinishedBytes);
         this.bodyOptions = { pool: this.bodies, openBodies: this.openBodies, clock: context.clock };
         this.turns = new RequestTurns(context.clock);
+        this.connections = new CallerConnections({
+            ...context,
+            limits: { ...defaultConnectionLimits, ...context.connectionLimits },
+            onSample: () => this.bodies.trim(),
+        });
         this.refusals = new RequestRefusals(context);
         this.maxHeadBytes = context.maxHeadBytes ?? openRequestLimit();
         this.server = createServer({
@@ -114,6 +124,7 @@
         context.metrics.observeWaiting(() => this.turns.waiting);
         this.server.on("connection", (socket) => {
             this.acceptedConnections += 1;
+            this.connections.add(socket);
             this.unusedConnections.set(socket, context.clock.now());
             socket.once("close", () => this.unusedConnections.delete(socket));
             context.metrics.recordConnection();
@@ -220,6 +231,9 @@
     private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
         const { clock, turnStartedBy } = this.context;
         const { socket } = request;
+        if (!this.connections.beginRequest(socket)) {
+            return;
+        }
         const arrival = turnStartedBy?.() ?? clock.now();
         this.unusedConnections.delete(socket);
         response.on("error", () => response.destroy());
@@ -245,6 +259,7 @@
             this.unsentAnswers -= 1;
             this.running -= 1;
             this.headBytes -= headBytes;
+            this.connections.endRequest(socket);
         }
     }
 
@@ -307,7 +322,8 @@
 
     /** Ends one request that holds memory without progress; returns false if there is none. */
     private releaseMemory(): boolean {
-        return this.openBodies.yieldSlowest(this.context.clock.now());
+        return this.connections.closeMostPipelined()
+            || this.openBodies.yieldSlowest(this.context.clock.now());
     }
 
     /** Waits for the turn of a request. Resolves with false if it is not to be served; it has been answered then. */
