--- a/packages/gateway/src/__tests__/rawEndpointFixture.ts
+++ b/packages/gateway/src/__tests__/rawEndpointFixture.ts
@@ -1,8 +1,8 @@
+import { EndpointExchange } from "@redwingpin/common";
 import type { DirectEndpoint } from "@redwingpin/fleet";
 import { once } from "node:events";
 import type { Agent } from "node:http";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
-import { EndpointExchange } from "../node/endpointExchange.js";
 import { bodyFixture, endpointStateFixture } from "./gatewayFixture.js";
 
 /** An endpoint that answers over a raw socket, as scripted. */
@@ -62,18 +62,36 @@
     readonly sent: boolean;
 }
 
-/** Sends a request without a body. */
-export function exchange(endpoint: DirectEndpoint, agent?: Agent, method = "GET"): Promise<ExchangeResult> {
+/** What is sent with {@link exchange}, and how its answer is read. */
+export interface ExchangeOptions {
+    readonly body?: string;
+    /** Pause in milliseconds before the answer is read, and after each chunk. */
+    readonly pause?: number;
+}
+
+/** Sends a request, without a body unless stated otherwise. */
+export function exchange(
+    endpoint: DirectEndpoint,
+    agent?: Agent,
+    method = "GET",
+    { body = "", pause }: ExchangeOptions = {},
+): Promise<ExchangeResult> {
     return new Promise((resolve) => {
         let text = "";
-        new EndpointExchange(
-            { endpoint, method, url: "/", headers: ["Host", "site"], body: bodyFixture(), agent },
+        const length = body === "" ? [] : ["Content-Length", String(body.length)];
+        const headers = ["Host", "site", ...length];
+        const running = new EndpointExchange(
+            { endpoint, method, url: "/", headers, body: bodyFixture(body), agent },
             {
                 onHead: () => {},
                 onData: (chunk) => {
                     text += chunk.toString();
-                    return true;
+                    if (pause !== undefined) {
+                        setTimeout(() => running.resume(), pause);
+                    }
+                    return pause === undefined;
                 },
+                onExcess: () => {},
                 onEnd: () => resolve({ kind: "ended", text, sent: true }),
                 onBroken: (_detail, sent) => resolve({ kind: "broken", text, sent }),
             },
