--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -14,6 +14,7 @@
 } from "@redwingpin/common";
 import type { ExchangeCounts } from "@redwingpin/fleet";
 import { Counter, Histogram, type Registry } from "prom-client";
+import { ClientLimitMetrics } from "./clientLimitMetrics.js";
 import { HoldMetrics } from "./holdMetrics.js";
 
 const millisecondsPerSecond = 1_000;
@@ -30,6 +31,7 @@
 /** Metrics of the requests on direct routes. */
 export class GatewayMetrics {
     readonly holds: HoldMetrics;
+    readonly clientLimits: ClientLimitMetrics;
     private readonly reasons: ReasonCounters;
     private readonly requests: Counter<"route" | "outcome">;
     private readonly deniedRetries: Counter<"reason">;
@@ -45,6 +47,7 @@
     constructor(private readonly registry: Registry) {
         const registers = [registry];
         this.holds = new HoldMetrics(registry);
+        this.clientLimits = new ClientLimitMetrics(registry);
         this.reasons = createReasonCounters(registry);
         this.requests = new Counter({
             name: "redwingpin_direct_requests_total",
