--- a/packages/fleet/src/__tests__/versionRollouts.spec.ts
+++ b/packages/fleet/src/__tests__/versionRollouts.spec.ts
@@ -42,6 +42,9 @@
         const restored = news(VersionPhase.Unknown, { revision: storePosition(2, 40), age: undefined });
         rollouts.apply(restored, 5_000);
         expect(rollouts.of("s")).to.include({ phase: VersionPhase.RolledBack, isStored: false });
+        // A peer that does not know of the restoration.
+        rollouts.apply(news(VersionPhase.RolledBack, { isStored: true }), 5_500);
+        expect(rollouts.of("s")?.isStored).to.equal(false);
         rollouts.apply({ ...restored, revision: storePosition(2, 30), to: "v1" }, 6_000);
         expect(rollouts.of("s")?.to).to.equal("v2");
         rollouts.apply({ ...restored, revision: storePosition(2, 41), to: "v3" }, 7_000);
--- a/packages/fleet/src/decision/versionRollouts.ts
+++ b/packages/fleet/src/decision/versionRollouts.ts
@@ -155,10 +155,11 @@
         const startedAt = known.startedAt === undefined || other.startedAt === undefined
             ? known.startedAt ?? other.startedAt
             : Math.min(known.startedAt, other.startedAt);
-        // A restored store may have lost the decision, which then has to be written again.
+        // A restored store may have lost the decision, which then has to be written again, whatever peers of the earlier era know.
+        const isOfThisEra = eraOf(news.revision) >= eraOf(known.revision);
         const isStored = isLater || isLaterEra
-            ? other.isStored
-            : known.isStored || (other.isStored && other.phase === known.phase);
+            ? other.isStored && isOfThisEra
+            : known.isStored || (other.isStored && isOfThisEra && other.phase === known.phase);
         this.rollouts.set(known.service, {
             ...isLater ? other : known,
             startedAt,
