--- a/packages/gateway/src/node/clientLimitMetrics.ts
+++ b/packages/gateway/src/node/clientLimitMetrics.ts
@@ -1,17 +1,23 @@
 /**
- * Counters of what gave way to keep callers within the memory and the descriptors of the process.
+ * Counters of callers' connections, and of what gave way to keep callers within the memory and the descriptors of the process.
  *
  * @module
  */
 import { Counter, type Registry } from "prom-client";
 
-/** Metrics of the limits for callers' connections and bodies. */
+/** Metrics of callers' connections, and of the limits for them and for bodies. */
 export class ClientLimitMetrics {
+    private readonly connections: Counter;
     private readonly closedConnections: Counter<"reason">;
     private readonly yieldedBodies: Counter;
 
     constructor(registry: Registry) {
         const registers = [registry];
+        this.connections = new Counter({
+            name: "redwingpin_direct_connections_total",
+            help: "Connections of callers that were accepted",
+            registers,
+        });
         this.closedConnections = new Counter({
             name: "redwingpin_direct_connections_closed_total",
             help: "Connections of callers that were closed since they exceeded a limit, by reason",
@@ -25,6 +31,10 @@
         });
     }
 
+    recordConnection(): void {
+        this.connections.inc();
+    }
+
     recordClosedConnection(reason: string): void {
         this.closedConnections.inc({ reason });
     }
--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -35,7 +35,6 @@
     private readonly deniedRetries: Counter<"reason">;
     private readonly signals: Counter<"signal">;
     private readonly excesses: Counter;
-    private readonly connections: Counter;
     private readonly droppedPrefixes: Counter;
     private readonly internalErrors: Counter;
     private readonly waits: Histogram<"outcome">;
@@ -65,11 +64,6 @@
             registers,
         });
         this.excesses = createExcessCounter(registry);
-        this.connections = new Counter({
-            name: "redwingpin_direct_connections_total",
-            help: "Connections of callers that were accepted",
-            registers,
-        });
         this.droppedPrefixes = new Counter({
             name: "redwingpin_saved_prefixes_dropped_total",
             help:
@@ -145,7 +139,7 @@
     }
 
     recordConnection(): void {
-        this.connections.inc();
+        this.clientLimits.recordConnection();
     }
 
     recordInternalError(): void {
