--- a/packages/gateway/src/gatewayConfig.ts
+++ b/packages/gateway/src/gatewayConfig.ts
@@ -7,6 +7,7 @@
 import type { ExposureBounds } from "@redwingpin/delivery";
 import type { FleetKeys, InnerAddress } from "@redwingpin/protocol";
 import type { HoldSettings } from "@redwingpin/scheduling";
+import type { ConnectionLimits } from "./decision/connectionBudget.js";
 import type { WeightsBounds } from "./decision/endpointChoice.js";
 import type { EndpointModelSettings } from "./decision/endpointModelSettings.js";
 import type { RetryBudgetBounds } from "./decision/fleetRetryBudget.js";
@@ -47,4 +48,9 @@
     readonly maxBufferedAnswerBytes: number;
     /** Requests for which no endpoint has room. */
     readonly hold: HoldSettings;
+    /**
+     * Limits of callers' connections that differ from the defaults.
+     * @default defaultConnectionLimits
+     */
+    readonly connectionLimits?: Partial<ConnectionLimits>;
 }
--- a/packages/gateway/src/node/callerConnections.ts
+++ b/packages/gateway/src/node/callerConnections.ts
@@ -9,8 +9,8 @@
 import type { GatewayMetrics } from "./gatewayMetrics.js";
 
 /**
- * Defaults. The smallest machine has 3,075 descriptors: 200 are reserved for files, and the rest beyond the connections is for
- * endpoints, peers, the store and the readiness port. The largest heads of 1,000 callers take 16 MB.
+ * Defaults. Machines with few descriptors set a lower number of connections, so that some remain for endpoints, peers, the store
+ * and the readiness port. The largest heads of 1,000 callers take 16 MB.
  */
 export const defaultConnectionLimits: ConnectionLimits = {
     maxConnections: 2_000,
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -305,13 +305,11 @@
         scope: FleetScope,
         more: Pick<StoreWatcherOptions, "batchDelay" | "isNeeded" | "knownRevision">,
     ): StoreWatcher {
-        const { clock, logger, source } = this.options;
         return new StoreWatcher({
+            ...this.options,
             scope,
-            source,
-            clock,
             random: this.random,
-            logger: logger.scope("store"),
+            logger: this.options.logger.scope("store"),
             wait: () => this.watcherSelection.watchWait(this.sync.liveRouterNames()),
             ...more,
             onBatch: (batch, batchContext) => this.onBatch(scope, batch, batchContext),
@@ -357,6 +355,7 @@
             isStopping: () => this.isStopping,
             accepts: (limits) => this.accepts(limits),
             maxBufferedBytes: config.maxBufferedBytes,
+            connectionLimits: config.connectionLimits,
             serve: (request, response) => serveRequest(context, request, response),
             refund: (request) => {
                 if (request.account !== undefined) {
