Check configurations of direct routes for entries without effect and contradicting limits

Pure checks with place, severity and advice, and differences between two configurations by route, service, account and limit.

--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -4,6 +4,8 @@
  * @module
  */
 export * from "./decision/configurationAssembly.js";
+export * from "./decision/configurationCheck.js";
+export * from "./decision/configurationDifference.js";
 export * from "./decision/configurationFetch.js";
 export * from "./decision/crashEvidence.js";
 export * from "./decision/crashTracker.js";
