--- a/packages/delivery/src/__tests__/rolloutDecisions.spec.ts
+++ b/packages/delivery/src/__tests__/rolloutDecisions.spec.ts
@@ -234,6 +234,35 @@
 });
 
 describe("a router without news", () => {
+    // Guards against a router that is cut off from all others, commits the rollout on its own totals and spreads that later.
+    it("does not commit a rollout while it has lost contact with most routers", () => {
+        const phasesWith = (unresponsive: number) => {
+            const clock = new FakeClock();
+            const rollouts = new VersionRollouts();
+            rollouts.apply({ ...rollout, phase: VersionPhase.Full, age: 0 }, 0);
+            const phases: VersionPhase[] = [];
+            const unavailable = () => errAsync({ kind: "unavailable", message: "" } as const);
+            const delivery = new VersionDelivery({
+                ...{ clock, random: seededRandom(1), logger: silentLogger, rollouts },
+                ...{ ownName: "a", incarnation: "a" },
+                bounds: () => bounds,
+                store: { read: unavailable, write: unavailable },
+                liveRouterNames: () => ["a"],
+                unresponsiveRouters: () => unresponsive,
+                slots: () => ({ newSlots: 10, oldSlots: 10 }),
+                announce: ({ phase }) => phases.push(phase),
+                deliverReports: () => {},
+            });
+            for (let time = 0; time < duration; time += 150) {
+                clock.advance(150);
+                delivery.run();
+            }
+            return phases;
+        };
+        expect(phasesWith(0)).to.include(VersionPhase.Committed);
+        expect(phasesWith(4)).not.to.include(VersionPhase.Committed);
+    });
+
     // Guards against a router that was paused or partitioned while a version was rejected, and sends it requests afterwards.
     it("sends nothing to the new version after a pause or without contact with peers", () => {
         const clock = new FakeClock();
--- a/packages/delivery/src/decision/requestVersions.ts
+++ b/packages/delivery/src/decision/requestVersions.ts
@@ -54,6 +54,8 @@
         const ofOld = endpoints.filter((endpoint) => !runsVersion(endpoint, to));
         switch (phase) {
             case VersionPhase.Unknown:
+                // Without old replicas the order was completed: after a rejection, the new ones drain and the old ones stay.
+                return [ofOld.length === 0 ? ofNew : ofOld];
             case VersionPhase.RolledBack:
                 return [ofOld];
             case VersionPhase.Completed:
--- a/packages/delivery/src/decision/rolloutState.ts
+++ b/packages/delivery/src/decision/rolloutState.ts
@@ -161,7 +161,8 @@
 function isDrained({ liveRouters, now, reportAge, totals }: DecisionInput): boolean {
     const reports = totals.since(now - reportAge)
         .filter((report) => phaseRank(report.phase as VersionPhase) >= phaseRank(VersionPhase.Committed));
-    return reports.length >= liveRouters && reports.every((report) => runningOf(report, false) === 0);
+    return reports.length >= liveRouters
+        && reports.every((report) => (report.runningOld ?? runningOf(report, false)) === 0);
 }
 
 function describeRunning({ totals }: DecisionInput): string {
--- a/packages/delivery/src/decision/serviceDelivery.ts
+++ b/packages/delivery/src/decision/serviceDelivery.ts
@@ -44,6 +44,10 @@
     readonly routerDraw: number;
     readonly routerStartedAt: Milliseconds;
     readonly liveRouters: () => number;
+    /** Number of routers that answered before and are unresponsive now. */
+    readonly unresponsiveRouters: () => number;
+    /** Requests of this router that run on endpoints of the old version; `undefined` if only the counts tell. */
+    readonly runningOld: () => number | undefined;
     readonly slots: () => Pick<ServiceTraffic, "newSlots" | "oldSlots">;
     readonly now: () => Milliseconds;
 }
@@ -95,7 +99,10 @@
     }
 
     ownReport(rollout: VersionRollout): VersionReport {
-        return this.counts.report(rollout.service, rollout.revision, rollout.phase);
+        return {
+            ...this.counts.report(rollout.service, rollout.revision, rollout.phase),
+            runningOld: this.options.runningOld(),
+        };
     }
 
     /** The next phase, if this router is the decider of the given rank. */
@@ -108,7 +115,7 @@
         if (isDecided(rollout.phase)) {
             return undefined;
         }
-        const { liveRouters, now } = this.options;
+        const { liveRouters, now, unresponsiveRouters } = this.options;
         this.totals.observe(incarnation, this.ownReport(rollout), now());
         this.verdict = this.test.observe(this.totals.routes());
         if (rollout.phase !== this.phase) {
@@ -122,7 +129,8 @@
             totals: this.totals,
             verdict: this.verdict,
             traffic: this.traffic(),
-            liveRouters: liveRouters(),
+            // Without the unresponsive ones, a router that is cut off from all others would decide on its own totals.
+            liveRouters: liveRouters() + unresponsiveRouters(),
             reportAge: Math.max(minReportAge, reportAgeIntervals * reportInterval),
             answeredBefore: this.answeredBefore,
         });
--- a/packages/delivery/src/node/versionDelivery.ts
+++ b/packages/delivery/src/node/versionDelivery.ts
@@ -65,6 +65,16 @@
     readonly store: VersionStatusStore;
     /** Names of the live routers, including this one. */
     readonly liveRouterNames: () => readonly string[];
+    /**
+     * Number of routers that answered before and are unresponsive now.
+     * @default 0
+     */
+    readonly unresponsiveRouters?: () => number;
+    /**
+     * Requests of this router that run on endpoints of versions other than `to`, whenever they began.
+     * @default those that the reports count
+     */
+    readonly runningOld?: (service: string, to: string) => number;
     readonly slots: (service: string, to: string) => ServiceSlots;
     /** Applies a decision and passes it on. */
     readonly announce: (news: VersionRolloutNews) => void;
@@ -201,6 +211,8 @@
             routerDraw: this.options.random.unit(),
             routerStartedAt: this.startedAt,
             liveRouters: () => this.options.liveRouterNames().length,
+            unresponsiveRouters: () => this.options.unresponsiveRouters?.() ?? 0,
+            runningOld: () => this.options.runningOld?.(rollout.service, rollout.to),
             slots: () => this.options.slots(rollout.service, rollout.to),
             now: () => this.options.clock.now(),
         });
--- a/packages/fleet/src/__tests__/storeWatcher.spec.ts
+++ b/packages/fleet/src/__tests__/storeWatcher.spec.ts
@@ -1,6 +1,6 @@
 import { FakeClock, type Milliseconds, seededRandom, silentLogger } from "@redwingpin/common";
 import { expect } from "chai";
-import { errAsync, okAsync, ResultAsync } from "neverthrow";
+import { errAsync, ok, okAsync, ResultAsync } from "neverthrow";
 import {
     type FactBatch,
     type FactBatchContext,
@@ -175,6 +175,26 @@
         expect([watcher.isReachable, watcher.lastOutageAt]).to.deep.equal([true, -Infinity]);
     });
 
+    // Regression test: a watch that was repeated after a cut and waited for changes counted as an outage.
+    it("counts the wait of a repeated watch as no outage", async () => {
+        const cut = errAsync({ kind: "unavailable", message: "reset" } as const);
+        const answers: ResultAsync<FactBatch, SourceError>[] = [okAsync({ facts: [], revision: 5 }), cut];
+        const { clock, watcher } = startWatcher(answers);
+        answers.push(
+            new ResultAsync(
+                new Promise((resolve) =>
+                    clock.schedule(1_200, () => resolve(ok({ facts: [], revision: 6 })))
+                ),
+            ),
+        );
+        await settle();
+        clock.advance(200);
+        await settle();
+        clock.advance(1_000);
+        await settle();
+        expect([watcher.isReachable, watcher.lastOutageAt]).to.deep.equal([true, -Infinity]);
+    });
+
     // Guards against replicas that are dropped since their registrations expired while the store was unavailable.
     it("counts failures that last, and a call that the store leaves unanswered, as an outage", async () => {
         const down = () => errAsync<FactBatch, SourceError>({ kind: "unavailable", message: "down" });
--- a/packages/fleet/src/fleetMessages.ts
+++ b/packages/fleet/src/fleetMessages.ts
@@ -182,6 +182,8 @@
     /** Requests that were sent to the new version. */
     readonly exposed: number;
     readonly rows: readonly VersionOutcomes[];
+    /** Requests of the router that run on old endpoints, also those that began before the order. */
+    readonly runningOld?: number;
 }
 
 /** A report without content. */
@@ -440,6 +442,7 @@
         phase: isString,
         requests: isNonNegativeInteger,
         exposed: isNonNegativeInteger,
+        runningOld: isOptional(isNonNegativeInteger),
         rows: isListOf(isShaped({
             route: isString,
             isNew: isBoolean,
--- a/packages/fleet/src/node/storeWatcher.ts
+++ b/packages/fleet/src/node/storeWatcher.ts
@@ -130,7 +130,9 @@
             return 0;
         }
         return result.match(
-            (batch) => this.handleBatch(batch, complete),
+            // A watch that waits for changes is served as soon as the store has accepted it.
+            (batch) =>
+                this.handleBatch(batch, complete, Math.max(calledAt, this.options.clock.now() - minDuration)),
             (error) => this.handleFailure(error, calledAt, minDuration),
         );
     }
@@ -147,7 +149,8 @@
         return isImmediate ? 0 : this.options.clock.now() - this.answeredAt;
     }
 
-    private handleBatch(batch: FactBatch, complete: boolean): Milliseconds {
+    /** `servedSince` is the earliest time from which the store may have served the call. */
+    private handleBatch(batch: FactBatch, complete: boolean, servedSince: Milliseconds): Milliseconds {
         if (this.reachable !== true) {
             this.options.logger.info("store reached", {
                 records: this.options.scope,
@@ -164,7 +167,7 @@
             this.retryDelay = firstRetryDelay;
         }
         if (this.failures > 0) {
-            this.recordOutage(this.answeredAt);
+            this.recordOutage(servedSince);
         }
         this.failures = 0;
         this.revision = Math.max(this.revision ?? 0, batch.revision);
--- a/packages/gateway/src/__tests__/directServer.spec.ts
+++ b/packages/gateway/src/__tests__/directServer.spec.ts
@@ -266,6 +266,26 @@
     });
 
     // Guards against a closed connection in place of an answer where a request fails by a fault of the router.
+    // Guards against a status that a caller takes for the response to a request that runs, as not run or invalid.
+    it("sends no status after what follows a running request can't be parsed", async () => {
+        const fixture = await serverFixture(true);
+        server = fixture.server;
+        let allowAnswers = () => {};
+        fixture.delayAnswers(new Promise((resolve) => allowAnswers = resolve));
+        const socket = connect(fixture.port, "127.0.0.1");
+        let received = "";
+        socket.on("data", (chunk) => received += chunk.toString());
+        socket.on("error", () => {});
+        socket.write("POST / HTTP/1.1\r\nhost: site.example\r\ncontent-length: 0\r\n\r\n");
+        while (fixture.served() === 0) {
+            await new Promise((resolve) => setTimeout(resolve, 5));
+        }
+        socket.write("no request\r\n\r\n");
+        await once(socket, "close");
+        allowAnswers();
+        expect(received).to.equal("");
+    });
+
     it("answers a request that fails inside the router as one that may have run", async () => {
         const fixture = await serverFixture(true);
         server = fixture.server;
--- a/packages/gateway/src/__tests__/loadSimulation.ts
+++ b/packages/gateway/src/__tests__/loadSimulation.ts
@@ -141,6 +141,7 @@
         const load = trackLoad(clock, choice, {
             events: () => this.events,
             isBlocked: () => false,
+            targetLatency,
             onOverdue: () => this.continueElsewhere(),
         });
         this.current = { choice, load, sentAt: clock.now() };
--- a/packages/gateway/src/decision/connectionBudget.ts
+++ b/packages/gateway/src/decision/connectionBudget.ts
@@ -44,6 +44,11 @@
         return this.entries.size;
     }
 
+    /** Number of requests of a connection that have begun and whose response has not been sent. */
+    openRequests(connection: Connection): number {
+        return this.entries.get(connection)?.requests ?? 0;
+    }
+
     /** All connections. */
     connections(): Iterable<Connection> {
         return this.entries.keys();
--- a/packages/gateway/src/decision/endpointChoice.ts
+++ b/packages/gateway/src/decision/endpointChoice.ts
@@ -37,6 +37,11 @@
     /** Only present for requests to model engines. */
     readonly prompt?: PromptNeeds;
     readonly bounds: WeightsBounds;
+    /**
+     * False if nobody uses `fits` and `startsIn` of the choice; they need a prediction for each endpoint.
+     * @default true
+     */
+    readonly needsRoom?: boolean;
     /** Requests of other routers that are expected to run at each endpoint now; as last reported if absent. */
     readonly otherLoads?: ReadonlyMap<EndpointState, number>;
 }
@@ -217,7 +222,9 @@
         ? 0
         : otherDataCentreLatency;
     const memoryTokens = prompt === undefined ? 0 : prompt.promptTokens + prompt.outputTokens;
-    const memory = predictFit(endpointState, memoryTokens, running, input);
+    const memory = input.needsRoom === false && !input.model.memory
+        ? { fits: true, freeIn: 0 }
+        : predictFit(endpointState, memoryTokens, running, input);
     const memoryWait = input.model.memory ? memory.freeIn : 0;
     const slowness = input.model.speed ? endpointState.estimate.slowness : 1;
     const queueTime = waitingTokens / speed.tokensPerMillisecond;
--- a/packages/gateway/src/decision/endpointTable.ts
+++ b/packages/gateway/src/decision/endpointTable.ts
@@ -251,12 +251,14 @@
         return [...this.endpointStates.values()].flatMap(
             ({ endpoint, estimate, responses, running, waitingTokens }) => {
                 const slowness = estimate.report(now);
-                return running > 0 || responses.isSilent || slowness !== undefined
+                const observation = responses.report(now);
+                // Also without requests: a router that got answers contradicts one that takes the endpoint for unresponsive.
+                return running > 0 || slowness !== undefined || Object.keys(observation).length > 0
                     ? {
                         instance: endpoint.instance,
                         waitingTokens,
                         running,
-                        ...responses.report(now),
+                        ...observation,
                         ...slowness,
                     }
                     : [];
--- a/packages/gateway/src/node/attemptRecord.ts
+++ b/packages/gateway/src/node/attemptRecord.ts
@@ -162,6 +162,14 @@
     });
 }
 
+/** What is watched while an attempt runs. */
+export interface AttemptMonitoring
+    extends Pick<OwedAnswerOptions, "isBlocked" | "onOverdue">, MeasuredStream
+{
+    /** Of the route, which may be much slower than others of its service. */
+    readonly targetLatency: Milliseconds;
+}
+
 /** The load of one request on its endpoint. */
 export interface TrackedLoad {
     /** Removes the waiting tokens. */
@@ -174,13 +182,13 @@
 export function trackLoad(
     clock: Clock,
     choice: Choice,
-    monitoring: Pick<OwedAnswerOptions, "isBlocked" | "onOverdue"> & MeasuredStream,
+    monitoring: AttemptMonitoring,
 ): TrackedLoad {
     const { endpointState, tokensToProcess } = choice;
     const owed = endpointState.openAnswer({
         ...monitoring,
         sentAt: clock.now(),
-        expectedLatency: choice.latency,
+        expectedLatency: Math.max(choice.latency, monitoring.targetLatency),
     });
     const endMemory = endpointState.openMemory(choice.memoryTokens, clock.now());
     let isWaiting = true;
--- a/packages/gateway/src/node/callerConnections.ts
+++ b/packages/gateway/src/node/callerConnections.ts
@@ -57,6 +57,11 @@
         return this.budget.unfinishedBytes;
     }
 
+    /** Number of open requests of a connection. */
+    openRequests(socket: Socket): number {
+        return this.budget.openRequests(socket);
+    }
+
     /** Adds an accepted connection until it closes. If there are too many, one of them is closed. */
     add(socket: Socket): void {
         const victim = this.budget.open(socket, this.context.clock.now());
--- a/packages/gateway/src/node/deliverySetup.ts
+++ b/packages/gateway/src/node/deliverySetup.ts
@@ -30,6 +30,7 @@
     readonly versionStatusStore?: VersionStatusStore;
     readonly endpointTable: EndpointTable;
     readonly liveRouterNames: () => readonly string[];
+    readonly unresponsiveRouters: () => number;
     readonly applyFact: (fact: FleetFact) => void;
     readonly deliverReports: (routers: readonly string[]) => void;
 }
@@ -55,6 +56,11 @@
         rollouts: setup.rollouts,
         store,
         liveRouterNames: setup.liveRouterNames,
+        unresponsiveRouters: setup.unresponsiveRouters,
+        runningOld: (service, to) =>
+            [...endpointTable.ofService(service), ...endpointTable.runningUnregistered()]
+                .filter((state) => state.endpoint.service === service && !runsVersion(state, to))
+                .reduce((total, { running }) => total + running, 0),
         slots: (service, to) => ({
             newSlots: slotsOf(service, to, true),
             oldSlots: slotsOf(service, to, false),
--- a/packages/gateway/src/node/directServer.ts
+++ b/packages/gateway/src/node/directServer.ts
@@ -95,6 +95,8 @@
     private readonly bodyOptions: Pick<BodyReadOptions, "pool" | "openBodies" | "clock">;
     private readonly refusals: RequestRefusals;
     private acceptedConnections = 0;
+    /** The request whose head was read last on each connection. */
+    private readonly latestRequests = new WeakMap<Socket, IncomingMessage>();
     /** Time at which each connection that has brought no request yet was accepted. */
     private readonly unusedConnections = new Map<Socket, Milliseconds>();
     private running = 0;
@@ -132,10 +134,20 @@
         });
         this.server.on(
             "clientError",
-            (error: NodeJS.ErrnoException, socket) => answerClientError(error, socket as Socket),
+            (error: NodeJS.ErrnoException, socket) => this.handleClientError(error, socket as Socket),
         );
     }
 
+    /** A status would be read as the response to a request that was read before it on the connection, and that may run. */
+    private handleClientError(error: NodeJS.ErrnoException, socket: Socket): void {
+        const open = this.connections.openRequests(socket);
+        if (open > 1 || (open === 1 && this.latestRequests.get(socket)?.complete === true)) {
+            socket.destroy();
+            return;
+        }
+        answerClientError(error, socket);
+    }
+
     /** Number of requests that are being served. */
     get runningRequests(): number {
         return this.running;
@@ -236,6 +248,7 @@
         }
         const arrival = turnStartedBy?.() ?? clock.now();
         this.unusedConnections.delete(socket);
+        this.latestRequests.set(socket, request);
         response.on("error", () => response.destroy());
         // An answer that began before the stop leaves its connection open for one more request: closing it here could cut
         // off a request that has already arrived.
--- a/packages/gateway/src/node/endpointSelection.ts
+++ b/packages/gateway/src/node/endpointSelection.ts
@@ -199,6 +199,7 @@
             model: endpointModel(),
             prompt: this.promptNeeds(now),
             bounds: weightsBounds(),
+            needsRoom: held.settings.enabled,
             otherLoads: held.settings.enabled && prompt === undefined ? this.otherLoads(now) : undefined,
         });
     }
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -272,6 +272,7 @@
             liveRouterNames: () => this.liveRouterNames,
             applyFact: (fact) => this.applyFacts([fact], ownDecision),
             deliverReports: (routers) => void this.sync.deliverReports(routers),
+            unresponsiveRouters: () => this.sync.unresponsiveRouterCount(),
         });
     }
 
--- a/packages/gateway/src/node/identityProbe.ts
+++ b/packages/gateway/src/node/identityProbe.ts
@@ -39,18 +39,29 @@
     /** Starts the probes that are due. */
     run(): void {
         const now = this.options.clock.now();
-        for (const [address, probedAt] of this.probedAt) {
-            if (now - probedAt >= probeInterval) {
+        const contested = this.options.endpointTable.contestedAddresses();
+        for (const address of this.probedAt.keys()) {
+            if (!contested.has(address)) {
                 this.probedAt.delete(address);
             }
         }
-        for (const [address, endpoints] of this.options.endpointTable.contestedAddresses()) {
+        const lastProbe = (address: string) => this.probedAt.get(address) ?? 0;
+        // Those probed longest ago go first, so that addresses without an answer don't keep others from being probed.
+        const byAge = [...contested].sort(([left], [right]) => lastProbe(left) - lastProbe(right));
+        for (const [address, endpoints] of byAge) {
             const path = this.healthPath(endpoints);
-            const isDue = !this.running.has(address) && !this.probedAt.has(address);
+            const probedAt = this.probedAt.get(address);
+            const isDue = !this.running.has(address)
+                && (probedAt === undefined || now - probedAt >= probeInterval);
             if (path !== undefined && isDue && this.running.size < maxConcurrentProbes) {
                 this.running.add(address);
                 this.probedAt.set(address, now);
-                void this.probe(address, endpoints[0], path).finally(() => this.running.delete(address));
+                void this.probe(address, endpoints[0], path)
+                    .catch((error: unknown) => {
+                        const { logger } = this.options;
+                        logger.warn("probe of an endpoint failed", { address, error: String(error) });
+                    })
+                    .finally(() => this.running.delete(address));
             }
         }
     }
@@ -60,7 +71,7 @@
         const services = this.options.state.configuration?.services ?? [];
         return endpoints
             .map((endpoint) => services.find(({ name }) => name === endpoint.service)?.healthPath)
-            .find((path) => path !== undefined);
+            .find((path) => path !== undefined && path !== "");
     }
 
     private async probe(address: string, { host, port }: DirectEndpoint, path: string): Promise<void> {
--- a/packages/gateway/src/node/requestTask.ts
+++ b/packages/gateway/src/node/requestTask.ts
@@ -109,6 +109,8 @@
     private attempts = 0;
     /** Number of attempts that may have run. */
     private runs = 0;
+    /** True if the retry after the present attempt has been spent already. */
+    private hasReservedRetry = false;
 
     constructor(
         private readonly context: RequestContext,
@@ -170,7 +172,7 @@
         const { clock, permits } = this.context;
         const isLate = () => clock.now() >= this.request.deadline;
         while (this.crashes.refusedUntil(clock.now()) === undefined && !isLate()) {
-            const found = await this.roomSearch.find();
+            const found = await this.roomSearch.find(this.runs > 0);
             if (found.kind === "none") {
                 break;
             }
@@ -193,7 +195,9 @@
 
     private spendRetry(reason: RetryReason): boolean {
         const { clock, logger, metrics, retryBudget, routerCount } = this.context;
-        const allowed = retryBudget.trySpend(this.request.service.name, routerCount(), clock.now());
+        const allowed = this.hasReservedRetry
+            || retryBudget.trySpend(this.request.service.name, routerCount(), clock.now());
+        this.hasReservedRetry = false;
         metrics.recordRetry(reason, allowed);
         logger.info("retry", { request: this.request.metadata.attempt, reason, allowed });
         return allowed;
@@ -235,7 +239,7 @@
             observer: {
                 onHead: (status, answer) =>
                     recordSignals(this.context, request, choice.endpointState, { status, answer, sentAt }),
-                onBegin: () => this.crashes.recordBegin(),
+                onBegin: () => this.recordBegin(load),
                 onFirstAnswer: (answer) => {
                     load.recordAnswer();
                     firstAnswerAt = clock.now();
@@ -259,6 +263,12 @@
         return { kind: "ended", outcome };
     }
 
+    /** Records the first event of an attempt, also if the caller has received it from an earlier one. */
+    private recordBegin(load: TrackedLoad): void {
+        this.crashes.recordBegin();
+        load.recordAnswer();
+    }
+
     /** Tracks an attempt that starts now; `abandonment` ends it if its answer is overdue and it may run elsewhere. */
     private trackAttempt(choice: Choice): TrackedAttempt {
         this.roomSearch.beginAttempt();
@@ -267,8 +277,9 @@
         const load = trackLoad(this.context.clock, choice, {
             events: () => this.progress.events,
             isBlocked: () => this.response.writableNeedDrain,
+            targetLatency: this.request.route.targetLatency,
             onOverdue: () => {
-                if (this.canContinueElsewhere()) {
+                if (!abandonment.signal.aborted && this.canContinueElsewhere() && this.reserveRetry()) {
                     abandonment.abort();
                 }
             },
@@ -307,6 +318,17 @@
             && now + next.latency < deadline;
     }
 
+    /** Spends the retry of an attempt that is ended: many may be ended at once, before any of them is tried again. */
+    private reserveRetry(): boolean {
+        const { clock, retryBudget, routerCount } = this.context;
+        this.hasReservedRetry = retryBudget.trySpend(
+            this.request.service.name,
+            routerCount(),
+            clock.now(),
+        );
+        return this.hasReservedRetry;
+    }
+
     private recordStreamSpeed(outcome: AttemptOutcome, firstAnswerAt: Milliseconds | undefined): void {
         if (outcome.kind === "delivered" && firstAnswerAt !== undefined) {
             const { clock, endpointTable } = this.context;
--- a/packages/gateway/src/node/requestTurns.ts
+++ b/packages/gateway/src/node/requestTurns.ts
@@ -65,5 +65,6 @@
 
 /** True once the caller's connection has closed, or its end was read: Node.js answers no request after that. */
 export function hasLeft(request: IncomingMessage, response: ServerResponse): boolean {
-    return response.destroyed || request.socket.destroyed || request.socket.readableEnded;
+    const { socket } = request;
+    return response.destroyed || socket.destroyed || socket.readableEnded || socket.writableEnded;
 }
--- a/packages/gateway/src/node/roomSearch.ts
+++ b/packages/gateway/src/node/roomSearch.ts
@@ -50,8 +50,11 @@
         private readonly selection: EndpointSelection,
     ) {}
 
-    /** Finds an endpoint and reserves room for the request until the attempt begins or the reservation is cancelled. */
-    async find(): Promise<FoundRoom> {
+    /**
+     * Finds an endpoint and reserves room for the request until the attempt begins or the reservation is cancelled. A request
+     * that may have run already does not wait: refusing it would waste the work.
+     */
+    async find(hasRun = false): Promise<FoundRoom> {
         const { clock, held } = this.context;
         const now = clock.now();
         const best = this.selection.best(now);
@@ -61,6 +64,9 @@
         if (!held.settings.enabled) {
             return { kind: "chosen", choice: best };
         }
+        if (hasRun) {
+            return this.reserve(best, now);
+        }
         const service = this.request.service.name;
         if (!held.isWaiting(service)) {
             const choice = this.selection.withRoom(best, now);
--- a/packages/scheduling/src/decision/responseMonitor.ts
+++ b/packages/scheduling/src/decision/responseMonitor.ts
@@ -30,6 +30,12 @@
 /** A longer pause counts as this multiple of the usual one, so that an outage hardly changes the estimate. */
 const maxMeasuredMultiple = 2;
 
+/**
+ * Time until the first trial at an unresponsive endpoint. Further trials are less frequent: a silence that one long answer
+ * has caused ends soon, and one of an endpoint that is down costs few requests.
+ */
+const firstTrialInterval: Milliseconds = 1_000;
+
 /** A report of another router is ignored after this time. */
 const peerReportLifetime: Milliseconds = 2_000;
 
@@ -109,13 +115,17 @@
     private ownSilentSince: Milliseconds | undefined;
     private nextTrialAt: Milliseconds = -Infinity;
     private trialInterval: Milliseconds = 0;
+    private maxTrialInterval: Milliseconds = 0;
     private peerSilence: { readonly since: Milliseconds; readonly receivedAt: Milliseconds; } | undefined;
 
     /** Registers a request that is sent now. */
     open(options: OwedAnswerOptions, servicePace: ResponsePace): OwedAnswer {
         const record: OwedRecord = { ...options, owedSince: options.sentAt, isBegun: false };
         this.owed.add(record);
-        this.nextTrialAt = Math.max(this.nextTrialAt, options.sentAt + this.trialInterval);
+        if (this.ownSilentSince !== undefined) {
+            this.trialInterval = Math.min(this.maxTrialInterval, 2 * this.trialInterval);
+            this.nextTrialAt = Math.max(this.nextTrialAt, options.sentAt + this.trialInterval);
+        }
         return {
             begin: (now) => {
                 if (!record.isBegun && this.owed.has(record)) {
@@ -183,12 +193,16 @@
             : Math.max(minFirstAllowance, overdueMultiple * Math.max(usual, record.expectedLatency)));
     }
 
-    /** Marks the endpoint as unresponsive until a sign of life. It gets one request in each `trialInterval`. */
-    declareSilent(now: Milliseconds, trialInterval: Milliseconds): void {
+    /**
+     * Marks the endpoint as unresponsive until a sign of life. It gets one request at a time, at intervals that double up to
+     * `maxTrialInterval`.
+     */
+    declareSilent(now: Milliseconds, maxTrialInterval: Milliseconds): void {
         const owedSince = Math.min(now, ...[...this.owed].map((record) => record.owedSince));
         this.ownSilentSince = Math.max(this.signAt, owedSince);
-        this.trialInterval = trialInterval;
-        this.nextTrialAt = now + trialInterval;
+        this.maxTrialInterval = maxTrialInterval;
+        this.trialInterval = Math.min(firstTrialInterval, maxTrialInterval);
+        this.nextTrialAt = now + this.trialInterval;
     }
 
     /** True if this router itself has found the endpoint unresponsive. */
