gateway: keep sums of the load that other routers report for each endpoint

A choice added up the reports of all routers several times for each endpoint, so its cost grew with the number of routers.

--- a/packages/gateway/src/decision/endpointState.ts
+++ b/packages/gateway/src/decision/endpointState.ts
@@ -50,6 +50,11 @@
     private status: Reported<ReplicaStatus> | undefined;
     private observedWeights: Reported<{ readonly model: string; readonly version: number; }> | undefined;
     private readonly loads = new Map<string, Reported<EndpointLoad>>();
+    /** Sums over `loads`, which every choice of an endpoint needs. */
+    private reportedRequests = 0;
+    private reportedTokens = 0;
+    /** When the oldest of `loads` may expire. */
+    private loadsExpireAt: Milliseconds = Infinity;
     private readonly lossListeners = new Set<() => void>();
     private consecutiveConnectFailures = 0;
     private answeredAt: Milliseconds = -Infinity;
@@ -148,12 +153,13 @@
 
     /** Last known number of running and queued requests of all routers. */
     totalRunning(now: Milliseconds): number {
-        return this.running + this.freshLoads(now).reduce((sum, load) => sum + load.running, 0);
+        this.removeExpiredLoads(now);
+        return this.running + this.reportedRequests;
     }
 
     /** Number of running and queued requests of the other routers, and the mean age of their reports. */
     reportedRunning(now: Milliseconds): ReportedRunning {
-        this.freshLoads(now);
+        this.removeExpiredLoads(now);
         let running = 0;
         let weightedAge = 0;
         for (const { at, value } of this.loads.values()) {
@@ -165,7 +171,8 @@
 
     /** Last known number of prompt tokens queued by all routers. */
     totalWaitingTokens(now: Milliseconds): number {
-        return this.waitingTokens + this.freshLoads(now).reduce((sum, load) => sum + load.waitingTokens, 0);
+        this.removeExpiredLoads(now);
+        return this.waitingTokens + this.reportedTokens;
     }
 
     isAvoided(now: Milliseconds): boolean {
@@ -247,11 +254,21 @@
             this.responses.observePeer(load, now);
         }
         this.estimate.observePeer(router, slownessOf(load), now);
-        if (load === undefined) {
-            this.loads.delete(router);
-        }
-        else {
+        this.removeLoad(router);
+        if (load !== undefined) {
             this.loads.set(router, { value: load, at: now });
+            this.reportedRequests += load.running;
+            this.reportedTokens += load.waitingTokens;
+            this.loadsExpireAt = Math.min(this.loadsExpireAt, now + loadLifetime);
+        }
+    }
+
+    private removeLoad(router: string): void {
+        const load = this.loads.get(router)?.value;
+        if (load !== undefined) {
+            this.loads.delete(router);
+            this.reportedRequests -= load.running;
+            this.reportedTokens -= load.waitingTokens;
         }
     }
 
@@ -270,16 +287,19 @@
         return this.status !== undefined && now - this.status.at < statusLifetime ? this.status : undefined;
     }
 
-    private freshLoads(now: Milliseconds): EndpointLoad[] {
-        const loads: EndpointLoad[] = [];
-        for (const [router, load] of this.loads) {
-            if (now - load.at >= loadLifetime) {
-                this.loads.delete(router);
-                continue;
+    private removeExpiredLoads(now: Milliseconds): void {
+        if (now < this.loadsExpireAt) {
+            return;
+        }
+        this.loadsExpireAt = Infinity;
+        for (const [router, { at }] of this.loads) {
+            if (now - at >= loadLifetime) {
+                this.removeLoad(router);
+            }
+            else {
+                this.loadsExpireAt = Math.min(this.loadsExpireAt, at + loadLifetime);
             }
-            loads.push(load.value);
         }
-        return loads;
     }
 }
 
