--- a/packages/gateway/src/__tests__/gatewayFixture.ts
+++ b/packages/gateway/src/__tests__/gatewayFixture.ts
@@ -87,7 +87,7 @@
         elapsed: 0,
         tried: new Set(),
         isRepeatable: true,
-        model: defaultEndpointModel,
+        model: { ...defaultEndpointModel, speed: true },
         prompt: {
             model: "drafting",
             desiredWeights: undefined,
--- a/packages/gateway/src/decision/endpointModelSettings.ts
+++ b/packages/gateway/src/decision/endpointModelSettings.ts
@@ -13,7 +13,10 @@
      * ones, more requests were late with it.
      */
     readonly memory: boolean;
-    /** The speed of each endpoint is used instead of that of its service. */
+    /**
+     * The speed of each endpoint is used instead of that of its service. Off by default: with it, reports between routers name the
+     * speeds of all endpoints, which takes small routers much of their processor time.
+     */
     readonly speed: boolean;
     /** The caller's estimate of the output tokens is used instead of their maximum. */
     readonly cost: boolean;
@@ -23,6 +26,6 @@
 export const defaultEndpointModel: EndpointModelSettings = {
     unresponsiveness: true,
     memory: false,
-    speed: true,
+    speed: false,
     cost: true,
 };
--- a/packages/gateway/src/node/requestTask.ts
+++ b/packages/gateway/src/node/requestTask.ts
@@ -375,7 +375,7 @@
             const slowness = endpointModel().speed ? endpointState.estimate.slowness : 1;
             speed.observe(choice.tokensToProcess, (latency - fetchTime) / slowness, 0);
         }
-        if (choice.likelyCachedTokens === 0) {
+        if (endpointModel().speed && choice.likelyCachedTokens === 0) {
             const { name } = request.route;
             endpointState.observeAnswerTime(
                 name,
