Join the small chunks of endpoints' responses while they are not read

Callers saw their connections close: one endpoint that answers in chunks of a byte ends a router with "Reached heap limit".

Cause: the HTTP parser creates a buffer for each chunk, and a response that waits for its turn of the event loop keeps each of them. One read of 64 KB has some 11,000 of them, about 2 MB, for each request to the endpoint. The limits count bytes, not these objects.

Change: all small chunks that the parser delivers in one turn but the first are copied together. A chunk that arrives alone, such as an event of a stream, is passed on at once as before. Direct routes and agents use the same exchange.

--- a/packages/common/src/endpointExchange.ts
+++ b/packages/common/src/endpointExchange.ts
@@ -5,6 +5,7 @@
  */
 import { type Agent, type ClientRequest, type IncomingMessage, request as httpRequest } from "node:http";
 import type { Milliseconds } from "./clock.js";
+import { joinSmallChunks } from "./connections/smallChunks.js";
 import { ResponseGuard } from "./responseGuard.js";
 
 /** A live endpoint accepts a connection within milliseconds; one without power never answers. */
@@ -173,6 +174,7 @@
         }
         this.answer = answer;
         this.guard.observeResponse(answer);
+        joinSmallChunks(answer);
         answer.on("data", (chunk: Buffer) => {
             this.guard.recordDelivered(chunk.length);
             if (!this.isOver && !this.listener.onData(chunk)) {
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -5,6 +5,7 @@
  */
 export * from "./byteCollector.js";
 export * from "./clock.js";
+export * from "./connections/smallChunks.js";
 export * from "./decision.js";
 export * from "./digest.js";
 export * from "./endpointAgent.js";
