Parse what callers send in slices that take a bounded number of steps

Callers saw no answers, and their connections close: clients whose bodies have chunks of a byte, or who send small requests ahead, keep a router from all others or end it at the limit of its heap.

The chunks are objects of the heap until the body is read. Limits counted bytes and open requests, neither objects nor time.

Change: one reader for all HTTP servers of a process takes the place of the server's data listener and passes slices on. A slice shrinks with the steps (chunks, requests, fields) of the one before; steps in a turn are bounded; connections with ordinary slices come first, and one of the others has a slice in each turn. A connection with 8 open requests is not parsed further. Reads that wait have 2 MiB in total; beyond it the heavy connection that holds most is not read any more and closed after a second, since its client may return at once. Small chunks are joined. The time limit of a request counts from when it was read. The limits of connections move to `common`, for all servers.

--- a/packages/gateway/src/__tests__/connectionBudget.spec.ts
+++ b/packages/common/src/__tests__/connectionBudget.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { ConnectionBudget } from "../decision/connectionBudget.js";
+import { ConnectionBudget } from "../connections/connectionBudget.js";
 
 const limits = { maxConnections: 3, maxUnfinishedBytes: 1_000, maxPipelined: 4 };
 
--- a/packages/gateway/src/node/callerConnections.ts
+++ b/packages/common/src/connections/boundedConnections.ts
@@ -1,54 +1,52 @@
 /**
- * Keeps the connections of callers within a {@link ConnectionBudget}.
+ * Keeps the connections of clients within a {@link ConnectionBudget}.
  *
  * @module
  */
-import type { CancelTimer, Clock, Logger, Milliseconds } from "@redwingpin/common";
 import type { Socket } from "node:net";
-import { ConnectionBudget, type ConnectionLimits } from "../decision/connectionBudget.js";
-import type { GatewayMetrics } from "./gatewayMetrics.js";
-
-/**
- * Defaults. Machines with few descriptors set a lower number of connections, so that some remain for endpoints, peers, the store
- * and the readiness port. The largest heads of 1,000 callers take 16 MB.
- */
-export const defaultConnectionLimits: ConnectionLimits = {
-    maxConnections: 2_000,
-    maxUnfinishedBytes: 16_777_216,
-    maxPipelined: 64,
-};
+import type { CancelTimer, Clock, Milliseconds } from "../clock.js";
+import type { Logger } from "../logger.js";
+import { ConnectionBudget, type ConnectionLimits } from "./connectionBudget.js";
 
 /** Interval at which the sizes of unfinished heads are added up. */
 const sampleInterval: Milliseconds = 50;
 
-/** Maximum interval between two log lines about closed connections. */
+/** Minimum interval between two log lines about closed connections. */
 const logInterval: Milliseconds = 1_000;
 
+/** Time after which a connection is closed that is no longer read: its client may connect again at once, which costs more. */
+const closeDelay: Milliseconds = 1_000;
+
 /** Why a connection was closed. The value is the label in metrics. */
 export enum ClosedConnectionReason {
     TooManyConnections = "too_many_connections",
     UnfinishedHeads = "unfinished_heads",
     Pipelined = "pipelined",
+    /** What was read and waits to be parsed exceeds its limit. */
+    UnparsedBytes = "unparsed_bytes",
 }
 
-/** Dependencies of {@link CallerConnections}. */
-export interface CallerConnectionsContext {
+/** Dependencies of {@link BoundedConnections}. */
+export interface BoundedConnectionsContext {
     readonly clock: Clock;
     readonly logger: Logger;
-    readonly metrics: Pick<GatewayMetrics, "clientLimits">;
+    /** Who connects, for log lines, such as "callers". */
+    readonly clients: string;
     readonly limits: ConnectionLimits;
+    /** Called for each connection that is closed since it exceeds a limit. */
+    readonly onClosed: (reason: ClosedConnectionReason) => void;
     /** Called after the sizes of unfinished heads have been added up. */
     readonly onSample?: () => void;
 }
 
-/** The open connections of callers. */
-export class CallerConnections {
+/** The open connections of clients. */
+export class BoundedConnections {
     private readonly budget: ConnectionBudget<Socket>;
     private cancelSample: CancelTimer | undefined;
     private nextLogAt: Milliseconds = -Infinity;
     private readonly closedCounts = new Map<ClosedConnectionReason, number>();
 
-    constructor(private readonly context: CallerConnectionsContext) {
+    constructor(private readonly context: BoundedConnectionsContext) {
         this.budget = new ConnectionBudget(context.limits);
     }
 
@@ -65,7 +63,7 @@
     /** Adds an accepted connection until it closes. If there are too many, one of them is closed. */
     add(socket: Socket): void {
         const victim = this.budget.open(socket, this.context.clock.now());
-        socket.once("close", () => this.remove(socket));
+        socket.once("close", () => this.budget.remove(socket));
         if (victim !== undefined) {
             this.close(victim, ClosedConnectionReason.TooManyConnections);
         }
@@ -81,7 +79,6 @@
             return true;
         }
         this.close(socket, ClosedConnectionReason.Pipelined);
-        this.deferReads();
         return false;
     }
 
@@ -100,18 +97,29 @@
         return true;
     }
 
-    /**
-     * Reads nothing more until the connections that were closed in this turn of the event loop have been freed, which follows
-     * its `setImmediate` callbacks. The requests of one read take some megabytes, and many reads may be due in a turn.
-     */
-    private deferReads(): void {
-        const paused = [...this.budget.connections()].filter((socket) => !socket.isPaused());
-        paused.forEach((socket) => socket.pause());
-        setImmediate(() => setImmediate(() => paused.forEach((socket) => socket.resume())));
+    /** Closes a connection of which too many bytes wait to be parsed. It has to be paused, and is closed after a moment. */
+    closeUnparsed(socket: Socket): void {
+        const cancel = this.context.clock.schedule(closeDelay, () => socket.destroy());
+        socket.once("close", cancel);
+        this.recordClosed(ClosedConnectionReason.UnparsedBytes);
     }
 
-    private remove(socket: Socket): void {
+    private close(socket: Socket, reason: ClosedConnectionReason): void {
+        socket.destroy();
         this.budget.remove(socket);
+        this.recordClosed(reason);
+    }
+
+    private recordClosed(reason: ClosedConnectionReason): void {
+        const { clients, clock, logger, onClosed } = this.context;
+        onClosed(reason);
+        const count = (this.closedCounts.get(reason) ?? 0) + 1;
+        this.closedCounts.set(reason, count);
+        const now = clock.now();
+        if (now >= this.nextLogAt) {
+            this.nextLogAt = now + logInterval;
+            logger.warn(`closed connections of ${clients}`, { reason, total: count, open: this.budget.size });
+        }
     }
 
     private scheduleSample(): void {
@@ -125,18 +133,4 @@
             }
         });
     }
-
-    private close(socket: Socket, reason: ClosedConnectionReason): void {
-        const { clock, logger, metrics } = this.context;
-        socket.destroy();
-        this.budget.remove(socket);
-        metrics.clientLimits.recordClosedConnection(reason);
-        const count = (this.closedCounts.get(reason) ?? 0) + 1;
-        this.closedCounts.set(reason, count);
-        const now = clock.now();
-        if (now >= this.nextLogAt) {
-            this.nextLogAt = now + logInterval;
-            logger.warn("closed connections of callers", { reason, total: count, open: this.budget.size });
-        }
-    }
 }
--- a/packages/gateway/src/decision/connectionBudget.ts
+++ b/packages/common/src/connections/connectionBudget.ts
@@ -1,10 +1,10 @@
 /**
- * Bounds what callers' connections hold besides requests in service: the number of connections, the heads that are still
+ * Bounds what clients' connections hold besides requests in service: the number of connections, the heads that are still
  * being read, and the requests that one connection has pipelined. What makes no progress gives way first.
  *
  * @module
  */
-import type { Milliseconds } from "@redwingpin/common";
+import type { Milliseconds } from "../clock.js";
 
 /** Limits of a {@link ConnectionBudget}. */
 export interface ConnectionLimits {
@@ -13,6 +13,11 @@
     readonly maxUnfinishedBytes: number;
     /** Maximum number of requests of one connection that are open at once. */
     readonly maxPipelined: number;
+    /**
+     * Whether connections with open requests give way to new ones: their responses are short, and only left unread.
+     * @default false
+     */
+    readonly closesOpenRequests?: boolean;
 }
 
 interface ConnectionEntry {
@@ -26,7 +31,7 @@
     progressAt: Milliseconds;
 }
 
-/** The connections of callers; `Connection` is the type by which they are known. */
+/** The connections of clients; `Connection` is the type by which they are known. */
 export class ConnectionBudget<Connection> {
     private readonly entries = new Map<Connection, ConnectionEntry>();
 
@@ -133,14 +138,15 @@
     }
 
     /**
-     * The connection without open requests that has been without progress for longest. One with an unfinished head comes before
-     * idle ones. The latest connection is returned if all others have open requests.
+     * The connection that may give way and has been without progress for longest. One with an unfinished head comes before
+     * others. The latest connection is returned if none of the others may give way.
      */
     private findLeastActive(): Connection | undefined {
         let found: Connection | undefined;
         let foundEntry: ConnectionEntry | undefined;
         for (const [connection, entry] of this.entries) {
-            if (entry.requests === 0 && (foundEntry === undefined || isLessActive(entry, foundEntry))) {
+            const mayGiveWay = entry.requests === 0 || this.limits.closesOpenRequests === true;
+            if (mayGiveWay && (foundEntry === undefined || isLessActive(entry, foundEntry))) {
                 found = connection;
                 foundEntry = entry;
             }
--- a/packages/common/src/connections/smallChunks.ts
+++ b/packages/common/src/connections/smallChunks.ts
@@ -10,6 +10,9 @@
 /** Chunks from this size in bytes on are passed on as they are. */
 const smallBytes = 4_096;
 
+/** Chunks of up to so many bytes are copied byte by byte: a call that copies takes longer. */
+const fewBytes = 16;
+
 /** Size in bytes of the buffers into which small chunks are copied. */
 const joinedBytes = 16_384;
 
@@ -23,6 +26,7 @@
         return;
     }
     const push = message.push.bind(message);
+    const maxUnread = message.readableHighWaterMark;
     const joiner = new ChunkJoiner(
         (chunk) => void (message.destroyed || push(chunk)),
         () => message.readableLength,
@@ -33,7 +37,7 @@
             return push(chunk, encoding);
         }
         onChunk();
-        return joiner.add(chunk) < message.readableHighWaterMark;
+        return joiner.add(chunk) < maxUnread;
     };
 }
 
@@ -41,6 +45,8 @@
     private joined: Buffer | undefined;
     private size = 0;
     private isInTurn = false;
+    /** Number of bytes that had been passed on and not read at the latest one that was passed on. */
+    private passedUnread = 0;
 
     constructor(
         private readonly push: (chunk: Buffer) => void,
@@ -55,16 +61,16 @@
                 this.isInTurn = false;
                 this.flush();
             });
-            this.push(chunk);
+            this.pass(chunk);
         }
         else if (chunk.length >= smallBytes) {
             this.flush();
-            this.push(chunk);
+            this.pass(chunk);
         }
         else {
             this.join(chunk);
         }
-        return this.unreadBytes() + this.size;
+        return this.passedUnread + this.size;
     }
 
     /** Passes on what has been joined. */
@@ -73,15 +79,27 @@
         if (joined !== undefined) {
             this.joined = undefined;
             this.size = 0;
-            this.push(joined.subarray(0, size));
+            this.pass(joined.subarray(0, size));
         }
     }
 
+    private pass(bytes: Buffer): void {
+        this.push(bytes);
+        this.passedUnread = this.unreadBytes();
+    }
+
     private join(chunk: Buffer): void {
         if (this.size + chunk.length > joinedBytes) {
             this.flush();
         }
         this.joined ??= Buffer.allocUnsafe(joinedBytes);
-        this.size += chunk.copy(this.joined, this.size);
+        if (chunk.length > fewBytes) {
+            this.size += chunk.copy(this.joined, this.size);
+            return;
+        }
+        for (const byte of chunk) {
+            this.joined[this.size] = byte;
+            this.size += 1;
+        }
     }
 }
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -5,6 +5,11 @@
  */
 export * from "./byteCollector.js";
 export * from "./clock.js";
+export * from "./connections/boundedConnections.js";
+export * from "./connections/clientErrors.js";
+export * from "./connections/connectionBudget.js";
+export * from "./connections/connectionReader.js";
+export * from "./connections/readTurns.js";
 export * from "./connections/smallChunks.js";
 export * from "./decision.js";
 export * from "./digest.js";
--- a/packages/gateway/src/gatewayConfig.ts
+++ b/packages/gateway/src/gatewayConfig.ts
@@ -3,11 +3,10 @@
  *
  * @module
  */
-import type { Milliseconds } from "@redwingpin/common";
+import type { ConnectionLimits, Milliseconds } from "@redwingpin/common";
 import type { ExposureBounds } from "@redwingpin/delivery";
 import type { FleetKeys, InnerAddress } from "@redwingpin/protocol";
 import type { HoldSettings } from "@redwingpin/scheduling";
-import type { ConnectionLimits } from "./decision/connectionBudget.js";
 import type { WeightsBounds } from "./decision/endpointChoice.js";
 import type { EndpointModelSettings } from "./decision/endpointModelSettings.js";
 import type { RetryBudgetBounds } from "./decision/fleetRetryBudget.js";
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -5,7 +5,6 @@
  */
 export * from "./decision/answerBuffers.js";
 export * from "./decision/attemptPlan.js";
-export * from "./decision/connectionBudget.js";
 export * from "./decision/demandTracker.js";
 export * from "./decision/endpointChoice.js";
 export * from "./decision/endpointModelSettings.js";
@@ -26,6 +25,6 @@
 export * from "./decision/transferTime.js";
 export * from "./gatewayConfig.js";
 export * from "./headerCodec.js";
-export { defaultConnectionLimits } from "./node/callerConnections.js";
+export { defaultConnectionLimits } from "./node/connectionLimits.js";
 export * from "./node/gateway.js";
 export * from "./node/gatewayOptions.js";
--- a/packages/gateway/src/node/directServer.ts
+++ b/packages/gateway/src/node/directServer.ts
@@ -4,7 +4,11 @@
  * @module
  */
 import {
+    answerClientError,
+    BoundedConnections,
     type Clock,
+    type ConnectionLimits,
+    connectionReader,
     listenOn,
     type Logger,
     type Milliseconds,
@@ -16,7 +20,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { Server as NetServer, type Socket } from "node:net";
 import type { RequestOutcome } from "../decision/attemptPlan.js";
-import type { ConnectionLimits } from "../decision/connectionBudget.js";
 import { OpenBodies } from "../decision/openBodies.js";
 import type { RequestTimeLimits } from "../decision/stopPolicy.js";
 import type { HeaderCodec } from "../headerCodec.js";
@@ -30,13 +33,13 @@
     checkHead,
     requestDeadline,
 } from "./callerChecks.js";
-import { CallerConnections, defaultConnectionLimits } from "./callerConnections.js";
 import type { DirectRequest } from "./callerRequest.js";
+import { defaultConnectionLimits } from "./connectionLimits.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
 import { openRequestBytes, openRequestLimit } from "./openRequests.js";
 import { RequestRefusals, type RequestTimings, roundedTimings } from "./requestRefusals.js";
 import { RequestTurns } from "./requestTurns.js";
-import { answerClientError, refusalOf } from "./serverRefusals.js";
+import { refusalOf } from "./serverRefusals.js";
 
 /** Maximum header size of the HTTP parser; the limit of the configuration is checked afterwards. */
 const maxHeaderBytes = 65_536;
@@ -90,7 +93,7 @@
     private readonly pendingAnswers = new Map<ServerResponse, string>();
     private readonly bodies: BlockPool;
     private readonly turns: RequestTurns;
-    private readonly connections: CallerConnections;
+    private readonly connections: BoundedConnections;
     private readonly openBodies = new OpenBodies();
     private readonly bodyOptions: Pick<BodyReadOptions, "pool" | "openBodies" | "clock">;
     private readonly refusals: RequestRefusals;
@@ -111,8 +114,10 @@
         this.bodies = new BlockPool(context.maxBufferedBytes, () => this.connections.unfinishedBytes);
         this.bodyOptions = { pool: this.bodies, openBodies: this.openBodies, clock: context.clock };
         this.turns = new RequestTurns(context.clock);
-        this.connections = new CallerConnections({
+        this.connections = new BoundedConnections({
             ...context,
+            clients: "callers",
+            onClosed: (reason) => context.metrics.clientLimits.recordClosedConnection(reason),
             limits: { ...defaultConnectionLimits, ...context.connectionLimits },
             onSample: () => this.bodies.trim(),
         });
@@ -123,6 +128,9 @@
             connectionsCheckingInterval: timeoutCheckInterval,
             requestTimeout,
         }, (request, response) => void this.handle(request, response));
+        connectionReader.attach(this.server, {
+            closeExcessive: (socket) => this.connections.closeUnparsed(socket),
+        });
         context.metrics.observeWaiting(() => this.turns.waiting);
         this.server.on("connection", (socket) => {
             this.acceptedConnections += 1;
@@ -140,6 +148,8 @@
 
     /** A status would be read as the response to a request that was read before it on the connection, and that may run. */
     private handleClientError(error: NodeJS.ErrnoException, socket: Socket): void {
+        // The parser cannot continue, and would fail again on each further slice.
+        connectionReader.discard(socket);
         const open = this.connections.openRequests(socket);
         if (open > 1 || (open === 1 && this.latestRequests.get(socket)?.complete === true)) {
             socket.destroy();
@@ -246,7 +256,8 @@
         if (!this.connections.beginRequest(socket)) {
             return;
         }
-        const arrival = turnStartedBy?.() ?? clock.now();
+        const readAt = connectionReader.readTime(socket) ?? clock.now();
+        const arrival = Math.min(readAt, turnStartedBy?.() ?? readAt);
         this.unusedConnections.delete(socket);
         this.latestRequests.set(socket, request);
         response.on("error", () => response.destroy());
--- a/packages/gateway/src/node/serverRefusals.ts
+++ b/packages/gateway/src/node/serverRefusals.ts
@@ -1,10 +1,9 @@
 /**
- * Refusals of requests that were not admitted from the queue, and answers to requests that cannot be parsed.
+ * Refusals of requests that were not admitted from the queue.
  *
  * @module
  */
 import { RefusalReason } from "@redwingpin/common";
-import type { Socket } from "node:net";
 import type { Admission } from "../decision/requestQueue.js";
 import type { CheckFailure } from "./callerChecks.js";
 
@@ -35,24 +34,3 @@
             };
     }
 }
-
-/** Answers a request that cannot be parsed or did not arrive in time. */
-export function answerClientError(error: NodeJS.ErrnoException, socket: Socket): void {
-    if (!socket.writable || error.code === "ECONNRESET") {
-        socket.destroy();
-        return;
-    }
-    const status = clientErrorStatus(error.code);
-    socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`);
-}
-
-function clientErrorStatus(code: string | undefined): string {
-    switch (code) {
-        case "HPE_HEADER_OVERFLOW":
-            return "431 Request Header Fields Too Large";
-        case "ERR_HTTP_REQUEST_TIMEOUT":
-            return "408 Request Timeout";
-        default:
-            return "400 Bad Request";
-    }
-}
