Bound what clients of the ports for readiness and metrics make a process hold

Load balancers and monitoring saw no answers beside small crowds at these ports, and callers neither: they share the event loop and the memory of the port for callers, and nothing bounded their connections, bodies, pipelined requests or unread responses. Bodies were read to their end, and each scrape of the metrics encoded all of them.

Change: both ports, of routers and of agents, use one control server. It takes 64 connections, of which the one without progress for longest gives way to a new one, also with an unread response; heads of 16 KB, 256 KB of unfinished heads in total; one request at a time, 10 s without progress. A body is refused with the head (413), what follows is dropped unparsed for half a second, so that the response arrives, and the connection closes. Requests share the text of the metrics, which is reused for nine times as long as it took to encode. Closed connections are counted by port and reason, and logged.

--- a/packages/common/src/httpService.ts
+++ b/packages/common/src/httpService.ts
@@ -4,11 +4,13 @@
  *
  * @module
  */
-import { createServer, type Server as HttpServer, type ServerResponse } from "node:http";
+import type { Server as HttpServer, ServerResponse } from "node:http";
 import type { AddressInfo, Server } from "node:net";
 import type { Registry } from "prom-client";
 import { type Clock, type Milliseconds, sleep } from "./clock.js";
-import type { Logger } from "./logger.js";
+import { createControlServer } from "./connections/controlServer.js";
+import { type Logger, silentLogger } from "./logger.js";
+import { readMetricsText } from "./metricsText.js";
 
 /** Interval at which an address that is in use is tried again. */
 const listenRetryInterval: Milliseconds = 200;
@@ -47,8 +49,9 @@
             answerText(response, source.ready() ? 200 : 503, source.ready() ? "ready\n" : "not ready\n");
             return true;
         case "/metrics":
-            void source.registry.metrics().then((text) =>
-                answerText(response, 200, text, source.registry.contentType)
+            readMetricsText(source.registry).then(
+                (text) => answerText(response, 200, text, source.registry.contentType),
+                () => answerText(response, 500, "the metrics cannot be encoded\n"),
             );
             return true;
         default:
@@ -63,7 +66,9 @@
     source: HealthSource,
     wait?: ListenWait,
 ): Promise<HttpServer> {
-    const server = createServer((request, response) => {
+    const { registry } = source;
+    const logger = wait?.logger ?? silentLogger;
+    const server = createControlServer({ port: "metrics", logger, registry }, (request, response) => {
         if (!answerHealthRequest(request.url ?? "", response, source)) {
             answerText(response, 404, "not found\n");
         }
@@ -133,6 +138,9 @@
 }
 
 function answerText(response: ServerResponse, status: number, text: string, type = "text/plain"): void {
+    if (response.destroyed) {
+        return;
+    }
     response.writeHead(status, { "content-type": type });
     response.end(text);
 }
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -167,7 +167,7 @@
         this.watchers = [this.operatorWatcher, this.endpointsWatcher];
         this.answerBuffers = new AnswerBuffers(options.config.maxBufferedAnswerBytes);
         this.server = this.createServer();
-        this.readiness = createReadinessServer(config.readinessPath, () => this.isReady());
+        this.readiness = createReadinessServer(config.readinessPath, options, () => this.isReady());
     }
 
     async start(): Promise<void> {
