Bound what callers make a router with agents hold

Callers of routes through agents saw their connections close, or no answers: nothing bounded the bodies that such a router holds (up to 16 MB each), its pipelined requests or unfinished heads; new connections were dropped while stalled ones stayed; bodies sent to health paths were read to their end.

Change: the callers' port uses what direct routes have. Bodies, blocks, open requests, connections and the parsing in slices move to `common`; the reading of a body returns what became of it, and each program says it in its own terms. The setting maxBufferedBytes bounds bodies (96 MiB by default; a body is held twice and may have a quarter of it, more than the largest legal one). Requests for which there is no memory are refused with 503 and not run; a response that precedes the end of its request is followed by half a second in which the rest is dropped, so that it arrives. Closed connections are counted and logged.

Result: a new spec meets the router and the agent as processes, with crowds and bounds as on the platform. The test's own settings lower maxBufferedBytes to 16 MB; before, the setting did not exist.

--- a/packages/agent/src/node/main.ts
+++ b/packages/agent/src/node/main.ts
@@ -62,6 +62,7 @@
     const health = await startHealthServer(config.listenHost, config.metricsPort, {
         registry,
         ready: () => ready,
+        logger: logger.scope("health"),
     });
     const port = await agent.start();
     ready = true;
--- a/packages/gateway/src/__tests__/openBodies.spec.ts
+++ b/packages/common/src/__tests__/openBodies.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { minPace, OpenBodies, paceGrace, stallGrace } from "../decision/openBodies.js";
+import { minPace, OpenBodies, paceGrace, stallGrace } from "../connections/openBodies.js";
 
 /** Largest body of a caller, and the time in which it arrives at the latest. */
 const largestBody = 4_194_304;
--- a/packages/gateway/src/node/bodyReader.ts
+++ b/packages/common/src/connections/bodyReader.ts
@@ -3,16 +3,12 @@
  *
  * @module
  */
-import { type Clock, type Milliseconds, RefusalReason } from "@redwingpin/common";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { OpenBodies } from "../decision/openBodies.js";
+import type { Clock, Milliseconds } from "../clock.js";
 import type { BlockBody, BlockPool } from "./blockPool.js";
-import type { CheckFailure } from "./callerChecks.js";
+import type { OpenBodies } from "./openBodies.js";
 import { recordReceivedBytes } from "./receivedBytes.js";
 
-/** Retry delay for callers when the buffered request bodies have their maximum total size. */
-const memoryRetryAfter: Milliseconds = 500;
-
 /** Maximum size in bytes of the rest of a refused request that is read, so that its caller receives the answer. */
 const maxDiscardedBytes = 16_777_216;
 
@@ -25,86 +21,82 @@
     readonly pool: BlockPool;
     /** Maximum size in bytes. */
     readonly limit: number;
-    readonly attempt: string;
     /** The bodies that are being read; those without progress give way if the pool has no memory. */
     readonly openBodies: OpenBodies;
     readonly clock: Clock;
 }
 
-/**
- * Reads a body. Resolves with `undefined` if the caller closed its connection. A body that states a size for which there
- * is no memory is refused before it is read.
- */
-export function readBody(
-    { attempt, clock, limit, openBodies, pool, request }: BodyReadOptions,
-): Promise<BlockBody | CheckFailure | undefined> {
+/** Why a body was not read. */
+export type UnreadBody =
+    /** It has more than `limit` bytes. */
+    | { readonly kind: "tooLarge"; readonly limit: number; }
+    /** There is no memory for it now. */
+    | { readonly kind: "noMemory"; }
+    /** It made no progress, and its memory was needed. */
+    | { readonly kind: "yielded"; };
+
+/** What became of a body. */
+export type BodyRead =
+    | { readonly kind: "read"; readonly body: BlockBody; }
+    | UnreadBody
+    /** The caller closed its connection. */
+    | { readonly kind: "callerGone"; };
+
+/** Reads a body. One that states a size for which there is no memory is not read at all. */
+export function readBody({ clock, limit, openBodies, pool, request }: BodyReadOptions): Promise<BodyRead> {
     const stated = Number(request.headers["content-length"] ?? 0);
-    const findFailure = (bytes: number): CheckFailure | undefined => {
-        const largest = Math.min(limit, pool.maxBodyBytes);
-        if (bytes <= largest) {
-            return undefined;
-        }
-        const message = `the body has more than ${largest} bytes`;
-        return { status: 413, reason: RefusalReason.BodyTooLarge, message, attempt };
-    };
-    const tooLarge = findFailure(stated);
-    let body = tooLarge === undefined ? pool.open(stated) : undefined;
-    while (body === undefined && tooLarge === undefined && openBodies.yieldSlowest(clock.now())) {
-        body = pool.open(stated);
+    const largest = Math.min(limit, pool.maxBodyBytes);
+    if (stated > largest) {
+        return Promise.resolve({ kind: "tooLarge", limit: largest });
     }
-    if (body === undefined) {
-        return Promise.resolve(tooLarge ?? noMemoryFailure(attempt));
+    let body = pool.open(stated);
+    while (body === undefined && openBodies.yieldSlowest(clock.now())) {
+        body = pool.open(stated);
     }
+    return body === undefined
+        ? Promise.resolve({ kind: "noMemory" })
+        : readInto(body, largest, { clock, openBodies, request });
+}
+
+function readInto(
+    body: BlockBody,
+    largest: number,
+    { clock, openBodies, request }: Pick<BodyReadOptions, "request" | "openBodies" | "clock">,
+): Promise<BodyRead> {
     return new Promise((resolve) => {
         let isOver = false;
-        const end = (result: BlockBody | CheckFailure | undefined) => {
+        const end = (result: BodyRead) => {
             if (isOver) {
                 return;
             }
             isOver = true;
             progress.close();
             request.off("data", onData);
-            if (result !== body) {
+            if (result.kind !== "read") {
                 body.release();
             }
             resolve(result);
         };
-        const progress = openBodies.open(clock.now(), () => end(yieldedFailure(attempt)));
+        const progress = openBodies.open(clock.now(), () => end({ kind: "yielded" }));
         const onData = (chunk: Buffer) => {
             recordReceivedBytes(chunk.length);
             progress.recordProgress(chunk.length, clock.now());
-            const failure = findFailure(body.length + chunk.length);
-            if (failure !== undefined) {
-                end(failure);
+            if (body.length + chunk.length > largest) {
+                end({ kind: "tooLarge", limit: largest });
             }
             else if (!append(chunk)) {
-                end(noMemoryFailure(attempt));
+                end({ kind: "noMemory" });
             }
         };
         const append = (chunk: Buffer): boolean =>
             !isOver && (body.append(chunk) || openBodies.yieldSlowest(clock.now()) && append(chunk));
         request.on("data", onData);
-        request.once("end", () => end(body));
-        request.once("close", () => end(request.complete ? body : undefined));
-        request.once("error", () => end(undefined));
+        request.once("end", () => end({ kind: "read", body }));
+        request.once("close", () => end(request.complete ? { kind: "read", body } : { kind: "callerGone" }));
+        request.once("error", () => end({ kind: "callerGone" }));
     });
 }
 
-function noMemoryFailure(attempt: string): CheckFailure {
-    return {
-        status: 503,
-        reason: RefusalReason.QueueFull,
-        message: "the router buffers too many bytes of request bodies",
-        attempt,
-        retryAfter: memoryRetryAfter,
-    };
-}
-
-function yieldedFailure(attempt: string): CheckFailure {
-    const message = "the body made no progress, and the router needs its memory";
-    return { ...noMemoryFailure(attempt), message, hasYielded: true };
-}
-
 /** Whether the connection of a refused request can be used again, since the rest of its body is short enough to read. */
 export function canDiscard(request: IncomingMessage): boolean {
     return request.headers["transfer-encoding"] === undefined
--- a/packages/common/src/connections/controlServer.ts
+++ b/packages/common/src/connections/controlServer.ts
@@ -101,11 +101,8 @@
     return headers["transfer-encoding"] !== undefined || Number(headers["content-length"] ?? 0) !== 0;
 }
 
-/**
- * Refuses a request with its head. The body is not parsed, but dropped for a moment: closing a connection with unread
- * bytes resets it, and the client may lose the response.
- */
-export function refuseBody({ socket }: IncomingMessage, response: ServerResponse): void {
+/** Refuses a request with its head; the body is not read. */
+export function refuseBody(request: IncomingMessage, response: ServerResponse): void {
     const text = "requests to this path have no body\n";
     response.writeHead(413, {
         "content-type": "text/plain",
@@ -113,6 +110,14 @@
         "connection": "close",
     });
     response.write(text);
+    endAfterDiscard(request, response);
+}
+
+/**
+ * Ends a response that has been written before its request was complete, and the connection. The rest of the request is not
+ * parsed, but dropped for a moment: closing a connection with unread bytes resets it, and the client may lose the response.
+ */
+export function endAfterDiscard({ socket }: IncomingMessage, response: ServerResponse): void {
     connectionReader.discard(socket);
     const end = () => {
         clearTimeout(timer);
--- a/packages/gateway/src/decision/openBodies.ts
+++ b/packages/common/src/connections/openBodies.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { Milliseconds } from "@redwingpin/common";
+import type { Milliseconds } from "../clock.js";
 
 /** Time without a byte after which a body may give way. Retransmissions of a lossy link take less. */
 export const stallGrace: Milliseconds = 2_000;
--- a/packages/common/src/httpService.ts
+++ b/packages/common/src/httpService.ts
@@ -37,6 +37,8 @@
     readonly registry: Registry;
     /** Returns whether the process should receive work. */
     readonly ready: () => boolean;
+    /** @default no log lines */
+    readonly logger?: Logger;
 }
 
 /** Answers a request to `/health`, `/ready` or `/metrics`. Returns false for any other path. */
@@ -66,8 +68,7 @@
     source: HealthSource,
     wait?: ListenWait,
 ): Promise<HttpServer> {
-    const { registry } = source;
-    const logger = wait?.logger ?? silentLogger;
+    const { logger = wait?.logger ?? silentLogger, registry } = source;
     const server = createControlServer({ port: "metrics", logger, registry }, (request, response) => {
         if (!answerHealthRequest(request.url ?? "", response, source)) {
             answerText(response, 404, "not found\n");
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -5,12 +5,17 @@
  */
 export * from "./byteCollector.js";
 export * from "./clock.js";
+export * from "./connections/blockPool.js";
+export * from "./connections/bodyReader.js";
 export * from "./connections/boundedConnections.js";
 export * from "./connections/clientErrors.js";
 export * from "./connections/connectionBudget.js";
 export * from "./connections/connectionReader.js";
 export * from "./connections/controlServer.js";
+export * from "./connections/openBodies.js";
+export * from "./connections/openRequests.js";
 export * from "./connections/readTurns.js";
+export * from "./connections/receivedBytes.js";
 export * from "./connections/smallChunks.js";
 export * from "./decision.js";
 export * from "./digest.js";
--- a/packages/gateway/src/__tests__/blockPool.spec.ts
+++ b/packages/gateway/src/__tests__/blockPool.spec.ts
@@ -1,8 +1,7 @@
-import { digestOf, EndpointExchange } from "@redwingpin/common";
+import { type BlockBody, blockBytes, BlockPool, digestOf, EndpointExchange } from "@redwingpin/common";
 import { expect } from "chai";
 import { createServer, type Socket } from "node:net";
 import type { AddressInfo } from "node:net";
-import { type BlockBody, blockBytes, BlockPool } from "../node/blockPool.js";
 import { endpointStateFixture } from "./gatewayFixture.js";
 
 function textOf(body: BlockBody): string {
--- a/packages/gateway/src/__tests__/gatewayFixture.ts
+++ b/packages/gateway/src/__tests__/gatewayFixture.ts
@@ -1,3 +1,4 @@
+import { type BlockBody, BlockPool } from "@redwingpin/common";
 import type { DesiredWeights, DirectAccount, DirectEndpoint, ReplicaStatus } from "@redwingpin/fleet";
 import {
     type CacheStore,
@@ -6,7 +7,6 @@
     EndpointState,
     ServiceSpeed,
 } from "../index.js";
-import { type BlockBody, BlockPool } from "../node/blockPool.js";
 
 /** A body in blocks of a pool of its own. */
 export function bodyFixture(contents = ""): BlockBody {
--- a/packages/gateway/src/node/attempt.ts
+++ b/packages/gateway/src/node/attempt.ts
@@ -12,6 +12,7 @@
     type Clock,
     EndpointExchange,
     type ExchangeRequest,
+    recordReceivedBytes,
     RetryReason,
 } from "@redwingpin/common";
 import { Delivery } from "@redwingpin/fleet";
@@ -23,7 +24,6 @@
 import type { AnswerMetadata, HeaderCodec } from "../headerCodec.js";
 import { findInvalidField, headerValue, writeStreamHead, writeWholeAnswer } from "./answerWriter.js";
 import type { DirectRequest } from "./callerRequest.js";
-import { recordReceivedBytes } from "./receivedBytes.js";
 
 /** Maximum size of a whole answer. */
 const maxAnswerBytes = 16_777_216;
--- a/packages/gateway/src/node/callerChecks.ts
+++ b/packages/gateway/src/node/callerChecks.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { digestOf, type Milliseconds, RefusalReason } from "@redwingpin/common";
+import { type BlockBody, digestOf, type Milliseconds, RefusalReason } from "@redwingpin/common";
 import type { DirectAccount, DirectRoute } from "@redwingpin/fleet";
 import { err, ok, type Result } from "neverthrow";
 import type { IncomingMessage } from "node:http";
@@ -11,7 +11,6 @@
 import type { CallerMetadata, HeaderCodec } from "../headerCodec.js";
 import type { AccountTokens } from "./accountTokens.js";
 import { findInvalidField } from "./answerWriter.js";
-import type { BlockBody } from "./blockPool.js";
 import type { DirectRequest } from "./callerRequest.js";
 
 /** A failed check; the request has not run. */
--- a/packages/gateway/src/node/callerRequest.ts
+++ b/packages/gateway/src/node/callerRequest.ts
@@ -3,11 +3,10 @@
  *
  * @module
  */
-import type { Milliseconds } from "@redwingpin/common";
+import type { BlockBody, Milliseconds } from "@redwingpin/common";
 import type { DirectAccount, DirectRoute, DirectService } from "@redwingpin/fleet";
 import type { RouteTable } from "../decision/routeTable.js";
 import type { CallerMetadata } from "../headerCodec.js";
-import type { BlockBody } from "./blockPool.js";
 
 /** A request that may be sent to endpoints. */
 export interface DirectRequest {
--- a/packages/gateway/src/node/directServer.ts
+++ b/packages/gateway/src/node/directServer.ts
@@ -5,6 +5,9 @@
  */
 import {
     answerClientError,
+    type BlockBody,
+    BlockPool,
+    type BodyReadOptions,
     BoundedConnections,
     type Clock,
     type ConnectionLimits,
@@ -12,6 +15,10 @@
     listenOn,
     type Logger,
     type Milliseconds,
+    OpenBodies,
+    openRequestBytes,
+    openRequestLimit,
+    readBody,
     RefusalReason,
     sleep,
 } from "@redwingpin/common";
@@ -20,12 +27,10 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { Server as NetServer, type Socket } from "node:net";
 import type { RequestOutcome } from "../decision/attemptPlan.js";
-import { OpenBodies } from "../decision/openBodies.js";
 import type { RequestTimeLimits } from "../decision/stopPolicy.js";
 import type { HeaderCodec } from "../headerCodec.js";
 import { untilSent, writeOwnAnswer } from "./answerWriter.js";
-import { type BlockBody, BlockPool } from "./blockPool.js";
-import { type BodyReadOptions, readBody } from "./bodyReader.js";
+import { refusalOfBody } from "./bodyRefusals.js";
 import {
     checkComplete,
     type CheckContext,
@@ -36,7 +41,6 @@
 import type { DirectRequest } from "./callerRequest.js";
 import { defaultConnectionLimits } from "./connectionLimits.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
-import { openRequestBytes, openRequestLimit } from "./openRequests.js";
 import { RequestRefusals, type RequestTimings, roundedTimings } from "./requestRefusals.js";
 import { RequestTurns } from "./requestTurns.js";
 import { refusalOf } from "./serverRefusals.js";
@@ -325,14 +329,15 @@
             return;
         }
         const limit = head.value.table.configuration.limits.bodyBytes;
-        const body = await readBody({ ...this.bodyOptions, request, limit, attempt });
-        if (body === undefined) {
+        const read = await readBody({ ...this.bodyOptions, request, limit });
+        if (read.kind === "callerGone") {
             return;
         }
-        if ("status" in body) {
-            this.refusals.refuse(request, response, body);
+        if (read.kind !== "read") {
+            this.refusals.refuse(request, response, refusalOfBody(read, attempt));
             return;
         }
+        const { body } = read;
         const timings: RequestTimings = { read: this.context.clock.now() - arrival };
         try {
             if (await this.isAdmitted(head.value, request, response, arrival, timings)) {
--- a/packages/gateway/src/node/requestRefusals.ts
+++ b/packages/gateway/src/node/requestRefusals.ts
@@ -3,11 +3,17 @@
  *
  * @module
  */
-import { type Logger, type Milliseconds, RefusalReason } from "@redwingpin/common";
+import {
+    canDiscard,
+    endAfterBody,
+    endWithConnection,
+    type Logger,
+    type Milliseconds,
+    RefusalReason,
+} from "@redwingpin/common";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { HeaderCodec } from "../headerCodec.js";
 import { writeOwnAnswer } from "./answerWriter.js";
-import { canDiscard, endAfterBody, endWithConnection } from "./bodyReader.js";
 import type { CheckFailure } from "./callerChecks.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
 
--- a/packages/proofs/src/__tests__/siteFixture.ts
+++ b/packages/proofs/src/__tests__/siteFixture.ts
@@ -142,12 +142,12 @@
 }
 
 /** Assigns every roster position to the router, as in a site that has run for a while. */
-async function assignRosterPositions(store: KeyValueStore): Promise<void> {
+export async function assignRosterPositions(store: KeyValueStore): Promise<void> {
     const roster = { epoch: 1, holders: new Array<string>(rosterPositions).fill("router-1") };
     await store.compareAndSwap(rosterKey, 0, new TextEncoder().encode(encodeRoster(roster)));
 }
 
-function listEntry(instance: string, role: string, port: number, pool = "") {
+export function listEntry(instance: string, role: string, port: number, pool = "") {
     const labels = { instance, role, data_centre: "hobart", pool, leaving: "false" };
     return { targets: [`${host}:${port}`], labels };
 }
--- a/packages/router/src/config.ts
+++ b/packages/router/src/config.ts
@@ -3,12 +3,16 @@
  *
  * @module
  */
-import { parseHttpAddress, parseInteger, type SettingTable } from "@redwingpin/common";
+import { blockBytes, parseHttpAddress, parseInteger, type SettingTable } from "@redwingpin/common";
 import { maxPort, processSettings, type ResolvedProcessConfig } from "@redwingpin/protocol";
 
 const maxDurationMilliseconds = 86_400_000;
 const maxConnectionCount = 1_000_000;
 
+/** A body may take half of the memory for one copy of the bodies, and is held twice. */
+const minBufferedBytes = 4 * blockBytes;
+const maxBufferedBytesSetting = 1_000_000_000_000;
+
 /** Resolved settings of a router. */
 export interface ResolvedRouterConfig extends ResolvedProcessConfig {
     /** Port on which callers connect over HTTP. */
@@ -18,6 +22,8 @@
     readonly requestTimeoutMilliseconds: number;
     /** Maximum number of open connections of callers. */
     readonly maxConnections: number;
+    /** Maximum total size of the bodies of callers' requests that are held, in bytes. */
+    readonly maxBufferedBytes: number;
 }
 
 /** The settings of a router. */
@@ -45,4 +51,11 @@
         defaultText: "10000",
         parse: parseInteger(1, maxConnectionCount),
     },
+    maxBufferedBytes: {
+        variable: "REDWINGPIN_MAX_BUFFERED_BYTES",
+        description:
+            "Maximum total size of the bodies of callers' requests that are held; a body may have a quarter of it",
+        defaultText: "100663296",
+        parse: parseInteger(minBufferedBytes, maxBufferedBytesSetting),
+    },
 };
--- a/packages/router/src/constants.ts
+++ b/packages/router/src/constants.ts
@@ -7,6 +7,12 @@
 /** Maximum size of the body of a caller's request, in bytes. */
 export const maxBodyBytes = 16 * 1024 * 1024;
 
+/** Maximum total size of the heads of callers' requests that are being read, in bytes. */
+export const maxUnfinishedHeadBytes = 16 * 1024 * 1024;
+
+/** Maximum number of open requests of one connection. Callers send one at a time, or a few ahead. */
+export const maxPipelinedRequests = 64;
+
 /** Maximum size of an answer that is buffered until it is complete, in bytes; larger ones are sent as received. */
 export const maxBufferedAnswerBytes = 1024 * 1024;
 
--- a/packages/router/src/node/callerAnswer.ts
+++ b/packages/router/src/node/callerAnswer.ts
@@ -13,8 +13,8 @@
 /** Response header that states whether the call has run. */
 export const outcomeHeader = "redwingpin-outcome";
 
-/** Answers a request with a refusal. */
-export function answerRefusal(response: ServerResponse, refusal: Refusal): void {
+/** Answers a request with a refusal. `end` is called instead of ending the response immediately. */
+export function answerRefusal(response: ServerResponse, refusal: Refusal, end?: () => void): void {
     if (response.headersSent || response.destroyed) {
         response.destroy();
         return;
@@ -37,8 +37,14 @@
     if (status === 401) {
         headers["www-authenticate"] = "Bearer";
     }
+    headers["content-length"] = String(Buffer.byteLength(body));
     response.writeHead(status, headers);
-    response.end(body);
+    if (end === undefined) {
+        response.end(body);
+        return;
+    }
+    response.write(body);
+    end();
 }
 
 /** Answers with a JSON value. */
--- a/packages/router/src/node/callerServer.ts
+++ b/packages/router/src/node/callerServer.ts
@@ -7,10 +7,14 @@
     answerHealthRequest,
     type Clock,
     digestOf,
+    endAfterDiscard,
+    hasBody,
     type HealthSource,
+    type Logger,
     type Milliseconds,
     type ReasonCounters,
     RefusalReason,
+    refuseBody,
 } from "@redwingpin/common";
 import type { ClientAccount, ManifestIndex } from "@redwingpin/manifest";
 import { prefixBlocks } from "@redwingpin/placement";
@@ -35,7 +39,7 @@
     visibleModels,
 } from "../decision/routedRequest.js";
 import { answerJson, answerRefusal } from "./callerAnswer.js";
-import { readBody } from "./callerBody.js";
+import { CallerLimits } from "./callerLimits.js";
 import type { CallerRequest } from "./callerRequest.js";
 import { continueTrace } from "./traceContext.js";
 
@@ -46,7 +50,10 @@
     readonly requestTimeout: Milliseconds;
     /** True while the router stops: each connection closes after its answer. */
     readonly isStopping: () => boolean;
+    readonly logger: Logger;
     readonly maxConnections: number;
+    /** Maximum total size in bytes of the request bodies that are held. */
+    readonly maxBufferedBytes: number;
     /** The manifest in force; absent until the first one is installed. */
     readonly manifest: () => ManifestIndex | undefined;
     /** Serves a request that has passed its checks. */
@@ -57,6 +64,8 @@
 
 const completionPaths: ReadonlySet<string> = new Set(["/v1/completions", "/v1/chat/completions"]);
 const modelsPath = "/v1/models";
+const statusPath = "/status";
+const healthPaths: ReadonlySet<string> = new Set(["/health", "/ready", "/metrics", statusPath]);
 const servicesPattern = /^\/services\/([^/?]+)(\/[^?]*)?(\?.*)?$/;
 const headersTimeoutMilliseconds = 10_000;
 const maxHeaderBytes = 32 * 1024;
@@ -69,42 +78,48 @@
             headersTimeout: headersTimeoutMilliseconds,
             requestTimeout: context.requestTimeout,
         },
-        (request, response) => void handleRequest(context, request, response),
+        (request, response) => void handleRequest(context, limits, request, response),
     );
-    server.maxConnections = context.maxConnections;
-    server.on("clientError", (_error, socket) => {
-        if (socket.writable) {
-            socket.end("HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n");
-        }
-    });
+    const limits = new CallerLimits(context);
+    limits.attach(server);
     return server;
 }
 
 async function handleRequest(
     context: CallerServerContext,
+    limits: CallerLimits,
     request: IncomingMessage,
     response: ServerResponse,
 ): Promise<void> {
+    if (!limits.begin(request, response)) {
+        return;
+    }
+    response.on("error", () => response.destroy());
     const url = request.url ?? "/";
     if (context.isStopping()) {
         // The load balancer sends the caller's next connection to another router.
         response.setHeader("connection", "close");
     }
+    if (healthPaths.has(url) && hasBody(request)) {
+        refuseBody(request, response);
+        return;
+    }
     if (answerHealthRequest(url, response, context)) {
         return;
     }
-    if (url === "/status") {
+    if (url === statusPath) {
         answerJson(response, 200, context.status());
         return;
     }
-    response.on("error", () => response.destroy());
-    const checked = await checkRequest(context, request, response);
+    const checked = await checkRequest(context, limits, request, response);
     if (checked.isErr()) {
         context.counters.countRefusal(checked.error.reason);
-        if (!request.complete) {
-            response.setHeader("connection", "close");
+        if (request.complete) {
+            answerRefusal(response, checked.error);
+            return;
         }
-        answerRefusal(response, checked.error);
+        response.setHeader("connection", "close");
+        answerRefusal(response, checked.error, () => endAfterDiscard(request, response));
         return;
     }
     if (checked.value !== undefined) {
@@ -112,9 +127,10 @@
     }
 }
 
-/** Checks a request. Resolves with `undefined` if the request has already been answered. */
+/** Checks a request. Resolves with `undefined` if the request has already been answered, or its caller has left. */
 async function checkRequest(
     context: CallerServerContext,
+    limits: CallerLimits,
     request: IncomingMessage,
     response: ServerResponse,
 ): Promise<Result<CallerRequest | undefined, Refusal>> {
@@ -137,7 +153,14 @@
         answerModels(index, account.value, response);
         return ok(undefined);
     }
-    const body = await readBody(request);
+    const memory = limits.checkMemory();
+    if (memory.isErr()) {
+        return err(memory.error);
+    }
+    const body = await limits.readBody(request, response);
+    if (body === undefined) {
+        return ok(undefined);
+    }
     const caller: Caller = { index, key: key.value, account: account.value };
     return body.andThen((bytes) =>
         refuseKeyInContent(caller.key, url, bytes).andThen(() =>
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -3,6 +3,8 @@
  *
  * @module
  */
+export * from "./node/clientCrowd.js";
+export * from "./node/clientCrowds.js";
 export { countTokens, createTokenGenerator } from "./node/completionText.js";
 export type { EngineStandinOptions } from "./node/engineOptions.js";
 export { type Order, OrderKind, type OrderRecord } from "./node/engineOrders.js";
@@ -14,4 +16,5 @@
 export type { RecordedRequest, RequestLogReport } from "./node/requestLog.js";
 export * from "./node/serviceStandin.js";
 export * from "./node/storeStandin.js";
+export { Ending, Identity, runUntrusted, SendingMode, type UntrustedGroup } from "./node/untrustedClients.js";
 export * from "./node/virtualMachineListStandin.js";
--- a/platform/src/__tests__/clientCrowd.ts
+++ b/packages/standins/src/node/clientCrowd.ts
@@ -1,3 +1,8 @@
+/**
+ * Runs crowds of untrusted clients.
+ *
+ * @module
+ */
 import { once } from "node:events";
 import { Worker } from "node:worker_threads";
 import type { UntrustedGroup } from "./untrustedClients.js";
--- a/platform/src/__tests__/untrustedClients.ts
+++ b/packages/standins/src/node/untrustedClients.ts
@@ -60,8 +60,15 @@
     /** Size in bytes of what each client sends after its head, or of the head if that is all that it sends. */
     readonly bytes: number;
     readonly path: string;
+    /**
+     * Field of clients with a key.
+     * @default the platform's field, with the key of its test configuration
+     */
+    readonly keyField?: string;
 }
 
+const defaultKeyField = "redwingpin-credential: key-of-a-maker";
+
 /** Number of writes of a client that sends piece by piece, and the pause in milliseconds between them. */
 const pieces = 4;
 const pause = 25;
@@ -78,9 +85,9 @@
 
 let attempts = 0;
 
-function fieldsOf(identity: Identity): string {
+function fieldsOf(identity: Identity, keyField: string): string {
     attempts += 1;
-    const key = identity === Identity.Key ? "redwingpin-credential: key-of-a-maker\r\n" : "";
+    const key = identity === Identity.Key ? `${keyField}\r\n` : "";
     return identity === Identity.NoFields
         ? "host: site.example\r\n"
         : `host: site.example\r\nredwingpin-request-attempt-id: untrusted-${attempts}\r\n`
@@ -98,8 +105,9 @@
 }
 
 /** What a client sends, in the order of its writes. */
-export function writesOf({ bytes, identity, mode, path }: UntrustedGroup): (string | Buffer)[] {
-    const head = `POST ${path} HTTP/1.1\r\n${fieldsOf(identity)}`;
+export function writesOf(group: UntrustedGroup): (string | Buffer)[] {
+    const { bytes, identity, keyField = defaultKeyField, mode, path } = group;
+    const head = `POST ${path} HTTP/1.1\r\n${fieldsOf(identity, keyField)}`;
     const sized = `${head}content-length: ${bytes + 1}\r\n`;
     const chunked = `${head}transfer-encoding: chunked\r\n\r\n`;
     switch (mode) {
@@ -117,7 +125,7 @@
         case SendingMode.TinyChunks:
             return [chunked, repeated("1\r\nx\r\n", bytes)];
         case SendingMode.Pipelined: {
-            const request = `GET ${path} HTTP/1.1\r\n${fieldsOf(identity)}\r\n`;
+            const request = `GET ${path} HTTP/1.1\r\n${fieldsOf(identity, keyField)}\r\n`;
             return [Buffer.from(request.repeat(Math.ceil(bytes / request.length)))];
         }
         case SendingMode.PipelinedBodies: {
