Parse on at once when a body is read, and close no ordinary connections for it

A body that is not read yet also counted as one that may be closed.

Change: what waits is parsed as soon as it may be, unless the connection is heavy or others wait. Only connections whose slices take many steps, or that send requests ahead, are closed. Raw reads count towards the collection of received bytes, since they are allocated beside the body's parts.

--- a/packages/common/src/connections/connectionReader.ts
+++ b/packages/common/src/connections/connectionReader.ts
@@ -12,6 +12,7 @@
 import { type Clock, type Milliseconds, systemClock } from "../clock.js";
 import { ConnectionReading } from "./connectionReading.js";
 import { ReadTurns, stepsOfRequest } from "./readTurns.js";
+import { recordReceivedBytes } from "./receivedBytes.js";
 import { joinSmallChunks } from "./smallChunks.js";
 
 /** Maximum total size in bytes of the reads that wait to be parsed; a read has up to 64 KB. */
@@ -83,7 +84,7 @@
         }
         const reading = new ConnectionReading(socket, (bytes) => deliver.call(socket, bytes), {
             maxOpenRequests: options.maxOpenRequests ?? defaultMaxOpenRequests,
-            onUnblocked: () => this.continue(reading, options),
+            onUnblocked: () => this.advance(reading, options),
             onHeld: (addedBytes) => this.heldBytes += addedBytes,
         });
         this.readings.set(socket, reading);
@@ -107,15 +108,23 @@
     }
 
     private receive(reading: ConnectionReading, bytes: Buffer, options: ServerReadingOptions): void {
+        recordReceivedBytes(bytes.length);
         reading.add(bytes, this.options.clock.now());
-        // Ordinary requests do not wait for the next turn.
+        this.advance(reading, options);
+        if (this.heldBytes > this.maxHeldBytes) {
+            this.closeLargest();
+        }
+    }
+
+    /** Parses what waits on a connection now, if its slices are those of ordinary requests and no others wait; else in its turn. */
+    private advance(reading: ConnectionReading, options: ServerReadingOptions): void {
+        if (reading.isParsing) {
+            return;
+        }
         while (reading.canParse && !reading.pace.isHeavy && !this.turns.isBusy && !this.turns.isOver) {
             this.parseSlice(reading);
         }
         this.continue(reading, options);
-        if (this.heldBytes > this.maxHeldBytes) {
-            this.closeLargest();
-        }
     }
 
     /** Reads on, or puts the connection at the end of its queue if bytes are left to parse. */
@@ -141,14 +150,11 @@
         }
     }
 
-    /** Closes one connection, but none whose slices are those of ordinary requests. */
+    /** Closes the connection that holds most, but none of an ordinary client. */
     private closeLargest(): void {
         let largest: ConnectionReading | undefined;
         for (const reading of this.holding.keys()) {
-            if (
-                (reading.pace.isHeavy || !reading.canParse)
-                && reading.heldBytes > (largest?.heldBytes ?? 0)
-            ) {
+            if (reading.mayBeClosed && reading.heldBytes > (largest?.heldBytes ?? 0)) {
                 largest = reading;
             }
         }
--- a/packages/common/src/connections/connectionReading.ts
+++ b/packages/common/src/connections/connectionReading.ts
@@ -85,6 +85,16 @@
             && (this.openRequests < this.options.maxOpenRequests || this.latest?.complete === false);
     }
 
+    /** True while a slice is being parsed. */
+    get isParsing(): boolean {
+        return this.sliceReadAt !== undefined;
+    }
+
+    /** True if the connection is not one of an ordinary client: its slices take many steps, or it sends requests ahead. */
+    get mayBeClosed(): boolean {
+        return this.pace.isHeavy || (this.openRequests > 0 && this.latest?.complete === true);
+    }
+
     /** Adds what was read. */
     add(bytes: Buffer, readAt: Milliseconds): void {
         if (!this.isDiscarding) {
