--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -25,6 +25,7 @@
 export * from "./decision/transferTime.js";
 export * from "./gatewayConfig.js";
 export * from "./headerCodec.js";
+export * from "./memoryShares.js";
 export { defaultConnectionLimits } from "./node/connectionLimits.js";
 export * from "./node/gateway.js";
 export * from "./node/gatewayOptions.js";
