Bound the connections of the inner port that have not been authenticated

Cause: any client can open connections to this port, and each keeps a descriptor for the 2 s of a handshake; nothing bounded their number.

Authenticated peers do not count, so the limit does not grow with the routers.

--- a/packages/common/src/connections/boundedConnections.ts
+++ b/packages/common/src/connections/boundedConnections.ts
@@ -70,6 +70,16 @@
         this.scheduleSample();
     }
 
+    /** Stops counting a connection that has been authenticated, so that it is no longer one of an unknown client. */
+    release(socket: Socket): void {
+        this.budget.remove(socket);
+    }
+
+    /** Number of connections that count. */
+    get size(): number {
+        return this.budget.size;
+    }
+
     /** Records the head of a request. Returns false if its connection is closed or was closed now; it is not served then. */
     beginRequest(socket: Socket): boolean {
         if (socket.destroyed) {
--- a/packages/protocol/src/__tests__/innerNode.spec.ts
+++ b/packages/protocol/src/__tests__/innerNode.spec.ts
@@ -1,10 +1,14 @@
 import { RefusalReason, silentLogger, systemClock } from "@redwingpin/common";
 import { expect } from "chai";
 import fc from "fast-check";
+import { once } from "node:events";
+import { connect } from "node:net";
+import { handshakeTimeoutMilliseconds } from "../constants.js";
 import { encodeFrame, FrameReader } from "../frame.js";
 import { type Message, MessageKind, ProcessRole, Topic } from "../messages.js";
 import { parseFleetKeys } from "../node/fleetKey.js";
 import { InnerNode } from "../node/innerNode.js";
+import { maxHandshakes } from "../node/secureChannel.js";
 import { ProtocolErrorKind } from "../protocolError.js";
 
 const host = "127.0.0.1";
@@ -48,6 +52,32 @@
         server.stop();
     });
 
+    // Guards against descriptors that run out by connections to this port, which need no key.
+    it("closes the oldest connections without a handshake for new ones, and serves a peer beside them", async () => {
+        const server = createNode("server");
+        server.handle(Topic.Rates, () => Promise.resolve("served"));
+        const port = await server.listen(host, 0);
+        let closed = 0;
+        const silent = Array.from({ length: maxHandshakes + 100 }, () => {
+            const socket = connect(port, host);
+            socket.on("error", () => {});
+            socket.on("close", () => closed += 1);
+            return socket;
+        });
+        await Promise.all(silent.map((socket) => once(socket, "connect")));
+        const client = createNode("client");
+        const answer = await client.call({ host, port }, Topic.Rates, {}, 5_000);
+        expect(answer._unsafeUnwrap()).to.equal("served");
+        // All of them would be closed when the time for handshakes is over.
+        await new Promise((resolve) => setTimeout(resolve, handshakeTimeoutMilliseconds / 4));
+        expect(closed).to.be.within(100, 101);
+        const second = await client.call({ host, port }, Topic.Rates, {}, 5_000);
+        expect(second._unsafeUnwrap()).to.equal("served");
+        silent.forEach((socket) => socket.destroy());
+        client.stop();
+        server.stop();
+    });
+
     it("answers with an error, and keeps the connection, if a handler fails or a topic has none", async () => {
         const server = createNode("server");
         const client = createNode("client");
--- a/packages/protocol/src/node/innerNode.ts
+++ b/packages/protocol/src/node/innerNode.ts
@@ -83,7 +83,7 @@
 
     /** Starts to listen; resolves with the port, which differs from the given one only if that is 0. */
     listen(host: string, port: number): Promise<number> {
-        const server = createSecureServer(this.options.fleetKeys, (socket) => {
+        const server = createSecureServer(this.options.fleetKeys, this.options, (socket) => {
             void Connection.start(socket, this.context).map((connection) => this.register(connection));
         });
         this.server = server;
