Limit unfinished heads to half of the memory for bodies

Cause: heads that are being read count in the memory for bodies, but had a limit of 16 MiB of their own, more than a machine of 178 MB now has for both.

Change: on machines where half of the memory for bodies is less than 16 MiB, that is the limit. 178 MB: 5.4 MB, which are 330 heads of the largest legal size at the same moment; ordinary heads have some hundred bytes, and are unfinished only while they arrive.

Result: the specs of the shares and of translated settings pass.

--- a/packages/gateway/src/memoryShares.ts
+++ b/packages/gateway/src/memoryShares.ts
@@ -20,12 +20,18 @@
 /** Share of the machine's memory for answers that are not complete or that their callers have not received. */
 const answerShare = 0.05;
 
+/** Part of the memory for bodies that heads which are being read may take. */
+const headPart = 0.5;
+
 /** Memory for bodies of which one may have half: somewhat more than 4 MiB. */
 const minBodyBytes = 9_000_000;
 
 /** Memory for what a router holds for callers, in bytes. */
 export interface MemoryShares {
+    /** Bodies, and heads that are being read. */
     readonly bodies: number;
+    /** The part of {@link bodies} for heads. */
+    readonly heads: number;
     readonly answers: number;
 }
 
@@ -33,5 +39,6 @@
 export function divideMemory(memory: number, heapLimit: number): MemoryShares {
     const answers = memory * answerShare;
     const left = memory - heapLimit - programBytes - uncollectedBytes - unparsedBytes - answers;
-    return { answers, bodies: Math.max(minBodyBytes, Math.min(memory * bodyShare, left)) };
+    const bodies = Math.max(minBodyBytes, Math.min(memory * bodyShare, left));
+    return { answers, bodies, heads: bodies * headPart };
 }
