Let responses that precede the end of a request arrive, and share the handling of parse errors

Cause: the rest of a refused request was dropped for half a second or 1 MiB only; a caller of a router with agents that sends a longer body could lose the 503 that says that its request has not run. How parse errors are answered stood in two servers.

Change: two seconds and 16 MiB, the largest legal body; one handler in `common`.

--- a/packages/common/src/connections/boundedConnections.ts
+++ b/packages/common/src/connections/boundedConnections.ts
@@ -3,10 +3,13 @@
  *
  * @module
  */
+import type { IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
 import type { CancelTimer, Clock, Milliseconds } from "../clock.js";
 import type { Logger } from "../logger.js";
+import { answerClientError } from "./clientErrors.js";
 import { ConnectionBudget, type ConnectionLimits } from "./connectionBudget.js";
+import { connectionReader } from "./connectionReader.js";
 
 /** Interval at which the sizes of unfinished heads are added up. */
 const sampleInterval: Milliseconds = 50;
@@ -45,6 +48,8 @@
     private cancelSample: CancelTimer | undefined;
     private nextLogAt: Milliseconds = -Infinity;
     private readonly closedCounts = new Map<ClosedConnectionReason, number>();
+    /** The request whose head was read last on each connection. */
+    private readonly latestRequests = new WeakMap<Socket, IncomingMessage>();
 
     constructor(private readonly context: BoundedConnectionsContext) {
         this.budget = new ConnectionBudget(context.limits);
@@ -81,10 +86,12 @@
     }
 
     /** Records the head of a request. Returns false if its connection is closed or was closed now; it is not served then. */
-    beginRequest(socket: Socket): boolean {
+    beginRequest(request: IncomingMessage): boolean {
+        const { socket } = request;
         if (socket.destroyed) {
             return false;
         }
+        this.latestRequests.set(socket, request);
         if (this.budget.beginRequest(socket, this.context.clock.now())) {
             return true;
         }
@@ -97,6 +104,20 @@
         this.budget.endRequest(socket, socket.bytesRead, this.context.clock.now());
     }
 
+    /**
+     * Answers what cannot be parsed, and drops what follows. After a complete request that is still open the connection is closed
+     * instead: a status would be read as the response to that request, which may run.
+     */
+    handleClientError(error: NodeJS.ErrnoException, socket: Socket): void {
+        connectionReader.discard(socket);
+        const open = this.budget.openRequests(socket);
+        if (open > 1 || (open === 1 && this.latestRequests.get(socket)?.complete === true)) {
+            socket.destroy();
+            return;
+        }
+        answerClientError(error, socket);
+    }
+
     /** Closes the connection with the most pipelined requests; returns false if there is none. */
     closeMostPipelined(): boolean {
         const victim = this.budget.findMostPipelined();
--- a/packages/common/src/connections/connectionReader.ts
+++ b/packages/common/src/connections/connectionReader.ts
@@ -67,7 +67,7 @@
         return this.readings.get(socket)?.readTime;
     }
 
-    /** Drops what arrives on a connection from now on, without parsing it, and closes it after 1 MiB. */
+    /** Drops what arrives on a connection from now on, without parsing it, and closes it after 16 MiB. */
     discard(socket: Socket): void {
         const reading = this.readings.get(socket);
         if (reading !== undefined) {
--- a/packages/common/src/connections/connectionReading.ts
+++ b/packages/common/src/connections/connectionReading.ts
@@ -8,8 +8,8 @@
 import type { Milliseconds } from "../clock.js";
 import { SlicePace } from "./readTurns.js";
 
-/** Size in bytes of what is dropped before a connection is closed. */
-const maxDiscardedBytes = 1_048_576;
+/** Size in bytes of what is dropped before a connection is closed: the largest legal body. */
+const maxDiscardedBytes = 16_777_216;
 
 /** Options of {@link ConnectionReading}. */
 export interface ConnectionReadingOptions {
@@ -114,8 +114,12 @@
         const slice = read.bytes.subarray(read.parsed, read.parsed + this.pace.sliceBytes);
         read.parsed += slice.length;
         this.sliceReadAt = read.readAt;
-        this.deliver(slice);
-        this.sliceReadAt = undefined;
+        try {
+            this.deliver(slice);
+        }
+        finally {
+            this.sliceReadAt = undefined;
+        }
         this.pace.record(slice.length, takenSteps(), this.latest?.complete === false);
         if (read.parsed === read.bytes.length && this.waiting.at(0) === read) {
             this.waiting.shift();
--- a/packages/common/src/connections/controlServer.ts
+++ b/packages/common/src/connections/controlServer.ts
@@ -32,7 +32,7 @@
 const timeoutCheckInterval: Milliseconds = 1_000;
 
 /** Time for which the rest of a refused request is dropped, so that its client receives the response. */
-const discardTimeout: Milliseconds = 500;
+const discardTimeout: Milliseconds = 2_000;
 
 /** Options of {@link createControlServer}. */
 export interface ControlServerOptions {
@@ -61,7 +61,7 @@
     });
     const onRequest = (request: IncomingMessage, response: ServerResponse) => {
         const { socket } = request;
-        if (!connections.beginRequest(socket)) {
+        if (!connections.beginRequest(request)) {
             return;
         }
         response.on("error", () => response.destroy());
--- a/packages/gateway/src/node/directServer.ts
+++ b/packages/gateway/src/node/directServer.ts
@@ -4,7 +4,6 @@
  * @module
  */
 import {
-    answerClientError,
     type BlockBody,
     BlockPool,
     type BodyReadOptions,
@@ -102,8 +101,6 @@
     private readonly bodyOptions: Pick<BodyReadOptions, "pool" | "openBodies" | "clock">;
     private readonly refusals: RequestRefusals;
     private acceptedConnections = 0;
-    /** The request whose head was read last on each connection. */
-    private readonly latestRequests = new WeakMap<Socket, IncomingMessage>();
     /** Time at which each connection that has brought no request yet was accepted. */
     private readonly unusedConnections = new Map<Socket, Milliseconds>();
     private running = 0;
@@ -146,22 +143,11 @@
         });
         this.server.on(
             "clientError",
-            (error: NodeJS.ErrnoException, socket) => this.handleClientError(error, socket as Socket),
+            (error: NodeJS.ErrnoException, socket) =>
+                this.connections.handleClientError(error, socket as Socket),
         );
     }
 
-    /** A status would be read as the response to a request that was read before it on the connection, and that may run. */
-    private handleClientError(error: NodeJS.ErrnoException, socket: Socket): void {
-        // The parser cannot continue, and would fail again on each further slice.
-        connectionReader.discard(socket);
-        const open = this.connections.openRequests(socket);
-        if (open > 1 || (open === 1 && this.latestRequests.get(socket)?.complete === true)) {
-            socket.destroy();
-            return;
-        }
-        answerClientError(error, socket);
-    }
-
     /** Number of requests that are being served. */
     get runningRequests(): number {
         return this.running;
@@ -257,13 +243,12 @@
     private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
         const { clock, turnStartedBy } = this.context;
         const { socket } = request;
-        if (!this.connections.beginRequest(socket)) {
+        if (!this.connections.beginRequest(request)) {
             return;
         }
         const readAt = connectionReader.readTime(socket) ?? clock.now();
         const arrival = Math.min(readAt, turnStartedBy?.() ?? readAt);
         this.unusedConnections.delete(socket);
-        this.latestRequests.set(socket, request);
         response.on("error", () => response.destroy());
         // An answer that began before the stop leaves its connection open for one more request: closing it here could cut
         // off a request that has already arrived.
--- a/packages/router/src/node/callerLimits.ts
+++ b/packages/router/src/node/callerLimits.ts
@@ -4,7 +4,6 @@
  * @module
  */
 import {
-    answerClientError,
     BlockPool,
     type BodyRead,
     BoundedConnections,
@@ -49,7 +48,6 @@
     /** Estimated memory of the open requests without their bodies. */
     private headBytes = 0;
     private readonly maxHeadBytes = openRequestLimit();
-    private readonly latestRequests = new WeakMap<Socket, IncomingMessage>();
 
     constructor(private readonly context: CallerLimitsContext) {
         const closed = new Counter({
@@ -80,7 +78,8 @@
         server.on("connection", (socket: Socket) => this.connections.add(socket));
         server.on(
             "clientError",
-            (error: NodeJS.ErrnoException, socket) => this.handleClientError(error, socket as Socket),
+            (error: NodeJS.ErrnoException, socket) =>
+                this.connections.handleClientError(error, socket as Socket),
         );
         connectionReader.attach(server, {
             closeExcessive: (socket) => this.connections.closeUnparsed(socket),
@@ -90,12 +89,11 @@
     /** Records a request until its response has been sent. Returns false if its connection is closed; it is not served then. */
     begin(request: IncomingMessage, response: ServerResponse): boolean {
         const { socket } = request;
-        if (!this.connections.beginRequest(socket)) {
+        if (!this.connections.beginRequest(request)) {
             return false;
         }
         const headBytes = openRequestBytes(request);
         this.headBytes += headBytes;
-        this.latestRequests.set(socket, request);
         response.once("close", () => {
             this.headBytes -= headBytes;
             this.connections.endRequest(socket);
@@ -134,17 +132,6 @@
         response.once("close", () => body.release());
         return ok(Buffer.concat(body.parts()));
     }
-
-    /** A status would be read as the response to a request that was read before it on the connection, and that may run. */
-    private handleClientError(error: NodeJS.ErrnoException, socket: Socket): void {
-        connectionReader.discard(socket);
-        const open = this.connections.openRequests(socket);
-        if (open > 1 || (open === 1 && this.latestRequests.get(socket)?.complete === true)) {
-            socket.destroy();
-            return;
-        }
-        answerClientError(error, socket);
-    }
 }
 
 function refusalOfBody(
