--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -4,8 +4,8 @@
  * @module
  */
 export * from "./node/clientCrowd.js";
-export * from "./node/clientCrowds.js";
 export { countTokens, createTokenGenerator } from "./node/completionText.js";
+export * from "./node/crowdKinds.js";
 export type { EngineStandinOptions } from "./node/engineOptions.js";
 export { type Order, OrderKind, type OrderRecord } from "./node/engineOrders.js";
 export * from "./node/engineStandin.js";
