Let a stalled body give way if all connections have open requests

Callers of a router with agents got no answers for more than 20 s while 200 connections, all that it may have, kept bodies that did not arrive: a connection with an open request never gave way, so each new one was closed itself. Direct routes have the same budget.

Change: if no connection is without an open request, the one whose body made no progress for longest gives way to the new one, if that is 2 s or more. Requests that have arrived, and are being served, do not give way.

The spec of the budget covers the choice.

--- a/packages/common/src/__tests__/connectionBudget.spec.ts
+++ b/packages/common/src/__tests__/connectionBudget.spec.ts
@@ -25,6 +25,19 @@
         expect(budget.open("newer", 40)).to.equal("idle");
     });
 
+    // Guards against callers that are kept out by connections whose bodies do not arrive, and against requests in service that end.
+    it("names the connection whose body makes no progress for longest, of those that are not complete", () => {
+        const budget = budgetOf("served", "stalled", "slow");
+        ["served", "stalled", "slow"].forEach((connection) => budget.beginRequest(connection, 10));
+        budget.sample((connection) => connection === "slow" ? 700 : 0, 1_500);
+        const isIncomplete = (connection: string) => connection !== "served";
+        expect(budget.findStalled(isIncomplete, 1_900)).to.equal(undefined);
+        expect(budget.findStalled(isIncomplete, 2_100)).to.equal("stalled");
+        budget.remove("stalled");
+        expect(budget.findStalled(isIncomplete, 3_000)).to.equal(undefined);
+        expect(budget.findStalled(isIncomplete, 3_600)).to.equal("slow");
+    });
+
     // Guards against connections that are closed while there is room.
     it("closes none up to its limits", () => {
         const budget = budgetOf("a", "b");
--- a/packages/common/src/connections/boundedConnections.ts
+++ b/packages/common/src/connections/boundedConnections.ts
@@ -67,7 +67,13 @@
 
     /** Adds an accepted connection until it closes. If there are too many, one of them is closed. */
     add(socket: Socket): void {
-        const victim = this.budget.open(socket, this.context.clock.now());
+        const now = this.context.clock.now();
+        const leastActive = this.budget.open(socket, now);
+        const isIncomplete = (other: Socket) => this.latestRequests.get(other)?.complete === false;
+        // If all others have open requests, one whose body does not arrive gives way to the new connection.
+        const victim = leastActive === socket
+            ? this.budget.findStalled(isIncomplete, now) ?? socket
+            : leastActive;
         socket.once("close", () => this.budget.remove(socket));
         if (victim !== undefined) {
             this.close(victim, ClosedConnectionReason.TooManyConnections);
--- a/packages/common/src/connections/connectionBudget.ts
+++ b/packages/common/src/connections/connectionBudget.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { Milliseconds } from "../clock.js";
+import { stallGrace } from "./openBodies.js";
 
 /** Limits of a {@link ConnectionBudget}. */
 export interface ConnectionLimits {
@@ -137,6 +138,25 @@
         return found;
     }
 
+    /**
+     * The connection without progress for longest, and for the grace period at least, of those with one open request that has not
+     * arrived completely. Those whose request is being served make no progress either.
+     */
+    findStalled(
+        isIncomplete: (connection: Connection) => boolean,
+        now: Milliseconds,
+    ): Connection | undefined {
+        let found: Connection | undefined;
+        let earliest = now - stallGrace;
+        for (const [connection, { progressAt, requests }] of this.entries) {
+            if (requests === 1 && progressAt <= earliest && isIncomplete(connection)) {
+                found = connection;
+                earliest = progressAt;
+            }
+        }
+        return found;
+    }
+
     /**
      * The connection that may give way and has been without progress for longest. One with an unfinished head comes before
      * others. The latest connection is returned if none of the others may give way.
