Close the responses of pipelined requests when their caller leaves

What callers saw: after clients had pipelined requests and left, a router with agents answered every request, also of ordinary callers, with 503 "the router serves too many requests at once" until it was restarted. A router with direct routes let the endpoints run the requests of callers who had left until the time limit.

Cause: Node.js closes only the response that is being sent when its connection closes. The responses of pipelined requests behind it never emit "close", and their `destroyed` stays false. The memory that counts for a request and its body, and the exchange with the endpoint, wait for that event.

The reader of connections, which all HTTP servers of the programs share, closes the responses that wait as soon as their connection has closed. So every listener of "close" holds, not only those that were found.

Failing cells now state the last problem.

--- a/packages/common/src/__tests__/connectionReader.spec.ts
+++ b/packages/common/src/__tests__/connectionReader.spec.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 import fc from "fast-check";
-import { createServer, type Server } from "node:http";
+import { once } from "node:events";
+import { createServer, type RequestListener, type Server, type ServerResponse } from "node:http";
 import { type AddressInfo, connect, type Socket } from "node:net";
 import { systemClock } from "../clock.js";
 import { ConnectionReader } from "../connections/connectionReader.js";
@@ -43,18 +44,20 @@
     let closed: number;
     let received: string[];
 
-    async function listen(maxHeldBytes?: number): Promise<void> {
+    const answerWithLength: RequestListener = (request, response) => {
+        let body = "";
+        request.on("data", (part: Buffer) => body += part.toString());
+        request.on("end", () => {
+            received.push(body);
+            response.end(body.length.toString());
+        });
+    };
+
+    async function listen(maxHeldBytes?: number, answer = answerWithLength): Promise<void> {
         closed = 0;
         received = [];
         const reader = new ConnectionReader({ clock: systemClock, schedule: setImmediate, maxHeldBytes });
-        server = createServer((request, response) => {
-            let body = "";
-            request.on("data", (part: Buffer) => body += part.toString());
-            request.on("end", () => {
-                received.push(body);
-                response.end(body.length.toString());
-            });
-        });
+        server = createServer(answer);
         reader.attach(server, {
             closeExcessive: (socket: Socket) => {
                 closed += 1;
@@ -125,4 +128,28 @@
         expect(closed).to.be.greaterThan(0);
         expect(crowdAnswers.filter((answer) => answer.endsWith("60000")).length).to.equal(20 - closed);
     });
+
+    // Guards against work, and memory that counts as used, for pipelined requests whose caller has left.
+    it("closes the responses of pipelined requests, once each, when their connection closes", async () => {
+        const responses: ServerResponse[] = [];
+        const closes: number[] = [];
+        await listen(undefined, (_request, response) => {
+            const index = responses.push(response) - 1;
+            response.on("close", () => closes.push(index));
+            if (index === 1) {
+                response.end("waits for the first one");
+            }
+        });
+        const socket = connect((server.address() as AddressInfo).port, "127.0.0.1");
+        socket.write(textOf({ bytes: 0, chunkBytes: 0 }, 0).repeat(4));
+        while (responses.length < 4) {
+            await new Promise((resolve) => setImmediate(resolve));
+        }
+        const firstClosed = once(responses[0], "close");
+        socket.destroy();
+        await firstClosed;
+        await new Promise((resolve) => setImmediate(resolve));
+        expect(closes.sort()).to.deep.equal([0, 1, 2, 3]);
+        expect(responses.every(({ destroyed }) => destroyed)).to.equal(true);
+    });
 });
--- a/packages/common/src/connections/connectionReader.ts
+++ b/packages/common/src/connections/connectionReader.ts
@@ -91,7 +91,7 @@
         socket.off("data", deliver);
         socket.on("data", (bytes: Buffer) => this.receive(reading, bytes, options));
         socket.once("close", () => {
-            reading.discard();
+            reading.end();
             this.remove(reading);
         });
     }
--- a/packages/common/src/connections/connectionReading.ts
+++ b/packages/common/src/connections/connectionReading.ts
@@ -6,6 +6,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { Milliseconds } from "../clock.js";
+import { OpenResponses } from "./openResponses.js";
 import { SlicePace } from "./readTurns.js";
 
 /** Size in bytes of what is dropped before a connection is closed: the largest legal body. */
@@ -34,7 +35,7 @@
     private held = 0;
     private sliceReadAt: Milliseconds | undefined;
     private latest: IncomingMessage | undefined;
-    private openRequests = 0;
+    private readonly openResponses = new OpenResponses();
     private isHeld = false;
     private isDiscarding = false;
     private discardedBytes = 0;
@@ -82,7 +83,7 @@
     /** True if bytes wait and may be parsed. */
     get canParse(): boolean {
         return this.hasBytes && !this.isPausedByServer && !this.socket.destroyed
-            && (this.openRequests < this.options.maxOpenRequests || this.latest?.complete === false);
+            && (this.openResponses.size < this.options.maxOpenRequests || this.latest?.complete === false);
     }
 
     /** True while a slice is being parsed. */
@@ -92,7 +93,7 @@
 
     /** True if the connection is not one of an ordinary client: its slices take many steps, or it sends requests ahead. */
     get mayBeClosed(): boolean {
-        return this.pace.isHeavy || (this.openRequests > 0 && this.latest?.complete === true);
+        return this.pace.isHeavy || (this.openResponses.size > 0 && this.latest?.complete === true);
     }
 
     /** Adds what was read. */
@@ -133,15 +134,19 @@
     /** Records that the head of a request was parsed. */
     beginRequest(request: IncomingMessage, response: ServerResponse): void {
         this.latest = request;
-        this.openRequests += 1;
-        response.once("close", () => {
-            this.openRequests -= 1;
+        this.openResponses.add(response, () => {
             if (this.isHeld) {
                 this.options.onUnblocked();
             }
         });
     }
 
+    /** Drops what waits and closes the responses that wait, since the connection has closed. */
+    end(): void {
+        this.discard();
+        this.openResponses.closeWaiting();
+    }
+
     /** Stops reading. */
     hold(): void {
         if (!this.isHeld) {
--- a/packages/proofs/src/__tests__/untrustedClients.spec.ts
+++ b/packages/proofs/src/__tests__/untrustedClients.spec.ts
@@ -38,6 +38,10 @@
     return Number(/VmHWM:\s+(\d+)/.exec(readFileSync(`/proc/${pid}/status`, "utf8"))?.[1]);
 }
 
+async function problemOf(response: Response): Promise<string | undefined> {
+    return response.ok ? undefined : `status ${response.status}: ${await response.text()}`;
+}
+
 describe("untrusted clients", () => {
     let site: ProcessSite;
 
@@ -71,11 +75,11 @@
         const end = Date.now() + patience;
         for (;;) {
             expectWithinBounds();
-            const isAnswered = await ask(AbortSignal.timeout(4_000)).then(({ ok }) => ok, () => false);
-            if (isAnswered) {
+            const problem = await ask(AbortSignal.timeout(4_000)).then(problemOf, String);
+            if (problem === undefined) {
                 return;
             }
-            expect(Date.now(), `time for ${description}`).to.be.lessThan(end);
+            expect(Date.now(), `time for ${description}; ${problem}`).to.be.lessThan(end);
             await new Promise((resolve) => setTimeout(resolve, 50));
         }
     }
