Fuzz sequences of clients against the limits of callers

The new target "clients" draws up to eight clients that send requests with and without bodies, in small chunks, with large heads or unparsable bytes, stop anywhere and end, reset or stay; some requests are answered at once, others when all clients have left. Afterwards nothing may count for them, and an ordinary request must be read in full.

What counts is also shown to operators, as redwingpin_caller_open_request_bytes and redwingpin_caller_body_bytes.

--- a/packages/proofs/src/fuzz/targets.ts
+++ b/packages/proofs/src/fuzz/targets.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { claimsTarget } from "./claimsTarget.js";
+import { clientsTarget } from "./clientsTarget.js";
 import { configurationTarget } from "./configurationTarget.js";
 import { fairQueueTarget } from "./fairQueueTarget.js";
 import type { FuzzTarget } from "./fuzzTarget.js";
@@ -16,6 +17,7 @@
 
 export const fuzzTargets: readonly FuzzTarget[] = [
     claimsTarget,
+    clientsTarget,
     configurationTarget,
     fairQueueTarget,
     membershipTarget,
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -14,4 +14,5 @@
     type OpenFields,
 } from "./node/agentExchange.js";
 export { AnswerRelay } from "./node/answerRelay.js";
+export { CallerLimits } from "./node/callerLimits.js";
 export * from "./node/router.js";
--- a/packages/router/src/node/callerLimits.ts
+++ b/packages/router/src/node/callerLimits.ts
@@ -16,6 +16,7 @@
     openRequestLimit,
     readBody,
     RefusalReason,
+    registerGauge,
 } from "@redwingpin/common";
 import { err, ok, type Result } from "neverthrow";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
@@ -71,6 +72,18 @@
             context.maxBufferedBytes / bodyCopies,
             () => this.connections.unfinishedBytes,
         );
+        registerGauge(
+            context.registry,
+            "redwingpin_caller_open_request_bytes",
+            "Estimated memory of the open requests of callers without their bodies",
+            () => this.headBytes,
+        );
+        registerGauge(
+            context.registry,
+            "redwingpin_caller_body_bytes",
+            "Memory that is reserved for the request bodies of callers",
+            () => this.bodies.reservedBytes,
+        );
     }
 
     /** Applies the limits to the connections that a server accepts. */
