Count the inner connections that are closed before their handshake

Beyond 256 connections without a handshake the oldest one is closed, which was logged but not counted, so an operator could not see a crowd at the inner port in the metrics. All four programs now count it in redwingpin_control_connections_closed_total with the port "inner". The spec of the inner node compares the reasons with the connections that its clients saw closed.

--- a/packages/agent/src/node/agent.ts
+++ b/packages/agent/src/node/agent.ts
@@ -7,7 +7,14 @@
 import { RosterCache } from "@redwingpin/admission";
 import { createOrderExecutor, type OrderExecutor, OrderProgress } from "@redwingpin/claims";
 import type { CrashReport } from "@redwingpin/claims";
-import { type Clock, type Logger, maxSeed, seededRandom, sleep } from "@redwingpin/common";
+import {
+    type Clock,
+    closedConnectionRecorder,
+    type Logger,
+    maxSeed,
+    seededRandom,
+    sleep,
+} from "@redwingpin/common";
 import { type Configuration, createAgentPeers, createConfiguration } from "@redwingpin/configuration";
 import { EndpointKind } from "@redwingpin/manifest";
 import { MembershipResponder } from "@redwingpin/membership";
@@ -108,6 +115,7 @@
             onMessage: (connection, message) => this.onMessage(connection, message),
             onClosed: (connection) => this.onClosed(connection),
             onConnected: (connection) => this.sendStatus(connection),
+            onHandshakeClosed: closedConnectionRecorder(options.registry, "inner"),
         });
         this.configuration = createConfiguration({
             clock,
--- a/packages/common/src/connections/controlServer.ts
+++ b/packages/common/src/connections/controlServer.ts
@@ -6,11 +6,12 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import { Counter, type Registry } from "prom-client";
+import type { Registry } from "prom-client";
 import { type Clock, type Milliseconds, systemClock } from "../clock.js";
 import type { Logger } from "../logger.js";
 import { BoundedConnections } from "./boundedConnections.js";
 import { answerClientError } from "./clientErrors.js";
+import { closedConnectionRecorder } from "./closedConnections.js";
 import type { ConnectionLimits } from "./connectionBudget.js";
 import { connectionReader } from "./connectionReader.js";
 
@@ -51,13 +52,12 @@
 
 /** Creates a server without listening. */
 export function createControlServer(options: ControlServerOptions, handle: ControlHandler): Server {
-    const closedConnections = closedConnectionsCounter(options.registry);
     const connections = new BoundedConnections({
         clock: options.clock ?? systemClock,
         logger: options.logger,
         clients: `the port for ${options.port}`,
         limits: options.limits ?? controlConnectionLimits,
-        onClosed: (reason) => closedConnections.inc({ port: options.port, reason }),
+        onClosed: closedConnectionRecorder(options.registry, options.port),
     });
     const onRequest = (request: IncomingMessage, response: ServerResponse) => {
         const { socket } = request;
@@ -127,15 +127,3 @@
     socket.once("end", end);
     socket.once("close", end);
 }
-
-/** The ports of a process share one counter. */
-function closedConnectionsCounter(registry: Registry): Counter<"port" | "reason"> {
-    const name = "redwingpin_control_connections_closed_total";
-    const existing = registry.getSingleMetric(name) as Counter<"port" | "reason"> | undefined;
-    return existing ?? new Counter({
-        name,
-        help: "Connections that were closed since their port exceeded a limit, by port and reason",
-        labelNames: ["port", "reason"],
-        registers: [registry],
-    });
-}
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -9,6 +9,7 @@
 export * from "./connections/bodyReader.js";
 export * from "./connections/boundedConnections.js";
 export * from "./connections/clientErrors.js";
+export * from "./connections/closedConnections.js";
 export * from "./connections/connectionBudget.js";
 export * from "./connections/connectionReader.js";
 export * from "./connections/controlServer.js";
--- a/packages/gateway/src/node/gatewayNode.ts
+++ b/packages/gateway/src/node/gatewayNode.ts
@@ -3,9 +3,10 @@
  *
  * @module
  */
-import type { Clock, Logger } from "@redwingpin/common";
+import { type Clock, closedConnectionRecorder, type Logger } from "@redwingpin/common";
 import type { FleetState } from "@redwingpin/fleet";
 import { InnerNode, ProcessRole } from "@redwingpin/protocol";
+import type { Registry } from "prom-client";
 import type { ResolvedGatewayConfig } from "../gatewayConfig.js";
 
 /** Options of {@link createInnerNode}. */
@@ -13,11 +14,12 @@
     readonly config: ResolvedGatewayConfig;
     readonly clock: Clock;
     readonly logger: Logger;
+    readonly registry: Registry;
 }
 
 /** Creates the node through which a gateway calls its peers and is called by them. */
 export function createInnerNode(
-    { clock, config, logger }: GatewayNodeOptions,
+    { clock, config, logger, registry }: GatewayNodeOptions,
     incarnation: string,
     state: FleetState,
 ): InnerNode {
@@ -32,5 +34,6 @@
         onRevision: () => {},
         onMessage: () => {},
         onClosed: () => {},
+        onHandshakeClosed: closedConnectionRecorder(registry, "inner"),
     });
 }
--- a/packages/protocol/src/__tests__/innerNode.spec.ts
+++ b/packages/protocol/src/__tests__/innerNode.spec.ts
@@ -1,4 +1,4 @@
-import { RefusalReason, silentLogger, systemClock } from "@redwingpin/common";
+import { ClosedConnectionReason, RefusalReason, silentLogger, systemClock } from "@redwingpin/common";
 import { expect } from "chai";
 import fc from "fast-check";
 import { once } from "node:events";
@@ -13,7 +13,12 @@
 
 const host = "127.0.0.1";
 
-function createNode(instance: string, key = "a fleet key for tests", revisions: number[] = []): InnerNode {
+function createNode(
+    instance: string,
+    key = "a fleet key for tests",
+    revisions: number[] = [],
+    closed: ClosedConnectionReason[] = [],
+): InnerNode {
     return new InnerNode({
         role: ProcessRole.Router,
         instance,
@@ -25,6 +30,7 @@
         onRevision: (_peer, revision) => revisions.push(revision),
         onMessage: () => {},
         onClosed: () => {},
+        onHandshakeClosed: (reason) => closed.push(reason),
     });
 }
 
@@ -54,7 +60,8 @@
 
     // Guards against descriptors that run out by connections to this port, which need no key.
     it("closes the oldest connections without a handshake for new ones, and serves a peer beside them", async () => {
-        const server = createNode("server");
+        const reasons: ClosedConnectionReason[] = [];
+        const server = createNode("server", undefined, undefined, reasons);
         server.handle(Topic.Rates, () => Promise.resolve("served"));
         const port = await server.listen(host, 0);
         let closed = 0;
@@ -71,6 +78,7 @@
         // All of them would be closed when the time for handshakes is over.
         await new Promise((resolve) => setTimeout(resolve, handshakeTimeoutMilliseconds / 4));
         expect(closed).to.be.within(100, 101);
+        expect(reasons).to.deep.equal(Array(closed).fill(ClosedConnectionReason.TooManyConnections));
         const second = await client.call({ host, port }, Topic.Rates, {}, 5_000);
         expect(second._unsafeUnwrap()).to.equal("served");
         silent.forEach((socket) => socket.destroy());
--- a/packages/protocol/src/node/innerNode.ts
+++ b/packages/protocol/src/node/innerNode.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { type Clock, listenOn, type Logger } from "@redwingpin/common";
+import { type Clock, type ClosedConnectionReason, listenOn, type Logger } from "@redwingpin/common";
 import { err, ok, type Result, ResultAsync } from "neverthrow";
 import type { Server } from "node:tls";
 import {
@@ -48,6 +48,11 @@
      * @default no callback
      */
     readonly onConnected?: (connection: Connection) => void;
+    /**
+     * Called for each connection that is closed before its handshake since there are too many.
+     * @default no callback
+     */
+    readonly onHandshakeClosed?: (reason: ClosedConnectionReason) => void;
 }
 
 /** Accepts and opens inner connections, and dispatches their messages to the topics' handlers or to `onMessage`. */
--- a/packages/protocol/src/node/secureChannel.ts
+++ b/packages/protocol/src/node/secureChannel.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { BoundedConnections, type Clock, type Logger } from "@redwingpin/common";
+import { BoundedConnections, type Clock, type ClosedConnectionReason, type Logger } from "@redwingpin/common";
 import { ResultAsync } from "neverthrow";
 import type { Socket } from "node:net";
 import * as tls from "node:tls";
@@ -23,6 +23,8 @@
 export interface SecureServerContext {
     readonly clock: Clock;
     readonly logger: Logger;
+    /** Called for each connection that is closed before its handshake since there are too many. */
+    readonly onHandshakeClosed?: (reason: ClosedConnectionReason) => void;
 }
 
 const commonOptions = { ciphers: cipher, minVersion: "TLSv1.2", maxVersion: "TLSv1.2" } as const;
@@ -50,7 +52,7 @@
         ...context,
         clients: "the inner port",
         limits: handshakeLimits,
-        onClosed: () => {},
+        onClosed: (reason) => context.onHandshakeClosed?.(reason),
     });
     /** Connections that have not been authenticated, by the port of the client. */
     const unknown = new Map<string, Socket>();
--- a/packages/rollout/src/node/replicaAgent.ts
+++ b/packages/rollout/src/node/replicaAgent.ts
@@ -7,6 +7,7 @@
 import {
     type CancelTimer,
     type Clock,
+    closedConnectionRecorder,
     type Logger,
     maxSeed,
     type Milliseconds,
@@ -154,6 +155,7 @@
             onRevision: () => {},
             onMessage: () => {},
             onClosed: (connection) => this.sync.handleDisconnect(connection.peer),
+            onHandshakeClosed: closedConnectionRecorder(registry, "inner"),
         });
         this.sync = new FleetSync({
             clock,
--- a/packages/router/src/node/router.ts
+++ b/packages/router/src/node/router.ts
@@ -13,6 +13,7 @@
 } from "@redwingpin/claims";
 import {
     type Clock,
+    closedConnectionRecorder,
     createReasonCounters,
     listenOn,
     type Logger,
@@ -203,6 +204,7 @@
             onRevision: (peer, revision) => this.configuration.observeRevision(peer.instance, revision),
             onMessage: (connection, message) => this.onMessage(connection, message),
             onClosed: (connection) => this.onClosed(connection),
+            onHandshakeClosed: closedConnectionRecorder(this.options.registry, "inner"),
         });
     }
 
