Log why metrics cannot be encoded

A scrape that failed was answered with 500, and the error was dropped. It is logged now; the new test fails without the line. The comment on parsing in slices states counts instead of times.

--- a/packages/common/src/__tests__/metricsText.spec.ts
+++ b/packages/common/src/__tests__/metricsText.spec.ts
@@ -1,6 +1,9 @@
 import { expect } from "chai";
+import type { AddressInfo } from "node:net";
 import { Registry } from "prom-client";
 import { systemClock } from "../clock.js";
+import { startHealthServer } from "../httpService.js";
+import { silentLogger } from "../logger.js";
 import { MetricsText } from "../metricsText.js";
 
 describe("text of the metrics", () => {
@@ -21,4 +24,19 @@
         now += 20;
         expect(await text.read()).to.equal("text 2");
     });
+
+    // Guards against scrapes that fail without a cause in the log.
+    it("is answered with an error, which is logged, if it cannot be encoded", async () => {
+        const registry = new Registry();
+        registry.metrics = () => Promise.reject(new Error("no such value"));
+        const errors: unknown[] = [];
+        const logger = { ...silentLogger, error: (...line: unknown[]) => void errors.push(line) };
+        const server = await startHealthServer("127.0.0.1", 0, { registry, ready: () => true, logger });
+        const { port } = server.address() as AddressInfo;
+        const response = await fetch(`http://127.0.0.1:${port}/metrics`);
+        server.closeAllConnections();
+        server.close();
+        expect(response.status).to.equal(500);
+        expect(errors).to.deep.equal([["metrics cannot be encoded", { error: "Error: no such value" }]]);
+    });
 });
--- a/packages/common/src/connections/readTurns.ts
+++ b/packages/common/src/connections/readTurns.ts
@@ -1,8 +1,7 @@
 /**
- * Divides the turns of an event loop among the connections that clients send on. What the HTTP parser does for a byte differs a
- * thousandfold: a body with a length costs little for 64 KB, and so does one request, while 64 KB of chunks of a byte, or of
- * requests without fields, take tens of milliseconds. So bytes are parsed in slices, and a slice shrinks with the steps of the
- * one before.
+ * Divides the turns of an event loop among the connections that clients send on. What the HTTP parser does for 64 KB differs: part
+ * of a body with a length is one call of a listener, chunks of a byte are some 11,000, and requests without fields some 2,000
+ * requests. So bytes are parsed in slices, and a slice shrinks with the steps of the one before.
  *
  * Connections whose slices take few steps come first. Of the others, each has one slice before any has a second, and at least
  * one of them has a slice in each turn.
--- a/packages/common/src/httpService.ts
+++ b/packages/common/src/httpService.ts
@@ -53,7 +53,10 @@
         case "/metrics":
             readMetricsText(source.registry).then(
                 (text) => answerText(response, 200, text, source.registry.contentType),
-                () => answerText(response, 500, "the metrics cannot be encoded\n"),
+                (error: unknown) => {
+                    source.logger?.error("metrics cannot be encoded", { error: String(error) });
+                    answerText(response, 500, "the metrics cannot be encoded\n");
+                },
             );
             return true;
         default:
