Name a connection kept only if there is one

An error of a call to the store stated "on a kept connection" when its connection was not established yet within the time limit, since it only looked whether one had been opened during the call. It now also looks whether the client has an open one.

The new test makes the time limit pass before the connection is established; it fails without the change.

--- a/packages/outside/src/__tests__/jsonHttpClient.spec.ts
+++ b/packages/outside/src/__tests__/jsonHttpClient.spec.ts
@@ -1,4 +1,4 @@
-import { listenOn, systemClock } from "@redwingpin/common";
+import { FakeClock, listenOn, systemClock } from "@redwingpin/common";
 import { expect } from "chai";
 import { createServer, type Server } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
@@ -84,6 +84,18 @@
         expect(next.isOk()).to.equal(true);
     });
 
+    // Regression test: such a call was said to have failed on a kept connection, though there was none.
+    it("names a new connection if a call has no answer before its connection is established", async () => {
+        const clock = new FakeClock();
+        const hurried = new JsonHttpClient({ address: server.address, clock, requestTimeoutMilliseconds });
+        const answer = hurried.callText({ method: "GET", path: "/held" });
+        clock.advance(requestTimeoutMilliseconds);
+        expect((await answer)._unsafeUnwrapErr().message).to.equal(
+            "/held failed: no answer within 150 ms on a new connection",
+        );
+        await hurried.close();
+    });
+
     it("lets other calls end that were made before a call without an answer", async () => {
         await openConnections(2);
         const lost = client.callText({ method: "GET", path: "/held" });
--- a/packages/outside/src/jsonHttpClient.ts
+++ b/packages/outside/src/jsonHttpClient.ts
@@ -76,7 +76,9 @@
     /** Agents that have been replaced, whose calls have not all ended. */
     private readonly replacedAgents = new Set<Agent>();
     /** Number of connections that have been opened. */
-    private connectionCount = 0;
+    private openedConnections = 0;
+    /** Number of open connections of {@link agent}. */
+    private keptConnections = 0;
 
     constructor(private readonly options: JsonHttpClientOptions) {
         this.agent = this.createAgent();
@@ -115,7 +117,12 @@
             headersTimeout: 0,
             bodyTimeout: 0,
         });
-        agent.on("connect", () => void this.connectionCount++);
+        this.keptConnections = 0;
+        agent.on("connect", () => {
+            this.openedConnections += 1;
+            this.keptConnections += agent === this.agent ? 1 : 0;
+        });
+        agent.on("disconnect", () => this.keptConnections -= agent === this.agent ? 1 : 0);
         return agent;
     }
 
@@ -138,11 +145,11 @@
     ): Promise<T> {
         const timeout = call.timeout ?? this.options.requestTimeoutMilliseconds;
         const controller = new AbortController();
-        const { agent } = this;
-        const connectionsBefore = this.connectionCount;
+        const { agent, openedConnections: openedBefore } = this;
+        const hasKept = this.keptConnections > 0;
         const cancel = this.options.clock.schedule(timeout, () => {
             // A connection that a concurrent call has opened counts as this call's.
-            const connection = this.connectionCount === connectionsBefore ? "a kept" : "a new";
+            const connection = hasKept && this.openedConnections === openedBefore ? "a kept" : "a new";
             controller.abort(new Error(`no answer within ${timeout} ms on ${connection} connection`));
             this.replaceAgent(agent);
         });
